--- a/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
@@ -44,6 +44,13 @@
             if self._table.is_ready(runner_id):
                 yield runner_id
 
+    def has_ready(self, pool: str, runner_id: str | None) -> bool:
+        """Tell whether a runner is of the pool in this region, and ready."""
+        entry = None if runner_id is None else self._table.get(runner_id)
+        if entry is None or entry.runner.pool != pool or not self._belongs(entry):
+            return False
+        return entry.state is RunnerState.READY
+
     def size(self, pool: str) -> int:
         """Return how many runners the pool's ring holds."""
         ring = self._rings.get(pool)
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/answer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/answer_relay.py
@@ -26,6 +26,7 @@
     *,
     runner: Runner,
     request_id: str,
+    placement: str = "",
 ) -> web.StreamResponse:
     """Stream an answer through; memory stays bounded by the socket buffers.
 
@@ -34,6 +35,8 @@
     whole answer.
     """
     response = _begin(answer, runner=runner, request_id=request_id)
+    if placement:
+        response.headers[headers.PLACEMENT] = placement
     await response.prepare(request)
     tail = b""
     try:
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/chat_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/chat_handler.py
@@ -8,6 +8,7 @@
 
 from clementineyoke_core.chat_key import chat_key
 from clementineyoke_core.outcome import Outcome
+from clementineyoke_core.placement_token import ChatPlace
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.callers.answer_relay import relay_answer
 from clementineyoke_node.callers.body_reader import read_body
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from aiohttp import web
 
+    from clementineyoke_core.placement_token import PlacementToken
     from clementineyoke_node.callers.authenticator import Authenticator
     from clementineyoke_node.callers.caller_request import CallerRequest
     from clementineyoke_node.callers.dispatcher import Dispatcher
@@ -44,9 +46,16 @@
 class ChatHandler:
     """Route a chat to the runner that holds its context."""
 
-    def __init__(self, *, authenticator: Authenticator, dispatcher: Dispatcher) -> None:
+    def __init__(
+        self,
+        *,
+        authenticator: Authenticator,
+        dispatcher: Dispatcher,
+        tokens: PlacementToken,
+    ) -> None:
         self._authenticator = authenticator
         self._dispatcher = dispatcher
+        self._tokens = tokens
 
     async def handle(
         self, request: web.Request, caller: CallerRequest
@@ -56,15 +65,11 @@
         chat = _parse(body)
         self._authenticator.check_pool(caller.team_path, "models", chat.model)
         chat_id = request.headers.get(headers.CHAT_ID, "")
+        place = _place_of(caller, chat, chat_id)
         call = RoutedCall(
             caller=caller,
             pool=chat.model,
-            key=chat_key(
-                team=caller.team_path,
-                model=chat.model,
-                chat_id=chat_id,
-                prompt=_prompt_text(chat),
-            ),
+            key=place.key,
             chat_id=chat_id,
             method="POST",
             path=CHAT_PATH,
@@ -74,13 +79,30 @@
             },
             body=body,
             is_idempotent=True,
+            preferred=self._tokens.read(
+                place, request.headers.get(headers.PLACEMENT, "")
+            ),
         )
         async with self._dispatcher.exchange(call) as (runner, answer):
             return await relay_answer(
-                request, answer, runner=runner, request_id=caller.request_id
+                request,
+                answer,
+                runner=runner,
+                request_id=caller.request_id,
+                placement=self._tokens.issue(place, runner.runner_id),
             )
 
 
+def _place_of(caller: CallerRequest, chat: ChatBody, chat_id: str) -> ChatPlace:
+    key = chat_key(
+        team=caller.team_path,
+        model=chat.model,
+        chat_id=chat_id,
+        prompt=_prompt_text(chat),
+    )
+    return ChatPlace(caller.team_path, chat.model, key)
+
+
 def _parse(body: bytes) -> ChatBody:
     try:
         return _decoder.decode(body)
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
@@ -42,6 +42,8 @@
     headers: dict[str, str]
     body: bytes
     is_idempotent: bool
+    preferred: str | None = None
+    """The runner that a placement token names."""
 
 
 class Dispatcher:
@@ -102,7 +104,9 @@
                     )
 
     async def _acquire(self, call: RoutedCall, tried: list[str]) -> SlotLease:
-        lease = await self._broker.acquire(pool=call.pool, key=call.key, tried=tried)
+        lease = await self._broker.acquire(
+            pool=call.pool, key=call.key, tried=tried, preferred=call.preferred
+        )
         if lease is None:
             self._decisions.record(
                 Event.ROUTE_REFUSED,
--- a/packages/clementineyoke-node/src/clementineyoke_node/console/main.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/main.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
+import signal
 import sys
-from contextlib import suppress
 
 import fire
 from aiomisc import entrypoint
@@ -36,16 +35,18 @@
     longest_stop_s = (
         node_config.stop_deadline_ms + node_config.stop_linger_ms
     ) / MS_PER_S
-    # A signal cancels the wait; the node then stops as it does on an operator's order.
-    with (
-        suppress(asyncio.CancelledError),
-        entrypoint(
-            service,
-            log_config=False,
-            shutdown_timeout=longest_stop_s + SHUTDOWN_SLACK_S,
-        ) as loop,
-    ):
-        loop.run_until_complete(service.wait_for_drain_order())
+    # aiomisc's own signal handling stops the loop from a callback while the loop is
+    # still being closed: a graceful stop then ended with a traceback and exit code 1,
+    # about one time in three.
+    with entrypoint(
+        service,
+        log_config=False,
+        catch_signals=(),
+        shutdown_timeout=longest_stop_s + SHUTDOWN_SLACK_S,
+    ) as loop:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, service.order_stop)
+        loop.run_until_complete(service.wait_for_stop_order())
 
 
 def main() -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
@@ -15,6 +15,7 @@
 from clementineyoke_core.mean_load import MeanLoad
 from clementineyoke_core.membership import Membership
 from clementineyoke_core.node import Node
+from clementineyoke_core.placement_token import PlacementToken
 from clementineyoke_core.pool_rings import PoolRings
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_core.slot_ledger import SlotLedger
@@ -72,7 +73,8 @@
     async def start(self) -> None:
         """Begin to serve; readiness waits for hosts and settings."""
         self._stack = AsyncExitStack()
-        self._drain_asked = asyncio.Event()
+        self._stop_ordered = asyncio.Event()
+        self._cut_ordered = asyncio.Event()
         self._leaving = False
         self._serving = False
         self._build_core()
@@ -85,15 +87,23 @@
     async def stop(self, exception: Exception | None = None) -> None:
         """Leave, let callers with an old address finish, then end."""
         self._begin_leaving()
-        await asyncio.sleep(self.config.stop_linger_ms / MS_PER_S)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.config.stop_linger_ms / MS_PER_S):
+                await self._cut_ordered.wait()
         await self._end_requests()
         await self._flush_reports()
         await self._stack.aclose()
         log_event(Event.NODE_STOPPED, node=self.config.node_id)
 
-    async def wait_for_drain_order(self) -> None:
-        """Return once an operator has told the node to drain."""
-        await self._drain_asked.wait()
+    def order_stop(self) -> None:
+        """Take an order to stop; a second one cuts what is still in flight."""
+        if self._stop_ordered.is_set():
+            self._cut_ordered.set()
+        self._stop_ordered.set()
+
+    async def wait_for_stop_order(self) -> None:
+        """Return once a signal or an operator has told the node to stop."""
+        await self._stop_ordered.wait()
 
     def _build_core(self) -> None:
         config = self.config
@@ -230,7 +240,11 @@
             timers=self._timers,
             decisions=self._decisions,
         )
-        self._chats = ChatHandler(authenticator=authenticator, dispatcher=dispatcher)
+        self._chats = ChatHandler(
+            authenticator=authenticator,
+            dispatcher=dispatcher,
+            tokens=PlacementToken(keys=self.config.peer_keys),
+        )
         self._services = ServiceHandler(
             authenticator=authenticator, dispatcher=dispatcher, claims=self._claims
         )
@@ -265,7 +279,7 @@
             timers=self._timers,
             status=self._status,
             is_ready=lambda: self._serving and not self._leaving,
-            begin_drain=self._drain_asked.set,
+            begin_drain=self.order_stop,
         )
         return admin.application()
 
@@ -331,12 +345,21 @@
         log_event(Event.NODE_DRAINING, in_flight=self._in_flight.count)
 
     async def _end_requests(self) -> None:
-        try:
-            async with asyncio.timeout(self.config.stop_deadline_ms / MS_PER_S):
-                await self._in_flight.wait_idle()
-                await self._services.finish_runs()
-        except TimeoutError:
+        idle = asyncio.ensure_future(self._wait_idle())
+        cut = asyncio.ensure_future(self._cut_ordered.wait())
+        await asyncio.wait(
+            (idle, cut),
+            timeout=self.config.stop_deadline_ms / MS_PER_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if not idle.done():
             log_event(Event.DRAIN_CUT, in_flight=self._in_flight.count)
+        idle.cancel()
+        cut.cancel()
+
+    async def _wait_idle(self) -> None:
+        await self._in_flight.wait_idle()
+        await self._services.finish_runs()
 
     async def _flush_reports(self) -> None:
         # A report that is never written leaves its key at "unknown", which is safe;
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -54,15 +54,26 @@
         self._last_in_use: dict[str, int] = {}
 
     async def acquire(
-        self, *, pool: str, key: int, tried: Collection[str] = ()
+        self,
+        *,
+        pool: str,
+        key: int,
+        tried: Collection[str] = (),
+        preferred: str | None = None,
     ) -> SlotLease | None:
-        """Return a lease on the first runner in the key's order that grants one."""
+        """Return a lease on the first runner that grants one.
+
+        The preferred runner, if it is ready and of the pool, is asked before the
+        others in the key's order.
+        """
         order = (
             runner_id
             for runner_id in self._rings.order(pool, key)
             if runner_id not in tried
         )
-        search = SlotSearch(order=order)
+        if preferred in tried or not self._rings.has_ready(pool, preferred):
+            preferred = None
+        search = SlotSearch(order=order, preferred=preferred)
         while (attempt := search.next_attempt()) is not None:
             ask_id = self._socket.next_ask_id()
             answer = await self._ask(attempt, ask_id)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/demo_caller.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/demo_caller.py
@@ -36,6 +36,7 @@
     def __init__(self, *, team: str, chat_id: str, rng: Random) -> None:
         self.team = team
         self.chat_id = chat_id
+        self.placement = ""
         self.text = "".join(rng.choices("abcdefgh ", k=rng.randint(400, 4000)))
 
 
@@ -101,7 +102,11 @@
         self, address: tuple[str, int], chat: Chat, body: dict[str, Any]
     ) -> bool:
         url = f"http://{address[0]}:{address[1]}/v1/chat/completions"
-        sent = {**self._auth(chat.team), headers.CHAT_ID: chat.chat_id}
+        sent = {
+            **self._auth(chat.team),
+            headers.CHAT_ID: chat.chat_id,
+            headers.PLACEMENT: chat.placement,
+        }
         try:
             async with self._session.post(url, json=body, headers=sent) as answer:
                 text = (await answer.read()).decode()
@@ -109,6 +114,7 @@
                     self._tally.outcomes[f"chat_{json.loads(text)['outcome']}"] += 1
                     return False
                 self._check_whole(answer, text, body["max_tokens"])
+                chat.placement = answer.headers[headers.PLACEMENT]
         except aiohttp.ClientPayloadError:
             self._tally.outcomes["chat_cut"] += 1
             self._tally.cut_by_node[address[0]] += 1
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/fleet_processes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/fleet_processes.py
@@ -123,7 +123,7 @@
 
     async def _start(self, name: str, module: str, *args: str) -> None:
         log: IO[bytes] = self._files.enter_context(
-            (self._folder / f"{name}.log").open("ab")
+            (self._folder / f"{name}.log").open("wb")
         )
         self._processes[name] = await asyncio.create_subprocess_exec(
             sys.executable, "-m", module, *args, stdout=log, stderr=log
