--- a/packages/clementineyoke-cli/tests/steps/commands_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/commands_steps.py
@@ -40,7 +40,12 @@
 
 async def serve(context):
     objects = MemoryObjectApi()
-    keeper = SettingsKeeper(objects=objects, peers=None, has_watch_duty=lambda: True)
+    keeper = SettingsKeeper(
+        objects=objects,
+        peers=None,
+        has_watch_duty=lambda: True,
+        has_snapshot_duty=lambda: True,
+    )
     api = AdminApi(
         key_hashes=[hash_key(KEY)],
         seal=Seal(keys=["peer"]),
--- a/packages/clementineyoke-core/src/clementineyoke_core/settings/log.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/settings/log.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from clementineyoke_core.settings.snapshot import SettingsSnapshot
 from clementineyoke_core.settings.tree import SettingsTree
 
 if TYPE_CHECKING:
@@ -54,6 +55,19 @@
             self._recent.popitem(last=False)
         return ApplyOutcome.APPLIED
 
+    def snapshot(self) -> SettingsSnapshot:
+        """Return the whole tree in force."""
+        return SettingsSnapshot(version=self._version, packed=self.tree.packed())
+
+    def restore(self, snapshot: SettingsSnapshot) -> bool:
+        """Jump to a newer version; an older one is never taken."""
+        if snapshot.version <= self._version:
+            return False
+        self.tree.replace(snapshot.packed)
+        self._version = snapshot.version
+        self._recent.clear()
+        return True
+
     def changes_after(self, version: int) -> list[SettingsChange] | None:
         """Return the changes a peer lacks, or None if some are no longer kept."""
         wanted = range(version + 1, self._version + 1)
--- a/packages/clementineyoke-core/src/clementineyoke_core/settings/tree.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/settings/tree.py
@@ -40,6 +40,15 @@
                 self._packed[path] = msgspec.msgpack.encode(values)
         self._cache.clear()
 
+    def packed(self) -> dict[str, bytes]:
+        """Return all own values as they are held, for a snapshot."""
+        return dict(sorted(self._packed.items()))
+
+    def replace(self, packed: dict[str, bytes]) -> None:
+        """Take all own values from a snapshot."""
+        self._packed = dict(packed)
+        self._cache.clear()
+
     def own_values(self, path: str) -> Values | None:
         """Return what a path itself says, or None if it is not in the tree."""
         packed = self._packed.get(path)
--- a/packages/clementineyoke-node/src/clementineyoke_node/admin/admin_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/admin/admin_api.py
@@ -10,7 +10,12 @@
 from msgspec import DecodeError, json
 
 from clementineyoke_node.callers.authenticator import fits_any
-from clementineyoke_node.settings.peer_changes import CHANGES_PATH, encode_changes
+from clementineyoke_node.settings.peer_changes import (
+    CHANGES_PATH,
+    SNAPSHOT_PATH,
+    encode_changes,
+    encode_snapshot,
+)
 from clementineyoke_node.settings.settings_error import SettingsError
 from clementineyoke_wire.bodies import SettingsChangeBody
 
@@ -65,6 +70,7 @@
         app.router.add_get("/ready", self._ready)
         app.router.add_get("/metrics", self._render_metrics)
         app.router.add_get(CHANGES_PATH, self._peer_changes)
+        app.router.add_get(SNAPSHOT_PATH, self._peer_snapshot)
         app.router.add_get("/admin/status", self._guard(self._get_status))
         app.router.add_get("/admin/explain", self._guard(self._explain))
         app.router.add_get("/admin/settings", self._guard(self._get_settings))
@@ -105,6 +111,12 @@
         encoded = encode_changes(changes[:MOST_CHANGES], seal=self._seal)
         return web.Response(body=encoded)
 
+    async def _peer_snapshot(self, request: web.Request) -> web.StreamResponse:
+        log = self._keeper.log
+        if log.version == 0:
+            return _refuse(410, "find_snapshot", "no settings are in force here yet")
+        return web.Response(body=encode_snapshot(log.snapshot(), seal=self._seal))
+
     async def _get_status(self, request: web.Request) -> web.StreamResponse:
         return web.json_response(self._status())
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
@@ -58,6 +58,8 @@
 PROBE_INTERVAL_MS = 250
 METRICS_INTERVAL_MS = 1_000
 SETTINGS_POLL_MS = 30_000
+SNAPSHOT_INTERVAL_MS = 10_000
+SNAPSHOT_DUTY = "settings snapshot"
 WATCHERS_A_ZONE = 2
 STOP_POLL_S = 0.05
 FLUSH_TIMEOUT_S = 3.0
@@ -150,6 +152,7 @@
                 objects=self._platform,
                 peers=HttpPeerChanges(seal=self._seal),
                 has_watch_duty=self._has_watch_duty,
+                has_snapshot_duty=self._has_snapshot_duty,
             )
         )
         self._build_slots()
@@ -318,6 +321,11 @@
         )
         subscribe("probe", interval_ms=PROBE_INTERVAL_MS, call=self._prober.run_round)
         subscribe("poll", interval_ms=SETTINGS_POLL_MS, call=self._keeper.poll)
+        subscribe(
+            "snapshot",
+            interval_ms=SNAPSHOT_INTERVAL_MS,
+            call=self._keeper.write_snapshot,
+        )
         subscribe("metrics", interval_ms=METRICS_INTERVAL_MS, call=self._copy_metrics)
 
     def _apply_hosts(self) -> None:
@@ -342,6 +350,9 @@
         )
         return self.config.node_id in peers[:WATCHERS_A_ZONE]
 
+    def _has_snapshot_duty(self) -> bool:
+        return self._homes.home_of(SNAPSHOT_DUTY) == self.config.node_id
+
     def _begin_leaving(self) -> None:
         if self._leaving:
             return
--- a/packages/clementineyoke-node/src/clementineyoke_node/settings/peer_changes.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/settings/peer_changes.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol, TypeVar
 
 import aiohttp
 import msgspec
 
 from clementineyoke_core.settings.change import SettingsChange
+from clementineyoke_core.settings.snapshot import SettingsSnapshot
 from clementineyoke_node.platform.platform_error import PlatformError
 from clementineyoke_wire.wire_error import WireError
 
@@ -17,8 +18,21 @@
 
 FETCH_TIMEOUT_S = 5.0
 CHANGES_PATH = "/peer/settings/changes"
+SNAPSHOT_PATH = "/peer/settings/snapshot"
 STATUS_OK = 200
+STATUS_GONE = 410
+T = TypeVar("T")
+T_co = TypeVar("T_co", covariant=True)
 _decoder = msgspec.json.Decoder(list[SettingsChange])
+_snapshot_decoder = msgspec.msgpack.Decoder(SettingsSnapshot)
+
+
+class Decoder(Protocol[T_co]):
+    """Either of msgspec's decoders."""
+
+    def decode(self, body: bytes, /) -> T_co:
+        """Read a value; raises ``msgspec.DecodeError``."""
+        ...
 
 
 def encode_changes(changes: list[SettingsChange], *, seal: Seal) -> bytes:
@@ -26,15 +40,36 @@
     return seal.sign(msgspec.json.encode(changes))
 
 
+def encode_snapshot(snapshot: SettingsSnapshot, *, seal: Seal) -> bytes:
+    """Return what a node answers to a peer that is too far behind."""
+    return seal.sign(msgspec.msgpack.encode(snapshot))
+
+
 class HttpPeerChanges:
-    """Ask a peer's operator port; the answer is sealed like a datagram."""
+    """Ask a peer's operator port; answers are sealed like datagrams."""
 
     def __init__(self, *, seal: Seal) -> None:
         self._seal = seal
 
-    async def fetch(self, node: Node, *, after: int) -> list[SettingsChange]:
-        """Return the peer's changes after a version; raises ``PlatformError``."""
-        url = f"http://{node.address}:{node.peer_port}{CHANGES_PATH}?after={after}"
+    async def fetch(self, node: Node, *, after: int) -> list[SettingsChange] | None:
+        """Return the peer's changes after a version, None if it no longer has them.
+
+        Raises ``PlatformError``.
+        """
+        body = await self._get(node, f"{CHANGES_PATH}?after={after}")
+        if body is None:
+            return None
+        return _decode(node, body, _decoder)
+
+    async def fetch_snapshot(self, node: Node) -> SettingsSnapshot:
+        """Return the peer's whole tree; raises ``PlatformError``."""
+        body = await self._get(node, SNAPSHOT_PATH)
+        if body is None:
+            raise _failure(node, "the peer has no settings")
+        return _decode(node, body, _snapshot_decoder)
+
+    async def _get(self, node: Node, path: str) -> bytes | None:
+        url = f"http://{node.address}:{node.peer_port}{path}"
         timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
         try:
             async with (
@@ -42,15 +77,21 @@
                 session.get(url) as response,
             ):
                 body = await response.read()
+                if response.status == STATUS_GONE:
+                    return None
                 if response.status != STATUS_OK:
-                    return []
-                return _decoder.decode(self._seal.open(body, peer=node.node_id))
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            WireError,
-            msgspec.DecodeError,
-        ) as error:
-            raise PlatformError(
-                step="fetch_changes", peer=node.node_id, reason=repr(error)
-            ) from error
+                    raise _failure(node, f"status {response.status}")
+                return self._seal.open(body, peer=node.node_id)
+        except (aiohttp.ClientError, TimeoutError, WireError) as error:
+            raise _failure(node, repr(error)) from error
+
+
+def _decode(node: Node, body: bytes, decoder: Decoder[T]) -> T:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise _failure(node, str(error)) from error
+
+
+def _failure(node: Node, reason: str) -> PlatformError:
+    return PlatformError(step="fetch_settings", peer=node.node_id, reason=reason)
--- a/packages/clementineyoke-node/tests/steps/settings_writer_steps.py
+++ b/packages/clementineyoke-node/tests/steps/settings_writer_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from clementineyoke_core.node import Node
 from clementineyoke_node.settings.settings_error import SettingsError
 from clementineyoke_node.settings.settings_keeper import SettingsKeeper
 from clementineyoke_node.settings.settings_writer import SettingsWriter
@@ -27,7 +28,10 @@
 
 def make_writer(context):
     keeper = SettingsKeeper(
-        objects=context.objects, peers=NoPeers(), has_watch_duty=lambda: True
+        objects=context.objects,
+        peers=NoPeers(),
+        has_watch_duty=lambda: True,
+        has_snapshot_duty=lambda: True,
     )
     writer = SettingsWriter(
         objects=context.objects, keeper=keeper, author_node="node-1"
@@ -116,3 +120,85 @@
     shown = (diff.path, diff.before, diff.after)
     assert shown == ("/", {"rate_per_s": 10}, {"rate_per_s": 20})
     assert context.keeper.log.version == 1
+
+
+class OnePeer:
+    """A peer that answers from its log, as a node's operator port does."""
+
+    def __init__(self, log):
+        self.log = log
+
+    async def fetch(self, node, *, after):
+        return self.log.changes_after(after)
+
+    async def fetch_snapshot(self, node):
+        return self.log.snapshot()
+
+
+async def commit_many(context, count):
+    for _ in range(count):
+        version = context.keeper.log.version
+        edits = {f"/group/team-{version % 40}": {"rate_per_s": version}}
+        body = make_body(edits, based_on=version)
+        await context.writer.commit(body, wall_ms=0)
+
+
+@when("{count:d} more changes are committed and a snapshot is written")
+def commit_and_snapshot(context, count):
+    context.objects.delay_ms = 0.0
+
+    async def run():
+        await commit_many(context, count)
+        await context.keeper.write_snapshot()
+
+    context.run(run())
+    context.old = context.keeper.log.snapshot()
+
+
+@when("{count:d} more changes are committed and the platform goes away")
+def commit_and_away(context, count):
+    context.objects.delay_ms = 0.0
+    context.run(commit_many(context, count))
+    context.objects.is_away = True
+
+
+@when("{count:d} more changes are committed")
+def commit_more(context, count):
+    context.run(commit_many(context, count))
+
+
+@then("a new node has version {version:d} after {calls:d} calls to the platform")
+def check_start(context, version, calls):
+    keeper, _ = make_writer(context)
+    before = context.objects.calls
+    context.run(keeper.refresh())
+    assert keeper.log.version == version
+    assert context.objects.calls - before <= calls, context.objects.calls - before
+    assert keeper.log.tree.packed() == context.keeper.log.tree.packed()
+
+
+@then("a new node that hears of a peer has version {version:d} and the same tree")
+def check_peer_start(context, version):
+    async def run():
+        keeper = SettingsKeeper(
+            objects=context.objects,
+            peers=OnePeer(context.keeper.log),
+            has_watch_duty=lambda: True,
+            has_snapshot_duty=lambda: False,
+        )
+        async with keeper:
+            peer = Node("peer", "127.0.0.1", 1, 2, "zone", "region")
+            keeper.hear_of_newer(peer, version)
+            async with asyncio.timeout(10):
+                await keeper.ready.wait()
+        return keeper
+
+    keeper = context.run(run())
+    assert keeper.log.version == version
+    assert keeper.log.tree.packed() == context.keeper.log.tree.packed()
+
+
+@then("restoring the snapshot leaves version {version:d} in force")
+def check_old(context, version):
+    assert not context.keeper.log.restore(context.old)
+    assert context.keeper.log.version == version
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/bench/memory_object_api.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/bench/memory_object_api.py
@@ -24,6 +24,7 @@
         """So many next writes take effect and then raise."""
         self.is_away = False
         self.writes = 0
+        self.calls = 0
 
     async def read(self, name: str) -> StoredObject | None:
         """Return an object, or None."""
@@ -60,6 +61,7 @@
         return WatchResult(self.store.revision, objects)
 
     async def _wait(self) -> None:
+        self.calls += 1
         await asyncio.sleep(self.delay_ms / MS_PER_S)
         if self.is_away:
             raise PlatformError(step="call", peer="memory", reason="outage")
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/settings_spec.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/settings_spec.py
@@ -27,6 +27,8 @@
     """The highest version that each node ever had in force since its start."""
     bases: tuple[int, int]
     """The version each operator looked at; -1 when not editing."""
+    snapshot: int
+    """The version of the snapshot that the platform holds."""
     accepted: Log
     """What operators were told is accepted, by version."""
 
@@ -36,12 +38,14 @@
 
     create_only: bool = True
     next_version_only: bool = True
+    newer_snapshot_only: bool = True
 
 
-INITIAL = State((), ((), ()), (0, 0), (-1, -1), ())
+INITIAL = State((), ((), ()), (0, 0), (-1, -1), 0, ())
 MUTATIONS = {
     "overwrite a version": Guards(create_only=False),
     "take any peer's log": Guards(next_version_only=False),
+    "restore an older snapshot": Guards(newer_snapshot_only=False),
 }
 Step = tuple[str, State]
 
@@ -112,6 +116,11 @@
         yield f"apply peer {index}", _with_node(state, index, other[: len(own) + 1])
     if not guards.next_version_only and other != own:
         yield f"take peer {index}", _with_node(state, index, other)
+    if len(own) > state.snapshot:
+        yield f"write_snapshot {index}", state._replace(snapshot=len(own))
+    restored = state.log[: state.snapshot]
+    if len(restored) > len(own) or (restored and not guards.newer_snapshot_only):
+        yield f"restore {index}", _with_node(state, index, restored)
     if own:
         # A restart forgets; it serves nothing before it has applied a version again.
         nodes = _put_log(state.nodes, index, ())
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -40,6 +40,7 @@
     TASK_FAILED = EventKind(306, "ERROR", "A background task died of a fault.")
     SETTINGS_IN_FORCE = EventKind(400, "INFO", "A settings version came into force.")
     SETTINGS_REFUSED = EventKind(401, "WARNING", "A change of settings was refused.")
+    SETTINGS_RESTORED = EventKind(402, "INFO", "A snapshot of settings was taken over.")
     CLAIMS_WRITTEN = EventKind(500, "DEBUG", "A batch of claims became durable.")
     CLAIMS_CONFLICT = EventKind(501, "WARNING", "A claim write met a newer version.")
     CLAIMS_UNSURE = EventKind(502, "WARNING", "A claim write's reply was lost.")
