Believe a runner's own word, bound retries, probe silent homes first

Cause: three pieces of evidence went unused. A draining runner's answer was overruled by the next list that still showed it live; retries were bounded for a request but not for all; a home that left an ask unanswered waited for its turn to be probed.

--- a/packages/clementineyoke-core/src/clementineyoke_core/membership.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/membership.py
@@ -110,6 +110,15 @@
         self._misses.pop(node_id, None)
         return self.hear(Rumour(node_id, incarnation, NodeState.ALIVE))
 
+    def suspect(self, node_id: str) -> None:
+        """Note that a node left other traffic unanswered: it is probed next.
+
+        Counted as a missed probe it would let a pause of 50 ms take a node out; not
+        noted at all, a dead home is found only when its turn to be probed comes.
+        """
+        if self.state(node_id) is NodeState.ALIVE:
+            self._misses.setdefault(node_id, 0)
+
     def record_missed(self, node_id: str) -> bool:
         """Note an unanswered probe; return whether the node is now believed down."""
         if self.state(node_id) is not NodeState.ALIVE:
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -13,6 +13,8 @@
 
 FIRST_QUARANTINE_MS = 500
 LONGEST_QUARANTINE_MS = 30_000
+LIST_LAG_MS = 30_000
+"""How long a runner's own word outweighs a list that still shows it live."""
 
 
 class RunnerEntry(NamedTuple):
@@ -23,7 +25,8 @@
     failures: int
     """Transport failures in a row, before a request had begun."""
     retry_at_ms: float
-    """When a quarantined runner may be probed again; monotonic."""
+    """When a quarantined runner may be probed again, or a list that shows a draining
+    one live is believed; monotonic."""
 
 
 class RunnerTable:
@@ -32,19 +35,20 @@
     Evidence of several kinds races: the list (lagging), probes and own traffic. What
     goes wrong without one writer: a probe that began before a drain marks the runner
     ready again, seen as new work on a leaving runner. Draining is therefore final
-    here until the list drops the runner or shows it live again.
+    here until the list drops the runner or shows it live again; and when the runner
+    itself said so, a lagging list that still shows it live is not believed for a while.
     """
 
     def __init__(self) -> None:
         self._entries: dict[str, RunnerEntry] = {}
 
     def replace_listed(
-        self, *, live: Iterable[Runner], leaving: Iterable[Runner]
+        self, *, live: Iterable[Runner], leaving: Iterable[Runner], now_ms: float
     ) -> bool:
         """Take a new host list; return whether the set of runners changed."""
         entries: dict[str, RunnerEntry] = {}
         for runner in live:
-            entries[runner.runner_id] = self._keep_or_add(runner)
+            entries[runner.runner_id] = self._keep_or_add(runner, now_ms)
         for runner in leaving:
             entries[runner.runner_id] = RunnerEntry(
                 runner, RunnerState.DRAINING, 0, 0.0
@@ -66,11 +70,13 @@
         entry = self._entries.get(runner_id)
         return entry is not None and entry.state is RunnerState.READY
 
-    def record_draining(self, runner_id: str) -> None:
+    def record_draining(self, runner_id: str, *, now_ms: float) -> None:
         """Note that the runner itself said that it is leaving."""
         entry = self._entries.get(runner_id)
         if entry is not None:
-            self._entries[runner_id] = entry._replace(state=RunnerState.DRAINING)
+            self._entries[runner_id] = RunnerEntry(
+                entry.runner, RunnerState.DRAINING, 0, now_ms + LIST_LAG_MS
+            )
 
     def record_transport_failure(self, runner_id: str, *, now_ms: float) -> None:
         """Quarantine a runner that failed before a request had begun."""
@@ -111,8 +117,10 @@
             or (entry.state is RunnerState.QUARANTINED and entry.retry_at_ms <= now_ms)
         ]
 
-    def _keep_or_add(self, runner: Runner) -> RunnerEntry:
+    def _keep_or_add(self, runner: Runner, now_ms: float) -> RunnerEntry:
         known = self._entries.get(runner.runner_id)
-        if known is None or known.state is RunnerState.DRAINING:
+        if known is None:
+            return RunnerEntry(runner, RunnerState.READY, 0, 0.0)
+        if known.state is RunnerState.DRAINING and known.retry_at_ms <= now_ms:
             return RunnerEntry(runner, RunnerState.READY, 0, 0.0)
         return known._replace(runner=runner)
--- a/packages/clementineyoke-core/tests/membership.feature
+++ b/packages/clementineyoke-core/tests/membership.feature
@@ -35,6 +35,12 @@
     When the list shows node-3 leaving and then live again
     Then node-3 is alive in the view
 
+  Scenario: A home that leaves a slot ask unanswered is probed next
+    Given a view of 9 nodes
+    When node-5 is suspected
+    Then node-5 is probed next
+    And node-5 is alive in the view
+
   Scenario: Probes cost the same whatever happens
     Given a view of 9 nodes
     When node-3 misses 3 probes
--- a/packages/clementineyoke-core/tests/steps/membership_steps.py
+++ b/packages/clementineyoke-core/tests/steps/membership_steps.py
@@ -68,6 +68,16 @@
     context.view.replace_listed(live=context.nodes, leaving=[])
 
 
+@when("{node_id} is suspected")
+def suspect(context, node_id):
+    context.view.suspect(node_id)
+
+
+@then("{node_id} is probed next")
+def check_next(context, node_id):
+    assert context.view.next_probe().node_id == node_id
+
+
 @then("{node_id} is {state} in the view")
 def check_state(context, node_id, state):
     assert context.view.state(node_id) is NodeState[state.upper()]
--- a/packages/clementineyoke-core/tests/steps/runner_table_steps.py
+++ b/packages/clementineyoke-core/tests/steps/runner_table_steps.py
@@ -11,13 +11,13 @@
 @given("a listed runner")
 def given_runner(context):
     context.runners = RunnerTable()
-    context.runners.replace_listed(live=[RUNNER], leaving=[])
+    context.runners.replace_listed(live=[RUNNER], leaving=[], now_ms=0)
     assert context.runners.is_ready("engine-1")
 
 
 @when("the runner says that it drains")
 def drain(context):
-    context.runners.record_draining("engine-1")
+    context.runners.record_draining("engine-1", now_ms=0)
 
 
 @when("a probe answers that it is ready")
@@ -33,7 +33,17 @@
 
 @when("the list shows the runner live again")
 def list_again(context):
-    context.runners.replace_listed(live=[RUNNER], leaving=[])
+    context.runners.replace_listed(live=[RUNNER], leaving=[], now_ms=0)
+
+
+@when("the list shows the runner live after {now_ms:d} ms")
+def list_later(context, now_ms):
+    context.runners.replace_listed(live=[RUNNER], leaving=[], now_ms=now_ms)
+
+
+@then("the runner is ready again")
+def check_back(context):
+    assert context.runners.is_ready("engine-1")
 
 
 @then("the runner gets no new work")
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
@@ -8,10 +8,12 @@
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
+from clementineyoke_core.retry_budget import RetryBudget
 from clementineyoke_node.callers.answer_relay import has_length
 from clementineyoke_node.runners.runner_client import RunnerCall
 from clementineyoke_node.runners.runner_error import RunnerError
 from clementineyoke_node.slots.slot_wish import SlotWish
+from clementineyoke_wire import headers
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
@@ -30,6 +32,7 @@
 
 MOST_ATTEMPTS = 3
 RETRY_AFTER_MS = 500
+STATUS_UNAVAILABLE = 503
 
 
 class RoutedCall(NamedTuple):
@@ -65,6 +68,7 @@
         self._table = table
         self._timers = timers
         self._decisions = decisions
+        self._retries = RetryBudget()
 
     @asynccontextmanager
     async def exchange(
@@ -75,6 +79,7 @@
         Raises ``RequestError``. A call that may have begun is sent again only if it is
         idempotent.
         """
+        self._retries.earn()
         tried: list[str] = []
         unsure: RunnerError | None = None
         while True:
@@ -90,7 +95,7 @@
                     async with self._client.exchange(
                         lease.runner, runner_call
                     ) as answer:
-                        self._check_length(lease.runner, answer)
+                        self._check_head(lease.runner, answer)
                         begun = True
                         self._table.record_success(lease.runner.runner_id)
                         yield lease.runner, answer
@@ -163,7 +168,17 @@
             is_idempotent=call.is_idempotent,
         )
 
-    def _check_length(self, runner: Runner, answer: aiohttp.ClientResponse) -> None:
+    def _check_head(self, runner: Runner, answer: aiohttp.ClientResponse) -> None:
+        if headers.DRAINING in answer.headers:
+            now_ms = self._timers.now_ms()
+            self._table.record_draining(runner.runner_id, now_ms=now_ms)
+            if answer.status == STATUS_UNAVAILABLE:
+                raise RunnerError(
+                    step="read_head",
+                    peer=runner.runner_id,
+                    reason="the runner is leaving and did not take the call",
+                    may_have_run=False,
+                )
         if not has_length(answer):
             raise RunnerError(
                 step="read_head",
@@ -199,7 +214,8 @@
     ) -> None:
         may_repeat = call.is_idempotent or not error.may_have_run
         out_of_time = call.caller.deadline_ms <= self._timers.now_ms()
-        if may_repeat and attempts < MOST_ATTEMPTS and not out_of_time:
+        wants_retry = may_repeat and attempts < MOST_ATTEMPTS and not out_of_time
+        if wants_retry and self._retries.spend():
             return
         outcome = Outcome.NOT_RUN if unsure is None else Outcome.UNKNOWN
         raise RequestError(
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/host_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/host_watcher.py
@@ -17,6 +17,7 @@
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.platform.host_list import HostChanges, HostList
+    from clementineyoke_node.timers.timer_service import TimerService
     from clementineyoke_wire.bodies import HostBody
 
 RETRY_PAUSE_S = 1.0
@@ -33,11 +34,13 @@
         host_list: HostList,
         membership: Membership,
         table: RunnerTable,
+        timers: TimerService,
         on_change: Callable[[], None],
     ) -> None:
         self._host_list = host_list
         self._membership = membership
         self._table = table
+        self._timers = timers
         self._on_change = on_change
         self._hosts: dict[str, HostBody] = {}
         self._revision = 0
@@ -90,7 +93,9 @@
             else:
                 (leaving_runners if leaves else runners).append(_to_runner(host))
         self._membership.replace_listed(live=nodes, leaving=leaving_nodes)
-        self._table.replace_listed(live=runners, leaving=leaving_runners)
+        self._table.replace_listed(
+            live=runners, leaving=leaving_runners, now_ms=self._timers.now_ms()
+        )
         self._on_change()
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
@@ -171,6 +171,7 @@
                 host_list=self._platform,
                 membership=self._membership,
                 table=self._table,
+                timers=self._timers,
                 on_change=self._apply_hosts,
             )
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -139,6 +139,7 @@
             )
         except TimeoutError:
             log_event(Event.HOME_SILENT, home=home.node_id, runner=runner_id)
+            self._membership.suspect(home.node_id)
             # The ask may have been granted and only its reply lost.
             self._socket.send(PeerAddress.of(home), SlotRelease(ask_id, ask.runner))
             return None
--- a/packages/clementineyoke-node/tests/callers/isolation.feature
+++ b/packages/clementineyoke-node/tests/callers/isolation.feature
@@ -94,3 +94,13 @@
     Then all 24 are answered whole
     And the engine never ran more than 16 at once
     And no slot is held
+
+  Scenario: A runner says that it leaves before the list does
+    # Symptom: refused chats until the host list catches up, seconds later.
+    # Sequence: an engine begins to drain; the list still shows it live.
+    # Cause: only the list was asked; the runner's own answer is the first to know.
+    Given a node with stand-ins
+    When the engine of a chat begins to drain
+    And the chat comes back
+    Then the caller gets its own whole answer
+    And 10 more turns ask the draining engine no more
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -56,6 +56,21 @@
     context.fleet.engines[int(context.first[-1])].faults.crossed = 1
 
 
+@when("the engine of a chat begins to drain")
+def drain_engine(context):
+    _, headers, _ = context.run(context.fleet.chat(X_Chat_Id="chat"))
+    context.draining = context.fleet.engines[int(headers["X-Runner"][-1])]
+    context.draining.faults.draining = True
+
+
+@then("{count:d} more turns ask the draining engine no more")
+def check_drained(context, count):
+    for _ in range(count):
+        context.answer = context.run(context.fleet.chat(X_Chat_Id="chat"))
+        check_whole(context)
+    assert context.draining.stats["turned_away"] == 1
+
+
 @when("the chat comes back")
 def come_back(context):
     context.answer = context.run(context.fleet.chat(X_Chat_Id="chat"))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
@@ -84,6 +84,7 @@
             for n in range(runners)
         ],
         leaving=[],
+        now_ms=0.0,
     )
     return table
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
@@ -151,16 +151,23 @@
         await asyncio.sleep(REST_S)
 
     async def _leave_runner(self, fleet: FleetProcesses) -> None:
+        """Let a runner leave while a node is frozen; callers go on asking that node."""
         leaving = fleet.runners[0]
+        pause = NodePause(fleet=fleet)
+        await pause.begin()
         await put_control("hosts", leaving | {"state": "leaving"})
         left_s = time.time()
         await asyncio.sleep(LEAVE_S)
+        await pause.heal()
+        await asyncio.sleep(REST_S)
         async with (
             aiohttp.ClientSession() as session,
             session.get(f"{runner_url(leaving)}/stats") as answer,
         ):
             stats = await answer.json()
-        self._late_work = int(stats["last_start_s"] - left_s > LEAVE_BOUND_S)
+        last_s = stats["last_start_s"] - left_s
+        print(f"last work on the leaving runner: {last_s:.2f} s after it was listed")
+        self._late_work = int(last_s > LEAVE_BOUND_S)
 
     async def _audit(
         self,
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
@@ -67,6 +67,10 @@
         return web.json_response({})
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
+        if self.faults.draining:
+            self.stats["turned_away"] += 1
+            sent = {**self._headers(request), headers.DRAINING: "1"}
+            return web.json_response({"error": "leaving"}, status=503, headers=sent)
         body = await request.json()
         self._running += 1
         self.peak_running = max(self.peak_running, self._running)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/runner_faults.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/runner_faults.py
@@ -16,5 +16,7 @@
     """Answer with another request's id."""
     no_end_mark: int = 0
     """End a stream in order, but without its end mark."""
+    draining: bool = False
+    """Say so on every answer, and take no new work."""
     stall_ms: float = 0.0
     """Wait so long before the first byte, every time."""
