Let a home refuse slots on a runner that it knows to be leaving

Cause: the home counted slots and did not look at its own list, so an asker that had been frozen could still put work on a leaving runner.

--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -160,7 +160,8 @@
 
     def _bound(self, runner_id: str, seen_mean: float = 0.0) -> int:
         entry = self._table.get(runner_id)
-        if entry is None:
+        if entry is None or entry.state is RunnerState.DRAINING:
+            # The asker may have been frozen and not know; two views must both err.
             return 0
         return bound_by_home(
             estimated_mean=self._mean_load.mean(entry.runner.pool),
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from clementineyoke_core.hashing import hash_text
+from clementineyoke_core.homes import Homes
+from clementineyoke_core.mean_load import MeanLoad
+from clementineyoke_core.runner import Runner, RunnerKind
+from clementineyoke_core.runner_table import RunnerTable
+from clementineyoke_core.slot_ledger import SlotHold, SlotLedger
+from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
+from clementineyoke_node.slots.slot_home import SlotHome
+from clementineyoke_node.timers.timer_service import TimerService
+from clementineyoke_wire.messages import SlotAsk, SlotRelease
+
+RUNNER = Runner("engine-1", "127.0.0.1", 1, "zone", "region", RunnerKind.ENGINE, "m", 1)
+PEER = PeerAddress("127.0.0.9", 9)
+
+
+class RecordingSocket:
+    """Take handlers and keep what is sent."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    def handle(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, peer, message):
+        self.sent.append(message)
+
+    def receive(self, message):
+        self.handlers[type(message)](PeerMessage(PEER, 1, message))
+
+
+def make_home(context, *, live=(), leaving=()):
+    context.socket = RecordingSocket()
+    table = RunnerTable()
+    table.replace_listed(live=live, leaving=leaving, now_ms=0)
+    homes = Homes()
+    homes.replace_nodes(["node-1"])
+    context.home = SlotHome(
+        own_id="node-1",
+        ledger=SlotLedger(),
+        table=table,
+        homes=homes,
+        mean_load=MeanLoad(),
+        socket=context.socket,
+        timers=TimerService(),
+    )
+    context.home.rebuild()
+
+
+def ask(context, ask_id, wait_ms=0):
+    runner = hash_text("engine-1")
+    context.socket.receive(SlotAsk(ask_id, runner, 0.0, wait_ms=wait_ms))
+
+
+@given("a home whose list shows a runner leaving")
+def given_leaving(context):
+    make_home(context, leaving=[RUNNER])
+
+
+@given("a home whose runner has its 1 slot in use")
+def given_full(context):
+    make_home(context, live=[RUNNER])
+    context.hold = SlotHold("node-1", 1)
+    context.home.ask("engine-1", context.hold, seen_mean=0.0).unwrap()
+
+
+@when("another node asks for a slot on it")
+def ask_slot(context):
+    ask(context, 7)
+
+
+@when("another node waits for a slot on it")
+def wait_slot(context):
+    ask(context, 7, wait_ms=5_000)
+
+
+@when("another node waits for a slot on it and gives up")
+def wait_and_give_up(context):
+    wait_slot(context)
+    context.socket.receive(SlotRelease(7, hash_text("engine-1")))
+
+
+@then("the ask is refused")
+def check_refused(context):
+    assert [reply.granted for reply in context.socket.sent] == [False]
+
+
+@then("it is granted once the slot is released, and only then")
+def check_granted(context):
+    assert context.socket.sent == []
+    context.home.release("engine-1", context.hold)
+    assert [(r.ask_id, r.granted) for r in context.socket.sent] == [(7, True)]
+    assert context.home.loads() == {"engine-1": 1}
+
+
+@then("the released slot stays free")
+def check_free(context):
+    context.home.release("engine-1", context.hold)
+    assert context.socket.sent == []
+    assert context.home.loads() == {"engine-1": 0}
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
@@ -152,6 +152,7 @@
 
     async def _leave_runner(self, fleet: FleetProcesses) -> None:
         """Let a runner leave while a node is frozen; callers go on asking that node."""
+        await asyncio.sleep(LASTS_S)
         leaving = fleet.runners[0]
         pause = NodePause(fleet=fleet)
         await pause.begin()
