--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/stream_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/stream_slopes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 
@@ -15,18 +16,28 @@
 from clementineyoke_standins.demo.layout import admin_url, caller_url
 from clementineyoke_wire import headers
 
+if TYPE_CHECKING:
+    from clementineyoke_wire.bodies import HostBody
+
 TOKENS = (10, 40, 80, 160)
 STREAMS = 60
 TEAM = LEAGUE.teams[0]
+MEGABYTE = 1_000_000
+ANSWER_MEGABYTES = (8, 16, 32, 64)
+SLOW_READ_S = 0.02
+Points = list[tuple[float, float]]
 
 
 def measure_streams() -> list[Slope]:
-    """Return the processor time of a request by its number of events."""
-    points = asyncio.run(_measure())
-    return [fit("work: streamed request", unit="us", per="event", points=points)]
+    """Return processor time by events, and a node's memory by an answer's size."""
+    work, memory = asyncio.run(_measure())
+    return [
+        fit("work: streamed request", unit="us", per="event", points=work),
+        fit("memory: relay to a slow reader", unit="bytes", per="MB", points=memory),
+    ]
 
 
-async def _measure() -> list[tuple[float, float]]:
+async def _measure() -> tuple[Points, Points]:
     folder = Path("build") / "capacity-fleet"
     async with FleetProcesses(deployment=LEAGUE, folder=folder) as fleet:
         node = fleet.nodes[0]
@@ -35,38 +46,83 @@
         change = whole_change(read_settings_file(LEAGUE.settings_file))
         await operator_client(admin_url(node)).change_settings(change)
         await fleet.wait_answering(f"{admin_url(node)}/ready")
-        points = []
         async with aiohttp.ClientSession() as session:
-            await _stream_all(session, caller_url(node), TOKENS[0])
-            for tokens in TOKENS:
-                before_s = fleet.cpu_s(node["host"])
-                await _stream_all(session, caller_url(node), tokens)
-                used_s = fleet.cpu_s(node["host"]) - before_s
-                points.append((float(tokens), used_s / STREAMS * 1e6))
-        return points
+            work = await _measure_work(fleet, node, session)
+            memory = await _measure_memory(fleet, node, session)
+        return work, memory
 
 
-async def _stream_all(session: aiohttp.ClientSession, url: str, tokens: int) -> None:
-    await asyncio.gather(
-        *(_stream(session, url, tokens, number) for number in range(STREAMS))
-    )
+async def _measure_work(
+    fleet: FleetProcesses, node: HostBody, session: aiohttp.ClientSession
+) -> Points:
+    points = []
+    await _stream_all(session, caller_url(node), TOKENS[0])
+    for tokens in TOKENS:
+        before_s = fleet.cpu_s(node["host"])
+        await _stream_all(session, caller_url(node), tokens)
+        used_s = fleet.cpu_s(node["host"]) - before_s
+        points.append((float(tokens), used_s / STREAMS * 1e6))
+    return points
 
 
-async def _stream(
-    session: aiohttp.ClientSession, url: str, tokens: int, number: int
+async def _measure_memory(
+    fleet: FleetProcesses, node: HostBody, session: aiohttp.ClientSession
+) -> Points:
+    """Return how far the node's peak memory rose, from small answers to large."""
+    before = fleet.peak_memory_bytes(node["host"])
+    points = []
+    for megabytes in ANSWER_MEGABYTES:
+        await _read_slowly(session, caller_url(node), megabytes)
+        peak = fleet.peak_memory_bytes(node["host"])
+        points.append((float(megabytes), float(peak - before)))
+    return points
+
+
+async def _read_slowly(
+    session: aiohttp.ClientSession, url: str, megabytes: int
 ) -> None:
-    body = {
+    body = _chat_body(megabytes) | {"pad_characters": MEGABYTE}
+    async with session.post(
+        f"{url}/v1/chat/completions", json=body, headers=_headers(0)
+    ) as answer:
+        received = 0
+        async for chunk in answer.content.iter_chunked(MEGABYTE):
+            received += len(chunk)
+            await asyncio.sleep(SLOW_READ_S)
+    if received < megabytes * MEGABYTE:
+        message = f"{received} bytes came of an answer of {megabytes} MB"
+        raise RuntimeError(message)
+
+
+def _chat_body(tokens: int) -> dict[str, Any]:
+    return {
         "model": LEAGUE.model,
         "stream": True,
         "max_tokens": tokens,
         "messages": [{"role": "user", "content": "rules"}],
     }
-    sent = {
+
+
+def _headers(number: int) -> dict[str, str]:
+    return {
         "Authorization": f"Bearer {LEAGUE.group}/{TEAM}/demo-key-{TEAM}",
         headers.CHAT_ID: f"chat-{number}",
     }
+
+
+async def _stream_all(session: aiohttp.ClientSession, url: str, tokens: int) -> None:
+    await asyncio.gather(
+        *(_stream(session, url, tokens, number) for number in range(STREAMS))
+    )
+
+
+async def _stream(
+    session: aiohttp.ClientSession, url: str, tokens: int, number: int
+) -> None:
     path = f"{url}/v1/chat/completions"
-    async with session.post(path, json=body, headers=sent) as answer:
+    async with session.post(
+        path, json=_chat_body(tokens), headers=_headers(number)
+    ) as answer:
         text = await answer.read()
     if b"[DONE]" not in text:
         message = f"a stream of the capacity run was not whole: {text[-200:]!r}"
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/fleet_processes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/fleet_processes.py
@@ -120,6 +120,12 @@
         user_ticks, system_ticks = int(fields[11]), int(fields[12])
         return (user_ticks + system_ticks) / os.sysconf("SC_CLK_TCK")
 
+    def peak_memory_bytes(self, name: str) -> int:
+        """Return the most memory that a process has held, from /proc."""
+        status = Path(f"/proc/{self._processes[name].pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024
+
     async def wait_ended(self, name: str) -> int:
         """Wait for a process to end and return its exit code."""
         async with asyncio.timeout(STOP_TIMEOUT_S):
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
@@ -97,7 +97,8 @@
             return web.Response()
         tokens = int(body.get("max_tokens", DEFAULT_TOKENS))
         if body.get("stream"):
-            return await self._stream(request, tokens)
+            padding = "x" * int(body.get("pad_characters", 0))
+            return await self._stream(request, tokens, padding)
         return await self._whole(request, tokens, prompt)
 
     async def _whole(
@@ -111,7 +112,9 @@
         }
         return web.json_response(body, headers=self._headers(request))
 
-    async def _stream(self, request: web.Request, tokens: int) -> web.StreamResponse:
+    async def _stream(
+        self, request: web.Request, tokens: int, padding: str
+    ) -> web.StreamResponse:
         response = web.StreamResponse(headers=self._headers(request))
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
@@ -119,7 +122,7 @@
         cut_at = tokens // 2 if self.faults.break_after else -1
         index = 0
         async for word in self._generate(request, tokens):
-            chunk = json.dumps({"choices": [{"delta": {"content": word}}]})
+            chunk = json.dumps({"choices": [{"delta": {"content": word + padding}}]})
             await response.write(f"data: {chunk}\n\n".encode())
             if index == cut_at and self._take_fault(request, "break_after"):
                 return response
