Split the node service; one home for budgets and claims over all regions

Cause of the second: homes were taken from the own region's nodes alone, so with three regions a team would have got its rate three times and three homes of a claim shard would have refused each other's writes. Not visible in one region; the scenario with three regions brings it about.

Asks between nodes, traffic of the tools and the stand-in runners' control calls each stood two or three times and stand once.

--- a/packages/clementineyoke-node/src/clementineyoke_node/claims/claim_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/claims/claim_client.py
@@ -120,12 +120,8 @@
         request = ClaimRequest(
             ask_id, claim.shard, claim.key, claim.holder, claim.request_digest
         )
-        reply: ClaimReply = await self._socket.ask(
-            PeerAddress.of(home),
-            request,
-            reply_type=ClaimReply,
-            ask_id=ask_id,
-            timeout_ms=self._timeout_ms,
+        reply = await self._socket.ask(
+            home, request, reply_type=ClaimReply, timeout_ms=self._timeout_ms
         )
         answer = None
         if reply.has_answer:
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/node_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/node_config.py
@@ -32,11 +32,13 @@
     log_level: str = "INFO"
     slot_timeout_ms: int = 25
     """How long a home may take to answer a slot ask before the fallback."""
+    share_timeout_ms: int = 250
+    """How long a budget's home, maybe in another region, may take to answer."""
     claim_timeout_ms: int = 3_000
     claim_shards: int = 16
     claim_batch_ms: int = 10
     gossip_interval_ms: int = 250
-    probe_timeout_ms: int = 200
+    """A probe unanswered when the next one goes out counts as missed."""
     platform_timeout_ms: int = 2_000
     stop_linger_ms: int = 10_000
     """How long a stopping node still takes callers with an old address answer."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
@@ -32,7 +32,6 @@
         settings_version: Callable[[], int],
         on_newer_settings: Callable[[Node, int], None],
         on_change: Callable[[], None],
-        probe_timeout_ms: int,
     ) -> None:
         self._socket = socket
         self._membership = membership
@@ -40,7 +39,6 @@
         self._settings_version = settings_version
         self._on_newer_settings = on_newer_settings
         self._on_change = on_change
-        self._probe_timeout_ms = probe_timeout_ms
         self._pushed: dict[int, tuple[str, dict[str, LoadShare]]] = {}
         self._pool_names: dict[int, str] = {}
         socket.handle(Gossip, self._receive)
--- a/packages/clementineyoke-node/src/clementineyoke_node/limits/team_limiter.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/limits/team_limiter.py
@@ -7,7 +7,6 @@
 
 from clementineyoke_core.team_budget import TeamBudget
 from clementineyoke_core.team_purse import TeamPurse
-from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_wire.messages import ShareAsk, ShareReply
 
 if TYPE_CHECKING:
@@ -68,11 +67,7 @@
         ask = ShareAsk(self._socket.next_ask_id(), team_path, wanted)
         try:
             reply = await self._socket.ask(
-                PeerAddress.of(home),
-                ask,
-                reply_type=ShareReply,
-                ask_id=ask.ask_id,
-                timeout_ms=self._timeout_ms,
+                home, ask, reply_type=ShareReply, timeout_ms=self._timeout_ms
             )
         except TimeoutError:
             return self._fall_back(team_path)
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
@@ -0,0 +1,83 @@
+"""The state of one node: decisions of the core, put together, without any I/O."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.homes import Homes
+from clementineyoke_core.mean_load import MeanLoad
+from clementineyoke_core.membership import Membership
+from clementineyoke_core.node import Node
+from clementineyoke_core.pool_rings import PoolRings
+from clementineyoke_core.runner_table import RunnerTable
+from clementineyoke_core.slot_ledger import SlotLedger
+from clementineyoke_node.callers.decision_ring import DecisionRing
+from clementineyoke_node.callers.in_flight import InFlight
+from clementineyoke_node.metrics import Metrics
+from clementineyoke_node.timers.timer_service import TimerService
+from clementineyoke_wire.seal import Seal
+
+if TYPE_CHECKING:
+    from clementineyoke_node.config.node_config import NodeConfig
+
+WATCHERS_A_ZONE = 2
+SNAPSHOT_DUTY = "settings snapshot"
+MS_PER_S = 1000
+
+
+class NodeState:
+    """Own what a node believes and counts."""
+
+    def __init__(self, *, config: NodeConfig) -> None:
+        self.config = config
+        own = Node(
+            config.node_id,
+            config.address,
+            config.caller_port,
+            config.peer_port,
+            config.availability_zone,
+            config.region,
+        )
+        incarnation = TimerService.wall_ms() // MS_PER_S
+        self.membership = Membership(own=own, incarnation=incarnation, rng=Random())
+        self.table = RunnerTable()
+        self.rings = PoolRings(table=self.table, region=config.region)
+        self.region_homes = Homes()
+        """Homes of runners: in the region, where an answer takes a millisecond."""
+        self.fleet_homes = Homes()
+        """Homes of budgets and claims, which are the same for all regions.
+
+        With a home in each region a team would get its rate once a region, and the
+        homes of one claim shard would refuse each other's writes.
+        """
+        self.mean_load = MeanLoad()
+        self.ledger = SlotLedger()
+        self.seal = Seal(keys=config.peer_keys)
+        self.decisions = DecisionRing()
+        self.metrics = Metrics()
+        self.in_flight = InFlight(most=config.max_requests)
+
+    def take_hosts(self) -> bool:
+        """Work out rings and homes anew; return whether runners' homes moved."""
+        self.rings.rebuild()
+        self.fleet_homes.replace_nodes(self._alive_ids(region=None))
+        return self.region_homes.replace_nodes(
+            self._alive_ids(region=self.config.region)
+        )
+
+    def has_watch_duty(self) -> bool:
+        """Whether this node is one of its zone's watchers of settings."""
+        peers = sorted(
+            node.node_id
+            for node in self.membership.alive(region=self.config.region)
+            if node.availability_zone == self.config.availability_zone
+        )
+        return self.config.node_id in peers[:WATCHERS_A_ZONE]
+
+    def has_snapshot_duty(self) -> bool:
+        """Whether this node is to write snapshots of settings."""
+        return self.fleet_homes.home_of(SNAPSHOT_DUTY) == self.config.node_id
+
+    def _alive_ids(self, *, region: str | None) -> list[str]:
+        return [node.node_id for node in self.membership.alive(region=region)]
--- a/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from typing import TYPE_CHECKING, Any, NamedTuple, Self
+from typing import TYPE_CHECKING, Any, NamedTuple, Self, TypeVar
 
 from clementineyoke_wire.codec import decode, encode, kind_of
 from clementineyoke_wire.events import Event, log_event
@@ -14,10 +14,18 @@
     from collections.abc import Callable
 
     from clementineyoke_core.node import Node
-    from clementineyoke_wire.messages import Message
+    from clementineyoke_wire.messages import (
+        ClaimRequest,
+        Message,
+        ShareAsk,
+        SlotAsk,
+    )
     from clementineyoke_wire.seal import Seal
 
+    Ask = SlotAsk | ClaimRequest | ShareAsk
+
 MS_PER_S = 1000.0
+R = TypeVar("R")
 DATAGRAM_OVERHEAD_BYTES = 28
 """IP and UDP headers, counted with each datagram."""
 
@@ -108,20 +116,17 @@
         self._transport.sendto(datagram, peer)
 
     async def ask(
-        self,
-        peer: PeerAddress,
-        message: Message,
-        *,
-        reply_type: type,
-        ask_id: int,
-        timeout_ms: float,
-    ) -> Any:
-        """Send and return the reply; raises ``TimeoutError`` without one."""
-        key = (reply_type, ask_id)
-        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self, node: Node, message: Ask, *, reply_type: type[R], timeout_ms: float
+    ) -> R:
+        """Send an ask to a node and return its reply.
+
+        Raises ``TimeoutError`` without one.
+        """
+        key = (reply_type, message.ask_id)
+        future: asyncio.Future[R] = asyncio.get_running_loop().create_future()
         self._waiting[key] = future
         try:
-            self.send(peer, message)
+            self.send(PeerAddress.of(node), message)
             return await asyncio.wait_for(future, timeout_ms / MS_PER_S)
         finally:
             del self._waiting[key]
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -130,12 +130,8 @@
             )
         ask = SlotAsk(ask_id, hash_text(runner_id), attempt.seen_mean)
         try:
-            reply: SlotReply = await self._socket.ask(
-                PeerAddress.of(home),
-                ask,
-                reply_type=SlotReply,
-                ask_id=ask_id,
-                timeout_ms=self._timeout_ms,
+            reply = await self._socket.ask(
+                home, ask, reply_type=SlotReply, timeout_ms=self._timeout_ms
             )
         except TimeoutError:
             log_event(Event.HOME_SILENT, home=home.node_id, runner=runner_id)
@@ -209,12 +205,8 @@
             team=wish.team,
             priority=wish.priority,
         )
-        reply: SlotReply = await self._socket.ask(
-            PeerAddress.of(home),
-            ask,
-            reply_type=SlotReply,
-            ask_id=ask_id,
-            timeout_ms=ask.wait_ms,
+        reply = await self._socket.ask(
+            home, ask, reply_type=SlotReply, timeout_ms=ask.wait_ms
         )
         return reply.granted
 
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -245,7 +245,7 @@
 
 @then("the dead engine is quarantined")
 def check_quarantined(context):
-    entry = context.fleet.node._table.get("engine-dead")
+    entry = context.fleet.node.state.table.get("engine-dead")
     assert entry.state.value == "quarantined"
 
 
@@ -257,10 +257,10 @@
 @then("no slot is held")
 def check_no_slot(context):
     async def is_free():
-        return context.fleet.node._broker.held() == 0
+        return context.fleet.node.io.broker.held() == 0
 
     context.run(context.fleet.until(is_free))
-    assert sum(context.fleet.node._slot_home.loads().values()) == 0
+    assert sum(context.fleet.node.io.slot_home.loads().values()) == 0
 
 
 @then("the last caller gets the kept answer")
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/faulty_node.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/faulty_node.py
@@ -13,7 +13,7 @@
 
 def main() -> None:
     """Run a node as the product does, but for its socket."""
-    NodeService.peer_socket_type = PartitionedPeerSocket
+    NodeService.socket_type = PartitionedPeerSocket
     fire.Fire(run)
 
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/evening.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/evening.py
@@ -14,7 +14,6 @@
 from clementineyoke_cli.admin_client import AdminClient
 from clementineyoke_cli.settings_file import read_settings_file
 from clementineyoke_standins.demo.caller_tally import CallerTally
-from clementineyoke_standins.demo.demo_caller import DemoCaller
 from clementineyoke_standins.demo.fleet_processes import FleetProcesses
 from clementineyoke_standins.demo.layout import (
     OPERATOR_KEY,
@@ -22,7 +21,7 @@
     admin_url,
     runner_url,
 )
-from clementineyoke_standins.demo.traffic import Traffic
+from clementineyoke_standins.demo.traffic import Traffic, make_session
 from clementineyoke_wire.bodies import SettingsChangeBody
 
 if TYPE_CHECKING:
@@ -36,6 +35,7 @@
 NODE_DIES_S = 15.0
 SETTINGS_CHANGE_S = 18.0
 LEAVE_BOUND_S = 3.0
+CALL_TIMEOUT_S = 20.0
 
 
 class EveningResult(NamedTuple):
@@ -73,28 +73,19 @@
             await self._apply_settings(fleet)
             await fleet.wait_ready()
             began_s = time.monotonic()
-            connector = aiohttp.TCPConnector(limit=0)
-            timeout = aiohttp.ClientTimeout(total=20)
-            async with aiohttp.ClientSession(
-                connector=connector, timeout=timeout
-            ) as session:
+            async with make_session(CALL_TIMEOUT_S) as session:
                 await self._play(fleet, session)
             return await self._collect(fleet, time.monotonic() - began_s)
 
     async def _play(
         self, fleet: FleetProcesses, session: aiohttp.ClientSession
     ) -> None:
-        caller = DemoCaller(
+        traffic = Traffic(
             deployment=self._deployment,
-            bootstrap=[(host["address"], host["port"]) for host in fleet.nodes],
+            nodes=fleet.nodes,
             session=session,
             tally=self._tally,
             rng=self._rng,
-        )
-        traffic = Traffic(
-            deployment=self._deployment,
-            caller=caller,
-            rng=self._rng,
             chats_per_s=CHATS_PER_S,
             posts_per_s=POSTS_PER_S,
         )
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/traffic.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/traffic.py
@@ -5,18 +5,29 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, Self
 
-from clementineyoke_standins.demo.demo_caller import Chat
+import aiohttp
+
+from clementineyoke_standins.demo.demo_caller import Chat, DemoCaller
 
 if TYPE_CHECKING:
     from random import Random
 
-    from clementineyoke_standins.demo.demo_caller import DemoCaller
+    from clementineyoke_standins.demo.caller_tally import CallerTally
     from clementineyoke_standins.demo.deployment import Deployment
+    from clementineyoke_wire.bodies import HostBody
 
 CHAT_COUNT = 150
 LARGE_TEAM_WEIGHTS = (8, 5)
 
 
+def make_session(timeout_s: float) -> aiohttp.ClientSession:
+    """Return a session with as many connections as callers need."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=timeout_s),
+    )
+
+
 class Traffic:
     """Own the senders; leaving the context lets what is under way end."""
 
@@ -24,13 +35,21 @@
         self,
         *,
         deployment: Deployment,
-        caller: DemoCaller,
+        nodes: list[HostBody],
+        session: aiohttp.ClientSession,
+        tally: CallerTally,
         rng: Random,
         chats_per_s: float,
         posts_per_s: float,
     ) -> None:
         self._deployment = deployment
-        self._caller = caller
+        self._caller = DemoCaller(
+            deployment=deployment,
+            bootstrap=[(host["address"], host["port"]) for host in nodes],
+            session=session,
+            tally=tally,
+            rng=rng,
+        )
         self._rng = rng
         self._chats_per_s = chats_per_s
         self._posts_per_s = posts_per_s
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
@@ -14,11 +14,10 @@
 
 from clementineyoke_cli.settings_file import read_settings_file
 from clementineyoke_standins.demo.caller_tally import CallerTally
-from clementineyoke_standins.demo.demo_caller import DemoCaller
 from clementineyoke_standins.demo.evening import operator_client, whole_change
 from clementineyoke_standins.demo.fleet_processes import FleetProcesses
 from clementineyoke_standins.demo.layout import admin_url, runner_url
-from clementineyoke_standins.demo.traffic import Traffic
+from clementineyoke_standins.demo.traffic import Traffic, make_session
 from clementineyoke_standins.faults.fault_kinds import (
     KILLED_NODE,
     ListLag,
@@ -43,6 +42,7 @@
 CHATS_PER_S = 12.0
 POSTS_PER_S = 15.0
 LEAVE_S = 4.0
+CALL_TIMEOUT_S = 8.0
 LEAVE_BOUND_S = 3.0
 
 
@@ -107,11 +107,7 @@
         pairs = list(itertools.combinations(faults, 2))
         self._rng.shuffle(pairs)
         pairs = pairs[: self._most_pairs]
-        timeout = aiohttp.ClientTimeout(total=8)
-        connector = aiohttp.TCPConnector(limit=0)
-        async with aiohttp.ClientSession(
-            timeout=timeout, connector=connector
-        ) as session:
+        async with make_session(CALL_TIMEOUT_S) as session:
             traffic = self._make_traffic(fleet, session)
             looking = asyncio.create_task(watch.run())
             async with traffic:
@@ -124,17 +120,12 @@
     def _make_traffic(
         self, fleet: FleetProcesses, session: aiohttp.ClientSession
     ) -> Traffic:
-        caller = DemoCaller(
+        return Traffic(
             deployment=self._deployment,
-            bootstrap=[(host["address"], host["port"]) for host in fleet.nodes],
+            nodes=fleet.nodes,
             session=session,
             tally=self._tally,
             rng=self._rng,
-        )
-        return Traffic(
-            deployment=self._deployment,
-            caller=caller,
-            rng=self._rng,
             chats_per_s=CHATS_PER_S,
             posts_per_s=POSTS_PER_S,
         )
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
@@ -8,11 +8,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from aiohttp import web
 
 from clementineyoke_standins.runners.prefix_cache import PrefixCache
-from clementineyoke_standins.runners.runner_faults import RunnerFaults
+from clementineyoke_standins.runners.standin_runner import StandinRunner
 from clementineyoke_wire import headers
 
 if TYPE_CHECKING:
@@ -26,45 +25,24 @@
 CACHE_CHARACTERS = 400_000
 
 
-class ModelEngine:
+class ModelEngine(StandinRunner):
     """Answer chats; a fuller batch makes every token a little slower."""
 
     def __init__(self, *, runner_id: str, slots: int) -> None:
-        self._runner_id = runner_id
+        super().__init__(runner_id=runner_id)
         self._slots = slots
         self._cache = PrefixCache(capacity_characters=CACHE_CHARACTERS)
         self._running = 0
-        self.faults = RunnerFaults()
         self.stats: Counter[str] = Counter()
         self.peak_running = 0
-        self.last_start_s = 0.0
-
-    def application(self) -> web.Application:
-        """Return the application with its routes."""
-        app = web.Application(client_max_size=8_000_000)
-        app.router.add_post("/v1/chat/completions", self._chat)
-        app.router.add_get("/ready", self._ready)
-        app.router.add_get("/stats", self._get_stats)
-        app.router.add_put("/faults", self._set_faults)
-        return app
-
-    async def _ready(self, request: web.Request) -> web.Response:
-        return web.json_response({"ready": True})
-
-    async def _get_stats(self, request: web.Request) -> web.Response:
-        return web.json_response(
-            {
-                "runner": self._runner_id,
-                **self.stats,
-                "running": self._running,
-                "peak_running": self.peak_running,
-                "last_start_s": self.last_start_s,
-            }
-        )
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = msgspec.json.decode(await request.read(), type=RunnerFaults)
-        return web.json_response({})
+
+    def describe(self) -> dict[str, Any]:
+        """Return counts of chats, tokens and cached prompt characters."""
+        running = {"running": self._running, "peak_running": self.peak_running}
+        return {**self.stats, **running}
+
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_post("/v1/chat/completions", self._chat)
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         if self.faults.draining:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/plain_service.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/plain_service.py
@@ -5,49 +5,29 @@
 import asyncio
 import time
 from collections import Counter
+from typing import Any
 
-import msgspec
 from aiohttp import web
 
-from clementineyoke_standins.runners.runner_faults import RunnerFaults
+from clementineyoke_standins.runners.standin_runner import StandinRunner
 from clementineyoke_wire import headers
 
 WORK_MS = 3.0
 
 
-class PlainService:
+class PlainService(StandinRunner):
     """Execute whatever comes and count it by its mark."""
 
     def __init__(self, *, runner_id: str) -> None:
-        self._runner_id = runner_id
-        self.faults = RunnerFaults()
+        super().__init__(runner_id=runner_id)
         self.executions: Counter[str] = Counter()
-        self.last_start_s = 0.0
 
-    def application(self) -> web.Application:
-        """Return the application with its routes."""
-        app = web.Application()
-        app.router.add_get("/ready", self._ready)
-        app.router.add_get("/stats", self._get_stats)
-        app.router.add_put("/faults", self._set_faults)
-        app.router.add_route("*", "/{path:.*}", self._execute)
-        return app
+    def describe(self) -> dict[str, Any]:
+        """Return how often each mark was executed."""
+        return {"executions": dict(self.executions)}
 
-    async def _ready(self, request: web.Request) -> web.Response:
-        return web.json_response({"ready": True})
-
-    async def _get_stats(self, request: web.Request) -> web.Response:
-        return web.json_response(
-            {
-                "runner": self._runner_id,
-                "executions": dict(self.executions),
-                "last_start_s": self.last_start_s,
-            }
-        )
-
-    async def _set_faults(self, request: web.Request) -> web.Response:
-        self.faults = msgspec.json.decode(await request.read(), type=RunnerFaults)
-        return web.json_response({})
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_route("*", "/{path:.*}", self._execute)
 
     async def _execute(self, request: web.Request) -> web.Response:
         body = await request.text()
