Take up streams that broke, through any node

Cause: a node that dies cuts its streams, and the caller had to ask for the whole answer again. A signed token names the runner and the request; any node asks the runner for the bytes after those that arrived, and adopts the slot.

Another team's token and a forged one are refused (scenario).

--- a/packages/clementineyoke-core/src/clementineyoke_core/placement_token.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/placement_token.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import hmac
-from hashlib import blake2b
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
-TAG_BYTES = 8
-LONGEST_TOKEN = 200
+if TYPE_CHECKING:
+    from clementineyoke_core.token_signer import TokenSigner
 
 
 class ChatPlace(NamedTuple):
@@ -27,23 +25,17 @@
     team aim its chats at a runner of its choice and fill that up.
     """
 
-    def __init__(self, *, keys: list[str]) -> None:
-        self._keys = [blake2b(key.encode(), digest_size=32).digest() for key in keys]
+    def __init__(self, *, signer: TokenSigner) -> None:
+        self._signer = signer
 
     def issue(self, place: ChatPlace, runner_id: str) -> str:
         """Return the token that names a runner for a chat."""
-        return f"{runner_id}:{self._tag(self._keys[0], place, runner_id)}"
+        return self._signer.sign(_scope(place), runner_id)
 
     def read(self, place: ChatPlace, token: str) -> str | None:
         """Return the runner that a token names, or None if it is not ours."""
-        runner_id, _, tag = token.rpartition(":")
-        if not runner_id or len(token) > LONGEST_TOKEN or not token.isascii():
-            return None
-        for key in self._keys:
-            if hmac.compare_digest(tag, self._tag(key, place, runner_id)):
-                return runner_id
-        return None
-
-    def _tag(self, key: bytes, place: ChatPlace, runner_id: str) -> str:
-        text = f"{place.team_path}\0{place.pool}\0{place.key}\0{runner_id}"
-        return blake2b(text.encode(), key=key, digest_size=TAG_BYTES).hexdigest()
+        return self._signer.read(_scope(place), token)
+
+
+def _scope(place: ChatPlace) -> str:
+    return f"place\0{place.team_path}\0{place.pool}\0{place.key}"
--- a/packages/clementineyoke-node/src/clementineyoke_node/caller_server.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/caller_server.py
@@ -7,12 +7,15 @@
 from aiohttp import web
 
 from clementineyoke_core.placement_token import PlacementToken
+from clementineyoke_core.resume_token import ResumeToken
 from clementineyoke_core.steering import Steering
+from clementineyoke_core.token_signer import TokenSigner
 from clementineyoke_node.callers.address_handler import AddressHandler
 from clementineyoke_node.callers.authenticator import Authenticator
 from clementineyoke_node.callers.chat_handler import CHAT_PATH, ChatHandler
 from clementineyoke_node.callers.dispatcher import Dispatcher
 from clementineyoke_node.callers.gate import Gate
+from clementineyoke_node.callers.resume_handler import STREAMS_PATH, ResumeHandler
 from clementineyoke_node.callers.service_handler import ServiceHandler
 from clementineyoke_node.limits.team_limiter import TeamLimiter
 
@@ -53,9 +56,22 @@
             timers=io.timers,
             decisions=state.decisions,
         )
-        tokens = PlacementToken(keys=state.config.peer_keys)
+        signer = TokenSigner(keys=state.config.peer_keys)
+        placements = PlacementToken(signer=signer)
+        resumes = ResumeToken(signer=signer)
         self._chats = ChatHandler(
-            authenticator=authenticator, dispatcher=dispatcher, tokens=tokens
+            authenticator=authenticator,
+            dispatcher=dispatcher,
+            placements=placements,
+            resumes=resumes,
+        )
+        self._resumes = ResumeHandler(
+            tokens=resumes,
+            table=state.table,
+            broker=io.broker,
+            client=io.client,
+            timers=io.timers,
+            decisions=state.decisions,
         )
         self._services = ServiceHandler(
             authenticator=authenticator, dispatcher=dispatcher, claims=io.claims
@@ -66,7 +82,7 @@
             rings=state.rings,
             steering=Steering(),
             keeper=io.keeper,
-            tokens=tokens,
+            tokens=placements,
         )
 
     def application(self) -> web.Application:
@@ -74,6 +90,7 @@
         app = web.Application(client_max_size=self._max_body_bytes)
         guard = self.gate.guard
         app.router.add_post(CHAT_PATH, guard(self._chats.handle))
+        app.router.add_get(STREAMS_PATH, guard(self._resumes.handle))
         app.router.add_get(ADDRESSES_PATH, guard(self._addresses.handle))
         app.router.add_route("*", SERVICE_ROUTE, guard(self._services.handle))
         return app
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/answer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/answer_relay.py
@@ -12,6 +12,8 @@
 from clementineyoke_wire import headers
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from clementineyoke_core.runner import Runner
 
 EVENT_STREAM = "text/event-stream"
@@ -26,7 +28,7 @@
     *,
     runner: Runner,
     request_id: str,
-    placement: str = "",
+    extra_headers: Mapping[str, str] | None = None,
 ) -> web.StreamResponse:
     """Stream an answer through; memory stays bounded by the socket buffers.
 
@@ -35,8 +37,7 @@
     whole answer.
     """
     response = _begin(answer, runner=runner, request_id=request_id)
-    if placement:
-        response.headers[headers.PLACEMENT] = placement
+    response.headers.update(extra_headers or {})
     await response.prepare(request)
     tail = b""
     try:
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/chat_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/chat_handler.py
@@ -10,6 +10,7 @@
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.placement_token import ChatPlace
 from clementineyoke_core.request_error import RequestError
+from clementineyoke_core.resume_token import StreamPlace
 from clementineyoke_node.callers.answer_relay import relay_answer
 from clementineyoke_node.callers.body_reader import read_body
 from clementineyoke_node.callers.dispatcher import RoutedCall
@@ -19,6 +20,7 @@
     from aiohttp import web
 
     from clementineyoke_core.placement_token import PlacementToken
+    from clementineyoke_core.resume_token import ResumeToken
     from clementineyoke_node.callers.authenticator import Authenticator
     from clementineyoke_node.callers.caller_request import CallerRequest
     from clementineyoke_node.callers.dispatcher import Dispatcher
@@ -51,11 +53,13 @@
         *,
         authenticator: Authenticator,
         dispatcher: Dispatcher,
-        tokens: PlacementToken,
+        placements: PlacementToken,
+        resumes: ResumeToken,
     ) -> None:
         self._authenticator = authenticator
         self._dispatcher = dispatcher
-        self._tokens = tokens
+        self._placements = placements
+        self._resumes = resumes
 
     async def handle(
         self, request: web.Request, caller: CallerRequest
@@ -73,13 +77,10 @@
             chat_id=chat_id,
             method="POST",
             path=CHAT_PATH,
-            headers={
-                "Content-Type": "application/json",
-                headers.PRIORITY: str(caller.priority),
-            },
+            headers=_runner_headers(request, caller),
             body=body,
             is_idempotent=True,
-            preferred=self._tokens.read(
+            preferred=self._placements.read(
                 place, request.headers.get(headers.PLACEMENT, "")
             ),
         )
@@ -89,9 +90,28 @@
                 answer,
                 runner=runner,
                 request_id=caller.request_id,
-                placement=self._tokens.issue(place, runner.runner_id),
+                extra_headers=self._make_tokens(call, place, runner.runner_id),
             )
 
+    def _make_tokens(
+        self, call: RoutedCall, place: ChatPlace, runner_id: str
+    ) -> dict[str, str]:
+        made = {headers.PLACEMENT: self._placements.issue(place, runner_id)}
+        if headers.RESUMABLE in call.headers:
+            stream = StreamPlace(runner_id, call.caller.request_id)
+            made[headers.RESUME] = self._resumes.issue(call.caller.team_path, stream)
+        return made
+
+
+def _runner_headers(request: web.Request, caller: CallerRequest) -> dict[str, str]:
+    sent = {
+        "Content-Type": "application/json",
+        headers.PRIORITY: str(caller.priority),
+    }
+    if headers.RESUMABLE in request.headers:
+        sent[headers.RESUMABLE] = "1"
+    return sent
+
 
 def _place_of(caller: CallerRequest, chat: ChatBody, chat_id: str) -> ChatPlace:
     key = chat_key(
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/resume_handler.py
@@ -0,0 +1,132 @@
+"""Taking up a stream that broke: ``GET /v1/streams``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.outcome import Outcome
+from clementineyoke_core.request_error import RequestError
+from clementineyoke_node.callers.answer_relay import relay_answer
+from clementineyoke_node.runners.runner_client import RunnerCall
+from clementineyoke_node.runners.runner_error import RunnerError
+from clementineyoke_wire import headers
+from clementineyoke_wire.events import Event
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from clementineyoke_core.resume_token import ResumeToken, StreamPlace
+    from clementineyoke_core.runner import Runner
+    from clementineyoke_core.runner_table import RunnerTable
+    from clementineyoke_node.callers.caller_request import CallerRequest
+    from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.runners.runner_client import RunnerClient
+    from clementineyoke_node.slots.slot_broker import SlotBroker
+    from clementineyoke_node.timers.timer_service import TimerService
+
+STREAMS_PATH = "/v1/streams"
+STATUS_OK = 200
+
+
+class ResumeHandler:
+    """Send the rest of a stream, from the byte that the caller names.
+
+    The work is on the runner already, so its slot is adopted, not asked for: a
+    refusal would not make the load any smaller.
+    """
+
+    def __init__(
+        self,
+        *,
+        tokens: ResumeToken,
+        table: RunnerTable,
+        broker: SlotBroker,
+        client: RunnerClient,
+        timers: TimerService,
+        decisions: DecisionRing,
+    ) -> None:
+        self._tokens = tokens
+        self._table = table
+        self._broker = broker
+        self._client = client
+        self._timers = timers
+        self._decisions = decisions
+
+    async def handle(
+        self, request: web.Request, caller: CallerRequest
+    ) -> web.StreamResponse:
+        """Stream the rest; ``?after=`` counts the body's bytes that have arrived."""
+        place = self._find_place(request, caller)
+        runner = self._find_runner(place)
+        call = RunnerCall(
+            method="GET",
+            path=f"{STREAMS_PATH}/{place.request_id}?after={_read_after(request)}",
+            headers={},
+            body=b"",
+            request_id=place.request_id,
+            timeout_ms=caller.deadline_ms - self._timers.now_ms(),
+            is_idempotent=True,
+        )
+        self._decisions.record(
+            Event.ROUTED,
+            request_id=caller.request_id,
+            resumes=place.request_id,
+            runner=runner.runner_id,
+            reason="resume",
+        )
+        try:
+            return await self._relay(request, runner, call)
+        except RunnerError as error:
+            raise _lost(error.peer, error.reason) from error
+
+    async def _relay(
+        self, request: web.Request, runner: Runner, call: RunnerCall
+    ) -> web.StreamResponse:
+        lease = self._broker.adopt(runner)
+        with self._broker.holding(lease):
+            async with self._client.exchange(runner, call) as answer:
+                if answer.status != STATUS_OK:
+                    raise _lost(runner.runner_id, "the runner no longer holds it")
+                return await relay_answer(
+                    request, answer, runner=runner, request_id=call.request_id
+                )
+
+    def _find_place(self, request: web.Request, caller: CallerRequest) -> StreamPlace:
+        token = request.headers.get(headers.RESUME, "")
+        place = self._tokens.read(caller.team_path, token)
+        if place is None:
+            raise RequestError(
+                status=403,
+                outcome=Outcome.NOT_RUN,
+                step="read_resume",
+                reason=f"{headers.RESUME} is missing or not this team's",
+            )
+        return place
+
+    def _find_runner(self, place: StreamPlace) -> Runner:
+        entry = self._table.get(place.runner_id)
+        if entry is None:
+            raise _lost(place.runner_id, "the runner is gone")
+        return entry.runner
+
+
+def _read_after(request: web.Request) -> int:
+    text = request.query.get("after", "0")
+    if not text.isdecimal():
+        raise RequestError(
+            status=400,
+            outcome=Outcome.NOT_RUN,
+            step="read_query",
+            reason="after must be a whole number of bytes",
+        )
+    return int(text)
+
+
+def _lost(peer: str, reason: str) -> RequestError:
+    return RequestError(
+        status=410,
+        outcome=Outcome.UNKNOWN,
+        step="resume",
+        peer=peer,
+        reason=f"the rest of the stream cannot be had: {reason}",
+    )
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -23,6 +23,7 @@
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.node import Node
     from clementineyoke_core.pool_rings import PoolRings
+    from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_homes import RunnerHomes
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.peers.peer_socket import PeerSocket
@@ -88,6 +89,14 @@
             return None
         return await self._wait(first, wish)
 
+    def adopt(self, runner: Runner) -> SlotLease:
+        """Hold a slot for work that is on the runner already, whatever its load."""
+        ask_id = self._socket.next_ask_id()
+        lease = SlotLease(runner, ask_id, "resume", 0)
+        self._leases[ask_id] = lease
+        self._renew_at_home(runner.runner_id, [ask_id])
+        return lease
+
     @contextmanager
     def holding(self, lease: SlotLease) -> Iterator[SlotLease]:
         """Give the slot back at the end, however the request ended."""
@@ -106,15 +115,18 @@
         for lease in self._leases.values():
             by_runner.setdefault(lease.runner.runner_id, []).append(lease.ask_id)
         for runner_id, ask_ids in by_runner.items():
-            home = self._home_of(runner_id)
-            if home is None:
-                continue
-            if home.node_id == self._own_id:
-                for ask_id in ask_ids:
-                    self._slot_home.renew(runner_id, self._own_hold(ask_id))
-                continue
-            renewal = SlotRenewal(hash_text(runner_id), ask_ids)
-            self._socket.send(PeerAddress.of(home), renewal)
+            self._renew_at_home(runner_id, ask_ids)
+
+    def _renew_at_home(self, runner_id: str, ask_ids: list[int]) -> None:
+        home = self._home_of(runner_id)
+        if home is None:
+            return
+        if home.node_id == self._own_id:
+            for ask_id in ask_ids:
+                self._slot_home.renew(runner_id, self._own_hold(ask_id))
+            return
+        renewal = SlotRenewal(hash_text(runner_id), ask_ids)
+        self._socket.send(PeerAddress.of(home), renewal)
 
     async def _ask(
         self, attempt: SlotAttempt, ask_id: int
--- a/packages/clementineyoke-node/tests/steps/one_node.py
+++ b/packages/clementineyoke-node/tests/steps/one_node.py
@@ -24,6 +24,7 @@
 SETTINGS = {
     "/": {"deadline_ms": 5_000},
     "/league": {"models": [MODEL], "services": [SERVICE], "rate_per_s": 1000},
+    "/league/other": {"key_hashes": [hash_key("secret-of-other")]},
     "/league/finals": {"key_hashes": [hash_key("secret-of-finals")]},
 }
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/demo_caller.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/demo_caller.py
@@ -18,6 +18,7 @@
 
 TIMEOUT_S = 20.0
 MOST_TRIES = 6
+RESUME_TRIES = 3
 STATUS_OK = 200
 REPEAT_SHARE = 0.15
 """Share of score posts that are repeated through another node though answered."""
@@ -30,6 +31,14 @@
     until_s: float
 
 
+class Part(NamedTuple):
+    """What came of an answer, and whether it ended in order."""
+
+    body: bytes
+    error: str
+    is_whole: bool
+
+
 class Chat:
     """One returning chat with its growing prompt."""
 
@@ -109,26 +118,52 @@
             **self._auth(chat.team),
             headers.CHAT_ID: chat.chat_id,
             headers.PLACEMENT: chat.placement,
+            headers.RESUMABLE: "1",
         }
+        part = Part(b"", "", False)
         try:
             async with self._session.post(url, json=body, headers=sent) as answer:
-                text = (await answer.read()).decode()
-                if answer.status != STATUS_OK:
-                    self._tally.outcomes[f"chat_{json.loads(text)['outcome']}"] += 1
-                    return False
-                self._check_whole(answer, text, body["max_tokens"])
-                chat.placement = answer.headers[headers.PLACEMENT]
-        except aiohttp.ClientPayloadError:
-            self._tally.outcomes["chat_cut"] += 1
-            self._tally.cut_by_node[address[0]] += 1
-            return False
+                part = await _read(answer)
         except (aiohttp.ClientError, TimeoutError):
             self._tally.outcomes["chat_no_connection"] += 1
             self._forget(chat.team, chat.chat_id)
             return False
+        if answer.status != STATUS_OK:
+            self._tally.outcomes[f"chat_{json.loads(part.body)['outcome']}"] += 1
+            return False
+        if not part.is_whole:
+            self._tally.outcomes["chat_cut"] += 1
+            self._tally.cut_by_node[address[0]] += 1
+            part = await self._resume(chat, address, part, answer)
+        if not part.is_whole:
+            return False
+        self._check_whole(answer, part.body.decode(), body["max_tokens"])
+        chat.placement = answer.headers[headers.PLACEMENT]
         self._tally.outcomes["chat_whole"] += 1
         return True
 
+    async def _resume(
+        self,
+        chat: Chat,
+        address: tuple[str, int],
+        part: Part,
+        answer: aiohttp.ClientResponse,
+    ) -> Part:
+        """Ask other nodes for the rest of a stream that broke."""
+        sent = {**self._auth(chat.team), headers.RESUME: answer.headers[headers.RESUME]}
+        others = [node for node in self._bootstrap if node != address]
+        for host, port in self._rng.sample(others, RESUME_TRIES):
+            url = f"http://{host}:{port}/v1/streams?after={len(part.body)}"
+            try:
+                async with self._session.get(url, headers=sent) as rest_answer:
+                    rest = await _read(rest_answer)
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+            if rest_answer.status == STATUS_OK and rest.is_whole:
+                self._tally.outcomes["chat_resumed"] += 1
+                return Part(part.body + rest.body, rest.error, True)
+        return part
+
     def _check_whole(
         self, answer: aiohttp.ClientResponse, text: str, tokens: int
     ) -> None:
@@ -197,3 +232,13 @@
     def _auth(self, team: str) -> dict[str, str]:
         key = f"{self._deployment.group}/{team}/demo-key-{team}"
         return {"Authorization": f"Bearer {key}"}
+
+
+async def _read(answer: aiohttp.ClientResponse) -> Part:
+    body = b""
+    try:
+        async for chunk in answer.content.iter_any():
+            body += chunk
+    except (aiohttp.ClientError, TimeoutError) as error:
+        return Part(body, repr(error), False)
+    return Part(body, "", True)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/model_engine.py
@@ -6,16 +6,18 @@
 import json
 import time
 from collections import Counter
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
+from clementineyoke_standins.runners.kept_stream import GRACE_S, KeptStream
 from clementineyoke_standins.runners.prefix_cache import PrefixCache
 from clementineyoke_standins.runners.standin_runner import StandinRunner
 from clementineyoke_wire import headers
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterator
 
 CHARACTERS_A_MS = 40.0
 """Speed of reading a prompt that is not cached."""
@@ -33,6 +35,7 @@
         self._slots = slots
         self._cache = PrefixCache(capacity_characters=CACHE_CHARACTERS)
         self._running = 0
+        self._streams: dict[str, KeptStream] = {}
         self.stats: Counter[str] = Counter()
         self.peak_running = 0
 
@@ -43,6 +46,7 @@
 
     def _add_routes(self, router: web.UrlDispatcher) -> None:
         router.add_post("/v1/chat/completions", self._chat)
+        router.add_get("/v1/streams/{request_id}", self._resume)
 
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         if self.faults.draining:
@@ -50,8 +54,6 @@
             sent = {**self._headers(request), headers.DRAINING: "1"}
             return web.json_response({"error": "leaving"}, status=503, headers=sent)
         body = await request.json()
-        self._running += 1
-        self.peak_running = max(self.peak_running, self._running)
         self.last_start_s = time.time()
         self.stats["chats"] += 1
         try:
@@ -59,6 +61,13 @@
         except (asyncio.CancelledError, ConnectionError):
             self.stats["cancelled"] += 1
             raise
+
+    @contextmanager
+    def _work(self) -> Iterator[None]:
+        self._running += 1
+        self.peak_running = max(self.peak_running, self._running)
+        try:
+            yield
         finally:
             self._running -= 1
 
@@ -82,7 +91,8 @@
     async def _whole(
         self, request: web.Request, tokens: int, prompt: str
     ) -> web.StreamResponse:
-        text = "".join([word async for word in self._generate(request, tokens)])
+        with self._work():
+            text = "".join([word async for word in self._generate(request, tokens)])
         body = {
             "object": "chat.completion",
             "choices": [{"message": {"role": "assistant", "content": text}}],
@@ -92,24 +102,66 @@
 
     async def _stream(
         self, request: web.Request, tokens: int, padding: str
+    ) -> web.StreamResponse:
+        request_id = request.headers.get(headers.REQUEST_ID, "")
+        kept = KeptStream()
+        resumable = headers.RESUMABLE in request.headers
+        work = asyncio.create_task(self._fill(request, kept, tokens, padding))
+        if resumable:
+            self._streams[request_id] = kept
+            work.add_done_callback(lambda _: self._forget_later(request_id))
+        cut_at = tokens // 2 if self.faults.break_after else -1
+        try:
+            return await self._send(request, kept, after=0, cut_at=cut_at)
+        finally:
+            if not resumable:
+                work.cancel()
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        kept = self._streams.get(request.match_info["request_id"])
+        if kept is None:
+            sent = self._headers(request)
+            return web.json_response({"error": "gone"}, status=404, headers=sent)
+        self.stats["resumed"] += 1
+        return await self._send(request, kept, after=int(request.query["after"]))
+
+    async def _send(
+        self, request: web.Request, kept: KeptStream, *, after: int, cut_at: int = -1
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers=self._headers(request))
         response.content_type = "text/event-stream"
         response.enable_chunked_encoding()
         await response.prepare(request)
-        cut_at = tokens // 2 if self.faults.break_after else -1
         index = 0
-        async for word in self._generate(request, tokens):
-            chunk = json.dumps({"choices": [{"delta": {"content": word + padding}}]})
-            await response.write(f"data: {chunk}\n\n".encode())
-            if index == cut_at and self._take_fault(request, "break_after"):
-                return response
-            index += 1
-        if not self._take_count("no_end_mark"):
-            await response.write(b"data: [DONE]\n\n")
+        with kept.reader():
+            async for chunk in kept.read_from(after):
+                await response.write(chunk)
+                if index == cut_at and self._take_fault(request, "break_after"):
+                    return response
+                index += 1
         await response.write_eof()
         return response
 
+    async def _fill(
+        self, request: web.Request, kept: KeptStream, tokens: int, padding: str
+    ) -> None:
+        with self._work():
+            async for word in self._generate(request, tokens):
+                delta = {"content": word + padding}
+                chunk = json.dumps({"choices": [{"delta": delta}]})
+                await kept.add(f"data: {chunk}\n\n".encode())
+                if kept.left_s and kept.is_abandoned():
+                    self.stats["abandoned"] += 1
+                    break
+            else:
+                if not self._take_count("no_end_mark"):
+                    await kept.add(b"data: [DONE]\n\n")
+        await kept.end()
+
+    def _forget_later(self, request_id: str) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(GRACE_S, self._streams.pop, request_id, None)
+
     async def _generate(self, request: web.Request, tokens: int) -> AsyncIterator[str]:
         # Each word names the request, so that a reader finds any crossed answer.
         name = request.headers.get(headers.REQUEST_ID, "?")
