--- a/packages/clementineyoke-standins/src/clementineyoke_standins/bench/policy_cases.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/bench/policy_cases.py
@@ -119,7 +119,7 @@
         figures += [
             (
                 "control.bytes_per_second_per_node",
-                "bytes sent a second a node, one pool's slots and gossip of all",
+                "bytes sent a second a node, slots and gossip of eight pools",
                 fleet.control_bytes_per_s,
                 0.0,
                 False,
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/bench/policy_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/bench/policy_run.py
@@ -65,7 +65,7 @@
             warm_up_ms=shape.seconds * 1000 * WARM_UP_SHARE,
             replacements=replacements,
         ).run()
-        runs[name] = _describe(name, policy, measured, shape)
+        runs[name] = _describe(name, policy, measured, size, shape)
     return runs
 
 
@@ -84,13 +84,15 @@
     return Fleet(world=world, rng=rng, nodes=size.nodes, remembers=name == FLEET)
 
 
-def _describe(name: str, policy: Policy, measured: Measured, shape: Shape) -> PolicyRun:
+def _describe(
+    name: str, policy: Policy, measured: Measured, size: FleetSize, shape: Shape
+) -> PolicyRun:
     if not isinstance(policy, Fleet):
         return PolicyRun(name, measured, 0.0, 0.0)
     return PolicyRun(
         name,
         measured,
-        policy.control_bytes_per_s_a_node(shape.seconds),
+        policy.control_bytes_per_s_a_node(shape.seconds, pools=size.pools),
         policy.cpu_s / max(1, policy.decisions) * 1e6,
     )
 
