Begin ask numbers anywhere, not at the start's second

Cause: numbers of asks began at the incarnation and ran ahead of the clock, so a node started again at its address named old holds with new asks; homes took them for repeats, granted and did not count them. Found by reading.

--- a/packages/clementineyoke-node/src/clementineyoke_node/node_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_io.py
@@ -46,6 +46,7 @@
             seal=state.seal,
             address=PeerAddress(config.address, config.peer_port),
             incarnation=state.membership.incarnation,
+            rng=state.rng,
         )
         self.platform = HttpPlatform(
             url=config.platform_url, timeout_ms=config.platform_timeout_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
@@ -41,7 +41,8 @@
             config.region,
         )
         incarnation = TimerService.wall_ms() // MS_PER_S
-        self.membership = Membership(own=own, incarnation=incarnation, rng=Random())
+        self.rng = Random()
+        self.membership = Membership(own=own, incarnation=incarnation, rng=self.rng)
         self.table = RunnerTable()
         self.rings = PoolRings(table=self.table, region=config.region)
         self.region_homes = RunnerHomes()
--- a/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from random import Random
 
     from clementineyoke_core.node import Node
     from clementineyoke_wire.messages import (
@@ -26,6 +27,7 @@
 
 MS_PER_S = 1000.0
 R = TypeVar("R")
+ASK_ID_BITS = 32
 DATAGRAM_OVERHEAD_BYTES = 28
 """IP and UDP headers, counted with each datagram."""
 
@@ -57,14 +59,16 @@
 class PeerSocket(asyncio.DatagramProtocol):
     """Own the socket. Handlers get messages; ``ask`` waits for the reply to one."""
 
-    def __init__(self, *, seal: Seal, address: PeerAddress, incarnation: int) -> None:
+    def __init__(
+        self, *, seal: Seal, address: PeerAddress, incarnation: int, rng: Random
+    ) -> None:
         self._seal = seal
         self._address = address
         self._incarnation = incarnation
         self._transport: asyncio.DatagramTransport | None = None
         self._handlers: dict[type, Callable[[PeerMessage], None]] = {}
         self._waiting: dict[tuple[type, int], asyncio.Future[Any]] = {}
-        self._next_ask_id = incarnation
+        self._next_ask_id = rng.getrandbits(ASK_ID_BITS)
         self.sent_bytes: Counter[str] = Counter()
         """Bytes sent by message kind, headers of IP and UDP included."""
         self.received_bytes = 0
@@ -94,10 +98,11 @@
     def next_ask_id(self) -> int:
         """Return a number that this node has not used lately.
 
-        It starts at the incarnation: after a restart at the same address, numbers of
-        the previous process would otherwise name this one's grants.
+        It starts anywhere: homes know a hold by address and number, and one of the
+        previous process at this address would be taken for this one's, seen as a slot
+        that is granted and not counted.
         """
-        self._next_ask_id = (self._next_ask_id + 1) % 2**32
+        self._next_ask_id = (self._next_ask_id + 1) % 2**ASK_ID_BITS
         return self._next_ask_id
 
     def handle(
--- a/packages/clementineyoke-node/tests/slots/slot_home.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_home.feature
@@ -8,6 +8,15 @@
     When another node asks for a slot on it
     Then the ask is refused
 
+  Scenario: A node restarts while its old grants stand
+    # Symptom: a runner holds more than its home has counted.
+    # Sequence: a node that asked 13 times a second dies and is started again after
+    #   1,000 seconds; its new asks bear numbers that its old ones had.
+    # Cause: numbers began at the start's second and ran ahead of the clock.
+    Given a home with 4 slots free and a node that has asked 13000 times
+    When the node starts again after 1000 seconds and asks 4 times
+    Then the last grants of the old process and the 4 new ones are all counted
+
   Scenario: A waiting ask is served when a slot comes free
     Given a home whose runner has its 1 slot in use
     When another node waits for a slot on it
--- a/packages/clementineyoke-node/tests/steps/slot_home_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from random import Random
+
 from behave import given, then, when
 
 from clementineyoke_core.hashing import hash_text
@@ -8,10 +10,11 @@
 from clementineyoke_core.runner_homes import RunnerHomes
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_core.slot_ledger import SlotHold, SlotLedger
-from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
+from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage, PeerSocket
 from clementineyoke_node.slots.slot_home import SlotHome
 from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_wire.messages import SlotAsk, SlotRelease
+from clementineyoke_wire.seal import Seal
 
 RUNNER = Runner("engine-1", "127.0.0.1", 1, "zone", "region", RunnerKind.ENGINE, "m", 1)
 PEER = PeerAddress("127.0.0.9", 9)
@@ -69,6 +72,33 @@
     context.home.ask("engine-1", context.hold, seen_mean=0.0).unwrap()
 
 
+def make_socket(incarnation, seed):
+    return PeerSocket(
+        seal=Seal(keys=["key"]), address=PEER, incarnation=incarnation, rng=Random(seed)
+    )
+
+
+@given("a home with 4 slots free and a node that has asked {count:d} times")
+def given_asked(context, count):
+    context.old = make_socket(incarnation=1_000_000, seed=1)
+    context.old_ids = [context.old.next_ask_id() for _ in range(count)]
+
+
+@when("the node starts again after {pause_s:d} seconds and asks {count:d} times")
+def restart(context, pause_s, count):
+    new = make_socket(incarnation=1_000_000 + pause_s, seed=2)
+    context.new_ids = [new.next_ask_id() for _ in range(count)]
+
+
+@then("the last grants of the old process and the 4 new ones are all counted")
+def check_counted(context):
+    ledger = SlotLedger()
+    holds = [SlotHold("peer", n) for n in context.old_ids + context.new_ids]
+    for hold in holds:
+        ledger.ask("engine-1", hold, bound=10**6, now_ms=0).unwrap()
+    assert ledger.in_use("engine-1") == len(holds)
+
+
 @when("another node asks for a slot on it")
 def ask_slot(context):
     ask(context, 7)
