--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/bench.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/bench.py
@@ -11,6 +11,7 @@
 from clementineyoke_standins.bench.decision_case import measure_decision
 from clementineyoke_standins.bench.limits_case import measure_limits
 from clementineyoke_standins.bench.overhead_case import measure_overhead
+from clementineyoke_standins.bench.paper_case import measure_paper_ideas
 from clementineyoke_standins.bench.policy_cases import run_tables, to_cases
 from clementineyoke_standins.bench.report import (
     draw,
@@ -39,6 +40,7 @@
     cases = to_cases(tables, bounds, seed=seed)
     cases.append(measure_spread(bounds, seed=seed))
     cases += measure_limits(bounds, seed=seed)
+    cases += measure_paper_ideas(bounds, seed=seed)
     if not quick:
         cases.append(measure_decision(bounds, seed=seed))
         cases += measure_claims(bounds, seed=seed)
