--- a/packages/clementineyoke-core/src/clementineyoke_core/homes.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/homes.py
@@ -7,11 +7,11 @@
 
 
 class Homes:
-    """Give each name (runner, team, claim shard) one home among the region's nodes.
+    """Give each name (of a team's budget, a claim shard) one home among the nodes.
 
     Two nodes whose views differ for seconds may name two homes. That is harmless by
-    design: slot grants are checked against the runner's report, claims are fenced by
-    the platform's object version.
+    design: a budget's home is at worst doubled for a moment, claims are fenced by the
+    platform's object version.
     """
 
     def __init__(self) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -145,11 +145,15 @@
             reply = await self._socket.ask(
                 home, ask, reply_type=SlotReply, timeout_ms=self._timeout_ms
             )
+        except asyncio.CancelledError:
+            # The caller is gone; the ask may yet be granted, to nobody.
+            self._give_back(runner_id, ask_id)
+            raise
         except TimeoutError:
             log_event(Event.HOME_SILENT, home=home.node_id, runner=runner_id)
             self._membership.suspect(home.node_id)
             # The ask may have been granted and only its reply lost.
-            self._socket.send(PeerAddress.of(home), SlotRelease(ask_id, ask.runner))
+            self._give_back(runner_id, ask_id)
             return None
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
