Bound a request by its team's settings at its model or service

Cause: values at /group/team/model were accepted, inherited and shown, and did nothing: a request was bounded before its model was known. Before: a deadline of 300 ms there was ignored (5,000 ms held); after: 504 unknown (scenario).

--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/authenticator.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/authenticator.py
@@ -48,21 +48,20 @@
     ) -> CallerRequest:
         """Return the caller's request; raises ``RequestError`` if it has no leave."""
         team_path = self._find_team(request.headers.get("Authorization", ""))
-        tree = self._keeper.log.tree
-        longest_ms = tree.value(team_path, "deadline_ms")
-        wanted_ms = _read_number(request, headers.DEADLINE_MS, longest_ms)
-        best = tree.value(team_path, "priority")
-        priority = _read_number(request, headers.PRIORITY, best)
-        return CallerRequest(
-            request_id=request_id,
-            team_path=team_path,
-            deadline_ms=now_ms + min(wanted_ms, longest_ms),
-            priority=max(priority, best),
-            queue_ms=tree.value(team_path, "queue_ms"),
+        return self._bound(
+            request,
+            CallerRequest(request_id, team_path, now_ms, deadline_ms=now_ms),
+            settings_path=team_path,
         )
 
-    def check_pool(self, team_path: str, field: str, pool: str) -> None:
-        """Raise ``RequestError`` unless the team may call a model or service."""
+    def admit_to_pool(
+        self, request: web.Request, caller: CallerRequest, *, field: str, pool: str
+    ) -> CallerRequest:
+        """Return the request with the bounds that the team has at a model or service.
+
+        Raises ``RequestError`` unless the team may call it.
+        """
+        team_path = caller.team_path
         if pool not in self._keeper.log.tree.value(team_path, field):
             raise RequestError(
                 status=403,
@@ -70,6 +69,21 @@
                 step="authorize",
                 reason=f"the team may not call {pool!r}; its {field} do not hold it",
             )
+        return self._bound(request, caller, settings_path=f"{team_path}/{pool}")
+
+    def _bound(
+        self, request: web.Request, caller: CallerRequest, *, settings_path: str
+    ) -> CallerRequest:
+        tree = self._keeper.log.tree
+        longest_ms = tree.value(settings_path, "deadline_ms")
+        wanted_ms = _read_number(request, headers.DEADLINE_MS, longest_ms)
+        best = tree.value(settings_path, "priority")
+        priority = _read_number(request, headers.PRIORITY, best)
+        return caller._replace(
+            deadline_ms=caller.began_ms + min(wanted_ms, longest_ms),
+            priority=max(priority, best),
+            queue_ms=tree.value(settings_path, "queue_ms"),
+        )
 
     def _find_team(self, authorization: str) -> str:
         match = _KEY.fullmatch(authorization)
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/caller_request.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/caller_request.py
@@ -10,8 +10,10 @@
 
     request_id: str
     team_path: str
+    began_ms: float
+    """Monotonic time at which the request's head was read."""
     deadline_ms: float
     """Monotonic time by which the whole answer must be there."""
-    priority: int
-    queue_ms: int
+    priority: int = 0
+    queue_ms: int = 0
     """Longest wait for a slot."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/chat_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/chat_handler.py
@@ -67,7 +67,9 @@
         """Stream the runner's answer to the caller."""
         body = await read_body(request)
         chat = _parse(body)
-        self._authenticator.check_pool(caller.team_path, "models", chat.model)
+        caller = self._authenticator.admit_to_pool(
+            request, caller, field="models", pool=chat.model
+        )
         chat_id = request.headers.get(headers.CHAT_ID, "")
         place = _place_of(caller, chat, chat_id)
         call = RoutedCall(
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/service_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/service_handler.py
@@ -50,7 +50,9 @@
     ) -> web.StreamResponse:
         """Answer a plain call."""
         service = request.match_info["service"]
-        self._authenticator.check_pool(caller.team_path, "services", service)
+        caller = self._authenticator.admit_to_pool(
+            request, caller, field="services", pool=service
+        )
         key = _read_key(request)
         is_idempotent = key is None and headers.NON_IDEMPOTENT not in request.headers
         call = await _to_call(request, caller, service, is_idempotent)
--- a/packages/clementineyoke-node/tests/callers/isolation.feature
+++ b/packages/clementineyoke-node/tests/callers/isolation.feature
@@ -104,3 +104,12 @@
     And the chat comes back
     Then the caller gets its own whole answer
     And 10 more turns ask the draining engine no more
+
+  Scenario: A team has its own deadline at one model
+    # Symptom: settings at /group/team/model are accepted and do nothing.
+    # Sequence: a deadline is set there; a runner stalls.
+    # Cause: a request was bounded before its model was known, by its team alone.
+    Given a node with stand-ins
+    When the engines stall for 1000 ms
+    Then the team with a deadline of 300 ms at the model is told unknown
+    And a chat is still answered whole
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -71,6 +71,20 @@
     assert context.draining.stats["turned_away"] == 1
 
 
+@when("the engines stall for {stall_ms:d} ms")
+def stall(context, stall_ms):
+    for engine in context.fleet.engines:
+        engine.faults.stall_ms = stall_ms
+
+
+@then("the team with a deadline of 300 ms at the model is told unknown")
+def check_model_deadline(context):
+    other = "Bearer league/other/secret-of-other"
+    context.answer = context.run(context.fleet.chat(Authorization=other))
+    check_told(context, "unknown")
+    assert context.answer[0] == 504
+
+
 @when("the chat comes back")
 def come_back(context):
     context.answer = context.run(context.fleet.chat(X_Chat_Id="chat"))
--- a/packages/clementineyoke-node/tests/steps/one_node.py
+++ b/packages/clementineyoke-node/tests/steps/one_node.py
@@ -25,6 +25,7 @@
     "/": {"deadline_ms": 5_000},
     "/league": {"models": [MODEL], "services": [SERVICE], "rate_per_s": 1000},
     "/league/other": {"key_hashes": [hash_key("secret-of-other")]},
+    f"/league/other/{MODEL}": {"deadline_ms": 300},
     "/league/finals": {"key_hashes": [hash_key("secret-of-finals")]},
 }
 
