Log a refusal once, with its chat

Cause: a request without a slot was logged by the dispatcher and again by the gate, and only the first named the chat. Before two decisions a refusal, after one (scenario), found by request id and by chat id.

--- a/packages/clementineyoke-core/src/clementineyoke_core/request_error.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/request_error.py
@@ -20,6 +20,7 @@
         reason: str,
         peer: str = "",
         retry_after_ms: int | None = None,
+        chat_id: str = "",
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.status = status
@@ -28,3 +29,5 @@
         self.reason = reason
         self.peer = peer
         self.retry_after_ms = retry_after_ms
+        self.chat_id = chat_id
+        """For operators who look a chat up; not told to callers."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
@@ -123,19 +123,13 @@
         )
         lease = await self._broker.acquire(wish)
         if lease is None:
-            self._decisions.record(
-                Event.ROUTE_REFUSED,
-                request_id=call.caller.request_id,
-                chat=call.chat_id,
-                pool=call.pool,
-                reason="no runner under its bound",
-            )
             raise RequestError(
                 status=503,
                 outcome=Outcome.NOT_RUN,
                 step="acquire_slot",
                 reason=f"no runner of {call.pool!r} has a free slot under its bound",
                 retry_after_ms=RETRY_AFTER_MS,
+                chat_id=call.chat_id,
             )
         self._decisions.record(
             Event.ROUTED,
@@ -243,4 +237,5 @@
         peer=unsure.peer,
         reason=f"{unsure.reason}; then {error.step}: {error.reason}",
         retry_after_ms=error.retry_after_ms,
+        chat_id=error.chat_id,
     )
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/gate.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/gate.py
@@ -77,6 +77,7 @@
             self._decisions.record(
                 Event.ROUTE_REFUSED,
                 request_id=request_id,
+                chat=error.chat_id,
                 step=error.step,
                 peer=error.peer,
                 outcome=error.outcome.value,
--- a/packages/clementineyoke-node/tests/steps/admin_steps.py
+++ b/packages/clementineyoke-node/tests/steps/admin_steps.py
@@ -25,6 +25,25 @@
         assert context.answer[0] == 200
 
 
+@when('every engine drains and the chat "{chat_id}" is refused')
+def refuse(context, chat_id):
+    context.chat_id = chat_id
+    for engine in context.fleet.engines:
+        engine.faults.draining = True
+    for _ in range(2):
+        context.answer = context.run(context.fleet.chat(X_Chat_Id=chat_id))
+    assert context.answer[0] == 503
+
+
+@then("its chat id explains the refusal with one decision")
+def check_refusal(context):
+    request_id = context.answer[1]["X-Request-Id"]
+    found = get(context, f"/admin/explain?id={context.chat_id}")["decisions"]
+    mine = [d for d in found if d["request_id"] == request_id]
+    assert [d["event"] for d in mine] == ["route_refused"], mine
+    assert mine[0]["fields"]["step"] == "acquire_slot"
+
+
 @then("its request id and its chat id explain where it went and why")
 def check_explained(context):
     headers = context.answer[1]
