Read a plain service's answer to its end

Cause: one read of the answer took what had arrived for the whole, and a second part for too much: a call that ran and was answered in two parts was told unknown. Found by reading; the scenario (300 kB in two parts) failed before and passes now.

--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/service_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/service_handler.py
@@ -98,13 +98,7 @@
 
     async def _send_once(self, call: RoutedCall) -> web.Response:
         async with self._dispatcher.exchange(call) as (runner, answer):
-            try:
-                body = await answer.content.read(LARGEST_ANSWER_BYTES)
-                rest = await answer.content.read(1)
-            except (aiohttp.ClientError, OSError, TimeoutError) as error:
-                raise _unknown(runner.runner_id, repr(error)) from error
-            if rest:
-                raise _unknown(runner.runner_id, "the answer is too large to hold")
+            body = await _read_whole(runner.runner_id, answer)
         return web.Response(
             status=answer.status,
             body=body,
@@ -117,6 +111,18 @@
         )
 
 
+async def _read_whole(runner_id: str, answer: aiohttp.ClientResponse) -> bytes:
+    body = bytearray()
+    try:
+        async for chunk in answer.content.iter_any():
+            body += chunk
+            if len(body) > LARGEST_ANSWER_BYTES:
+                raise _unknown(runner_id, "the answer is too large to hold")
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        raise _unknown(runner_id, repr(error)) from error
+    return bytes(body)
+
+
 def _answer_without_run(decision: ClaimDecision, request_id: str) -> web.Response:
     if decision.verdict is ClaimVerdict.ANSWERED and decision.answer is not None:
         return web.Response(
--- a/packages/clementineyoke-node/tests/callers/isolation.feature
+++ b/packages/clementineyoke-node/tests/callers/isolation.feature
@@ -113,3 +113,12 @@
     When the engines stall for 1000 ms
     Then the team with a deadline of 300 ms at the model is told unknown
     And a chat is still answered whole
+
+  Scenario: A long answer to a keyed call
+    # Symptom: callers are told "unknown" of calls that ran and were answered.
+    # Sequence: a plain service sends its answer in two parts.
+    # Cause: one read of the answer took what had arrived for the whole.
+    Given a node with stand-ins
+    When the service pads its answers to 300000 bytes and a keyed call is sent
+    Then the whole padded answer arrives
+    And the call was executed once
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -85,6 +85,21 @@
     assert context.answer[0] == 504
 
 
+@when("the service pads its answers to {size:d} bytes and a keyed call is sent")
+def send_padded(context, size):
+    context.size = size
+    for service in context.fleet.services:
+        service.faults.padding_bytes = size
+    context.answer = context.run(context.fleet.post("mark", key="key-1"))
+
+
+@then("the whole padded answer arrives")
+def check_padded(context):
+    status, _, body = context.answer
+    assert status == 200, body[:200]
+    assert len(json.loads(body)["padding"]) == context.size
+
+
 @when("the chat comes back")
 def come_back(context):
     context.answer = context.run(context.fleet.chat(X_Chat_Id="chat"))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/plain_service.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/plain_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from collections import Counter
 from typing import Any
@@ -29,7 +30,7 @@
     def _add_routes(self, router: web.UrlDispatcher) -> None:
         router.add_route("*", "/{path:.*}", self._execute)
 
-    async def _execute(self, request: web.Request) -> web.Response:
+    async def _execute(self, request: web.Request) -> web.StreamResponse:
         body = await request.text()
         mark = body or request.path
         self.executions[mark] += 1
@@ -42,7 +43,24 @@
         if self.faults.crossed > 0:
             self.faults.crossed -= 1
             echoed = "someone-else"
-        return web.json_response(
-            {"done": mark, "by": self._runner_id},
-            headers={headers.REQUEST_ID: echoed},
-        )
+        done = {"done": mark, "by": self._runner_id}
+        sent = {headers.REQUEST_ID: echoed}
+        if self.faults.padding_bytes:
+            return await self._answer_in_parts(request, done, sent)
+        return web.json_response(done, headers=sent)
+
+    async def _answer_in_parts(
+        self, request: web.Request, done: dict[str, str], sent: dict[str, str]
+    ) -> web.StreamResponse:
+        padded = done | {"padding": "x" * self.faults.padding_bytes}
+        body = json.dumps(padded).encode()
+        response = web.StreamResponse(headers=sent)
+        response.content_type = "application/json"
+        response.content_length = len(body)
+        await response.prepare(request)
+        half = len(body) // 2
+        await response.write(body[:half])
+        await asyncio.sleep(WORK_MS / 1000)
+        await response.write(body[half:])
+        await response.write_eof()
+        return response
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/runner_faults.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/runner_faults.py
@@ -18,5 +18,7 @@
     """End a stream in order, but without its end mark."""
     draining: bool = False
     """Say so on every answer, and take no new work."""
+    padding_bytes: int = 0
+    """Make a plain service's answer so much longer, and send it in two parts."""
     stall_ms: float = 0.0
     """Wait so long before the first byte, every time."""
