Hand a plain call's path on as it came

Cause: the path was decoded on the way and encoded anew: an encoded slash became a slash, an encoded question mark began a query. Found by reading; the scenario failed before and passes now.

--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/service_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/service_handler.py
@@ -26,6 +26,8 @@
 
 CLAIM_RETRY_MS = 1_000
 LONGEST_KEY = 200
+PREFIX_PARTS = 4
+"""Slashes in /v1/services/<service>/ before the runner's own path."""
 LARGEST_ANSWER_BYTES = 4_000_000
 _PASSED_HEADERS = ("Content-Type", "Accept", "Accept-Language")
 
@@ -194,9 +196,10 @@
     request: web.Request, caller: CallerRequest, service: str, is_idempotent: bool
 ) -> RoutedCall:
     body = await read_body(request)
-    path = "/" + request.match_info["path"]
-    if request.query_string:
-        path = f"{path}?{request.query_string}"
+    # As it came: decoded and encoded anew, an encoded slash would change the path.
+    path = "/" + request.rel_url.raw_path.split("/", PREFIX_PARTS)[PREFIX_PARTS]
+    if request.rel_url.raw_query_string:
+        path = f"{path}?{request.rel_url.raw_query_string}"
     passed = {
         name: request.headers[name]
         for name in _PASSED_HEADERS
--- a/packages/clementineyoke-node/src/clementineyoke_node/runners/runner_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/runners/runner_client.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Self
 
 import aiohttp
+from yarl import URL
 
 from clementineyoke_node.runners.runner_error import RunnerError
 from clementineyoke_wire import headers
@@ -139,8 +140,8 @@
     return session
 
 
-def _url(runner: Runner, path: str) -> str:
-    return f"http://{runner.address}:{runner.port}{path}"
+def _url(runner: Runner, path: str) -> URL:
+    return URL(f"http://{runner.address}:{runner.port}{path}", encoded=True)
 
 
 def _check_echo(
--- a/packages/clementineyoke-node/tests/callers/isolation.feature
+++ b/packages/clementineyoke-node/tests/callers/isolation.feature
@@ -122,3 +122,11 @@
     When the service pads its answers to 300000 bytes and a keyed call is sent
     Then the whole padded answer arrives
     And the call was executed once
+
+  Scenario: A path with encoded characters
+    # Symptom: a call for one locker reaches another path, or gains a query.
+    # Sequence: a caller's path holds an encoded slash or question mark.
+    # Cause: the path was decoded on the way and encoded anew.
+    Given a node with stand-ins
+    When a plain call is sent to "lockers/a%2Fb%3Fc%20d?x=%26y"
+    Then the service was asked for "/lockers/a%2Fb%3Fc%20d?x=%26y"
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -6,6 +6,7 @@
 import aiohttp
 from behave import given, then, when
 from one_node import MODEL, TEAM_KEY, OneNode
+from yarl import URL
 
 WHOLE = b"data: [DONE]"
 
@@ -100,6 +101,23 @@
     assert len(json.loads(body)["padding"]) == context.size
 
 
+@when('a plain call is sent to "{path}"')
+def send_path(context, path):
+    url = URL(f"{context.fleet.caller_url}/v1/services/scores/{path}", encoded=True)
+
+    async def run():
+        bearer = {"Authorization": TEAM_KEY}
+        async with context.fleet.session.get(url, headers=bearer) as answer:
+            assert answer.status == 200, await answer.text()
+
+    context.run(run())
+
+
+@then('the service was asked for "{path}"')
+def check_path(context, path):
+    assert list(context.fleet.services[0].executions) == [path]
+
+
 @when("the chat comes back")
 def come_back(context):
     context.answer = context.run(context.fleet.chat(X_Chat_Id="chat"))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/runners/plain_service.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/runners/plain_service.py
@@ -32,7 +32,7 @@
 
     async def _execute(self, request: web.Request) -> web.StreamResponse:
         body = await request.text()
-        mark = body or request.path
+        mark = body or request.raw_path
         self.executions[mark] += 1
         self.last_start_s = time.time()
         await asyncio.sleep((WORK_MS + self.faults.stall_ms) / 1000)
