--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
@@ -0,0 +1,41 @@
+"""What the operator wants to be in force, decoded and whole."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from clementineyoke_core.edge.route import Route  # noqa: TC001 - msgspec reads it
+
+
+class Team(NamedTuple):
+    """A customer of the operator and the keys of its callers."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+    """Goes before the route's priority; None leaves that in force."""
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class DesiredState(NamedTuple):
+    """One accepted configuration."""
+
+    revision: int
+    """The store's revision of it: the larger one is the newer."""
+    version: int
+    """The operator's own number for it."""
+    routes: tuple[Route, ...]
+    teams: tuple[Team, ...]
+    needs_key: bool
+    """Whether callers must show a key: the state names teams."""
+    limits: CallerLimits
+    health_paths: dict[str, str]
+    """Path of the health check, by pool."""
--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -0,0 +1,114 @@
+"""Every runner that the store holds, with care for what lapsed in an outage."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from clementineyoke_core.edge.runner_record import (
+    RunnerRecord,  # noqa: TC001 - msgspec reads it
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+RETURN_TIME_MS = 2_500.0
+"""Entries that lapsed with the store are back about 2 s after its return; the rest is
+for the node's own delay in seeing either."""
+
+
+class DirectoryView(NamedTuple):
+    """The directory as one node hands it to another."""
+
+    revision: int
+    """As of which revision of the store."""
+    records: tuple[RunnerRecord, ...]
+
+
+class RunnerDirectory:
+    """Hold runners' entries; never go back to an older view of the store.
+
+    While the store is away runners cannot renew their entries and they lapse, though
+    the runners live. Taking that for their end would leave no runner at all, seen as a
+    fleet that refuses everything for seconds after each outage. An entry that vanished
+    in an outage is therefore kept until its runner has had time to return.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, RunnerRecord] = {}
+        self._lapsed: dict[str, float] = {}
+        self._outage_ended_ms = -RETURN_TIME_MS
+        self.revision = 0
+
+    def records(self) -> list[RunnerRecord]:
+        """Return the entries in force."""
+        return list(self._records.values())
+
+    def view(self) -> DirectoryView:
+        """Return what to hand to another node; it leaves out lapsed entries."""
+        held = (
+            record
+            for runner_id, record in self._records.items()
+            if runner_id not in self._lapsed
+        )
+        return DirectoryView(self.revision, tuple(held))
+
+    def record_outage_end(self, *, now_ms: float) -> None:
+        """Note that the store answers again after it was away."""
+        self._outage_ended_ms = now_ms
+
+    def replace(
+        self, records: Iterable[RunnerRecord], *, revision: int, now_ms: float
+    ) -> bool:
+        """Take the whole list as of a revision; return whether anything changed."""
+        if revision < self.revision:
+            return False
+        before = dict(self._records)
+        fresh = {record.runner.runner_id: record for record in records}
+        for runner_id in before.keys() - fresh.keys():
+            self._remove(runner_id, now_ms)
+        for record in fresh.values():
+            self._put(record)
+        self.revision = revision
+        return before != self._records
+
+    def put(self, record: RunnerRecord, *, revision: int) -> bool:
+        """Take one changed entry; return whether it was news."""
+        self.revision = max(self.revision, revision)
+        return self._put(record)
+
+    def remove(self, runner_id: str, *, revision: int, now_ms: float) -> bool:
+        """Take the end of an entry; return whether the runner is out at once."""
+        self.revision = max(self.revision, revision)
+        return self._remove(runner_id, now_ms)
+
+    def drop_lapsed(self, *, now_ms: float) -> list[str]:
+        """Drop entries whose runners did not return in time, and return their ids."""
+        gone = [
+            runner_id
+            for runner_id, until_ms in self._lapsed.items()
+            if until_ms <= now_ms
+        ]
+        for runner_id in gone:
+            del self._lapsed[runner_id]
+            self._records.pop(runner_id, None)
+        return gone
+
+    def _put(self, record: RunnerRecord) -> bool:
+        runner_id = record.runner.runner_id
+        self._lapsed.pop(runner_id, None)
+        known = self._records.get(runner_id)
+        if known is not None and known.revision >= record.revision:
+            return False
+        self._records[runner_id] = record
+        return known is None or known[:2] != record[:2]
+
+    def _remove(self, runner_id: str, now_ms: float) -> bool:
+        record = self._records.get(runner_id)
+        if record is None or runner_id in self._lapsed:
+            return False
+        until_ms = self._outage_ended_ms + RETURN_TIME_MS
+        if until_ms <= now_ms or record.is_leaving:
+            del self._records[runner_id]
+            return True
+        self._lapsed[runner_id] = until_ms
+        return False
--- a/packages/clementineyoke-core/src/clementineyoke_core/membership.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/membership.py
@@ -40,6 +40,7 @@
         self._sends_left: dict[str, int] = {}
         self._probe_order: list[str] = []
         self._by_address: dict[tuple[str, int], Node] = {}
+        self._heard: set[str] = set()
 
     @property
     def own(self) -> Node:
@@ -67,6 +68,21 @@
             self._misses.pop(node_id, None)
             self._sends_left.pop(node_id, None)
 
+    def add(self, node: Node) -> bool:
+        """Take a node that made itself known; return whether it is new or moved."""
+        known = self._nodes.get(node.node_id)
+        if known == node:
+            return False
+        if known is not None:
+            self._by_address.pop((known.address, known.peer_port), None)
+        self._nodes[node.node_id] = node
+        self._by_address[node.address, node.peer_port] = node
+        return True
+
+    def has_heard(self, node_id: str) -> bool:
+        """Whether a node has ever been heard of by its own messages."""
+        return node_id == self._own.node_id or node_id in self._heard
+
     def node(self, node_id: str) -> Node | None:
         """Return a listed node."""
         return self._nodes.get(node_id)
@@ -108,6 +124,7 @@
     def record_heard(self, node_id: str, *, incarnation: int) -> bool:
         """Note a message from a node; return whether it was believed down."""
         self._misses.pop(node_id, None)
+        self._heard.add(node_id)
         return self.hear(Rumour(node_id, incarnation, NodeState.ALIVE))
 
     def suspect(self, node_id: str) -> None:
@@ -155,8 +172,9 @@
     def rumours_to_send(self, *, receiver: str) -> list[Rumour]:
         """Return the least-told rumours, each told a bounded number of times.
 
-        A receiver that is believed down is always told so: after a partition the
-        rumour has long been told enough, and nobody else would let it refute.
+        A receiver that is believed down or leaving is always told so: after a
+        partition, or a restart with its clock set back, the rumour has long been told
+        enough, and nobody else would let it refute.
         """
         least_told = sorted(
             self._sends_left, key=lambda node_id: -self._sends_left[node_id]
@@ -166,7 +184,7 @@
             self._sends_left[node_id] -= 1
             if self._sends_left[node_id] <= 0:
                 del self._sends_left[node_id]
-        if self.state(receiver) is NodeState.DOWN and receiver not in chosen:
+        if self.state(receiver) is not NodeState.ALIVE and receiver not in chosen:
             chosen.append(receiver)
         return [self._rumour_of(node_id) for node_id in chosen]
 
--- a/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
@@ -36,13 +36,24 @@
             self._rings.setdefault(pool_name, HashRing()).replace(runner_ids)
 
     def order(self, pool: str, key: int) -> Iterator[str]:
-        """Yield the pool's ready runners, the best for the key first."""
+        """Yield the pool's ready runners, the best for the key first.
+
+        With none ready the quarantined ones are yielded: when all have failed lately,
+        a refusal of everything would outlast the failure by a quarantine's length.
+        """
         ring = self._rings.get(pool)
         if ring is None:
             return
+        quarantined: list[str] = []
+        found_ready = False
         for runner_id in ring.order(key):
             if self._table.is_ready(runner_id):
+                found_ready = True
                 yield runner_id
+            elif self._table.is_quarantined(runner_id):
+                quarantined.append(runner_id)
+        if not found_ready:
+            yield from quarantined
 
     def has_ready(self, pool: str, runner_id: str | None) -> bool:
         """Tell whether a runner is of the pool in this region, and ready."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -79,6 +79,11 @@
         entry = self._entries.get(runner_id)
         return entry is not None and entry.state is RunnerState.READY
 
+    def is_quarantined(self, runner_id: str) -> bool:
+        """Tell whether a runner is out for a while after failures."""
+        entry = self._entries.get(runner_id)
+        return entry is not None and entry.state is RunnerState.QUARANTINED
+
     def record_draining(self, runner_id: str, *, now_ms: float) -> None:
         """Note that the runner itself said that it is leaving."""
         entry = self._entries.get(runner_id)
@@ -117,6 +122,22 @@
         if entry is not None and entry.failures:
             self._entries[runner_id] = entry._replace(failures=0)
 
+    def end_due_quarantines(self, *, now_ms: float) -> list[str]:
+        """Let runners back whose quarantine is over, and return their ids.
+
+        For runners whose status checks have a price or say little: the next call is
+        the proof, and a failure doubles the next quarantine.
+        """
+        due = [
+            runner_id
+            for runner_id, entry in self._entries.items()
+            if entry.state is RunnerState.QUARANTINED and entry.retry_at_ms <= now_ms
+        ]
+        for runner_id in due:
+            entry = self._entries[runner_id]
+            self._entries[runner_id] = entry._replace(state=RunnerState.READY)
+        return due
+
     def due_for_probe(self, *, now_ms: float) -> list[Runner]:
         """Return the runners whose quarantine or warm-up wants a probe now."""
         return [
--- a/packages/clementineyoke-node/src/clementineyoke_node/caller_server.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/caller_server.py
@@ -20,6 +20,7 @@
 from clementineyoke_node.limits.team_limiter import TeamLimiter
 
 if TYPE_CHECKING:
+    from clementineyoke_node.config.node_config import NodeConfig
     from clementineyoke_node.node_io import NodeIo
     from clementineyoke_node.node_state import NodeState
 
@@ -30,8 +31,8 @@
 class CallerServer:
     """Own the gate and the handlers behind it."""
 
-    def __init__(self, *, state: NodeState, io: NodeIo) -> None:
-        self._max_body_bytes = state.config.max_body_bytes
+    def __init__(self, *, config: NodeConfig, state: NodeState, io: NodeIo) -> None:
+        self._max_body_bytes = config.max_body_bytes
         authenticator = Authenticator(keeper=io.keeper)
         limiter = TeamLimiter(
             membership=state.membership,
@@ -39,7 +40,7 @@
             keeper=io.keeper,
             socket=io.socket,
             timers=io.timers,
-            timeout_ms=state.config.share_timeout_ms,
+            timeout_ms=config.share_timeout_ms,
         )
         self.gate = Gate(
             authenticator=authenticator,
@@ -56,7 +57,7 @@
             timers=io.timers,
             decisions=state.decisions,
         )
-        signer = TokenSigner(keys=state.config.peer_keys)
+        signer = TokenSigner(keys=config.peer_keys)
         placements = PlacementToken(signer=signer)
         resumes = ResumeToken(signer=signer)
         self._chats = ChatHandler(
--- a/packages/clementineyoke-node/src/clementineyoke_node/claims/chain_store.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/claims/chain_store.py
@@ -14,12 +14,12 @@
     head_name,
     slot_name,
 )
-from clementineyoke_node.platform.object_api import NO_OBJECT
-from clementineyoke_node.platform.platform_error import PlatformError
+from clementineyoke_node.objects.object_api import NO_OBJECT
+from clementineyoke_node.objects.platform_error import PlatformError
 
 if TYPE_CHECKING:
     from clementineyoke_core.claims.segment import ChainHead
-    from clementineyoke_node.platform.object_api import ObjectApi
+    from clementineyoke_node.objects.object_api import ObjectApi
 
 
 class ChainStore:
--- a/packages/clementineyoke-node/src/clementineyoke_node/claims/claim_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/claims/claim_home.py
@@ -12,12 +12,12 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.claims.decision import ClaimDecision
+    from clementineyoke_node.objects.object_api import ObjectApi
     from clementineyoke_node.peers.peer_socket import (
         PeerAddress,
         PeerMessage,
         PeerSocket,
     )
-    from clementineyoke_node.platform.object_api import ObjectApi
     from clementineyoke_node.timers.timer_service import TimerService
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/claims/shard_task.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/claims/shard_task.py
@@ -9,7 +9,7 @@
 
 from clementineyoke_core.claims.chain import ClaimChain, WriteKind
 from clementineyoke_node.claims.chain_store import ChainStore
-from clementineyoke_node.platform.platform_error import (
+from clementineyoke_node.objects.platform_error import (
     PlatformError,
     VersionConflictError,
 )
@@ -21,7 +21,7 @@
 
     from clementineyoke_core.claims.decision import ClaimDecision
     from clementineyoke_core.claims.messages import ClaimAsk, ClaimReport
-    from clementineyoke_node.platform.object_api import ObjectApi
+    from clementineyoke_node.objects.object_api import ObjectApi
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/node_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/node_config.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import Any
 
-import json5
 import msgspec
 
 from clementineyoke_node.config.config_error import ConfigError
+from clementineyoke_node.config.json_file import read_json
 
 
 class NodeConfig(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -50,7 +49,7 @@
 
 def load_node_config(path: str) -> NodeConfig:
     """Read a node's settings; raises ``ConfigError`` that names file and fault."""
-    return parse_node_config(_read_json(path), source=path)
+    return parse_node_config(read_json(path), source=path)
 
 
 def parse_node_config(document: Any, *, source: str) -> NodeConfig:
@@ -62,11 +61,3 @@
     if not config.peer_keys:
         raise ConfigError(step="validate", source=source, reason="peer_keys is empty")
     return config
-
-
-def _read_json(path: str) -> Any:
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-        return json5.loads(text)
-    except (OSError, ValueError) as error:
-        raise ConfigError(step="read", source=path, reason=str(error)) from error
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
@@ -0,0 +1,54 @@
+"""Run one node on the users' platform until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+
+import uvloop
+
+from clementineyoke_node.config.config_error import ConfigError
+from clementineyoke_node.config.edge_config import EdgeConfig, load_edge_config
+from clementineyoke_node.edge.edge_service import EdgeService
+from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
+from clementineyoke_wire.events import Event, log_event
+from clementineyoke_wire.log_sink import log_as_json
+
+EXIT_BAD_CONFIG = 2
+
+
+def main() -> None:
+    """Read the settings that the platform wrote, and serve."""
+    path = os.environ.get(SETTINGS_FILE_VARIABLE, "")
+    try:
+        config = load_edge_config(path)
+    except ConfigError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(EXIT_BAD_CONFIG) from error
+    log_as_json(config.log_level, stream=sys.stdout)
+    uvloop.run(_serve(config, path))
+
+
+async def _serve(config: EdgeConfig, path: str) -> None:
+    loop = asyncio.get_running_loop()
+    async with EdgeService(config=config) as service:
+        loop.add_signal_handler(signal.SIGTERM, service.order_stop)
+        loop.add_signal_handler(signal.SIGINT, service.order_stop)
+        loop.add_signal_handler(signal.SIGHUP, _reload, config, path)
+        await service.run_until_stopped()
+
+
+def _reload(config: EdgeConfig, path: str) -> None:
+    """Check settings that have changed; what is in force needs a restart."""
+    try:
+        changed = load_edge_config(path) != config
+    except ConfigError as error:
+        log_event(Event.SETTINGS_REFUSED, step=error.step, reason=error.reason)
+        return
+    log_event(Event.NODE_RELOADED, changed=changed)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -0,0 +1,127 @@
+"""The door for callers: decode, admit, forward, and answer for what fails."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from clementineyoke_core.edge.admission import admit
+from clementineyoke_core.outcome import Outcome
+from clementineyoke_core.request_error import RequestError
+from clementineyoke_node.platform.call_decoder import decode_call
+from clementineyoke_node.platform.format_error import FormatError
+from clementineyoke_node.platform.node_answers import encode_error, error_headers
+from clementineyoke_wire.events import Event
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.callers.in_flight import InFlight
+    from clementineyoke_node.edge.fleet_view import FleetView
+    from clementineyoke_node.edge.forwarder import Forwarder
+    from clementineyoke_node.metrics import Metrics
+    from clementineyoke_node.timers.timer_service import TimerService
+
+BUSY_RETRY_MS = 500
+
+
+class CallerDoor:
+    """Answer callers' requests, each with one answer or a visible break."""
+
+    def __init__(
+        self,
+        *,
+        view: FleetView,
+        forwarder: Forwarder,
+        in_flight: InFlight,
+        timers: TimerService,
+        decisions: DecisionRing,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        self._view = view
+        self._forwarder = forwarder
+        self._in_flight = in_flight
+        self._timers = timers
+        self._decisions = decisions
+        self._metrics = metrics
+        self._rng = rng
+        self.is_leaving = False
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Answer one request."""
+        arrived_ms = self._timers.now_ms()
+        with self._in_flight.one():
+            response = await self._answer(request, arrived_ms)
+        if self.is_leaving and not response.prepared:
+            response.force_close()
+        elapsed_ms = self._timers.now_ms() - arrived_ms
+        self._metrics.record_outcome(str(response.status), elapsed_ms)
+        return response
+
+    async def _answer(
+        self, request: web.Request, arrived_ms: float
+    ) -> web.StreamResponse:
+        try:
+            body = await request.read()
+            call = decode_call(
+                method=request.method,
+                target=request.raw_path,
+                fields=request.headers,
+                body=body,
+            )
+        except FormatError as error:
+            return web.Response(
+                status=400, body=encode_error(step=error.step, reason=error.reason)
+            )
+        try:
+            return await self._serve(request, call, arrived_ms)
+        except RequestError as error:
+            return self._refuse(call, error, arrived_ms)
+        except (ConnectionError, asyncio.CancelledError):
+            self._decisions.record(Event.CALLER_GONE, request_id=call.call_id)
+            raise
+
+    async def _serve(
+        self, request: web.Request, call: EdgeCall, arrived_ms: float
+    ) -> web.StreamResponse:
+        if self._in_flight.is_full:
+            raise RequestError(
+                status=503,
+                outcome=Outcome.NOT_RUN,
+                step="admit",
+                reason="this node has as many requests as it may hold",
+                retry_after_ms=BUSY_RETRY_MS,
+            )
+        admitted = admit(call, self._view.routes, arrived_ms=arrived_ms, rng=self._rng)
+        response = await self._forwarder.forward(request, admitted)
+        self._decisions.record(
+            Event.ANSWERED,
+            request_id=call.call_id,
+            status=response.status,
+            after_ms=round(self._timers.now_ms() - arrived_ms),
+        )
+        return response
+
+    def _refuse(
+        self, call: EdgeCall, error: RequestError, arrived_ms: float
+    ) -> web.Response:
+        self._decisions.record(
+            Event.ROUTE_REFUSED,
+            request_id=call.call_id,
+            status=error.status,
+            step=error.step,
+            peer=error.peer,
+            outcome=error.outcome.value,
+            reason=error.reason,
+            after_ms=round(self._timers.now_ms() - arrived_ms),
+        )
+        return web.Response(
+            status=error.status,
+            body=encode_error(step=error.step, reason=error.reason),
+            headers=error_headers(call.call_id, retry_after_ms=error.retry_after_ms),
+        )
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -0,0 +1,205 @@
+"""The parts of a node on the platform that own sockets, timers and tasks."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Self
+
+from clementineyoke_core.edge.patience import Patience
+from clementineyoke_core.edge.retry_window import RetryWindow
+from clementineyoke_core.edge.runner_watch import RunnerWatch
+from clementineyoke_node.edge.fleet_view import FleetView
+from clementineyoke_node.edge.forwarder import Forwarder
+from clementineyoke_node.edge.node_roster import NodeRoster
+from clementineyoke_node.edge.peer_states import PeerStates
+from clementineyoke_node.edge.runner_link import RunnerLink
+from clementineyoke_node.edge.store_watcher import StoreWatcher
+from clementineyoke_node.fleet.gossiper import Gossiper
+from clementineyoke_node.fleet.introducer import Introducer
+from clementineyoke_node.peers.peer_socket import PeerAddress, PeerSocket
+from clementineyoke_node.platform.store_client import StoreClient
+from clementineyoke_node.slots.slot_broker import SlotBroker
+from clementineyoke_node.slots.slot_home import SlotHome
+from clementineyoke_node.timers.background_tasks import BackgroundTasks
+from clementineyoke_node.timers.timer_service import TimerService
+
+if TYPE_CHECKING:
+    from clementineyoke_core.node import Node
+    from clementineyoke_node.config.edge_config import EdgeConfig
+    from clementineyoke_node.node_state import NodeState
+
+MS_PER_S = 1000.0
+RENEWAL_INTERVAL_MS = 4_000
+EXPIRY_INTERVAL_MS = 1_000
+SERVE_WAITING_INTERVAL_MS = 50
+HOUSEKEEPING_INTERVAL_MS = 250
+KEY_BITS = 64
+
+
+class EdgeIo:
+    """Own the parts, in the order in which they need each other."""
+
+    def __init__(self, *, config: EdgeConfig, state: NodeState) -> None:
+        self._config = config
+        self._state = state
+        self._stack = AsyncExitStack()
+        self.is_leaving = False
+        self.tasks = BackgroundTasks()
+        self.timers = TimerService()
+        self.store = StoreClient(address=config.store)
+        self.link = RunnerLink()
+        self.watch = RunnerWatch(table=state.table)
+        self.socket = PeerSocket(
+            seal=state.seal,
+            address=PeerAddress(config.address, config.peer_port),
+            incarnation=state.membership.incarnation,
+            rng=state.rng,
+        )
+        self.view = FleetView(
+            table=state.table,
+            timers=self.timers,
+            on_runners=self.apply_hosts,
+            on_news=self._announce,
+        )
+        self._make_slots()
+        self._make_fleet()
+        self.forwarder = self._make_forwarder()
+
+    async def __aenter__(self) -> Self:
+        """Open everything."""
+        for part in (
+            self.tasks,
+            self.timers,
+            self.socket,
+            self.store,
+            self.link,
+            self.peers,
+            self.store_watcher,
+        ):
+            await self._stack.enter_async_context(part)
+        self._subscribe()
+        self.tasks.spawn(self.roster.enter(), name="enter_roster")
+        self._meet_seeds()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close everything, the last opened first."""
+        await self._stack.aclose()
+
+    def apply_hosts(self) -> None:
+        """Let every part take a changed view of nodes and runners."""
+        moved = self._state.take_hosts()
+        self.slot_home.rebuild()
+        entries = self._state.table.entries()
+        self.gossiper.learn_pools({entry.runner.pool for entry in entries})
+        self.watch.forget({entry.runner.runner_id for entry in entries})
+        if moved:
+            # New homes know nothing of what already runs until they are told.
+            self.tasks.spawn(self.broker.renew(), name="renew_at_new_homes")
+
+    def begin_leaving(self) -> None:
+        """Tell the peers at once that this node takes no more callers."""
+        self.is_leaving = True
+        self._state.membership.begin_leaving()
+        self.apply_hosts()
+        self.gossiper.announce()
+
+    def _make_slots(self) -> None:
+        state = self._state
+        self.slot_home = SlotHome(
+            own_id=state.config.node_id,
+            ledger=state.ledger,
+            table=state.table,
+            homes=state.region_homes,
+            mean_load=state.mean_load,
+            socket=self.socket,
+            timers=self.timers,
+        )
+        self.broker = SlotBroker(
+            membership=state.membership,
+            table=state.table,
+            rings=state.rings,
+            homes=state.region_homes,
+            slot_home=self.slot_home,
+            socket=self.socket,
+            timeout_ms=self._config.slot_timeout_ms,
+        )
+
+    def _make_fleet(self) -> None:
+        state = self._state
+        self.peers = PeerStates(view=self.view, seal=state.seal)
+        self.introducer = Introducer(
+            socket=self.socket,
+            membership=state.membership,
+            on_change=self.apply_hosts,
+        )
+        self.gossiper = Gossiper(
+            socket=self.socket,
+            membership=state.membership,
+            mean_load=state.mean_load,
+            settings_version=lambda: self.view.state_revision,
+            on_newer_settings=self._hear_of_newer,
+            on_change=self.apply_hosts,
+            runners_version=lambda: self.view.runners_revision,
+            on_newer_runners=self._hear_of_newer,
+            on_stranger=self.introducer.greet_address,
+        )
+        self.store_watcher = StoreWatcher(
+            store=self.store,
+            view=self.view,
+            region=self._config.region,
+            rng=state.rng,
+        )
+        self.roster = NodeRoster(
+            store=self.store, introducer=self.introducer, own=state.membership.own
+        )
+
+    def _make_forwarder(self) -> Forwarder:
+        config, state = self._config, self._state
+        return Forwarder(
+            broker=self.broker,
+            link=self.link,
+            watch=self.watch,
+            retries=RetryWindow(
+                ratio=config.retry_ratio,
+                allowance=config.retry_allowance,
+                window_ms=config.retry_window_s * MS_PER_S,
+            ),
+            patience=Patience(),
+            timers=self.timers,
+            decisions=state.decisions,
+            sharers=lambda: len(state.membership.alive()),
+            is_leaving=lambda: self.is_leaving,
+            random_key=lambda: state.rng.getrandbits(KEY_BITS),
+        )
+
+    def _hear_of_newer(self, node: Node, version: int) -> None:
+        self.peers.fetch(f"{node.address}:{self._config.control_port}")
+
+    def _announce(self) -> None:
+        self.gossiper.announce()
+
+    def _meet_seeds(self) -> None:
+        own = f"{self._config.address}:{self._config.control_port}"
+        for seed in self._config.seeds:
+            if seed == own:
+                continue
+            address = seed.partition(":")[0]
+            self.introducer.greet_address(PeerAddress(address, self._config.peer_port))
+            self.peers.fetch(seed)
+
+    async def _keep_house(self) -> None:
+        await self.view.drop_lapsed()
+        self._state.table.end_due_quarantines(now_ms=self.timers.now_ms())
+
+    def _subscribe(self) -> None:
+        gossip_ms = self._config.gossip_interval_ms
+        plan = (
+            ("gossip", gossip_ms, self.gossiper.run_round),
+            ("renew", RENEWAL_INTERVAL_MS, self.broker.renew),
+            ("expire", EXPIRY_INTERVAL_MS, self.slot_home.expire),
+            ("waiting", SERVE_WAITING_INTERVAL_MS, self.slot_home.serve_all_waiting),
+            ("house", HOUSEKEEPING_INTERVAL_MS, self._keep_house),
+        )
+        for name, interval_ms, call in plan:
+            self.timers.subscribe(name, interval_ms=interval_ms, call=call)
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -0,0 +1,141 @@
+"""Start a node on the platform in order, and stop it without cutting a call."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Self
+
+from aiohttp import web
+
+from clementineyoke_node.config.edge_config import port_of
+from clementineyoke_node.edge.caller_door import CallerDoor
+from clementineyoke_node.edge.directory_door import DirectoryDoor
+from clementineyoke_node.edge.edge_io import EdgeIo
+from clementineyoke_node.edge.peer_states import STATE_PATH
+from clementineyoke_node.node_state import NodeState
+from clementineyoke_node.platform import names
+from clementineyoke_wire.events import Event, log_event
+
+if TYPE_CHECKING:
+    from clementineyoke_node.config.edge_config import EdgeConfig
+
+MS_PER_S = 1000.0
+LINGER_MS = 2_600.0
+"""How long a leaving node still takes calls: callers with an old answer to where to
+connect find it open. Some keep an answer of one second for three."""
+CLEANUP_RESERVE_MS = 400.0
+"""Left before the process is killed, to end what is still open in order."""
+LARGEST_FIELD_BYTES = 16_384
+LARGEST_BODY_BYTES = 4_194_304
+IDLE_TIMEOUT_S = 15.0
+BACKLOG = 512
+
+
+class EdgeService:
+    """Own one node on the platform from its first socket to its last answer."""
+
+    def __init__(self, *, config: EdgeConfig) -> None:
+        self._config = config
+        self._stack = AsyncExitStack()
+        self._stop_ordered = asyncio.Event()
+        self.state = NodeState(config=config)
+        self.io = EdgeIo(config=config, state=self.state)
+        self._door = CallerDoor(
+            view=self.io.view,
+            forwarder=self.io.forwarder,
+            in_flight=self.state.in_flight,
+            timers=self.io.timers,
+            decisions=self.state.decisions,
+            metrics=self.state.metrics,
+            rng=self.state.rng,
+        )
+        self._directory = DirectoryDoor(
+            membership=self.state.membership,
+            is_serving=self._is_serving,
+            keep_ms=config.longest_keep_s * MS_PER_S,
+        )
+
+    async def __aenter__(self) -> Self:
+        """Open the doors, then find store and peers."""
+        config = self._config
+        await self._open_control()
+        self._callers = await self._open(
+            self._caller_application(), [config.caller_port]
+        )
+        await self._stack.enter_async_context(self.io)
+        log_event(
+            Event.NODE_STARTED, node=config.node_id, zone=config.availability_zone
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close what is left."""
+        await self._stack.aclose()
+        log_event(Event.NODE_STOPPED, node=self._config.node_id)
+
+    def order_stop(self) -> None:
+        """Take an order to stop; more of them change nothing."""
+        self._stop_ordered.set()
+
+    async def run_until_stopped(self) -> None:
+        """Serve until ordered to stop, then let every call end."""
+        await self._stop_ordered.wait()
+        ordered_ms = self.io.timers.now_ms()
+        self._door.is_leaving = True
+        self.io.begin_leaving()
+        log_event(Event.NODE_DRAINING, in_flight=self.state.in_flight.count)
+        await asyncio.sleep(LINGER_MS / MS_PER_S)
+        await self._close_to_callers()
+        await self._end_calls(ordered_ms)
+
+    async def _close_to_callers(self) -> None:
+        for site in list(self._callers.sites):
+            await site.stop()
+        server = self._callers.server
+        if server is not None:
+            server.pre_shutdown()
+
+    async def _end_calls(self, ordered_ms: float) -> None:
+        left_ms = self._config.stop_deadline_s * MS_PER_S - CLEANUP_RESERVE_MS
+        left_ms -= self.io.timers.now_ms() - ordered_ms
+        try:
+            async with asyncio.timeout(max(0.0, left_ms) / MS_PER_S):
+                await self.state.in_flight.wait_idle()
+        except TimeoutError:
+            log_event(Event.DRAIN_CUT, in_flight=self.state.in_flight.count)
+
+    def _is_serving(self) -> bool:
+        return self.io.view.ready.is_set() and not self.io.is_leaving
+
+    def _caller_application(self) -> web.Application:
+        app = web.Application(client_max_size=LARGEST_BODY_BYTES)
+        app.router.add_route("*", "/{path:.*}", self._door.handle)
+        return app
+
+    async def _open_control(self) -> None:
+        config = self._config
+        app = web.Application()
+        app.router.add_get(names.READY_PATH, self._directory.ready)
+        app.router.add_get(names.RESOLVE_PATH, self._directory.resolve)
+        app.router.add_get(STATE_PATH, self.io.peers.answer)
+        await self._open(
+            app, [port_of(a) for a in (config.ready, config.directory, config.control)]
+        )
+
+    async def _open(self, app: web.Application, ports: list[int]) -> web.AppRunner:
+        runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            max_line_size=LARGEST_FIELD_BYTES,
+            max_field_size=LARGEST_FIELD_BYTES,
+            shutdown_timeout=CLEANUP_RESERVE_MS / 2 / MS_PER_S,
+        )
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        for port in sorted(set(ports)):
+            site = web.TCPSite(runner, self._config.address, port, backlog=BACKLOG)
+            await site.start()
+        return runner
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
@@ -0,0 +1,122 @@
+"""Hand desired state and runners to peers, and fetch them from peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple, Self
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from clementineyoke_core.edge.desired_state import DesiredState  # noqa: TC001 - msgspec reads it
+from clementineyoke_core.edge.runner_directory import DirectoryView  # noqa: TC001 - msgspec reads it
+from clementineyoke_node.runners.keep_alive_socket import open_socket
+from clementineyoke_node.timers.background_tasks import BackgroundTasks
+from clementineyoke_wire.events import Event, log_event
+from clementineyoke_wire.wire_error import WireError
+
+if TYPE_CHECKING:
+    from clementineyoke_node.edge.fleet_view import FleetView
+    from clementineyoke_wire.seal import Seal
+
+STATE_PATH = "/peers/state"
+FETCH_TIMEOUT_S = 1.0
+"""A peer answers in milliseconds; another one is asked when the next gossip tells of
+something newer."""
+
+
+class PeerState(NamedTuple):
+    """What a node knows that the asker does not."""
+
+    state: DesiredState | None
+    runners: DirectoryView | None
+
+
+class PeerStates:
+    """Own the exchange of states between nodes.
+
+    The store may turn one node away and serve the others. Without its peers that node
+    would go on by an old state, seen as calls with withdrawn keys that still run.
+    """
+
+    def __init__(self, *, view: FleetView, seal: Seal) -> None:
+        self._view = view
+        self._seal = seal
+        self._tasks = BackgroundTasks()
+        self._session: aiohttp.ClientSession | None = None
+        self._asked: set[str] = set()
+
+    async def __aenter__(self) -> Self:
+        """Open the connections to peers."""
+        connector = aiohttp.TCPConnector(
+            limit=0, force_close=True, socket_factory=open_socket
+        )
+        self._session = aiohttp.ClientSession(connector=connector)
+        await self._tasks.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the connections."""
+        await self._tasks.__aexit__(*exc_info)
+        if self._session is not None:
+            await self._session.close()
+
+    def fetch(self, address: str) -> None:
+        """Ask a peer's control address for what is newer, once at a time."""
+        if address in self._asked:
+            return
+        self._asked.add(address)
+        self._tasks.spawn(self._fetch(address), name="fetch_state")
+
+    async def answer(self, request: web.Request) -> web.Response:
+        """Answer a peer with what it does not know."""
+        try:
+            state_revision = int(request.query.get("state", "0"))
+            runners_revision = int(request.query.get("runners", "0"))
+        except ValueError as error:
+            raise web.HTTPBadRequest(text="revisions are whole numbers") from error
+        routes = self._view.routes
+        state = None
+        if routes is not None and routes.state.revision > state_revision:
+            state = routes.state
+        runners = None
+        if self._view.runners_revision > runners_revision:
+            runners = self._view.directory_view()
+        body = msgspec.msgpack.encode(PeerState(state, runners))
+        return web.Response(body=self._seal.sign(body))
+
+    async def _fetch(self, address: str) -> None:
+        try:
+            found = await self._ask(address)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            log_event(Event.PEER_STATE_MISSED, peer=address, reason=repr(error))
+            return
+        except WireError as error:
+            log_event(Event.DATAGRAM_REFUSED, peer=address, step=error.step)
+            return
+        finally:
+            self._asked.discard(address)
+        if found.state is not None:
+            self._view.take_state(found.state, source=address)
+        if found.runners is not None:
+            self._view.take_runners(
+                list(found.runners.records),
+                revision=found.runners.revision,
+                source=address,
+            )
+
+    async def _ask(self, address: str) -> PeerState:
+        if self._session is None:
+            message = "the peers' session is closed"
+            raise ValueError(message)
+        async with self._session.get(
+            f"http://{address}{STATE_PATH}",
+            params={
+                "state": str(self._view.state_revision),
+                "runners": str(self._view.runners_revision),
+            },
+            timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S),
+        ) as response:
+            response.raise_for_status()
+            body = self._seal.open(await response.read(), peer=address)
+        return msgspec.msgpack.decode(body, type=PeerState)
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -0,0 +1,188 @@
+"""Exchanges with runners: one call on one connection, and what its answer proves."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, NamedTuple, Self
+
+import aiohttp
+from yarl import URL
+
+from clementineyoke_core.edge.attempt_ledger import AttemptEnd
+from clementineyoke_node.edge.attempt_error import AttemptError
+from clementineyoke_node.edge.runner_protocol import make_connector
+from clementineyoke_node.platform.runner_codec import (
+    AnswerHead,
+    RunnerOrder,
+    decode_head,
+    encode_order,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.runner import Runner
+
+MS_PER_S = 1000.0
+CONNECT_TIMEOUT_MS = 350
+"""A runner takes a connection within 2 ms; a dark one never does."""
+LARGEST_HEAD_BYTES = 32_768
+STATUS_ERROR = 500
+_OWN_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+"""What aiohttp would add by itself: the runner gets the caller's headers only."""
+
+
+class OpenAnswer(NamedTuple):
+    """An answer whose head has come."""
+
+    head: AnswerHead
+    response: aiohttp.ClientResponse
+
+
+class WholeAnswer(NamedTuple):
+    """An answer that came whole."""
+
+    head: AnswerHead
+    body: bytes
+
+
+class RunnerLink:
+    """Own the connections to runners."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession(
+            connector=make_connector(asyncio.get_running_loop()),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_OWN_HEADERS,
+            max_line_size=LARGEST_HEAD_BYTES,
+            max_field_size=LARGEST_HEAD_BYTES,
+        )
+        # aiohttp sends some methods a second time by itself when a kept connection
+        # breaks: a call that may not be repeated would run twice.
+        self._session._retry_connection = False
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the connection pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    @asynccontextmanager
+    async def open(
+        self, runner: Runner, call: EdgeCall, order: RunnerOrder, *, head_ms: float
+    ) -> AsyncIterator[OpenAnswer]:
+        """Send a call and yield its answer's head; raises ``AttemptError``.
+
+        A connection whose answer was not read to its end is closed, so that the rest
+        can never meet another call.
+        """
+        response = await self._send(runner, call, order, head_ms=head_ms)
+        is_whole = False
+        try:
+            head = decode_head(response.status, response.headers)
+            _check_echo(runner, call, head)
+            yield OpenAnswer(head, response)
+            is_whole = response.content.at_eof()
+        finally:
+            if is_whole:
+                response.release()
+            else:
+                response.close()
+
+    async def _send(
+        self, runner: Runner, call: EdgeCall, order: RunnerOrder, *, head_ms: float
+    ) -> aiohttp.ClientResponse:
+        if self._session is None:
+            message = "the runner link is closed"
+            raise RuntimeError(message)
+        url = URL(f"http://{runner.address}:{runner.port}{call.target}", encoded=True)
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
+        )
+        try:
+            async with asyncio.timeout(max(1.0, head_ms) / MS_PER_S):
+                return await self._session.request(
+                    call.method,
+                    url,
+                    headers=encode_order(call, order),
+                    data=call.body or None,
+                    timeout=timeout,
+                    allow_redirects=False,
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise AttemptError(
+                end=AttemptEnd.NOT_SENT,
+                step="connect",
+                peer=runner.runner_id,
+                reason=repr(error),
+            ) from error
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise AttemptError(
+                end=AttemptEnd.LOST,
+                step="read_head",
+                peer=runner.runner_id,
+                reason=repr(error),
+            ) from error
+
+
+async def read_whole(answer: OpenAnswer, *, runner: Runner) -> WholeAnswer:
+    """Read an answer to its end; raises ``AttemptError`` when it ends early."""
+    try:
+        body = await answer.response.read()
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise AttemptError(
+            end=AttemptEnd.LOST,
+            step="read_body",
+            peer=runner.runner_id,
+            reason=repr(error),
+        ) from error
+    return WholeAnswer(answer.head, body)
+
+
+def check_outcome(answer: WholeAnswer, *, runner: Runner) -> None:
+    """Raise ``AttemptError`` for an answer that is no success of the runner's."""
+    head = answer.head
+    if head.is_refusal:
+        raise AttemptError(
+            end=AttemptEnd.REFUSED,
+            step="read_head",
+            peer=runner.runner_id,
+            reason=f"refused with {head.status}",
+        )
+    if head.status >= STATUS_ERROR:
+        raise AttemptError(
+            end=AttemptEnd.FAILED,
+            step="read_head",
+            peer=runner.runner_id,
+            reason=f"failed with {head.status}",
+            answer=answer if head.has_proof else None,
+        )
+    if head.status < STATUS_ERROR - 200 and not head.has_proof:
+        raise AttemptError(
+            end=AttemptEnd.LOST,
+            step="check_proof",
+            peer=runner.runner_id,
+            reason="a success without the runner's proof",
+        )
+
+
+def _check_echo(runner: Runner, call: EdgeCall, head: AnswerHead) -> None:
+    if head.call_id == call.call_id:
+        return
+    if head.is_refusal and not head.call_id:
+        return
+    # A runner that crosses answers would hand one caller's answer to another.
+    raise AttemptError(
+        end=AttemptEnd.LOST,
+        step="check_echo",
+        peer=runner.runner_id,
+        reason=f"the answer is for call {head.call_id!r}",
+    )
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -0,0 +1,51 @@
+"""aiohttp's client protocol, made strict about what ends an answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientPayloadError, TCPConnector
+from aiohttp.client_proto import ResponseHandler
+
+from clementineyoke_node.runners.keep_alive_socket import open_socket
+
+if TYPE_CHECKING:
+    import asyncio
+
+IDLE_KEPT_S = 4.0
+"""Runners close idle connections after a time that they may not state; a call that
+crosses their close is lost, so a connection is not kept for long."""
+
+
+class RunnerProtocol(ResponseHandler):
+    """Notice resets in answers without a length, and bytes that nobody asked for."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an answer that was reset.
+
+        An answer without a length ends with its connection. aiohttp takes any end of
+        the connection for the answer's end: a reset would pass a part off as a whole.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Tell whether the connection may carry one more call.
+
+        A runner may send a second answer late. Kept for the next call, it would be
+        read as that call's answer, seen as a caller with another caller's answer.
+        """
+        has_stray = self._buffer or self._tail or self._exception is not None
+        return super().is_connected() and not has_stray
+
+
+def make_connector(loop: asyncio.AbstractEventLoop) -> TCPConnector:
+    """Return a pool of connections to runners."""
+    connector = TCPConnector(
+        limit=0, keepalive_timeout=IDLE_KEPT_S, socket_factory=open_socket
+    )
+    # aiohttp has no public way to name the protocol class of a connector.
+    connector._factory = lambda: RunnerProtocol(loop=loop)  # type: ignore[assignment]
+    return connector
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
@@ -20,6 +20,8 @@
     from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
 
 
+MOST_ANNOUNCED = 16
+"""Peers told at once; the rest hear of it within a few rounds, whatever the size."""
 KNOWN_STATES = frozenset(int(state) for state in NodeState)
 
 
@@ -35,6 +37,9 @@
         settings_version: Callable[[], int],
         on_newer_settings: Callable[[Node, int], None],
         on_change: Callable[[], None],
+        runners_version: Callable[[], int] = lambda: 0,
+        on_newer_runners: Callable[[Node, int], None] | None = None,
+        on_stranger: Callable[[PeerAddress], None] | None = None,
     ) -> None:
         self._socket = socket
         self._membership = membership
@@ -42,6 +47,9 @@
         self._settings_version = settings_version
         self._on_newer_settings = on_newer_settings
         self._on_change = on_change
+        self._runners_version = runners_version
+        self._on_newer_runners = on_newer_runners
+        self._on_stranger = on_stranger
         self._pushed: dict[int, tuple[str, dict[str, LoadShare]]] = {}
         self._pool_names: dict[int, str] = {}
         socket.handle(Gossip, self._receive)
@@ -63,6 +71,23 @@
         self._pushed[sequence] = (node.node_id, shares)
         self._send(node, sequence=sequence, is_reply=False, shares=shares)
 
+    def announce(self) -> None:
+        """Tell some peers at once what is new, without waiting for a round.
+
+        A change that only waits for its turn to be gossiped takes a second to reach
+        everyone, seen as calls on a leaving node. The receivers' replies count as no
+        probe: the number is not kept.
+        """
+        peers = [
+            node
+            for node in self._membership.alive()
+            if node.node_id != self._membership.own.node_id
+        ]
+        for node in peers[:MOST_ANNOUNCED]:
+            self._send(
+                node, sequence=self._socket.next_ask_id(), is_reply=True, shares={}
+            )
+
     def _count_missed(self) -> None:
         # The gossip interval is no shorter than the probe's timeout, so whatever is
         # still here has had its time.
@@ -76,6 +101,8 @@
     def _receive(self, received: PeerMessage) -> None:
         node = self._find_node(received.peer)
         if node is None:
+            if self._on_stranger is not None:
+                self._on_stranger(received.peer)
             return
         gossip: Gossip = received.message
         if self._membership.record_heard(
@@ -91,6 +118,10 @@
             self._answer(node, gossip.sequence, shares)
         if gossip.settings_version > self._settings_version():
             self._on_newer_settings(node, gossip.settings_version)
+        if self._on_newer_runners is None:
+            return
+        if gossip.runners_version > self._runners_version():
+            self._on_newer_runners(node, gossip.runners_version)
 
     def _take_reply(self, sequence: int, replied: dict[str, LoadShare]) -> None:
         pushed = self._pushed.pop(sequence, None)
@@ -115,7 +146,14 @@
             RumourNote(rumour.node_id, rumour.incarnation, int(rumour.state))
             for rumour in self._membership.rumours_to_send(receiver=node.node_id)
         ]
-        message = Gossip(sequence, is_reply, self._settings_version(), loads, notes)
+        message = Gossip(
+            sequence,
+            is_reply,
+            self._settings_version(),
+            loads,
+            notes,
+            self._runners_version(),
+        )
         self._socket.send(PeerAddress.of(node), message)
 
     def _hear_rumours(self, notes: list[RumourNote]) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/host_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/host_watcher.py
@@ -7,7 +7,7 @@
 
 from clementineyoke_core.node import Node
 from clementineyoke_core.runner import Runner, RunnerKind
-from clementineyoke_node.platform.platform_error import PlatformError
+from clementineyoke_node.objects.platform_error import PlatformError
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event
 
@@ -16,7 +16,7 @@
 
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.runner_table import RunnerTable
-    from clementineyoke_node.platform.host_list import HostChanges, HostList
+    from clementineyoke_node.objects.host_list import HostChanges, HostList
     from clementineyoke_node.timers.timer_service import TimerService
     from clementineyoke_wire.bodies import HostBody
 
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/introducer.py
@@ -0,0 +1,87 @@
+"""Make nodes known to each other where no host list does."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.node import Node
+from clementineyoke_node.peers.peer_socket import PeerAddress
+from clementineyoke_wire.events import Event, log_event
+from clementineyoke_wire.messages import NodeHello
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from clementineyoke_core.membership import Membership
+    from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
+
+
+class Introducer:
+    """Say hello to nodes that were read of, and answer the hellos of others.
+
+    The list in the store is read at the start only. A node that starts later is known
+    to the others by its hello, for one datagram each instead of a watch on every node.
+    A hello that was lost is made up for: gossip from a stranger is answered with one.
+    """
+
+    def __init__(
+        self,
+        *,
+        socket: PeerSocket,
+        membership: Membership,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._socket = socket
+        self._membership = membership
+        self._on_change = on_change
+        socket.handle(NodeHello, self._receive)
+
+    def greet(self, nodes: Iterable[Node]) -> None:
+        """Take nodes that were read of and say hello to them."""
+        changed = False
+        for node in nodes:
+            if node.node_id == self._membership.own.node_id:
+                continue
+            changed = self._membership.add(node) or changed
+            self._send(PeerAddress.of(node), is_reply=False)
+        if changed:
+            self._on_change()
+
+    def greet_address(self, peer: PeerAddress) -> None:
+        """Say hello to whoever is at an address."""
+        self._send(peer, is_reply=False)
+
+    def _send(self, peer: PeerAddress, *, is_reply: bool) -> None:
+        own = self._membership.own
+        hello = NodeHello(
+            is_reply,
+            own.node_id,
+            own.address,
+            own.caller_port,
+            own.peer_port,
+            own.availability_zone,
+            own.region,
+        )
+        self._socket.send(peer, hello)
+
+    def _receive(self, received: PeerMessage) -> None:
+        hello: NodeHello = received.message
+        if hello.node_id == self._membership.own.node_id:
+            return
+        node = Node(
+            hello.node_id,
+            hello.address,
+            hello.caller_port,
+            hello.peer_port,
+            hello.availability_zone,
+            hello.region,
+        )
+        is_new = self._membership.add(node)
+        is_back = self._membership.record_heard(
+            node.node_id, incarnation=received.incarnation
+        )
+        if not hello.is_reply:
+            self._send(received.peer, is_reply=True)
+        if is_new or is_back:
+            log_event(Event.HOSTS_CHANGED, node=node.node_id, address=node.address)
+            self._on_change()
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_io.py
@@ -9,8 +9,8 @@
 from clementineyoke_node.claims.claim_home import ClaimHome
 from clementineyoke_node.fleet.gossiper import Gossiper
 from clementineyoke_node.fleet.host_watcher import HostWatcher
+from clementineyoke_node.objects.http_platform import HttpPlatform
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerSocket
-from clementineyoke_node.platform.http_platform import HttpPlatform
 from clementineyoke_node.runners.runner_client import RunnerClient
 from clementineyoke_node.runners.runner_prober import RunnerProber
 from clementineyoke_node.settings.peer_changes import HttpPeerChanges
@@ -21,6 +21,7 @@
 from clementineyoke_node.timers.timer_service import TimerService
 
 if TYPE_CHECKING:
+    from clementineyoke_node.config.node_config import NodeConfig
     from clementineyoke_node.node_state import NodeState
 
 RENEWAL_INTERVAL_MS = 4_000
@@ -35,9 +36,13 @@
     """Own the parts, in the order in which they need each other."""
 
     def __init__(
-        self, *, state: NodeState, socket_type: type[PeerSocket] = PeerSocket
+        self,
+        *,
+        config: NodeConfig,
+        state: NodeState,
+        socket_type: type[PeerSocket] = PeerSocket,
     ) -> None:
-        config = state.config
+        self._config = config
         self._state = state
         self._stack = AsyncExitStack()
         self.tasks = BackgroundTasks()
@@ -113,12 +118,12 @@
             homes=state.region_homes,
             slot_home=self.slot_home,
             socket=self.socket,
-            timeout_ms=state.config.slot_timeout_ms,
+            timeout_ms=self._config.slot_timeout_ms,
         )
 
     def _make_claims(self) -> None:
         state = self._state
-        config = state.config
+        config = self._config
         self.claim_home = ClaimHome(
             objects=self.platform,
             timers=self.timers,
@@ -156,7 +161,7 @@
         )
 
     def _subscribe(self) -> None:
-        gossip_ms = self._state.config.gossip_interval_ms
+        gossip_ms = self._config.gossip_interval_ms
         plan = (
             ("gossip", gossip_ms, self.gossiper.run_round),
             ("renew", RENEWAL_INTERVAL_MS, self.broker.renew),
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_service.py
@@ -44,9 +44,9 @@
         self._stack = AsyncExitStack()
         self.state = NodeState(config=self.config)
         self.io = await self._stack.enter_async_context(
-            NodeIo(state=self.state, socket_type=self.socket_type)
+            NodeIo(config=self.config, state=self.state, socket_type=self.socket_type)
         )
-        self._callers = CallerServer(state=self.state, io=self.io)
+        self._callers = CallerServer(config=self.config, state=self.state, io=self.io)
         self.io.timers.subscribe(
             "metrics", interval_ms=METRICS_INTERVAL_MS, call=self._copy_metrics
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
@@ -20,7 +20,7 @@
 from clementineyoke_wire.seal import Seal
 
 if TYPE_CHECKING:
-    from clementineyoke_node.config.node_config import NodeConfig
+    from clementineyoke_node.config.node_place import NodePlace
 
 WATCHERS_A_ZONE = 2
 SNAPSHOT_DUTY = "settings snapshot"
@@ -30,7 +30,7 @@
 class NodeState:
     """Own what a node believes and counts."""
 
-    def __init__(self, *, config: NodeConfig) -> None:
+    def __init__(self, *, config: NodePlace) -> None:
         self.config = config
         own = Node(
             config.node_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/http_platform.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
@@ -7,9 +7,9 @@
 
 import aiohttp
 
-from clementineyoke_node.platform.host_list import HostChanges
-from clementineyoke_node.platform.object_api import StoredObject, WatchResult
-from clementineyoke_node.platform.platform_error import (
+from clementineyoke_node.objects.host_list import HostChanges
+from clementineyoke_node.objects.object_api import StoredObject, WatchResult
+from clementineyoke_node.objects.platform_error import (
     PlatformError,
     VersionConflictError,
 )
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/__init__.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/__init__.py
@@ -1,3 +1,6 @@
-"""The platform's object API and host list."""
+"""The users' platform: its names, formats and calls. Nothing here decides anything.
+
+No other package knows these names; they are decoded here, once, into the core's types.
+"""
 
 from __future__ import annotations
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/call_decoder.py
@@ -0,0 +1,117 @@
+"""A caller's request, decoded from the platform's headers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.edge.edge_call import EdgeCall
+from clementineyoke_core.edge.prompt_key import PromptPart
+from clementineyoke_node.platform import names
+from clementineyoke_node.platform.format_error import FormatError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from multidict import CIMultiDictProxy
+
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    )
+)
+"""What concerns one connection only; the length is set anew for the next one."""
+_SINGLE = (names.CALL_ID, names.TIME_LEFT_MS, names.AUTHORIZATION, "Host")
+
+
+def decode_call(
+    *,
+    method: str,
+    target: str,
+    fields: CIMultiDictProxy[str],
+    body: bytes,
+) -> EdgeCall:
+    """Decode a request's head; raises ``FormatError`` on one that has two meanings."""
+    _check_single(fields)
+    call_id = fields.get(names.CALL_ID, "")
+    if not call_id or not target.startswith("/"):
+        raise FormatError(step="decode_call", peer="caller", reason="no id or no path")
+    last_event = fields.get(names.LAST_EVENT, "")
+    return EdgeCall(
+        call_id=call_id,
+        method=method,
+        target=target,
+        path=target.partition("?")[0],
+        hostname=fields.get("Host", "").partition(":")[0],
+        passed_headers=_passed(fields),
+        body=body,
+        key=_decode_key(fields.get(names.AUTHORIZATION)),
+        budget_ms=_decode_budget(fields.get(names.TIME_LEFT_MS)),
+        model=fields.get(names.MODEL, ""),
+        prompt_parts=tuple(_decode_parts(fields.get(names.PROMPT_PARTS, ""))),
+        last_event=int(last_event) if last_event.isdigit() else None,
+    )
+
+
+def end_to_end(fields: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers that do not concern one connection only."""
+    named = {
+        token.strip().lower()
+        for name, value in fields
+        if name.lower() == "connection"
+        for token in value.split(",")
+    }
+    dropped = CONNECTION_HEADERS | named
+    return [(name, value) for name, value in fields if name.lower() not in dropped]
+
+
+def _check_single(fields: CIMultiDictProxy[str]) -> None:
+    for name in _SINGLE:
+        if len(fields.getall(name, [])) > 1:
+            # Two nodes could each believe another one of the two.
+            raise FormatError(
+                step="decode_call", peer="caller", reason=f"{name} stands twice"
+            )
+
+
+def _passed(fields: CIMultiDictProxy[str]) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in end_to_end(list(fields.items()))
+        if name.lower() not in names.ONLY_OURS
+    )
+
+
+def _decode_key(text: str | None) -> str | None:
+    if text is None or not text.startswith(names.KEY_SCHEME):
+        return None
+    return text[len(names.KEY_SCHEME) :].strip()
+
+
+def _decode_budget(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError as error:
+        raise FormatError(
+            step="decode_call", peer="caller", reason=f"{names.TIME_LEFT_MS} {text!r}"
+        ) from error
+
+
+def _decode_parts(text: str) -> list[PromptPart]:
+    parts = []
+    for entry in text.split(","):
+        part_id, _, tokens = entry.strip().partition(":")
+        if part_id:
+            parts.append(PromptPart(part_id, int(tokens) if tokens.isdigit() else 0))
+    return parts
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/node_answers.py
@@ -0,0 +1,42 @@
+"""Answers of a node itself: addresses, refusals and failures."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from clementineyoke_node.platform import names
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from clementineyoke_core.node import Node
+
+MS_PER_S = 1000.0
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+def encode_addresses(nodes: Sequence[Node], *, keep_ms: float) -> bytes:
+    """Return the answer to a caller that asks where to connect."""
+    return msgspec.json.encode(
+        {
+            "addresses": [f"{node.address}:{node.caller_port}" for node in nodes],
+            "ttlS": keep_ms / MS_PER_S,
+        }
+    )
+
+
+def encode_error(*, step: str, reason: str) -> bytes:
+    """Return the body of a node's own failure."""
+    return msgspec.json.encode({"step": step, "reason": reason})
+
+
+def error_headers(call_id: str, *, retry_after_ms: float | None) -> dict[str, str]:
+    """Return the headers of a node's own failure."""
+    fields = dict(JSON_HEADERS)
+    if call_id:
+        fields[names.CALL_ID] = call_id
+    if retry_after_ms is not None:
+        fields[names.RETRY_AFTER] = f"{retry_after_ms / MS_PER_S:.3f}"
+    return fields
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -0,0 +1,73 @@
+"""What a runner is sent, and what its answer's head says."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from clementineyoke_node.platform import names
+from clementineyoke_node.platform.call_decoder import end_to_end
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDictProxy
+
+    from clementineyoke_core.edge.edge_call import EdgeCall
+
+STATUS_MISDIRECTED = 421
+EVENT_STREAM = "text/event-stream"
+
+
+class RunnerOrder(NamedTuple):
+    """What the system adds to a call for one runner."""
+
+    runner_id: str
+    team: str | None
+    left_ms: float
+    urgency: int
+    last_event: int | None
+    fetch_from: str | None = None
+    """IP:PORT of a runner that holds more of the prompt."""
+
+
+class AnswerHead(NamedTuple):
+    """What matters of the head of a runner's answer."""
+
+    status: int
+    call_id: str
+    """The call that the runner says it answers; empty without a word."""
+    is_refusal: bool
+    """Whether the runner says that it did not run the call."""
+    has_proof: bool
+    is_event_stream: bool
+    is_closing: bool
+    """Whether the runner closes the connection after this answer."""
+    passed_headers: list[tuple[str, str]]
+
+
+def encode_order(call: EdgeCall, order: RunnerOrder) -> list[tuple[str, str]]:
+    """Return the headers of a call for one runner."""
+    fields = list(call.passed_headers)
+    fields.append((names.EXPECTED_RUNNER, order.runner_id))
+    if call.budget_ms is not None or order.left_ms:
+        fields.append((names.TIME_LEFT_MS, str(max(1, int(order.left_ms)))))
+    if order.team is not None:
+        fields.append((names.TEAM, order.team))
+    if order.last_event is not None:
+        fields.append((names.LAST_EVENT, str(order.last_event)))
+    if call.prompt_parts:
+        fields.append((names.URGENCY, str(order.urgency)))
+    if order.fetch_from is not None:
+        fields.append((names.FETCH_FROM, order.fetch_from))
+    return fields
+
+
+def decode_head(status: int, fields: CIMultiDictProxy[str]) -> AnswerHead:
+    """Decode the head of a runner's answer."""
+    return AnswerHead(
+        status=status,
+        call_id=fields.get(names.CALL_ID, ""),
+        is_refusal=names.NOT_EXECUTED in fields or status == STATUS_MISDIRECTED,
+        has_proof=names.PROOF in fields,
+        is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
+        is_closing=fields.get("Connection", "").lower() == "close",
+        passed_headers=end_to_end(list(fields.items())),
+    )
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
@@ -0,0 +1,86 @@
+"""The operator's object, decoded into the desired state."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from clementineyoke_core.edge.call_kind import CallKind
+from clementineyoke_core.edge.desired_state import CallerLimits, DesiredState, Team
+from clementineyoke_core.edge.route import Route, WeightedPool
+from clementineyoke_node.platform.format_error import FormatError
+
+_KINDS = {
+    "idempotent": CallKind.IDEMPOTENT,
+    "non_idempotent": CallKind.NON_IDEMPOTENT,
+    "streaming": CallKind.STREAM,
+}
+
+
+def decode_state(spec: dict[str, Any], *, revision: int) -> DesiredState:
+    """Decode the operator's object; raises ``FormatError``."""
+    try:
+        return DesiredState(
+            revision=revision,
+            version=int(spec["version"]),
+            routes=tuple(_decode_route(route) for route in spec.get("routes", [])),
+            teams=tuple(_decode_team(team) for team in spec.get("tenants", [])),
+            needs_key=bool(spec.get("tenants")),
+            limits=_decode_limits(spec.get("limits") or {}),
+            health_paths={
+                service["name"]: service.get("healthCheck", "")
+                for service in spec.get("services", [])
+            },
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise FormatError(
+            step="decode_state", peer="store", reason=repr(error)
+        ) from error
+
+
+def _decode_route(route: dict[str, Any]) -> Route:
+    return Route(
+        name=route["name"],
+        hostname=route["hostname"],
+        path_prefix=route["pathPrefix"],
+        kind=_KINDS.get(route["kind"], CallKind.NON_IDEMPOTENT),
+        pools=_decode_pools(route),
+        timeout_ms=float(route["timeoutMs"]),
+        objective_ms=float(route.get("targetLatencyMs") or route["timeoutMs"]),
+        pause_objective_ms=float(route.get("gapAimMs") or 0),
+        priority=int(route.get("priority") or 0),
+        most_runners=max(1, int(route.get("maxAttempts") or 1)),
+        is_public=bool(route.get("public")),
+        is_resumable=bool(route.get("resumable")),
+        # "sticky" says no more than that calls carry a prompt; where they go is ours.
+        has_prompt=bool(route.get("sticky")),
+    )
+
+
+def _decode_pools(route: dict[str, Any]) -> tuple[WeightedPool, ...]:
+    if route.get("weightedServices"):
+        return tuple(
+            WeightedPool(entry["service"], float(entry["weight"]))
+            for entry in route["weightedServices"]
+        )
+    return (WeightedPool(route["service"], 1.0),)
+
+
+def _decode_team(team: dict[str, Any]) -> Team:
+    priority = team.get("priority")
+    return Team(
+        name=team["name"],
+        keys=tuple(team.get("apiKeys", [])),
+        priority=None if priority is None else int(priority),
+    )
+
+
+def _decode_limits(limits: dict[str, Any]) -> CallerLimits:
+    known = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(limits.get("maxHeaderBytes") or known.header_bytes),
+        body_bytes=int(limits.get("maxBodyBytes") or known.body_bytes),
+        header_timeout_ms=float(
+            limits.get("headerTimeoutMs") or known.header_timeout_ms
+        ),
+        idle_timeout_ms=float(limits.get("idleTimeoutMs") or known.idle_timeout_ms),
+    )
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -0,0 +1,189 @@
+"""The store's calls: list, watch, create, replace, delete."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple, Self
+
+import aiohttp
+import msgspec
+
+from clementineyoke_node.platform.store_error import (
+    HistoryGoneError,
+    RevisionConflictError,
+    StoreError,
+)
+from clementineyoke_node.runners.keep_alive_socket import open_socket
+
+MS_PER_S = 1000.0
+CONNECT_TIMEOUT_MS = 700
+"""The store answers in 4 ms; a lost opening packet is sent again after a second."""
+CALL_TIMEOUT_MS = 1_500
+"""Bounds a call that should be answered at once: a silent store must not hold a node
+longer than it takes to ask again. A slow store was seen to take 0.4 s."""
+_STATUS_OK = 200
+_STATUS_NOT_FOUND = 404
+_STATUS_CONFLICT = 409
+_STATUS_GONE = 410
+_STATUS_ERROR = 400
+
+
+class StoredEntry(NamedTuple):
+    """One object of the store."""
+
+    name: str
+    revision: int
+    spec: dict[str, Any]
+
+
+class EntryChange(NamedTuple):
+    """One event of a watch."""
+
+    entry: StoredEntry
+    is_deleted: bool
+
+
+class EntryList(NamedTuple):
+    """All objects of a kind, as of a revision."""
+
+    entries: list[StoredEntry]
+    revision: int
+
+
+class EntryChanges(NamedTuple):
+    """What a watch saw, and from where to watch on."""
+
+    changes: list[EntryChange]
+    revision: int
+
+
+class StoreClient:
+    """Speak the store's protocol; owns its connections."""
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = 0
+        """Calls made since the start; each has a price."""
+
+    async def __aenter__(self) -> Self:
+        """Open the connection pool."""
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=open_socket)
+        self._session = aiohttp.ClientSession(connector=connector)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the connection pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def list_all(self, kind: str) -> EntryList:
+        """Return all objects of a kind, page after page."""
+        entries: list[StoredEntry] = []
+        revision = 0
+        after = ""
+        while True:
+            params = {"afterRev": after} if after else {}
+            page = await self._call("GET", _path(kind), params=params)
+            entries += [_decode_entry(item) for item in page["items"]]
+            # Later pages are of later revisions; a watch from the first one's misses
+            # no change that came in between.
+            revision = revision or int(page["storeRevision"])
+            if not page.get("more") or not page["items"]:
+                return EntryList(entries, revision)
+            after = entries[-1].name
+
+    async def watch(self, kind: str, *, revision: int, wait_ms: int) -> EntryChanges:
+        """Wait until objects of a kind change after a revision.
+
+        Raises ``HistoryGoneError`` when only a new list helps.
+        """
+        params = {"watch": str(revision), "waitMs": str(wait_ms)}
+        answer = await self._call("GET", _path(kind), params=params, wait_ms=wait_ms)
+        changes = [
+            EntryChange(_decode_entry(event["object"]), bool(event.get("deleted")))
+            for event in answer["events"]
+        ]
+        return EntryChanges(changes, int(answer["storeRevision"]))
+
+    async def create(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Create an object; raises ``RevisionConflictError`` if there is one."""
+        await self._call("POST", _path(kind), body=_object(name, spec))
+
+    async def replace(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Replace an object's content, whatever its revision."""
+        await self._call("PUT", f"{_path(kind)}/{name}", body=_object(name, spec))
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object; one that does not exist is no fault."""
+        await self._call("DELETE", f"{_path(kind)}/{name}", allow_missing=True)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: dict[str, str] | None = None,
+        body: dict[str, Any] | None = None,
+        wait_ms: int = 0,
+        allow_missing: bool = False,
+    ) -> Any:
+        step = f"{method} {path}"
+        if self._session is None:
+            raise StoreError(step=step, peer=self._address, reason="is closed")
+        self.calls += 1
+        timeout = aiohttp.ClientTimeout(
+            total=(CALL_TIMEOUT_MS + wait_ms) / MS_PER_S,
+            sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
+        )
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            async with self._session.request(
+                method,
+                f"http://{self._address}{path}",
+                params=params,
+                data=data,
+                headers={"Content-Type": "application/json"} if data else None,
+                timeout=timeout,
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise StoreError(
+                step=step, peer=self._address, reason=repr(error)
+            ) from error
+        if allow_missing and response.status == _STATUS_NOT_FOUND:
+            return None
+        self._check_status(step, response.status)
+        return self._decode(step, content)
+
+    def _check_status(self, step: str, status: int) -> None:
+        if status < _STATUS_ERROR:
+            return
+        error: type[StoreError] = StoreError
+        if status == _STATUS_GONE:
+            error = HistoryGoneError
+        elif status == _STATUS_CONFLICT:
+            error = RevisionConflictError
+        raise error(step=step, peer=self._address, reason=f"status {status}")
+
+    def _decode(self, step: str, content: bytes) -> Any:
+        try:
+            return msgspec.json.decode(content) if content else None
+        except msgspec.DecodeError as error:
+            raise StoreError(
+                step=step, peer=self._address, reason=str(error)
+            ) from error
+
+
+def _path(kind: str) -> str:
+    return f"/v1/objects/{kind}"
+
+
+def _object(name: str, spec: dict[str, Any]) -> dict[str, Any]:
+    return {"metadata": {"name": name}, "spec": spec}
+
+
+def _decode_entry(item: dict[str, Any]) -> StoredEntry:
+    metadata = item["metadata"]
+    return StoredEntry(
+        metadata["name"], int(metadata["revision"]), item.get("spec") or {}
+    )
--- a/packages/clementineyoke-node/src/clementineyoke_node/settings/peer_changes.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/settings/peer_changes.py
@@ -9,7 +9,7 @@
 
 from clementineyoke_core.settings.change import SettingsChange
 from clementineyoke_core.settings.snapshot import SettingsSnapshot
-from clementineyoke_node.platform.platform_error import PlatformError
+from clementineyoke_node.objects.platform_error import PlatformError
 from clementineyoke_wire.wire_error import WireError
 
 if TYPE_CHECKING:
--- a/packages/clementineyoke-node/src/clementineyoke_node/settings/settings_keeper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/settings/settings_keeper.py
@@ -9,7 +9,7 @@
 
 from clementineyoke_core.settings.change import SettingsChange, decode_change
 from clementineyoke_core.settings.log import ApplyOutcome, SettingsLog
-from clementineyoke_node.platform.platform_error import PlatformError
+from clementineyoke_node.objects.platform_error import PlatformError
 from clementineyoke_node.settings.snapshot_store import SnapshotStore
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from clementineyoke_core.node import Node
     from clementineyoke_core.settings.snapshot import SettingsSnapshot
-    from clementineyoke_node.platform.object_api import ObjectApi
+    from clementineyoke_node.objects.object_api import ObjectApi
 
 CHANGES_PREFIX = "settings/changes/"
 RETRY_PAUSE_S = 1.0
--- a/packages/clementineyoke-node/src/clementineyoke_node/settings/settings_writer.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/settings/settings_writer.py
@@ -12,8 +12,8 @@
     encode_change,
 )
 from clementineyoke_core.settings.validation import find_faults
-from clementineyoke_node.platform.object_api import NO_OBJECT
-from clementineyoke_node.platform.platform_error import (
+from clementineyoke_node.objects.object_api import NO_OBJECT
+from clementineyoke_node.objects.platform_error import (
     PlatformError,
     VersionConflictError,
 )
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.settings.validation import Values
-    from clementineyoke_node.platform.object_api import ObjectApi
+    from clementineyoke_node.objects.object_api import ObjectApi
     from clementineyoke_node.settings.settings_keeper import SettingsKeeper
     from clementineyoke_wire.bodies import SettingsChangeBody
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/settings/snapshot_store.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/settings/snapshot_store.py
@@ -11,14 +11,14 @@
     decode_parts,
     encode_parts,
 )
-from clementineyoke_node.platform.object_api import NO_OBJECT
-from clementineyoke_node.platform.platform_error import (
+from clementineyoke_node.objects.object_api import NO_OBJECT
+from clementineyoke_node.objects.platform_error import (
     PlatformError,
     VersionConflictError,
 )
 
 if TYPE_CHECKING:
-    from clementineyoke_node.platform.object_api import ObjectApi
+    from clementineyoke_node.objects.object_api import ObjectApi
 
 HEAD_NAME = "settings/snapshot"
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/bench/memory_object_api.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/bench/memory_object_api.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from clementineyoke_node.platform.object_api import StoredObject, WatchResult
-from clementineyoke_node.platform.platform_error import (
+from clementineyoke_node.objects.object_api import StoredObject, WatchResult
+from clementineyoke_node.objects.platform_error import (
     PlatformError,
     VersionConflictError,
 )
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -68,6 +68,20 @@
     settings_version: int
     loads: list[PoolLoad]
     rumours: list[RumourNote]
+    runners_version: int = 0
+    """As of which revision of the store the sender knows the runners."""
+
+
+class NodeHello(NamedTuple):
+    """A node makes itself known where no host list does."""
+
+    is_reply: bool
+    node_id: str
+    address: str
+    caller_port: int
+    peer_port: int
+    availability_zone: str
+    region: str
 
 
 class ClaimRequest(NamedTuple):
@@ -131,5 +145,6 @@
     | ClaimResult
     | ShareAsk
     | ShareReply
+    | NodeHello
 )
 """Everything that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -16,6 +16,7 @@
   settingsVersion @2 :UInt64;
   loads @3 :List(PoolLoad);
   rumours @4 :List(RumourNote);
+  runnersVersion @5 :UInt64;
 }
 
 struct ClaimRequest {
@@ -47,6 +48,16 @@
 struct ShareAsk { askId @0 :UInt32; team @1 :Text; tokens @2 :UInt16; }
 struct ShareReply { askId @0 :UInt32; tokens @1 :Float32; waitMs @2 :UInt32; }
 
+struct NodeHello {
+  isReply @0 :Bool;
+  nodeId @1 :Text;
+  address @2 :Text;
+  callerPort @3 :UInt16;
+  peerPort @4 :UInt16;
+  availabilityZone @5 :Text;
+  region @6 :Text;
+}
+
 struct Envelope {
   incarnation @0 :UInt32;
   union {
@@ -60,5 +71,6 @@
     claimResult @8 :ClaimResult;
     shareAsk @9 :ShareAsk;
     shareReply @10 :ShareReply;
+    nodeHello @11 :NodeHello;
   }
 }
