End watches sooner, and doubt them together

Cause: when the store drops its history, a waiting watch may go deaf without a word; ours waited 10 s and timed out at 11.5 s, while the watch of the other kind had long been told that the history was gone. Ruled out: stale reads (we ask for none) and older versions from peers (revisions only grow).

Now the fleet renews watches at an even rate whatever its size, and trouble with one watch ends the others.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -159,6 +159,7 @@
             view=self.view,
             region=self._config.region,
             rng=state.rng,
+            count_nodes=lambda: len(state.membership.alive()),
         )
         self.roster = NodeRoster(
             store=self.store, introducer=self.introducer, own=state.membership.own
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -14,37 +14,53 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from clementineyoke_core.edge.runner_record import RunnerRecord
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.platform.store_client import (
         EntryChange,
+        EntryChanges,
         StoreClient,
         StoredEntry,
     )
 
 MS_PER_S = 1000.0
-WATCH_WAIT_MS = 10_000
-"""A watch counts as a call, so it waits long; a dead connection shows by its own
-keep-alive, and peers tell of what a watch may have missed."""
+WATCH_WAIT_MS_A_NODE = 330
+LEAST_WATCH_WAIT_MS = 1_500
+LONGEST_WATCH_WAIT_MS = 30_000
+"""Bounds of a watch, and its share for each node alive. A store that drops its history
+may leave a waiting watch deaf, without a word. The fleet therefore asks anew about
+three times a second, whatever its size, and the first node that hears of something
+tells the others. A node that knows of no other waits the least."""
 FIRST_PAUSE_MS = 60.0
 LONGEST_PAUSE_MS = 500.0
 PAUSE_GROWTH = 1.6
 """Pauses between tries while the store is away: a cold fleet serves again within half
 a second of its return, for at most two calls a second and node."""
 
+FOLLOWED_KINDS = (names.STATE_KIND, names.RUNNERS_KIND)
+
 
 class StoreWatcher:
     """Own a task a kind; each lists, then watches, and lists again after a gap."""
 
     def __init__(
-        self, *, store: StoreClient, view: FleetView, region: str, rng: Random
+        self,
+        *,
+        store: StoreClient,
+        view: FleetView,
+        region: str,
+        rng: Random,
+        count_nodes: Callable[[], int],
     ) -> None:
         self._store = store
         self._view = view
         self._region = region
         self._rng = rng
+        self._count_nodes = count_nodes
+        self._nudges = {kind: asyncio.Event() for kind in FOLLOWED_KINDS}
         self._tasks = BackgroundTasks()
         self._away: set[str] = set()
         self._positions: dict[str, int] = {}
@@ -52,7 +68,7 @@
     async def __aenter__(self) -> Self:
         """Begin to follow."""
         await self._tasks.__aenter__()
-        for kind in (names.STATE_KIND, names.RUNNERS_KIND):
+        for kind in FOLLOWED_KINDS:
             self._tasks.spawn(self._follow(kind), name=f"follow_{kind}")
         return self
 
@@ -68,9 +84,11 @@
             except HistoryGoneError as error:
                 log_event(Event.PLATFORM_HISTORY_GONE, kind=kind, step=error.step)
                 self._positions.pop(kind, None)
+                self._nudge_others(kind)
                 continue
             except StoreError as error:
                 self._note_away(kind, error)
+                self._nudge_others(kind)
                 await asyncio.sleep(self._rng.uniform(0.7, 1.0) * pause_ms / MS_PER_S)
                 pause_ms = min(LONGEST_PAUSE_MS, pause_ms * PAUSE_GROWTH)
                 continue
@@ -87,13 +105,45 @@
             return
         # After an outage the first call must come back soon: it tells that the store
         # is there again, which decides about entries that lapsed meanwhile.
-        wait_ms = 0 if kind in self._away else WATCH_WAIT_MS
-        seen = await self._store.watch(kind, revision=position, wait_ms=wait_ms)
+        wait_ms = 0 if kind in self._away else self._watch_wait_ms()
+        seen = await self._watch(kind, position, wait_ms)
+        if seen is None:
+            return
         self._note_back(kind)
         for change in seen.changes:
             self._take_change(kind, change)
         self._positions[kind] = seen.revision
 
+    async def _watch(
+        self, kind: str, position: int, wait_ms: int
+    ) -> EntryChanges | None:
+        """Watch a kind; return None when another kind's trouble ends the watch.
+
+        Trouble with one watch is the only sign of what the others have missed.
+        """
+        nudge = self._nudges[kind]
+        nudge.clear()
+        watch = asyncio.ensure_future(
+            self._store.watch(kind, revision=position, wait_ms=wait_ms)
+        )
+        nudged = asyncio.ensure_future(nudge.wait())
+        try:
+            await asyncio.wait({watch, nudged}, return_when=asyncio.FIRST_COMPLETED)
+            return watch.result() if watch.done() else None
+        finally:
+            watch.cancel()
+            nudged.cancel()
+
+    def _nudge_others(self, kind: str) -> None:
+        for other, nudge in self._nudges.items():
+            if other != kind and other not in self._away:
+                nudge.set()
+
+    def _watch_wait_ms(self) -> int:
+        even_ms = WATCH_WAIT_MS_A_NODE * self._count_nodes()
+        wait_ms = max(LEAST_WATCH_WAIT_MS, min(LONGEST_WATCH_WAIT_MS, even_ms))
+        return int(wait_ms * self._rng.uniform(0.7, 1.0))
+
     def _take_list(self, kind: str, entries: list[StoredEntry], revision: int) -> None:
         if kind == names.STATE_KIND:
             for entry in entries:
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -17,6 +17,8 @@
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_MS = 700
 """The store answers in 4 ms; a lost opening packet is sent again after a second."""
+WATCH_SLACK_MS = 700
+"""How much later than asked for a watch may answer, by a slow store."""
 CALL_TIMEOUT_MS = 1_500
 """Bounds a call that should be answered at once: a silent store must not hold a node
 longer than it takes to ask again. A slow store was seen to take 0.4 s."""
@@ -132,7 +134,7 @@
             raise StoreError(step=step, peer=self._address, reason="is closed")
         self.calls += 1
         timeout = aiohttp.ClientTimeout(
-            total=(CALL_TIMEOUT_MS + wait_ms) / MS_PER_S,
+            total=(wait_ms + WATCH_SLACK_MS if wait_ms else CALL_TIMEOUT_MS) / MS_PER_S,
             sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
         )
         data = None if body is None else msgspec.json.encode(body)
