Close a leaving node's idle connections one by one

Cause: aiohttp's pre_shutdown cancels what reads an idle connection and leaves it open; a call that came on it after that was read and never answered. Ruled out: calls on new connections (the listener was closed half a second before).

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -50,13 +50,23 @@
         self._decisions = decisions
         self._metrics = metrics
         self._rng = rng
+        self._busy: set[web.RequestHandler] = set()
         self.is_leaving = False
 
+    def is_busy(self, connection: web.RequestHandler) -> bool:
+        """Whether a caller's connection carries a call now."""
+        return connection in self._busy
+
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
         arrived_ms = self._timers.now_ms()
-        with self._in_flight.one():
-            response = await self._answer(request, arrived_ms)
+        connection = request.protocol
+        self._busy.add(connection)
+        try:
+            with self._in_flight.one():
+                response = await self._answer(request, arrived_ms)
+        finally:
+            self._busy.discard(connection)
         if self.is_leaving and not response.prepared:
             response.force_close()
         elapsed_ms = self._timers.now_ms() - arrived_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -26,6 +26,7 @@
 connect find it open. Some keep an answer of one second for three."""
 CLEANUP_RESERVE_MS = 400.0
 """Left before the process is killed, to end what is still open in order."""
+END_POLL_MS = 50.0
 LARGEST_FIELD_BYTES = 16_384
 LARGEST_BODY_BYTES = 4_194_304
 IDLE_TIMEOUT_S = 15.0
@@ -86,24 +87,30 @@
         self.io.begin_leaving()
         log_event(Event.NODE_DRAINING, in_flight=self.state.in_flight.count)
         await asyncio.sleep(LINGER_MS / MS_PER_S)
-        await self._close_to_callers()
-        await self._end_calls(ordered_ms)
-
-    async def _close_to_callers(self) -> None:
         for site in list(self._callers.sites):
             await site.stop()
-        server = self._callers.server
-        if server is not None:
-            server.pre_shutdown()
+        await self._end_calls(ordered_ms)
 
     async def _end_calls(self, ordered_ms: float) -> None:
-        left_ms = self._config.stop_deadline_s * MS_PER_S - CLEANUP_RESERVE_MS
-        left_ms -= self.io.timers.now_ms() - ordered_ms
-        try:
-            async with asyncio.timeout(max(0.0, left_ms) / MS_PER_S):
-                await self.state.in_flight.wait_idle()
-        except TimeoutError:
-            log_event(Event.DRAIN_CUT, in_flight=self.state.in_flight.count)
+        deadline_ms = ordered_ms + self._config.stop_deadline_s * MS_PER_S
+        deadline_ms -= CLEANUP_RESERVE_MS
+        while self.io.timers.now_ms() < deadline_ms:
+            self._close_idle_connections()
+            if not self.state.in_flight.count:
+                return
+            await asyncio.sleep(END_POLL_MS / MS_PER_S)
+        log_event(Event.DRAIN_CUT, in_flight=self.state.in_flight.count)
+
+    def _close_idle_connections(self) -> None:
+        """Close the callers' connections that carry no call.
+
+        aiohttp's own way to end idle connections leaves them open and unread until the
+        process ends: a call that came on one meanwhile was read and never answered.
+        """
+        server = self._callers.server
+        for connection in [] if server is None else list(server.connections):
+            if not self._door.is_busy(connection):
+                connection.force_close()
 
     def _is_serving(self) -> bool:
         return self.io.view.ready.is_set() and not self.io.is_leaving
