Test the edge's decisions without a network

Those of found failures open with symptom, sequence and cause. Written after the code; that each fails with its mechanism taken out was not tried in this commit.

--- /dev/null
+++ b/packages/clementineyoke-core/tests/edge/admission.feature
@@ -0,0 +1,34 @@
+Feature: Admission by the desired state in force
+
+  Scenario: No desired state is known yet
+    # Symptom: callers are told that their route does not exist, right after a restart.
+    # Sequence: a node starts while the store is away and gets a call.
+    # Cause: no state was taken for a state without routes.
+    Given no desired state
+    When a call for "shop.example/a/b" with the key "k1" comes
+    Then it is refused with 503 and a time to return
+
+  Scenario Outline: Routes and keys
+    Given a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "shop.example"
+    When a call for "<target>" with the key "<key>" comes
+    Then its end is "<end>"
+
+    Examples:
+      | target               | key | end         |
+      | shop.example/a/x     | k1  | route /a/   |
+      | SHOP.example/a/b/x   | k1  | route /a/b/ |
+      | shop.example/a/b     | k1  | route /a/   |
+      | shop.example/a/b/x   | no  | status 401  |
+      | shop.example/p/x     |     | route /p/   |
+      | shop.example/c/      | k1  | status 404  |
+      | other.example/a/     | k1  | status 404  |
+
+  Scenario: A team's priority goes before the route's
+    Given a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "shop.example"
+    When a call for "shop.example/a/x" with the key "k2" comes
+    Then its priority is 0
+
+  Scenario: The shorter of the two limits ends a call
+    Given a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "shop.example"
+    When a call for "shop.example/a/x" with the key "k1" comes that waits 300 ms
+    Then it ends 300 ms after its arrival
--- /dev/null
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -0,0 +1,34 @@
+Feature: Runners' entries through an outage of the store
+
+  Scenario: Entries lapse while the store is away
+    # Symptom: the fleet refuses everything for seconds after each outage.
+    # Sequence: the store is away longer than runners' leases, returns, and shows none.
+    # Cause: a lapsed entry was taken for the end of its runner.
+    Given a directory with the runners a, b
+    And the store returned at 10000 ms
+    When a list with no runners comes at 10100 ms
+    Then the runners in force are a, b
+    When the entry of a comes back at 11000 ms
+    And lapsed entries are dropped at 13000 ms
+    Then the runners in force are a
+
+  Scenario: An entry ends while the store is well
+    Given a directory with the runners a, b
+    When the entry of a ends at 60000 ms
+    Then the runners in force are b
+
+  Scenario: A runner that said that it leaves is not waited for
+    Given a directory with the runners a, b
+    And b says that it is leaving
+    And the store returned at 10000 ms
+    When a list with no runners comes at 10100 ms
+    Then the runners in force are a
+
+  Scenario: An older list comes from a peer
+    # Symptom: new work on a runner that has left.
+    # Sequence: a peer that was cut off hands over its old list.
+    # Cause: lists were taken in the order of their arrival.
+    Given a directory with the runners a, b
+    When the entry of a ends at 60000 ms
+    And the old list with a, b comes from a peer at 60100 ms
+    Then the runners in force are b
--- /dev/null
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -0,0 +1,407 @@
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+
+from clementineyoke_core.edge.admission import admit
+from clementineyoke_core.edge.attempt_ledger import AttemptEnd, AttemptLedger
+from clementineyoke_core.edge.call_kind import CallKind
+from clementineyoke_core.edge.desired_state import CallerLimits, DesiredState, Team
+from clementineyoke_core.edge.edge_call import EdgeCall
+from clementineyoke_core.edge.event_splitter import EventSplitter
+from clementineyoke_core.edge.patience import Patience
+from clementineyoke_core.edge.retry_window import RetryWindow
+from clementineyoke_core.edge.route import Route, WeightedPool
+from clementineyoke_core.edge.route_table import RouteTable
+from clementineyoke_core.edge.runner_directory import RunnerDirectory
+from clementineyoke_core.edge.runner_record import RunnerRecord
+from clementineyoke_core.edge.runner_watch import RunnerWatch
+from clementineyoke_core.pool_rings import PoolRings
+from clementineyoke_core.request_error import RequestError
+from clementineyoke_core.runner import Runner, RunnerKind
+from clementineyoke_core.runner_table import RunnerTable
+
+POOL = "pool"
+KEY = 12345
+
+
+def make_route(prefix="/a/", **changes):
+    route = Route(
+        name=prefix,
+        hostname="shop.example",
+        path_prefix=prefix,
+        kind=CallKind.IDEMPOTENT,
+        pools=(WeightedPool(POOL, 1.0),),
+        timeout_ms=10_000.0,
+        objective_ms=1_200.0,
+        pause_objective_ms=400.0,
+        priority=3,
+        most_runners=2,
+        is_public=False,
+        is_resumable=False,
+        has_prompt=False,
+    )
+    return route._replace(**changes)
+
+
+def make_runner(runner_id):
+    return Runner(
+        runner_id, "127.0.0.1", 1, "zone", "region", RunnerKind.ENGINE, POOL, 8
+    )
+
+
+# Attempts
+
+
+@given("a call that {may} be repeated, for at most {most:d} runners")
+def given_call(context, may, most):
+    context.ledger = AttemptLedger(may_repeat=may == "may", most_runners=most)
+
+
+@when('its attempt at "{runner}" ends as "{end}"')
+def end_attempt(context, runner, end):
+    context.ledger.record(runner, AttemptEnd(end))
+
+
+@when('{count:d} attempts end as "{end}"')
+def end_attempts(context, count, end):
+    for number in range(count):
+        context.ledger.record(f"runner-{number}", AttemptEnd(end))
+
+
+@then("it may be tried again")
+def check_again(context):
+    assert context.ledger.may_try_again()
+
+
+@then("it may not be tried again")
+def check_not_again(context):
+    assert not context.ledger.may_try_again()
+
+
+@then("it may have run")
+def check_may_have_run(context):
+    assert context.ledger.may_have_run
+
+
+@then("it surely did not run")
+def check_not_run(context):
+    assert not context.ledger.may_have_run
+
+
+# Second tries
+
+
+@given("{nodes:d} nodes that share a ratio of {ratio:f} and {n:d} more in {s:d} s")
+def given_windows(context, nodes, ratio, n, s):
+    context.windows = [
+        RetryWindow(ratio=ratio, allowance=n, window_ms=s * 1000.0)
+        for _ in range(nodes)
+    ]
+
+
+@when("each sees {calls:d} calls in {s:d} s and all of them want a second try")
+def want_retries(context, calls, s):
+    context.taken = []
+    for window in context.windows:
+        taken = 0
+        for number in range(calls):
+            now_ms = number * s * 1000.0 / calls
+            window.record_call(POOL, now_ms=now_ms)
+            taken += window.take(POOL, sharers=len(context.windows), now_ms=now_ms)
+        context.taken.append(taken)
+
+
+@then("together they send at most {most:d} again")
+def check_together(context, most):
+    assert sum(context.taken) <= most, context.taken
+
+
+@then("each sends at least {least:d} again")
+def check_each(context, least):
+    assert min(context.taken) >= least, context.taken
+
+
+@then("nothing is left at {s:d} s")
+def check_nothing_left(context, s):
+    assert not context.windows[0].take(POOL, sharers=1, now_ms=s * 1000.0)
+
+
+@then("there is something left at {s:d} s")
+def check_something_left(context, s):
+    assert context.windows[0].take(POOL, sharers=1, now_ms=s * 1000.0)
+
+
+# Events
+
+
+@given("an event splitter")
+def given_splitter(context):
+    context.splitter = EventSplitter()
+    context.events = []
+
+
+@when('it is fed "{text}"')
+def feed(context, text):
+    chunk = text.replace("\\n", "\n").encode()
+    context.events += context.splitter.feed(chunk)
+
+
+@then("it gave the events {numbers}")
+def check_events(context, numbers):
+    wanted = [int(number) for number in numbers.split(",")]
+    assert [event.number for event in context.events] == wanted, context.events
+
+
+@then("it holds a part")
+def check_part(context):
+    assert context.splitter.has_part
+
+
+@then("it holds no part")
+def check_no_part(context):
+    assert not context.splitter.has_part
+
+
+@then(
+    "{cuts:d} random cuts of a stream of {count:d} events give them whole and in order"
+)
+def check_cuts(context, cuts, count):
+    rng = Random(1)
+    whole = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(count))
+    for _ in range(cuts):
+        splitter = EventSplitter()
+        events = []
+        place = 0
+        while place < len(whole):
+            size = rng.randint(1, 20)
+            events += splitter.feed(whole[place : place + size])
+            place += size
+        assert b"".join(event.body for event in events) == whole
+        assert [event.number for event in events] == list(range(count))
+
+
+# Runners' entries
+
+
+def make_record(runner_id, *, revision=1, is_leaving=False):
+    return RunnerRecord(make_runner(runner_id), is_leaving, revision)
+
+
+@given("a directory with the runners {names}")
+def given_directory(context, names):
+    context.directory = RunnerDirectory()
+    context.old = [make_record(name) for name in names.split(", ")]
+    context.directory.replace(context.old, revision=10, now_ms=0.0)
+    context.revision = 10
+
+
+@given("the store returned at {now:d} ms")
+def given_return(context, now):
+    context.directory.record_outage_end(now_ms=now)
+
+
+@given("{name} says that it is leaving")
+def given_leaving(context, name):
+    context.revision += 1
+    record = make_record(name, revision=context.revision, is_leaving=True)
+    context.directory.put(record, revision=context.revision)
+
+
+@when("a list with no runners comes at {now:d} ms")
+def empty_list(context, now):
+    context.revision += 1
+    context.directory.replace([], revision=context.revision, now_ms=now)
+
+
+@when("the entry of {name} comes back at {now:d} ms")
+def entry_back(context, name, now):
+    context.revision += 1
+    record = make_record(name, revision=context.revision)
+    context.directory.put(record, revision=context.revision)
+
+
+@when("the entry of {name} ends at {now:d} ms")
+def entry_ends(context, name, now):
+    context.revision += 1
+    context.directory.remove(name, revision=context.revision, now_ms=now)
+
+
+@when("the old list with {names} comes from a peer at {now:d} ms")
+def old_list(context, names, now):
+    context.directory.replace(context.old, revision=10, now_ms=now)
+
+
+@when("lapsed entries are dropped at {now:d} ms")
+def drop_lapsed(context, now):
+    context.directory.drop_lapsed(now_ms=now)
+
+
+@then("the runners in force are {names}")
+def check_directory(context, names):
+    found = {record.runner.runner_id for record in context.directory.records()}
+    assert found == set(names.split(", ")), found
+
+
+# Admission
+
+
+@given("no desired state")
+def given_no_state(context):
+    context.routes = None
+
+
+@given('a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "{host}"')
+def given_state(context, host):
+    routes = (make_route("/a/"), make_route("/a/b/"), make_route("/p/", is_public=True))
+    teams = (Team("one", ("k1",), None), Team("two", ("k2",), 0))
+    state = DesiredState(1, 1, routes, teams, True, CallerLimits(), {})
+    context.routes = RouteTable(state=state)
+
+
+@when('a call for "{target}" with the key "{key}" comes that waits {wait:d} ms')
+def call_waits(context, target, key, wait):
+    host, _, path = target.partition("/")
+    call = EdgeCall(
+        call_id="call",
+        method="GET",
+        target=f"/{path}",
+        path=f"/{path}",
+        hostname=host,
+        passed_headers=(),
+        body=b"",
+        key=key or None,
+        budget_ms=wait,
+        model="",
+        prompt_parts=(),
+        last_event=None,
+    )
+    context.error = context.admitted = None
+    try:
+        context.admitted = admit(call, context.routes, arrived_ms=0.0, rng=Random(1))
+    except RequestError as error:
+        context.error = error
+
+
+@when('a call for "{target}" with the key "{key}" comes')
+def call_comes(context, target, key):
+    call_waits(context, target, key, 60_000)
+
+
+@when('a call for "{target}" with the key "" comes')
+def keyless_call(context, target):
+    call_waits(context, target, "", 60_000)
+
+
+@then("it is refused with {status:d} and a time to return")
+def check_refused(context, status):
+    assert context.error.status == status
+    assert context.error.retry_after_ms
+
+
+@then('its end is "{end}"')
+def check_end(context, end):
+    word, _, value = end.partition(" ")
+    if word == "status":
+        assert context.error is not None and context.error.status == int(value)
+        return
+    assert context.admitted is not None, context.error
+    assert context.admitted.route.path_prefix == value
+
+
+@then("its priority is {priority:d}")
+def check_priority(context, priority):
+    assert context.admitted.priority == priority
+
+
+@then("it ends {ms:d} ms after its arrival")
+def check_deadline(context, ms):
+    assert context.admitted.deadline_ms == ms
+
+
+# Choice of runners
+
+
+@given("a resumable stream with an objective of {ms:d} ms")
+def given_resumable(context, ms):
+    context.route = make_route(
+        kind=CallKind.STREAM, is_resumable=True, objective_ms=float(ms)
+    )
+
+
+@given("a stream that may not be resumed, with a limit of {ms:d} ms")
+def given_stream(context, ms):
+    context.route = make_route(kind=CallKind.STREAM, timeout_ms=float(ms))
+
+
+@then("a prompt of {tokens:d} tokens is waited for longer than {ms:d} ms")
+def check_longer(context, tokens, ms):
+    assert Patience().head_ms(context.route, prompt_tokens=tokens) > ms
+
+
+@then("a prompt of {tokens:d} tokens is waited for at most {ms:d} ms")
+def check_at_most(context, tokens, ms):
+    assert Patience().head_ms(context.route, prompt_tokens=tokens) <= ms
+
+
+@given("a pool of the runners {names}")
+def given_pool(context, names):
+    context.names = names.split(", ")
+    context.runner_table = RunnerTable()
+    runners = [make_runner(name) for name in context.names]
+    context.runner_table.replace_listed(live=runners, leaving=[], now_ms=0.0)
+    context.rings = PoolRings(table=context.runner_table, region="region")
+    context.rings.rebuild()
+    context.watch = RunnerWatch(table=context.runner_table)
+
+
+@when("each of them fails to take a connection at {now:d} ms")
+def all_fail(context, now):
+    for name in context.names:
+        context.watch.record_failure(name, end=AttemptEnd.NOT_SENT, now_ms=now)
+
+
+@when('"{name}" fails to take a connection at {now:d} ms')
+def one_fails(context, name, now):
+    context.watch.record_failure(name, end=AttemptEnd.NOT_SENT, now_ms=now)
+
+
+@when("quarantines are looked at {now:d} ms")
+def end_quarantines(context, now):
+    context.runner_table.end_due_quarantines(now_ms=now)
+
+
+@when('"{name}" answers calls at {now:d} ms as "{ends}"')
+def answers(context, name, now, ends):
+    for end in ends.split(", "):
+        if end == "ok":
+            context.watch.record_success(name, now_ms=now)
+        else:
+            context.watch.record_failure(name, end=AttemptEnd(end), now_ms=now)
+
+
+@then("calls still find all of them")
+def check_all_found(context):
+    assert set(context.rings.order(POOL, KEY)) == set(context.names)
+
+
+@then('calls find all but "{name}"')
+def check_all_but(context, name):
+    assert set(context.rings.order(POOL, KEY)) == set(context.names) - {name}
+
+
+@when("the first runner of a key leaves")
+def first_leaves(context):
+    context.first = next(context.rings.order(POOL, KEY))
+    live = [make_runner(name) for name in context.names if name != context.first]
+    context.runner_table.replace_listed(
+        live=live, leaving=[make_runner(context.first)], now_ms=1.0
+    )
+    context.rings.rebuild()
+
+
+@then("it is no longer found for calls but still the key's likeliest holder")
+def check_holder(context):
+    assert context.first not in set(context.rings.order(POOL, KEY))
+    assert next(context.rings.holders(POOL, KEY)) == context.first
