--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/python -m clementineyoke_standins.console.model
 
 lint: setup
-	$(BIN)/ruff format --check . && $(BIN)/ruff check . && $(BIN)/mypy packages/*/src tools
+	$(BIN)/ruff format --check . && $(BIN)/ruff check . && $(BIN)/mypy packages/*/src tools && $(BIN)/python tools/boundary.py
 
 events: setup
 	$(BIN)/python -m clementineyoke_standins.console.events
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -43,6 +43,9 @@
     """From the order to stop until the process is killed."""
     longest_keep_s: float
     """Longest time that callers keep an answer to where to connect."""
+    linger_ms: int = 2_600
+    """How long a leaving node still takes calls: callers with an old answer to where
+    to connect find it open. Some keep an answer of one second for three."""
     log_level: str = "INFO"
     slot_timeout_ms: int = 25
     """How long a home may take to answer a slot ask before the fallback."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -21,9 +21,6 @@
     from clementineyoke_node.config.edge_config import EdgeConfig
 
 MS_PER_S = 1000.0
-LINGER_MS = 2_600.0
-"""How long a leaving node still takes calls: callers with an old answer to where to
-connect find it open. Some keep an answer of one second for three."""
 CLEANUP_RESERVE_MS = 400.0
 """Left before the process is killed, to end what is still open in order."""
 END_POLL_MS = 50.0
@@ -86,7 +83,7 @@
         self._door.is_leaving = True
         self.io.begin_leaving()
         log_event(Event.NODE_DRAINING, in_flight=self.state.in_flight.count)
-        await asyncio.sleep(LINGER_MS / MS_PER_S)
+        await asyncio.sleep(self._config.linger_ms / MS_PER_S)
         for site in list(self._callers.sites):
             await site.stop()
         await self._end_calls(ordered_ms)
--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -0,0 +1,59 @@
+Feature: What a node on the platform believes
+
+  Scenario: The store drops its history and leaves watches deaf
+    # Symptom: a withdrawn key goes on being served for 12 s.
+    # Sequence: watches hear nothing while a state is written, then the history goes.
+    # Cause: a watch waited 10 s, and trouble with one watch was no sign for the other.
+    Given a fleet of 1 node and 1 runner
+    When watches are deaf while the operator withdraws the key, and the history goes
+    Then calls are refused with 401 within 4 s
+
+  Scenario: A node starts while the store turns it away
+    # Symptom: a restarted node refuses every call until the store is back.
+    # Sequence: the store serves all nodes but one; that one is restarted.
+    # Cause: the store was the only source of the desired state.
+    Given a fleet of 1 node and 1 runner
+    When a second node starts that the store turns away
+    Then the second node serves calls within 2 s
+
+  Scenario: A state from a peer is older
+    Given a fleet of 1 node and 1 runner
+    When the node is handed an older state
+    Then the newer state stays in force
+
+  Scenario: Nodes find each other, and a leaving one is no longer named
+    Given a fleet of 2 nodes and 1 runner
+    Then each node names 2 addresses within 2 s
+    When the second node is told to stop
+    Then the first node names 1 address within 1 s
+    And the second node says that it is not ready
+
+  Scenario: A node without a desired state refuses with a time to return
+    Given a fleet of 0 nodes and 1 runner
+    When a node starts while the store is silent
+    And a caller makes a "idempotent" call
+    Then the caller gets 503 and a time to return
+
+  Scenario: A planned stop with a stream in flight
+    # Symptom: a restart cuts the streams that a node carries.
+    # Sequence: the node is told to stop in the middle of a stream.
+    # Cause: the process ended with its listener.
+    Given a fleet of 1 node and 1 runner
+    And the runners stream slowly
+    When the node is told to stop in the middle of a stream
+    Then the caller gets the events 1 to 6, each once and whole
+    And the node ends within its time
+
+  Scenario: A kept connection of a leaving node
+    # Symptom: a call is read and never answered.
+    # Sequence: the node closes for callers; a call comes on a connection kept idle.
+    # Cause: the reader of idle connections was ended and the connections left open.
+    Given a fleet of 1 node and 1 runner
+    And the runners stream slowly
+    When a call comes on an idle connection while a leaving node ends a stream
+    Then the caller gets an answer or sees the connection closed at once
+
+  Scenario: Entries lapse while the store is away
+    Given a fleet of 1 node and 1 runner
+    When the store is away, the runner's entry lapses and the store returns
+    Then calls are still served
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -0,0 +1,172 @@
+"""Nodes of the platform with stand-ins on loopback, all in the test's event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from clementineyoke_node.config.edge_config import EdgeConfig
+from clementineyoke_node.edge.edge_service import EdgeService
+from clementineyoke_standins.edge.edge_runner import EdgeRunner
+from clementineyoke_standins.edge.edge_store import EdgeStore
+
+STORE_HOST = "127.0.0.1"
+HOSTNAME = "shop.example"
+KEY = "key-one"
+TEAM = "team-one"
+POOL = "pool"
+CALL_ID = "X-Attempt-Id"
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind((STORE_HOST, 0))
+        return probe.getsockname()[1]
+
+
+def make_route(kind, *, runners=2, resumable=False, **changes):
+    return {
+        "name": kind,
+        "hostname": HOSTNAME,
+        "pathPrefix": f"/{kind}/",
+        "kind": kind,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": POOL,
+        "maxAttempts": runners,
+        "public": False,
+        "sticky": False,
+        "resumable": resumable,
+        "gapAimMs": 400,
+        **changes,
+    }
+
+
+def make_state(version, *routes, keys=(KEY,)):
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": POOL, "healthCheck": "/healthz"}],
+        "limits": {},
+        "tenants": [{"name": TEAM, "apiKeys": list(keys)}],
+    }
+
+
+class EdgeFleet:
+    """Own a store, runners and nodes."""
+
+    def __init__(self, *, nodes=1, runners=2):
+        self.store = EdgeStore()
+        self.runners = [EdgeRunner(runner_id=f"runner-{n}") for n in range(runners)]
+        self.nodes = []
+        self.stops = []
+        self._count = nodes
+        self._stack = AsyncExitStack()
+        self.version = 0
+
+    async def __aenter__(self):
+        self.ports = [free_port() for _ in range(5)]
+        store_port = free_port()
+        runner = web.AppRunner(self.store.application(), shutdown_timeout=0.1)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, STORE_HOST, store_port).start()
+        self.store_address = f"{STORE_HOST}:{store_port}"
+        for standin in self.runners:
+            await self._stack.enter_async_context(standin)
+            await self.list_runner(standin)
+        await self.put_state(
+            make_route("idempotent"),
+            make_route("non_idempotent", runners=1),
+            make_route("streaming", resumable=True),
+        )
+        connector = aiohttp.TCPConnector(limit_per_host=1)
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector)
+        )
+        for number in range(self._count):
+            await self.start_node(number)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for node in self.nodes:
+            await node.__aexit__(None, None, None)
+        await self._stack.aclose()
+
+    async def list_runner(self, standin, state="ready"):
+        spec = {
+            "service": POOL,
+            "address": f"{STORE_HOST}:{standin.port}",
+            "zone": "zone",
+            "slots": 8,
+            "state": state,
+        }
+        await self.store.put("servers", standin.runner_id, spec)
+
+    async def put_state(self, *routes, keys=(KEY,)):
+        self.version += 1
+        self.routes = routes or self.routes
+        state = make_state(self.version, *self.routes, keys=keys)
+        await self.store.put("config", "main", state)
+
+    def config(self, number):
+        front, ready, directory, control, peer = self.ports
+        address = f"127.0.0.{number + 2}"
+        document = {
+            "node_id": f"node-{number}",
+            "address": address,
+            "front": f"{address}:{front}",
+            "ready": f"{address}:{ready}",
+            "directory": f"{address}:{directory}",
+            "control": f"{address}:{control}",
+            "peer_port": peer,
+            "availability_zone": "zone",
+            "region": "region",
+            "store": self.store_address,
+            "seeds": [f"127.0.0.2:{control}"],
+            "peer_keys": ["peers"],
+            "retry_ratio": 0.2,
+            "retry_allowance": 50,
+            "retry_window_s": 10,
+            "cap_factor": 2,
+            "stop_deadline_s": 3,
+            "longest_keep_s": 5,
+            "linger_ms": 100,
+        }
+        return msgspec.convert(document, EdgeConfig)
+
+    async def start_node(self, number, *, wait=True):
+        node = EdgeService(config=self.config(number))
+        await node.__aenter__()
+        self.nodes.append(node)
+        self.stops.append(asyncio.ensure_future(node.run_until_stopped()))
+        if wait:
+            await asyncio.wait_for(node.io.view.ready.wait(), 5)
+        return node
+
+    def url(self, number, port, path):
+        return f"http://127.0.0.{number + 2}:{self.ports[port]}{path}"
+
+    async def call(self, kind, *, number=0, call_id="call-1", headers=None, **options):
+        fields = {
+            "Host": HOSTNAME,
+            CALL_ID: call_id,
+            "X-Deadline-Ms": "2000",
+            "Authorization": f"Token {KEY}",
+            **(headers or {}),
+        }
+        method = "GET" if kind == "idempotent" else "POST"
+        async with self.session.request(
+            method, self.url(number, 0, f"/{kind}/x"), headers=fields, **options
+        ) as response:
+            body = await response.read()
+            return response.status, dict(response.headers), body.decode()
+
+    def calls(self):
+        return [call for runner in self.runners for call in runner.calls]
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -0,0 +1,368 @@
+from __future__ import annotations
+
+import asyncio
+import time
+
+import aiohttp
+from behave import given, then, when
+from edge_fleet import CALL_ID, KEY, EdgeFleet, make_route
+
+from clementineyoke_node.platform.state_decoder import decode_state
+from clementineyoke_standins.edge.edge_runner import EVENTS, PROOF, Act
+from clementineyoke_standins.edge.edge_store import StoreFault
+
+WHOLE_STREAM = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, EVENTS + 1))
+
+
+@given("a fleet of {nodes:d} node and {runners:d} runners")
+@given("a fleet of {nodes:d} node and {runners:d} runner")
+@given("a fleet of {nodes:d} nodes and {runners:d} runner")
+def given_fleet(context, nodes, runners):
+    fleet = EdgeFleet(nodes=nodes, runners=runners)
+    context.run(fleet.__aenter__())
+    context.fleet = fleet
+    context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
+
+
+@given('the next call is answered as "{act}"')
+def given_act(context, act):
+    given_script(context, Act(act))
+
+
+def given_script(context, act):
+    """Let whichever runner gets the next call take the act, and only that one."""
+    script = [act]
+    for runner in context.fleet.runners:
+        runner.script = script
+
+
+@given("the runners stream")
+def given_streams(context):
+    for runner in context.fleet.runners:
+        runner.usual = Act.STREAM
+
+
+@given("the runners stream slowly")
+def given_slow_streams(context):
+    for runner in context.fleet.runners:
+        runner.usual = Act.STREAM
+        runner.event_pause_s = 0.1
+
+
+@given("streams may not be resumed")
+def given_no_resume(context):
+    route = make_route("streaming", runners=1, resumable=False)
+    context.run(context.fleet.put_state(route))
+    context.run(wait_until(lambda: in_force(context) == 2, 2))
+
+
+def in_force(context):
+    return context.fleet.nodes[0].io.view.routes.state.version
+
+
+async def wait_until(holds, limit_s):
+    ends = time.monotonic() + limit_s
+    while not holds():
+        assert time.monotonic() < ends, "it did not happen in time"
+        await asyncio.sleep(0.02)
+
+
+@when('a caller makes a "{kind}" call')
+def make_call(context, kind):
+    context.call_id = "call-1"
+    context.answer = context.run(context.fleet.call(kind))
+
+
+@when('a caller makes a "{kind}" call with the id "{call_id}"')
+def make_call_with_id(context, kind, call_id):
+    context.answer = context.run(context.fleet.call(kind, call_id=call_id))
+
+
+@when('a caller makes a "{kind}" call with "{fields}"')
+def make_call_with(context, kind, fields):
+    headers = dict(field.split(": ") for field in fields.split(", "))
+    context.answer = context.run(context.fleet.call(kind, headers=headers))
+
+
+@when("a caller makes a call with two ids")
+def make_double_call(context):
+    async def call():
+        fields = [
+            ("Host", "shop.example"),
+            (CALL_ID, "one"),
+            (CALL_ID, "two"),
+            ("Authorization", f"Token {KEY}"),
+        ]
+        url = context.fleet.url(0, 0, "/idempotent/x")
+        async with context.fleet.session.get(url, headers=fields) as response:
+            return response.status, dict(response.headers), ""
+
+    context.answer = context.run(call())
+
+
+@when('a caller makes a "{kind}" call that breaks')
+def make_breaking_call(context, kind):
+    context.broke = False
+    try:
+        context.answer = context.run(context.fleet.call(kind))
+    except aiohttp.ClientError:
+        context.broke = True
+
+
+@when("the late answer has come")
+def wait_for_late(context):
+    context.run(asyncio.sleep(0.2))
+
+
+@then("the caller gets 200 and its own answer, with the runner's proof")
+def check_own_answer(context):
+    status, headers, body = context.answer
+    assert status == 200, context.answer
+    assert body == "answer to call-1", body
+    assert PROOF in headers.values()
+
+
+@then('the caller gets 200 and the answer to "{call_id}"')
+def check_answer_to(context, call_id):
+    status, _, body = context.answer
+    assert (status, body) == (200, f"answer to {call_id}"), context.answer
+
+
+@then("the caller gets {status:d}")
+def check_status(context, status):
+    assert context.answer[0] == status, context.answer
+
+
+@then("the caller gets {status:d} and a time to return")
+def check_status_and_time(context, status):
+    assert context.answer[0] == status, context.answer
+    assert 0 < float(context.answer[1]["Retry-After"]) < 3
+
+
+@then("the runners saw {count:d} calls")
+@then("the runners saw {count:d} call")
+def check_count(context, count):
+    assert len(context.fleet.calls()) == count, context.fleet.calls()
+
+
+@then("the runner saw the call's id, its team and its own id, and no key")
+def check_seen(context):
+    (call,) = context.fleet.calls()
+    fields = call.fields
+    assert fields[CALL_ID.lower()] == "call-1"
+    assert fields["x-tenant"] == "team-one"
+    assert fields["x-target-instance"].startswith("runner-")
+    assert 0 < int(fields["x-deadline-ms"]) <= 2000
+    assert "authorization" not in fields
+    assert "accept-encoding" not in fields or "gzip" in fields["accept-encoding"]
+
+
+@then('the runner saw "{fields}"')
+def check_seen_fields(context, fields):
+    (call,) = context.fleet.calls()
+    for field in fields.split(", "):
+        name, value = field.split(": ")
+        assert call.fields.get(name) == value, call.fields
+
+
+@then('the runner saw no "{names}"')
+def check_seen_none(context, names):
+    (call,) = context.fleet.calls()
+    assert not set(names.split(", ")) & call.fields.keys(), call.fields
+
+
+@then("the caller gets the events 1 to 6, each once and whole")
+def check_stream(context):
+    assert context.answer[0] == 200, context.answer
+    assert context.answer[2] == WHOLE_STREAM, context.answer[2]
+
+
+@then("the second runner was told the last event that the caller has")
+def check_resumed(context):
+    last = [call.fields.get("last-event-id") for call in context.fleet.calls()]
+    assert sorted(last, key=str) == [str(EVENTS // 2 - 1), None], last
+
+
+@then("the caller sees that the answer is not complete")
+def check_broke(context):
+    assert context.broke, context.answer
+
+
+@when("the operator withdraws the key")
+def withdraw_key(context):
+    context.run(context.fleet.put_state(keys=("another",)))
+
+
+@then("calls are refused with 401 within {limit:d} s")
+def check_refused(context, limit):
+    async def check():
+        ends = time.monotonic() + limit
+        while (await context.fleet.call("idempotent"))[0] != 401:
+            assert time.monotonic() < ends, "the key is still served"
+            await asyncio.sleep(0.05)
+
+    context.run(check())
+
+
+@when("watches are deaf while the operator withdraws the key, and the history goes")
+def go_deaf(context):
+    async def act():
+        store = context.fleet.store
+        store.is_deaf = True
+        await context.fleet.put_state(keys=("another",))
+        store.forget_history()
+        store.is_deaf = False
+
+    context.run(act())
+
+
+@when("a second node starts that the store turns away")
+def start_turned_away(context):
+    async def act():
+        # Loopback callers all come from one address; the first node has its state.
+        context.fleet.store.turned_away.add("127.0.0.1")
+        await context.fleet.start_node(1, wait=False)
+
+    context.run(act())
+
+
+@then("the second node serves calls within {limit:d} s")
+def check_second_serves(context, limit):
+    async def check():
+        node = context.fleet.nodes[1]
+        await asyncio.wait_for(node.io.view.ready.wait(), limit)
+        return await context.fleet.call("idempotent", number=1)
+
+    assert context.run(check())[0] == 200
+
+
+@when("the node is handed an older state")
+def hand_older(context):
+    context.run(context.fleet.put_state())
+    context.run(wait_until(lambda: in_force(context) == 2, 2))
+    spec = {"version": 1, "routes": [], "services": [], "tenants": []}
+    view = context.fleet.nodes[0].io.view
+
+    async def act():
+        view.take_state(decode_state(spec, revision=1), source="peer")
+
+    context.run(act())
+
+
+@then("the newer state stays in force")
+def check_newer(context):
+    assert in_force(context) == 2
+
+
+async def named(context, number):
+    url = context.fleet.url(number, 2, "/v1/resolve?name=shop.example")
+    async with context.fleet.session.get(url) as response:
+        return len((await response.json())["addresses"])
+
+
+async def wait_named(context, number, count, limit_s):
+    ends = time.monotonic() + limit_s
+    while await named(context, number) != count:
+        assert time.monotonic() < ends, await named(context, number)
+        await asyncio.sleep(0.02)
+
+
+@then("each node names {count:d} addresses within {limit:d} s")
+def check_each_names(context, count, limit):
+    for number in range(len(context.fleet.nodes)):
+        context.run(wait_named(context, number, count, limit))
+
+
+@when("the second node is told to stop")
+def stop_second(context):
+    async def act():
+        context.fleet.nodes[1].order_stop()
+        await asyncio.sleep(0.02)
+        url = context.fleet.url(1, 1, "/v1/readyz")
+        async with context.fleet.session.get(url) as response:
+            context.ready_status = response.status
+
+    context.run(act())
+
+
+@then("the first node names {count:d} address within {limit:d} s")
+def check_first_names(context, count, limit):
+    context.run(wait_named(context, 0, count, limit))
+
+
+@then("the second node says that it is not ready")
+def check_not_ready(context):
+    assert context.ready_status == 503
+
+
+@when("a node starts while the store is silent")
+def start_silent(context):
+    context.fleet.store.fault = StoreFault.SILENT
+    context.run(context.fleet.start_node(0, wait=False))
+
+
+@when("the node is told to stop in the middle of a stream")
+def stop_in_stream(context):
+    async def act():
+        call = asyncio.ensure_future(context.fleet.call("streaming"))
+        await asyncio.sleep(0.2)
+        context.fleet.nodes[0].order_stop()
+        return await call
+
+    context.answer = context.run(act())
+
+
+@then("the node ends within its time")
+def check_ends(context):
+    context.run(asyncio.wait_for(context.fleet.stops[0], 3))
+
+
+@when("a call comes on an idle connection while a leaving node ends a stream")
+def call_on_idle(context):
+    async def act():
+        fleet = context.fleet
+        # Its own session: a connection that was opened and has carried no call.
+        reader, writer = await asyncio.open_connection("127.0.0.2", fleet.ports[0])
+        stream = asyncio.ensure_future(fleet.call("streaming"))
+        await asyncio.sleep(0.2)
+        fleet.nodes[0].order_stop()
+        await asyncio.sleep(0.2)
+        head = (
+            f"GET /idempotent/x HTTP/1.1\r\nHost: shop.example\r\n{CALL_ID}: c\r\n\r\n"
+        )
+        writer.write(head.encode())
+        try:
+            context.first_bytes = await asyncio.wait_for(reader.read(100), 0.2)
+        except ConnectionError:
+            context.first_bytes = b""
+        except TimeoutError:
+            context.first_bytes = None
+        writer.close()
+        await stream
+
+    context.run(act())
+
+
+@then("the caller gets an answer or sees the connection closed at once")
+def check_closed(context):
+    assert context.first_bytes is not None, "the call was read and not answered"
+
+
+@when("the store is away, the runner's entry lapses and the store returns")
+def lapse(context):
+    async def act():
+        fleet = context.fleet
+        fleet.store.fault = StoreFault.BUSY
+        watcher = fleet.nodes[0].io.store_watcher
+        await wait_until(lambda: "servers" in watcher._away, 5)
+        await fleet.store.remove("servers", "runner-0")
+        fleet.store.fault = None
+        await wait_until(lambda: not watcher._away, 3)
+        return await fleet.call("idempotent")
+
+    context.answer = context.run(act())
+
+
+@then("calls are still served")
+def check_served(context):
+    assert context.answer[0] == 200, context.answer
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins of the users' platform: its store and its runners, with their faults."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -0,0 +1,202 @@
+"""A stand-in runner that answers as its script says, byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from enum import Enum
+from typing import NamedTuple, Self
+
+from clementineyoke_node.platform import names
+
+PROOF = "proof-of-the-runner"
+EVENTS = 6
+FOREVER_S = 3600.0
+LATE_S = 0.05
+"""Until a late second answer comes: long after the first one was handed on."""
+
+
+class Act(Enum):
+    """How the runner answers one call."""
+
+    OK = "ok"
+    STREAM = "stream"
+    FAIL = "fail"
+    """Runs the call and answers with a failure of its own."""
+    REFUSE = "refuse"
+    """Says that it did not run the call."""
+    HANG = "hang"
+    RESET = "reset"
+    """Runs the call and loses the answer."""
+    CUT = "cut"
+    """Breaks a stream off in the middle of an event."""
+    UNFRAMED = "unframed"
+    """Answers without a length and ends with the connection, in order."""
+    UNFRAMED_RESET = "unframed_reset"
+    """Answers without a length and is reset half way."""
+    CROSSED = "crossed"
+    """Answers with another call's answer."""
+    EXTRA = "extra"
+    """Answers, and sends a second answer late."""
+    NO_PROOF = "no_proof"
+
+
+class SeenCall(NamedTuple):
+    """A call as the runner saw it."""
+
+    method: str
+    target: str
+    fields: dict[str, str]
+    body: bytes
+
+
+class EdgeRunner:
+    """Own a listening socket; each call takes the script's next act."""
+
+    def __init__(self, *, runner_id: str, usual: Act = Act.OK) -> None:
+        self.runner_id = runner_id
+        self.usual = usual
+        self.script: list[Act] = []
+        self.calls: list[SeenCall] = []
+        self.event_pause_s = 0.0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return  # the node closed the connection, which tests bring about
+        except asyncio.CancelledError:
+            return  # the scenario is over
+        finally:
+            writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        call = await _read_call(reader)
+        self.calls.append(call)
+        act = self.script.pop(0) if self.script else self.usual
+        call_id = call.fields.get(names.CALL_ID.lower(), "")
+        if act in (Act.STREAM, Act.CUT):
+            return await self._stream(writer, call, call_id, is_cut=act is Act.CUT)
+        return await self._answer(writer, act, call_id)
+
+    async def _answer(
+        self, writer: asyncio.StreamWriter, act: Act, call_id: str
+    ) -> bool:
+        if act is Act.HANG:
+            await asyncio.sleep(FOREVER_S)
+        if act is Act.RESET:
+            _reset(writer)
+            return False
+        body = f"answer to {call_id}".encode()
+        if act is Act.CROSSED:
+            call_id = "another-call"
+        status = {Act.FAIL: "500 Failed", Act.REFUSE: "503 Busy"}.get(act, "200 OK")
+        fields = {names.CALL_ID: call_id}
+        if act is Act.REFUSE:
+            fields[names.NOT_EXECUTED] = "1"
+        elif act is not Act.NO_PROOF:
+            fields[names.PROOF] = PROOF
+        if act in (Act.UNFRAMED, Act.UNFRAMED_RESET):
+            return await self._answer_unframed(writer, act, fields, body)
+        whole = _head(status, {**fields, "Content-Length": str(len(body))}) + body
+        writer.write(whole)
+        await writer.drain()
+        if act is Act.EXTRA:
+            await asyncio.sleep(LATE_S)
+            writer.write(whole)
+        return True
+
+    async def _answer_unframed(
+        self,
+        writer: asyncio.StreamWriter,
+        act: Act,
+        fields: dict[str, str],
+        body: bytes,
+    ) -> bool:
+        if act is Act.UNFRAMED:
+            writer.write(_head("200 OK", fields) + body)
+            await writer.drain()
+            return False
+        writer.write(_head("200 OK", fields) + body[: len(body) // 2])
+        await writer.drain()
+        await asyncio.sleep(LATE_S)
+        _reset(writer)
+        return False
+
+    async def _stream(
+        self,
+        writer: asyncio.StreamWriter,
+        call: SeenCall,
+        call_id: str,
+        *,
+        is_cut: bool,
+    ) -> bool:
+        fields = {
+            names.CALL_ID: call_id,
+            names.PROOF: PROOF,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(_head("200 OK", fields))
+        first = int(call.fields.get(names.LAST_EVENT.lower(), "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if is_cut and number == EVENTS // 2:
+                writer.write(_chunk(event[: len(event) // 2]))
+                await writer.drain()
+                await asyncio.sleep(LATE_S)
+                _reset(writer)
+                return False
+            writer.write(_chunk(event))
+            await writer.drain()
+            await asyncio.sleep(self.event_pause_s)
+        writer.write(_chunk(b""))
+        await writer.drain()
+        return True
+
+
+async def _read_call(reader: asyncio.StreamReader) -> SeenCall:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head.strip().split("\r\n")
+    method, target, _ = first.split(" ")
+    fields = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        fields[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(fields.get("content-length", "0")))
+    return SeenCall(method, target, fields, body)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Reset the connection; an ordinary close would end it in order."""
+    held = writer.get_extra_info("socket")
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def _head(status: str, fields: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {fields[name]}" for name in fields)]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _chunk(body: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(body), body)
--- /dev/null
+++ b/tools/boundary.py
@@ -0,0 +1,72 @@
+"""Fail when a name of the users' platform stands outside the folder that decodes it."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+INSIDE = (
+    "packages/clementineyoke-node/src/clementineyoke_node/platform/",
+    "packages/clementineyoke-standins/src/clementineyoke_standins/edge/",
+)
+"""The adapter, and the stand-ins that play the other side of it."""
+OUTER_WORDS = (
+    "X-Attempt-Id",
+    "X-Server-Signature",
+    "X-Server-Load",
+    "X-Tenant",
+    "X-Target-Instance",
+    "X-Instance-Id",
+    "X-Not-Executed",
+    "X-Prompt-Prefix",
+    "X-Token-Counts",
+    "X-Request-Urgency",
+    "X-Kv-Backup",
+    "Kv-Fetch",
+    "Kv-From",
+    "Last-Event-Id",
+    "/v1/objects",
+    "/v1/resolve",
+    "/v1/readyz",
+    "/v1/report",
+    "storeRevision",
+    "afterRev",
+    "weightedServices",
+    "pathPrefix",
+    "maxAttempts",
+    "apiKeys",
+    "targetLatencyMs",
+    "gapAimMs",
+    "CLEMENTINEYOKE_NODE_FILE",
+)
+_PATTERN = re.compile("|".join(map(re.escape, OUTER_WORDS)), re.IGNORECASE)
+
+
+def main() -> None:
+    """Print each place with an outer word and exit 1 if there is one."""
+    found = [line for path in _sources() for line in _lines_with_words(path)]
+    for line in found:
+        print(line)
+    sys.exit(1 if found else 0)
+
+
+def _sources() -> list[Path]:
+    paths = sorted(ROOT.glob("packages/*/src/**/*.py"))
+    return [
+        path for path in paths if not str(path.relative_to(ROOT)).startswith(INSIDE)
+    ]
+
+
+def _lines_with_words(path: Path) -> list[str]:
+    lines = path.read_text().splitlines()
+    return [
+        f"{path.relative_to(ROOT)}:{number}: {line.strip()}"
+        for number, line in enumerate(lines, start=1)
+        if _PATTERN.search(line)
+    ]
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/check.py
+++ b/tools/check.py
@@ -24,6 +24,12 @@
     module: str
     args: tuple[str, ...]
 
+    def command(self) -> list[str]:
+        """Return the command; a module's path is run as a file."""
+        if self.module.endswith(".py"):
+            return [sys.executable, self.module, *self.args]
+        return [sys.executable, "-m", self.module, *self.args]
+
 
 class Tally(NamedTuple):
     """How many passed, and the names of those that failed."""
@@ -36,6 +42,7 @@
     Check("format", "ruff", ("format", "--check", ".")),
     Check("lint", "ruff", ("check", ".")),
     Check("types", "mypy", (*map(str, sorted(ROOT.glob("packages/*/src"))), "tools")),
+    Check("boundary", "tools/boundary.py", ()),
     Check("event catalogue", f"{STANDINS}.events", ("--check",)),
     Check("model", f"{STANDINS}.model", ()),
     Check("bench bounds", f"{STANDINS}.bench", ("--quick",)),
@@ -56,8 +63,7 @@
 
 def _run_check(check: Check) -> Tally:
     print(f"== {check.name}", flush=True)
-    command = [sys.executable, "-m", check.module, *check.args]
-    done = subprocess.run(command, cwd=ROOT, check=False)
+    done = subprocess.run(check.command(), cwd=ROOT, check=False)
     if done.returncode:
         return Tally(0, [check.name])
     return Tally(1, [])
