Let homes pause runners that fail; tell a request's story from logs; bound the log

Ruled out: status checks (a grey runner passes them and each has a price).

Paused runners are the last choice, not no choice.

--- a/packages/clementineyoke-cli/src/clementineyoke_cli/console/commands.py
+++ b/packages/clementineyoke-cli/src/clementineyoke_cli/console/commands.py
@@ -8,6 +8,7 @@
 
 from clementineyoke_cli.admin_client import AdminClient
 from clementineyoke_cli.console.printing import print_result
+from clementineyoke_cli.log_story import read_story
 from clementineyoke_cli.settings_file import read_settings_file
 from clementineyoke_wire.bodies import SettingsChangeBody
 
@@ -87,8 +88,17 @@
         result = self._client.call("get", "/admin/status")
         print_result(result, as_json=self._json)
 
-    def explain(self, request_or_chat: str) -> None:
-        """Show why this node routed a request, or a chat, as it did."""
+    def explain(self, request_or_chat: str, logs: str | tuple[str, ...] = ()) -> None:
+        """Show why a request, or a chat, was routed as it was.
+
+        Without ``--logs`` the node is asked. With ``--logs=FILE,FILE`` the story is
+        read from the logs of any number of nodes; no node is needed.
+        """
+        if logs:
+            files = logs.split(",") if isinstance(logs, str) else logs
+            for line in read_story(str(request_or_chat), files):
+                print(line)
+            return
         result = self._client.call("get", "/admin/explain", id=str(request_or_chat))
         print_result(result, as_json=self._json)
 
--- /dev/null
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+import json
+
+from behave import given, then, when
+
+from clementineyoke_cli.admin_error import AdminError
+from clementineyoke_cli.log_story import read_story
+
+
+def make_line(second, message, **fields):
+    return json.dumps(
+        {"time": f"2026-01-01T00:00:{second:02}.000000+00:00", "message": message}
+        | fields
+    )
+
+
+@given("the logs of 2 nodes, collected with a prefix and with a torn last line")
+def given_logs(context):
+    one = [
+        make_line(1, "routed", request_id="r-1", runner="a", process="node-1"),
+        make_line(2, "runner_failed", request_id="r-1", runner="a", process="node-1"),
+        make_line(3, "route_refused", request_id="r-1", process="node-1"),
+        make_line(3, "routed", request_id="r-2", runner="a", process="node-1"),
+    ]
+    two = [
+        make_line(4, "runner_paused", runner="a", process="node-2"),
+        make_line(4, "runner_paused", runner="b", process="node-2"),
+        make_line(40, "runner_paused", runner="a", process="node-2"),
+        '{"time": "2026-01-01T00:0',
+    ]
+    context.files = []
+    for name, lines in (("one", one), ("two", two)):
+        file = context.folder / f"{name}.log"
+        file.write_text("".join(f"17.5 host-{name} {line}\n" for line in lines))
+        context.files.append(str(file))
+
+
+@when('the operator explains the request "{request_id}" by them')
+def explain(context, request_id):
+    context.story = context.error = None
+    try:
+        context.story = read_story(request_id, context.files)
+    except AdminError as error:
+        context.error = error
+
+
+@then('the story names in order "{messages}"')
+def check_story(context, messages):
+    found = [line.split(" ")[2] for line in context.story]
+    assert found == messages.split(", "), context.story
+
+
+@then('it says nothing of the request "{request_id}"')
+def check_silent(context, request_id):
+    assert not [line for line in context.story if request_id in line]
+
+
+@then("the command fails and names the request and the files")
+def check_error(context):
+    assert "r-9" in str(context.error)
+    assert "one.log" in str(context.error)
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -34,6 +34,11 @@
     version: int
     """The operator's version by which it was admitted."""
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Length of the call's prompt; 0 for a call without one."""
+        return sum(part.tokens for part in self.call.prompt_parts)
+
 
 def admit(
     call: EdgeCall, table: RouteTable | None, *, arrived_ms: float, rng: Random
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
@@ -10,6 +10,11 @@
 MOST_ASKS = 8
 """Runners asked in the chat's order before the least loaded one is pressed."""
 FALLBACK_CHOICES = 2
+PAUSED_LOAD = 60_000
+"""Load that a home names for a runner that it has paused: the last to be pressed."""
+LEAST_EVIDENCE = 0.01
+"""Mean that goes with the last ask when only paused runners are left; above zero, it
+tells the home that this is the last ask."""
 
 
 class SlotAttempt(NamedTuple):
@@ -91,6 +96,8 @@
         if self._is_pressed or not self._refused:
             return None
         self._is_pressed = True
-        seen_mean = sum(load for load, _, _ in self._refused) / len(self._refused)
+        loads = [load for load, _, _ in self._refused if load < PAUSED_LOAD]
+        seen_mean = sum(loads) / len(loads) if loads else 0.0
+        seen_mean = max(LEAST_EVIDENCE, seen_mean)
         _, rank, runner_id = min(self._refused)
         return SlotAttempt(runner_id, rank, seen_mean)
--- a/packages/clementineyoke-core/tests/slot_search.feature
+++ b/packages/clementineyoke-core/tests/slot_search.feature
@@ -17,3 +17,16 @@
     When the search has asked 2 of them
     Then it is over
     And it falls back on the one that was less loaded before
+
+  Scenario: One runner is paused and the others are at their bound
+    # Symptom: calls go to a runner that was just taken out for its failures.
+    # Sequence: all homes refuse; the paused runner holds least, since it gets nothing.
+    # Cause: the last ask went to the least loaded, whatever the reason of its refusal.
+    Given a search over 3 runners of which the first is paused and the others hold 9
+    When the search has asked 3 of them
+    Then it presses one that is not paused, with a mean of 9
+
+  Scenario: All runners are paused
+    Given a search over 3 runners that are all paused
+    When the search has asked 3 of them
+    Then it still presses one, and says that it is the last ask
--- a/packages/clementineyoke-core/tests/steps/slot_search_steps.py
+++ b/packages/clementineyoke-core/tests/steps/slot_search_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from clementineyoke_core.slot_search import SlotSearch
+from clementineyoke_core.slot_search import PAUSED_LOAD, SlotSearch
 
 
 def start(context, count):
@@ -55,3 +55,32 @@
 def check_fallback(context):
     attempt = context.search.fallback({"engine-0": 7, "engine-1": 2})
     assert attempt.runner_id == "engine-1"
+
+
+@given(
+    "a search over {count:d} runners of which the first is paused and the others hold 9"
+)
+def given_one_paused(context, count):
+    start(context, count)
+    context.loads = dict.fromkeys(context.runner_ids, 9)
+    context.loads["engine-0"] = PAUSED_LOAD
+
+
+@given("a search over {count:d} runners that are all paused")
+def given_all_paused(context, count):
+    start(context, count)
+    context.loads = dict.fromkeys(context.runner_ids, PAUSED_LOAD)
+
+
+@then("it presses one that is not paused, with a mean of 9")
+def check_press_unpaused(context):
+    attempt = context.search.next_attempt()
+    assert attempt.runner_id != "engine-0"
+    assert attempt.seen_mean == 9
+
+
+@then("it still presses one, and says that it is the last ask")
+def check_press_paused(context):
+    attempt = context.search.next_attempt()
+    assert attempt is not None
+    assert 0 < attempt.seen_mean < 1
--- a/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
@@ -14,7 +14,7 @@
 from clementineyoke_node.edge.edge_service import EdgeService
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
 from clementineyoke_wire.events import Event, log_event
-from clementineyoke_wire.log_sink import log_as_json
+from clementineyoke_wire.log_sink import log_to_pipe
 
 EXIT_BAD_CONFIG = 2
 
@@ -27,7 +27,7 @@
     except ConfigError as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_BAD_CONFIG) from error
-    log_as_json(config.log_level, stream=sys.stdout)
+    log_to_pipe(config.log_level, node=config.node_id)
     uvloop.run(_serve(config, path))
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -21,7 +22,7 @@
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.patience import Patience
@@ -76,6 +77,7 @@
         self._sharers = sharers
         self._is_leaving = is_leaving
         self._random_key = random_key
+        self._alarms: dict[str, asyncio.TimerHandle] = {}
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -157,9 +159,10 @@
             fetch_from=None if key is None else self._holder(admitted, runner, key),
         )
         head_ms = min(left_ms, self._head_ms(admitted))
-        async with self._link.open(
-            runner, admitted.call, order, head_ms=head_ms
-        ) as answer:
+        async with (
+            self._overdue_alarm(admitted, runner),
+            self._link.open(runner, admitted.call, order, head_ms=head_ms) as answer,
+        ):
             if answer.head.is_event_stream and not answer.head.is_refusal:
                 return await self._relay(admitted, runner, stream, answer)
             whole = await self._read(admitted, runner, answer)
@@ -204,6 +207,7 @@
             )
         await stream.begin(answer.head, is_leaving=self._is_leaving())
         while chunk := await self._next_chunk(admitted, runner, answer, stream):
+            self._stop_alarm(admitted)
             await stream.feed(chunk)
         if stream.has_part:
             raise AttemptError(
@@ -250,9 +254,49 @@
             return f"{entry.runner.address}:{entry.runner.port}"
         return None
 
+    @asynccontextmanager
+    async def _overdue_alarm(
+        self, admitted: AdmittedCall, runner: Runner
+    ) -> AsyncIterator[None]:
+        """Report a runner whose answer to a call that must wait for it is overdue.
+
+        A runner may take calls and never answer. Calls that may not be sent again wait
+        out their time there; without a word meanwhile the next ones follow them.
+        """
+        overdue_ms = self._patience.overdue_ms(
+            admitted.route, prompt_tokens=admitted.prompt_tokens
+        )
+        if overdue_ms is None:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        alarm = loop.call_later(
+            overdue_ms / MS_PER_S, self._report_overdue, admitted, runner
+        )
+        self._alarms[admitted.call.call_id] = alarm
+        try:
+            yield
+        finally:
+            self._stop_alarm(admitted)
+
+    def _stop_alarm(self, admitted: AdmittedCall) -> None:
+        alarm = self._alarms.pop(admitted.call.call_id, None)
+        if alarm is not None:
+            alarm.cancel()
+
+    def _report_overdue(self, admitted: AdmittedCall, runner: Runner) -> None:
+        self._broker.report_fault(runner.runner_id)
+        self._decisions.record(
+            Event.RUNNER_OVERDUE,
+            request_id=admitted.call.call_id,
+            runner=runner.runner_id,
+            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        )
+
     def _head_ms(self, admitted: AdmittedCall) -> float:
-        tokens = sum(part.tokens for part in admitted.call.prompt_parts)
-        return self._patience.head_ms(admitted.route, prompt_tokens=tokens)
+        return self._patience.head_ms(
+            admitted.route, prompt_tokens=admitted.prompt_tokens
+        )
 
     def _may_go_on(self, admitted: AdmittedCall, ledger: AttemptLedger) -> bool:
         now_ms = self._timers.now_ms()
@@ -326,8 +370,12 @@
     ) -> None:
         now_ms = self._timers.now_ms()
         ledger.record(error.peer, error.end)
-        if error.step != "dispatch":
+        if admitted.deadline_ms > now_ms:
+            # At the end of its time a call says little of the runner: the operator's
+            # limit may be shorter than the work.
             self._watch.record_failure(error.peer, end=error.end, now_ms=now_ms)
+            if error.end is not AttemptEnd.NOT_SENT:
+                self._broker.report_fault(error.peer)
         self._decisions.record(
             Event.RUNNER_FAILED,
             request_id=admitted.call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -15,7 +15,13 @@
 from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_node.slots.slot_lease import SlotLease
 from clementineyoke_wire.events import Event, log_event
-from clementineyoke_wire.messages import SlotAsk, SlotRelease, SlotRenewal, SlotReply
+from clementineyoke_wire.messages import (
+    RunnerFault,
+    SlotAsk,
+    SlotRelease,
+    SlotRenewal,
+    SlotReply,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -105,6 +111,16 @@
         finally:
             self._release(lease)
 
+    def report_fault(self, runner_id: str) -> None:
+        """Tell a runner's home that a call there failed or is overdue."""
+        home = self._home_of(runner_id)
+        if home is None:
+            return
+        if home.node_id == self._own_id:
+            self._slot_home.record_fault(runner_id)
+            return
+        self._socket.send(PeerAddress.of(home), RunnerFault(hash_text(runner_id)))
+
     def held(self) -> int:
         """Return how many slots this node's requests hold."""
         return len(self._leases)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -5,14 +5,23 @@
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
+from returns.result import Failure
 
+from clementineyoke_core.fault_share import FaultShare
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound, bound_by_home
 from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHold, SlotRefusal
 from clementineyoke_core.slot_queue import SlotQueue, WaitingAsk
+from clementineyoke_core.slot_search import PAUSED_LOAD
 from clementineyoke_wire.events import Event, log_event
-from clementineyoke_wire.messages import SlotAsk, SlotRelease, SlotRenewal, SlotReply
+from clementineyoke_wire.messages import (
+    RunnerFault,
+    SlotAsk,
+    SlotRelease,
+    SlotRenewal,
+    SlotReply,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,6 +55,7 @@
         timers: TimerService,
         load_bound: LoadBound = DEFAULT_BOUND,
     ) -> None:
+        self._faults = FaultShare()
         self._load_bound = load_bound
         self._own_id = own_id
         self._ledger = ledger
@@ -61,6 +71,7 @@
         socket.handle(SlotAsk, self._receive_ask)
         socket.handle(SlotRelease, self._receive_release)
         socket.handle(SlotRenewal, self._receive_renewal)
+        socket.handle(RunnerFault, self._receive_fault)
 
     def rebuild(self) -> None:
         """Work out which runners this node is home of, after any change of hosts."""
@@ -83,9 +94,14 @@
         self, runner_id: str, hold: SlotHold, *, seen_mean: float
     ) -> Result[SlotGrant, SlotRefusal]:
         """Grant or refuse a slot at once; the asker may have seen a higher mean."""
-        bound = self._bound(runner_id, seen_mean)
         now_ms = self._timers.now_ms()
+        is_last_resort = seen_mean > 0.0
+        if not is_last_resort and self._faults.is_paused(runner_id, now_ms=now_ms):
+            return Failure(SlotRefusal(runner_id, PAUSED_LOAD))
+        bound = self._bound(runner_id, seen_mean)
         result = self._ledger.ask(runner_id, hold, bound=bound, now_ms=now_ms)
+        if is_successful(result):
+            self._faults.record_call(runner_id, now_ms=now_ms)
         self._report_runner(runner_id)
         return result
 
@@ -123,6 +139,11 @@
         self._ledger.renew(runner_id, hold, now_ms=self._timers.now_ms())
         self._report_runner(runner_id)
 
+    def record_fault(self, runner_id: str) -> None:
+        """Note that a call at a runner failed or is overdue."""
+        if self._faults.record_fault(runner_id, now_ms=self._timers.now_ms()):
+            log_event(Event.RUNNER_PAUSED, runner=runner_id)
+
     def loads(self) -> dict[str, int]:
         """Return the slots in use on each runner that this node is home of."""
         return {
@@ -176,6 +197,7 @@
         for runner_id in self._ledger.runner_ids():
             if runner_id not in kept:
                 self._ledger.forget(runner_id)
+                self._faults.forget(runner_id)
 
     def _report_runner(self, runner_id: str) -> None:
         entry = self._table.get(runner_id)
@@ -225,6 +247,12 @@
         if runner_id is not None:
             self.release(runner_id, SlotHold(str(received.peer), release.ask_id))
 
+    def _receive_fault(self, received: PeerMessage) -> None:
+        fault: RunnerFault = received.message
+        runner_id = self._names.get(fault.runner)
+        if runner_id is not None:
+            self.record_fault(runner_id)
+
     def _receive_renewal(self, received: PeerMessage) -> None:
         renewal: SlotRenewal = received.message
         runner_id = self._names.get(renewal.runner)
--- a/packages/clementineyoke-node/tests/slots/slot_home.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_home.feature
@@ -26,3 +26,12 @@
     Given a home whose runner has its 1 slot in use
     When another node waits for a slot on it and gives up
     Then the released slot stays free
+
+  Scenario: Nodes report failures of a runner
+    # Symptom: a grey runner goes on getting its chats.
+    # Sequence: three nodes each meet one failure there.
+    # Cause: no one place heard of all of them.
+    Given a home whose runner has its 1 slot free
+    When 3 nodes report a failure of it
+    Then an ask for it is refused as paused
+    But the last ask of a search is granted
--- a/packages/clementineyoke-node/tests/steps/slot_home_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -10,10 +10,11 @@
 from clementineyoke_core.runner_homes import RunnerHomes
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_core.slot_ledger import SlotHold, SlotLedger
+from clementineyoke_core.slot_search import PAUSED_LOAD
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage, PeerSocket
 from clementineyoke_node.slots.slot_home import SlotHome
 from clementineyoke_node.timers.timer_service import TimerService
-from clementineyoke_wire.messages import SlotAsk, SlotRelease
+from clementineyoke_wire.messages import RunnerFault, SlotAsk, SlotRelease, SlotReply
 from clementineyoke_wire.seal import Seal
 
 RUNNER = Runner("engine-1", "127.0.0.1", 1, "zone", "region", RunnerKind.ENGINE, "m", 1)
@@ -133,3 +134,26 @@
     context.home.release("engine-1", context.hold)
     assert context.socket.sent == []
     assert context.home.loads() == {"engine-1": 0}
+
+
+@given("a home whose runner has its 1 slot free")
+def given_free(context):
+    make_home(context, live=[RUNNER])
+
+
+@when("{count:d} nodes report a failure of it")
+def report_failures(context, count):
+    for _ in range(count):
+        context.socket.receive(RunnerFault(hash_text("engine-1")))
+
+
+@then("an ask for it is refused as paused")
+def check_paused(context):
+    ask(context, 1)
+    assert context.socket.sent[-1] == SlotReply(1, False, PAUSED_LOAD)
+
+
+@then("the last ask of a search is granted")
+def check_last_ask(context):
+    context.socket.receive(SlotAsk(2, hash_text("engine-1"), 0.01))
+    assert context.socket.sent[-1].granted
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/log_sink.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/log_sink.py
@@ -9,29 +9,47 @@
 import msgspec
 from loguru import logger
 
+from clementineyoke_wire.bounded_stream import BoundedStream
+
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from loguru import Message
 
 
+def log_to_pipe(level: str, *, node: str) -> None:
+    """Send all logs to standard output, each line with the node's name.
+
+    Lines are dropped and counted rather than waited for.
+    """
+    bounded = BoundedStream(descriptor=sys.stdout.fileno())
+    _log_lines(level, bounded.write_line, process=node)
+
+
 def log_as_json(level: str, *, stream: TextIO = sys.stderr) -> None:
     """Send all logs of this process to a stream.
 
     Tracebacks carry no values of variables: loguru's own rendering would print keys
     and prompts into the log.
     """
+    _log_lines(level, lambda line: print(line, file=stream))
+
+
+def _log_lines(level: str, write_line: Callable[[str], None], **extra: str) -> None:
     logger.remove()
 
     def write(message: Message) -> None:
-        stream.write(_render(message.record) + "\n")
+        write_line(_render(message.record, extra))
 
     logger.add(write, level=level, format="", backtrace=False, diagnose=False)
 
 
-def _render(record: Any) -> str:
+def _render(record: Any, extra: dict[str, str]) -> str:
     line = {
         "time": record["time"].isoformat(),
         "level": record["level"].name,
         "message": record["message"],
+        **extra,
         **record["extra"],
     }
     exception = record["exception"]
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -37,6 +37,12 @@
     runner: int
 
 
+class RunnerFault(NamedTuple):
+    """Tell a runner's home that a call there failed or is overdue."""
+
+    runner: int
+
+
 class SlotRenewal(NamedTuple):
     """Keep the sender's grants on a runner alive, or bring them to a new home."""
 
@@ -146,5 +152,6 @@
     | ShareAsk
     | ShareReply
     | NodeHello
+    | RunnerFault
 )
 """Everything that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -48,6 +48,7 @@
 struct ShareAsk { askId @0 :UInt32; team @1 :Text; tokens @2 :UInt16; }
 struct ShareReply { askId @0 :UInt32; tokens @1 :Float32; waitMs @2 :UInt32; }
 
+struct RunnerFault { runner @0 :UInt64; }
 struct NodeHello {
   isReply @0 :Bool;
   nodeId @1 :Text;
@@ -72,5 +73,6 @@
     shareAsk @9 :ShareAsk;
     shareReply @10 :ShareReply;
     nodeHello @11 :NodeHello;
+    runnerFault @12 :RunnerFault;
   }
 }
