--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/patience.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/patience.py
@@ -15,8 +15,10 @@
 """Twice what engines of 48 tokens a millisecond need: a long prompt that is read as
 usual must not look like a dead runner. At a fixed share of the objective a sixth of all
 streams were given up on while their prompt was being read, and read again elsewhere."""
-OVERDUE_FACTOR = 1.5
-"""A call that goes on waiting may be a little later than one that is sent again."""
+OVERDUE_FACTOR = 3.0
+LEAST_OVERDUE_MS = 1_500.0
+"""A runner with cold caches and a queue is late for a while and has no fault. With half
+of this, runners were paused on days without any fault, and their prompts read anew."""
 PAUSE_FACTOR = 2.0
 """Pauses over this multiple of the objective are taken for a dead runner: the stream is
 late already, and callers leave after a few times as much."""
@@ -37,18 +39,10 @@
             return LEAST_HEAD_MS + READING_MS_PER_TOKEN * prompt_tokens
         return max(LEAST_HEAD_MS, route.objective_ms)
 
-    def overdue_ms(self, route: Route, *, prompt_tokens: int) -> float | None:
-        """Return after how long a call that must wait is a sign against its runner.
-
-        None for calls that go on elsewhere after ``head_ms`` anyway.
-        """
-        if route.may_repeat and route.most_runners > 1:
-            return None
-        if route.kind is CallKind.STREAM:
-            return OVERDUE_FACTOR * (
-                LEAST_HEAD_MS + READING_MS_PER_TOKEN * prompt_tokens
-            )
-        return max(LEAST_HEAD_MS, route.objective_ms)
+    def overdue_ms(self, route: Route, *, prompt_tokens: int) -> float:
+        """Return after how long a call's silence is a sign against its runner."""
+        usual_ms = LEAST_HEAD_MS + READING_MS_PER_TOKEN * prompt_tokens
+        return max(LEAST_OVERDUE_MS, OVERDUE_FACTOR * usual_ms)
 
     def pause_ms(self, route: Route) -> float:
         """Return how long to wait for a stream's next event."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -20,11 +20,14 @@
         peer: str,
         reason: str,
         answer: WholeAnswer | None = None,
+        is_break: bool = False,
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.end = end
         self.step = step
         self.peer = peer
         self.reason = reason
+        self.is_break = is_break
+        """Whether an answer that was under way broke, as when a runner dies."""
         self.answer = answer
         """The runner's own failing answer, to hand on if nothing better comes."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -240,6 +240,7 @@
                 step="relay",
                 peer=runner.runner_id,
                 reason=repr(error),
+                is_break=not isinstance(error, TimeoutError),
             ) from error
 
     def _holder(self, admitted: AdmittedCall, runner: Runner, key: int) -> str | None:
@@ -258,7 +259,7 @@
     async def _overdue_alarm(
         self, admitted: AdmittedCall, runner: Runner
     ) -> AsyncIterator[None]:
-        """Report a runner whose answer to a call that must wait for it is overdue.
+        """Report a runner whose answer is long overdue.
 
         A runner may take calls and never answer. Calls that may not be sent again wait
         out their time there; without a word meanwhile the next ones follow them.
@@ -266,9 +267,6 @@
         overdue_ms = self._patience.overdue_ms(
             admitted.route, prompt_tokens=admitted.prompt_tokens
         )
-        if overdue_ms is None:
-            yield
-            return
         loop = asyncio.get_running_loop()
         alarm = loop.call_later(
             overdue_ms / MS_PER_S, self._report_overdue, admitted, runner
@@ -374,7 +372,7 @@
             # At the end of its time a call says little of the runner: the operator's
             # limit may be shorter than the work.
             self._watch.record_failure(error.peer, end=error.end, now_ms=now_ms)
-            if error.end is not AttemptEnd.NOT_SENT:
+            if error.is_break:
                 self._broker.report_fault(error.peer)
         self._decisions.record(
             Event.RUNNER_FAILED,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -130,6 +130,7 @@
                 step="read_head",
                 peer=runner.runner_id,
                 reason=repr(error),
+                is_break=not isinstance(error, TimeoutError),
             ) from error
 
 
@@ -143,6 +144,7 @@
             step="read_body",
             peer=runner.runner_id,
             reason=repr(error),
+            is_break=not isinstance(error, TimeoutError),
         ) from error
     return WholeAnswer(answer.head, body)
 
