Hand lapsed entries from node to node as lapsed

The first node to reach the store held the lapsed entries, handed a list without them to a peer that still found the store away, and that peer took them for ended. Ruled out: watch order (the deletions came through the peer, source in the log), late return of entries (10.0 to 10.7 s, in time).

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -22,6 +22,8 @@
     revision: int
     """As of which revision of the store."""
     records: tuple[RunnerRecord, ...]
+    lapsed: tuple[RunnerRecord, ...] = ()
+    """Entries that vanished in an outage and whose runners may yet return."""
 
 
 class RunnerDirectory:
@@ -36,6 +38,7 @@
     def __init__(self) -> None:
         self._records: dict[str, RunnerRecord] = {}
         self._lapsed: dict[str, float] = {}
+        self._is_store_away = False
         self._outage_ended_ms = -RETURN_TIME_MS
         self.revision = 0
 
@@ -44,22 +47,40 @@
         return list(self._records.values())
 
     def view(self) -> DirectoryView:
-        """Return what to hand to another node; it leaves out lapsed entries."""
-        held = (
-            record
-            for runner_id, record in self._records.items()
-            if runner_id not in self._lapsed
-        )
-        return DirectoryView(self.revision, tuple(held))
+        """Return what to hand to another node.
+
+        Lapsed entries go by themselves: the other node must neither drop them at once
+        nor hold them for good.
+        """
+        held: list[RunnerRecord] = []
+        lapsed: list[RunnerRecord] = []
+        for runner_id, record in self._records.items():
+            (lapsed if runner_id in self._lapsed else held).append(record)
+        return DirectoryView(self.revision, tuple(held), tuple(lapsed))
+
+    def record_outage(self) -> None:
+        """Note that the store does not answer."""
+        self._is_store_away = True
 
     def record_outage_end(self, *, now_ms: float) -> None:
         """Note that the store answers again after it was away."""
+        self._is_store_away = False
         self._outage_ended_ms = now_ms
+        for runner_id in self._lapsed:
+            self._lapsed[runner_id] = now_ms + RETURN_TIME_MS
 
     def replace(
-        self, records: Iterable[RunnerRecord], *, revision: int, now_ms: float
+        self,
+        records: Iterable[RunnerRecord],
+        *,
+        revision: int,
+        now_ms: float,
+        lapsed: Iterable[RunnerRecord] = (),
     ) -> bool:
-        """Take the whole list as of a revision; return whether anything changed."""
+        """Take the whole list as of a revision; return whether anything changed.
+
+        ``lapsed`` are entries that another node still waits for.
+        """
         if revision < self.revision:
             return False
         before = dict(self._records)
@@ -68,6 +89,8 @@
             self._remove(runner_id, now_ms)
         for record in fresh.values():
             self._put(record)
+        for record in lapsed:
+            self._hold_lapsed(record, now_ms)
         self.revision = revision
         return before != self._records
 
@@ -107,8 +130,19 @@
         if record is None or runner_id in self._lapsed:
             return False
         until_ms = self._outage_ended_ms + RETURN_TIME_MS
+        if self._is_store_away:
+            until_ms = now_ms + RETURN_TIME_MS
         if until_ms <= now_ms or record.is_leaving:
             del self._records[runner_id]
             return True
         self._lapsed[runner_id] = until_ms
         return False
+
+    def _hold_lapsed(self, record: RunnerRecord, now_ms: float) -> None:
+        runner_id = record.runner.runner_id
+        known = self._records.get(runner_id)
+        is_held = known is not None and runner_id not in self._lapsed
+        if is_held or record.is_leaving:
+            return
+        self._records[runner_id] = record
+        self._lapsed.setdefault(runner_id, now_ms + RETURN_TIME_MS)
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -32,3 +32,24 @@
     When the entry of a ends at 60000 ms
     And the old list with a, b comes from a peer at 60100 ms
     Then the runners in force are b
+
+  Scenario: A peer that is back sooner hands over its list
+    # Symptom: a node refuses everything for a second after an outage of the store.
+    # Sequence: entries lapse in the outage; a peer reaches the store first, holds them
+    #   as lapsed and hands over its list; this node still finds the store away.
+    # Cause: the list left lapsed entries out, and this node, which had not seen the
+    #   outage's end, took them for ended.
+    Given a directory with the runners a, b
+    And the store is away
+    When a list with no runners comes at 10100 ms
+    Then the runners in force are a, b
+    When the store returns at 11000 ms
+    And lapsed entries are dropped at 13400 ms
+    Then the runners in force are a, b
+
+  Scenario: A node that has just started takes over what a peer waits for
+    Given a directory with the runners a, b
+    And the store returned at 10000 ms
+    When a list with no runners comes at 10100 ms
+    And a new node takes over the list at 10200 ms
+    Then the new node's runners are a, b until 12700 ms
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -244,6 +244,36 @@
     assert found == set(names.split(", ")), found
 
 
+@given("the store is away")
+def given_away(context):
+    context.directory.record_outage()
+
+
+@when("the store returns at {now:d} ms")
+def store_returns(context, now):
+    context.directory.record_outage_end(now_ms=now)
+
+
+@when("a new node takes over the list at {now:d} ms")
+def take_over(context, now):
+    view = context.directory.view()
+    context.new_directory = RunnerDirectory()
+    context.new_directory.replace(
+        view.records, revision=view.revision, now_ms=now, lapsed=view.lapsed
+    )
+
+
+@then("the new node's runners are {names} until {now:d} ms")
+def check_new_node(context, names, now):
+    directory = context.new_directory
+    found = {record.runner.runner_id for record in directory.records()}
+    assert found == set(names.split(", ")), found
+    directory.drop_lapsed(now_ms=now - 1)
+    assert len(directory.records()) == len(found)
+    directory.drop_lapsed(now_ms=now)
+    assert not directory.records()
+
+
 # Admission
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.route_table import RouteTable
-from clementineyoke_core.edge.runner_directory import DirectoryView, RunnerDirectory
+from clementineyoke_core.edge.runner_directory import RunnerDirectory
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from clementineyoke_core.edge.desired_state import DesiredState
+    from clementineyoke_core.edge.runner_directory import DirectoryView
     from clementineyoke_core.edge.runner_record import RunnerRecord
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.timers.timer_service import TimerService
@@ -70,12 +71,15 @@
         self._note_ready()
         self._on_news()
 
-    def take_runners(
-        self, records: list[RunnerRecord], *, revision: int, source: str
-    ) -> None:
+    def take_runners(self, view: DirectoryView, *, source: str) -> None:
         """Take the whole list of runners as of a revision."""
-        now_ms = self._timers.now_ms()
-        if self._directory.replace(records, revision=revision, now_ms=now_ms):
+        changed = self._directory.replace(
+            view.records,
+            revision=view.revision,
+            now_ms=self._timers.now_ms(),
+            lapsed=view.lapsed,
+        )
+        if changed:
             self._apply(source)
         self._note_ready()
 
@@ -90,6 +94,10 @@
         if self._directory.remove(runner_id, revision=revision, now_ms=now_ms):
             self._apply("watch")
 
+    def record_store_away(self) -> None:
+        """Note that the store does not answer."""
+        self._directory.record_outage()
+
     def record_store_back(self) -> None:
         """Note that the store answers after it was away."""
         self._directory.record_outage_end(now_ms=self._timers.now_ms())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
@@ -99,11 +99,7 @@
         if found.state is not None:
             self._view.take_state(found.state, source=address)
         if found.runners is not None:
-            self._view.take_runners(
-                list(found.runners.records),
-                revision=found.runners.revision,
-                source=address,
-            )
+            self._view.take_runners(found.runners, source=address)
 
     async def _ask(self, address: str) -> PeerState:
         if self._session is None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Self
 
+from clementineyoke_core.edge.runner_directory import DirectoryView
 from clementineyoke_node.platform import names
 from clementineyoke_node.platform.entry_codec import decode_runner
 from clementineyoke_node.platform.format_error import FormatError
@@ -150,8 +151,8 @@
                 self._take_state(entry)
             return
         records = [self._decode_runner(entry) for entry in entries]
-        known = [record for record in records if record is not None]
-        self._view.take_runners(known, revision=revision, source="list")
+        known = tuple(record for record in records if record is not None)
+        self._view.take_runners(DirectoryView(revision, known), source="list")
 
     def _take_change(self, kind: str, change: EntryChange) -> None:
         entry = change.entry
@@ -187,6 +188,7 @@
         if kind not in self._away:
             log_event(Event.PLATFORM_AWAY, step=error.step, reason=error.reason)
         self._away.add(kind)
+        self._view.record_store_away()
 
     def _note_back(self, kind: str) -> None:
         if kind not in self._away:
