Tell callers of a node without a state to come back as late as they can wait

Cause: while the store is away after a restart of all, callers came back after 0.3 s, were refused again and gave up. The store's return is unknown and callers come back once, so the later return is the likelier one; returns are spread over half of that time.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -15,8 +15,12 @@
     from clementineyoke_core.edge.route import Route
     from clementineyoke_core.edge.route_table import RouteTable
 
-NO_STATE_RETRY_MS = 300
-"""A starting node has its state within this of reaching the store or a peer."""
+NO_STATE_RETRY_SHARE = 0.3
+LEAST_NO_STATE_RETRY_MS = 200.0
+LONGEST_NO_STATE_RETRY_MS = 2_500.0
+"""When to come back to a node without a state. The store may be away for seconds and a
+caller comes back once or twice: the longer it can wait, the likelier it is served then.
+The times are spread, so that not all of them meet the node in its first moment."""
 LEAST_URGENT = 9
 
 
@@ -46,7 +50,7 @@
     """Match a call with route and team; raises ``RequestError``."""
     if table is None:
         # Refusing with "no such route" would tell a caller what only a known state can.
-        raise _refuse(503, "no desired state is known yet", NO_STATE_RETRY_MS)
+        raise _refuse(503, "no desired state is known yet", _return_ms(call, rng))
     match = table.match(call.hostname, call.path)
     route = match.route
     if route is None:
@@ -69,6 +73,13 @@
     )
 
 
+def _return_ms(call: EdgeCall, rng: Random) -> int:
+    longest_ms = NO_STATE_RETRY_SHARE * (call.budget_ms or 0.0)
+    longest_ms = min(LONGEST_NO_STATE_RETRY_MS, longest_ms)
+    least_ms = max(LEAST_NO_STATE_RETRY_MS, longest_ms / 2)
+    return int(rng.uniform(least_ms, max(least_ms, longest_ms)))
+
+
 def _pick_pool(route: Route, rng: Random) -> str:
     if len(route.pools) == 1:
         return route.pools[0].pool
--- a/packages/clementineyoke-core/tests/edge/admission.feature
+++ b/packages/clementineyoke-core/tests/edge/admission.feature
@@ -8,6 +8,16 @@
     When a call for "shop.example/a/b" with the key "k1" comes
     Then it is refused with 503 and a time to return
 
+  Scenario: Callers come back to a node without a state
+    # Symptom: after an outage with a restart, callers are refused twice and give up.
+    # Sequence: the store is away for 2 s more; callers come back after 0.3 s, once.
+    # Cause: the time to return was one constant, whatever the caller could wait.
+    Given no desired state
+    When 200 callers that wait 12000 ms are refused
+    Then they come back between 1200 and 2500 ms later, spread over that time
+    When 200 callers that wait 1500 ms are refused
+    Then they come back between 200 and 450 ms later, spread over that time
+
   Scenario Outline: Routes and keys
     Given a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "shop.example"
     When a call for "<target>" with the key "<key>" comes
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -309,7 +309,8 @@
     )
     context.error = context.admitted = None
     try:
-        context.admitted = admit(call, context.routes, arrived_ms=0.0, rng=Random(1))
+        rng = getattr(context, "rng", None) or Random(1)
+        context.admitted = admit(call, context.routes, arrived_ms=0.0, rng=rng)
     except RequestError as error:
         context.error = error
 
@@ -324,6 +325,22 @@
     call_waits(context, target, "", 60_000)
 
 
+@when("{count:d} callers that wait {wait:d} ms are refused")
+def refuse_many(context, count, wait):
+    context.returns_ms = []
+    context.rng = Random(1)
+    for _ in range(count):
+        call_waits(context, "shop.example/a/x", "k1", wait)
+        context.returns_ms.append(context.error.retry_after_ms)
+
+
+@then("they come back between {low:d} and {high:d} ms later, spread over that time")
+def check_returns(context, low, high):
+    assert low <= min(context.returns_ms), min(context.returns_ms)
+    assert max(context.returns_ms) <= high, max(context.returns_ms)
+    assert max(context.returns_ms) - min(context.returns_ms) > (high - low) / 2
+
+
 @then("it is refused with {status:d} and a time to return")
 def check_refused(context, status):
     assert context.error.status == status
