Adopt what a peer waits for on new nodes only

A node that was cut off until 24.5 s took the end for a lapse and handed its list, one change newer, to a node that had seen the end itself; that one took the runner back at 25.45 s (log: hosts_changed, source the peer, 9 to 10 runners).

The scenario failed with the code before and passes now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -81,16 +81,17 @@
 
         ``lapsed`` are entries that another node still waits for.
         """
-        if revision < self.revision:
+        if revision <= self.revision:
             return False
         before = dict(self._records)
         fresh = {record.runner.runner_id: record for record in records}
+        waited_for = {record.runner.runner_id: record for record in lapsed}
         for runner_id in before.keys() - fresh.keys():
-            self._remove(runner_id, now_ms)
+            self._remove(runner_id, now_ms, is_lapsed=runner_id in waited_for)
         for record in fresh.values():
             self._put(record)
-        for record in lapsed:
-            self._hold_lapsed(record, now_ms)
+        if not self.revision:
+            self._adopt_lapsed(waited_for, now_ms)
         self.revision = revision
         return before != self._records
 
@@ -125,12 +126,14 @@
         self._records[runner_id] = record
         return known is None or known[:2] != record[:2]
 
-    def _remove(self, runner_id: str, now_ms: float) -> bool:
+    def _remove(
+        self, runner_id: str, now_ms: float, *, is_lapsed: bool = False
+    ) -> bool:
         record = self._records.get(runner_id)
         if record is None or runner_id in self._lapsed:
             return False
         until_ms = self._outage_ended_ms + RETURN_TIME_MS
-        if self._is_store_away:
+        if self._is_store_away or is_lapsed:
             until_ms = now_ms + RETURN_TIME_MS
         if until_ms <= now_ms or record.is_leaving:
             del self._records[runner_id]
@@ -138,11 +141,14 @@
         self._lapsed[runner_id] = until_ms
         return False
 
-    def _hold_lapsed(self, record: RunnerRecord, now_ms: float) -> None:
-        runner_id = record.runner.runner_id
-        known = self._records.get(runner_id)
-        is_held = known is not None and runner_id not in self._lapsed
-        if is_held or record.is_leaving:
-            return
-        self._records[runner_id] = record
-        self._lapsed.setdefault(runner_id, now_ms + RETURN_TIME_MS)
+    def _adopt_lapsed(self, lapsed: dict[str, RunnerRecord], now_ms: float) -> None:
+        """Take over what a peer waits for.
+
+        Only a node that knows nothing yet does so: one that has seen an entry end
+        while the store was well would bring back a runner that leaves, seen as new
+        work there seconds after its end.
+        """
+        for runner_id, record in lapsed.items():
+            if not record.is_leaving:
+                self._records[runner_id] = record
+                self._lapsed[runner_id] = now_ms + RETURN_TIME_MS
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -53,3 +53,14 @@
     When a list with no runners comes at 10100 ms
     And a new node takes over the list at 10200 ms
     Then the new node's runners are a, b until 12700 ms
+
+  Scenario: A peer that was cut off waits for a runner that has left
+    # Symptom: a call reaches a runner 2.2 s after the end of its entry.
+    # Sequence: an entry ends while the store is well; a node that was cut off learns of
+    #   it and takes it for lapsed; it hands its list, one change newer, to this node.
+    # Cause: entries that a peer waits for were taken over also by a node that had seen
+    #   their end itself.
+    Given a directory with the runners a, b
+    When the entry of a ends at 60000 ms
+    And a peer that waits for a hands over a newer list with b at 60900 ms
+    Then the runners in force are b
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -254,6 +254,19 @@
     context.directory.record_outage_end(now_ms=now)
 
 
+@when(
+    "a peer that waits for {lapsed} hands over a newer list with {names} at {now:d} ms"
+)
+def peer_waits(context, lapsed, names, now):
+    context.revision += 1
+    context.directory.replace(
+        [make_record(name) for name in names.split(", ")],
+        revision=context.revision,
+        now_ms=now,
+        lapsed=[make_record(lapsed)],
+    )
+
+
 @when("a new node takes over the list at {now:d} ms")
 def take_over(context, now):
     view = context.directory.view()
