Serve metrics, status and decisions to operators; write the operators' page

A connection that the caller closed while an answer was written no longer leaves a traceback; it is logged as caller_gone.

--- a/packages/clementineyoke-node/src/clementineyoke_node/admin/admin_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/admin/admin_api.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
-from aioprometheus.renderer import render
 from msgspec import DecodeError, json
 
 from clementineyoke_node.callers.authenticator import fits_any
+from clementineyoke_node.metrics_page import answer_with_metrics
 from clementineyoke_node.settings.peer_changes import (
     CHANGES_PATH,
     SNAPSHOT_PATH,
@@ -97,9 +97,7 @@
         return web.json_response({"ready": ready}, status=200 if ready else 503)
 
     async def _render_metrics(self, request: web.Request) -> web.StreamResponse:
-        accept = request.headers.getall("Accept", [])
-        content, content_headers = render(self._metrics.registry, accept)
-        return web.Response(body=content, headers=content_headers)
+        return answer_with_metrics(request, self._metrics)
 
     async def _peer_changes(self, request: web.Request) -> web.StreamResponse:
         after = request.query.get("after", "")
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -92,9 +92,15 @@
             return await self._serve(request, call, arrived_ms)
         except RequestError as error:
             return self._refuse(call, error, arrived_ms)
-        except (ConnectionError, asyncio.CancelledError):
+        except asyncio.CancelledError:
             self._decisions.record(Event.CALLER_GONE, request_id=call.call_id)
             raise
+        except ConnectionError as error:
+            # Writing met a connection that the caller had closed; nothing can be told.
+            self._decisions.record(
+                Event.CALLER_GONE, request_id=call.call_id, reason=repr(error)
+            )
+            return web.Response(status=502)
 
     async def _serve(
         self, request: web.Request, call: EdgeCall, arrived_ms: float
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -12,6 +12,7 @@
 from clementineyoke_node.edge.caller_door import CallerDoor
 from clementineyoke_node.edge.directory_door import DirectoryDoor
 from clementineyoke_node.edge.edge_io import EdgeIo
+from clementineyoke_node.edge.operator_door import OperatorDoor
 from clementineyoke_node.edge.peer_states import STATE_PATH
 from clementineyoke_node.node_state import NodeState
 from clementineyoke_node.platform import names
@@ -123,6 +124,7 @@
         app.router.add_get(names.READY_PATH, self._directory.ready)
         app.router.add_get(names.RESOLVE_PATH, self._directory.resolve)
         app.router.add_get(STATE_PATH, self.io.peers.answer)
+        OperatorDoor(state=self.state, io=self.io).add_routes(app)
         await self._open(
             app, [port_of(a) for a in (config.ready, config.directory, config.control)]
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -43,6 +43,11 @@
             "Conditional updates of claim shards since the start.",
             registry=self.registry,
         )
+        self.store_calls = Gauge(
+            "clementineyoke_store_calls",
+            "Calls to the platform's store since the start.",
+            registry=self.registry,
+        )
         self.runner_slots = Gauge(
             "clementineyoke_runner_slots_in_use",
             "Slots in use on each runner that this node is home of.",
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -34,6 +34,12 @@
     And a caller makes a "idempotent" call
     Then the caller gets 503 and a time to return
 
+  Scenario: Operators look at a node
+    Given a fleet of 1 node and 1 runner
+    When a caller makes a "idempotent" call
+    Then the node's metrics count 1 request with status 200 and its calls to the store
+    And the node explains the call "call-1" by its decisions
+
   Scenario: A planned stop with a stream in flight
     # Symptom: a restart cuts the streams that a node carries.
     # Sequence: the node is told to stop in the middle of a stream.
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -366,3 +366,21 @@
 @then("calls are still served")
 def check_served(context):
     assert context.answer[0] == 200, context.answer
+
+
+async def get_page(context, path):
+    async with context.fleet.session.get(context.fleet.url(0, 3, path)) as response:
+        return await response.text()
+
+
+@then("the node's metrics count 1 request with status 200 and its calls to the store")
+def check_metrics(context):
+    page = context.run(get_page(context, "/metrics"))
+    assert 'clementineyoke_requests_total{outcome="200"} 1' in page, page
+    assert "clementineyoke_store_calls" in page
+
+
+@then('the node explains the call "{call_id}" by its decisions')
+def check_explained(context, call_id):
+    page = context.run(get_page(context, f"/explain?id={call_id}"))
+    assert '"routed"' in page and '"answered"' in page, page
