--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -30,6 +30,9 @@
 """A runner takes a connection within 2 ms; a dark one never does."""
 LARGEST_HEAD_BYTES = 32_768
 STATUS_ERROR = 500
+STATUS_REDIRECT = 300
+PROMISES = frozenset((408, 421, 429, 503))
+"""Statuses by which callers know that a call did not run and never will."""
 _OWN_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """What aiohttp would add by itself: the runner gets the caller's headers only."""
 
@@ -159,6 +162,14 @@
             peer=runner.runner_id,
             reason=f"refused with {head.status}",
         )
+    if head.status in PROMISES:
+        # Callers take these for "it did not run", which this runner has not said.
+        raise AttemptError(
+            end=AttemptEnd.FAILED,
+            step="read_head",
+            peer=runner.runner_id,
+            reason=f"answered {head.status} without a word that it did not run",
+        )
     if head.status >= STATUS_ERROR:
         raise AttemptError(
             end=AttemptEnd.FAILED,
@@ -167,7 +178,7 @@
             reason=f"failed with {head.status}",
             answer=answer if head.has_proof else None,
         )
-    if head.status < STATUS_ERROR - 200 and not head.has_proof:
+    if head.status < STATUS_REDIRECT and not head.has_proof:
         raise AttemptError(
             end=AttemptEnd.LOST,
             step="check_proof",
--- a/packages/clementineyoke-node/tests/edge/calls.feature
+++ b/packages/clementineyoke-node/tests/edge/calls.feature
@@ -44,6 +44,7 @@
       | unframed_reset |
       | crossed        |
       | no_proof       |
+      | busy           |
 
   Scenario: A runner refuses a call that may be sent to one runner only
     Given a fleet of 1 node and 2 runners
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -26,6 +26,8 @@
     """Runs the call and answers with a failure of its own."""
     REFUSE = "refuse"
     """Says that it did not run the call."""
+    BUSY = "busy"
+    """Runs the call and says that it is busy, without a word on whether it ran."""
     HANG = "hang"
     RESET = "reset"
     """Runs the call and loses the answer."""
@@ -42,6 +44,13 @@
     NO_PROOF = "no_proof"
 
 
+STATUSES = {
+    Act.FAIL: "500 Failed",
+    Act.REFUSE: "503 Busy",
+    Act.BUSY: "503 Busy",
+}
+
+
 class SeenCall(NamedTuple):
     """A call as the runner saw it."""
 
@@ -109,7 +118,7 @@
         body = f"answer to {call_id}".encode()
         if act is Act.CROSSED:
             call_id = "another-call"
-        status = {Act.FAIL: "500 Failed", Act.REFUSE: "503 Busy"}.get(act, "200 OK")
+        status = STATUSES.get(act, "200 OK")
         fields = {names.CALL_ID: call_id}
         if act is Act.REFUSE:
             fields[names.NOT_EXECUTED] = "1"
