Check runners' entries through an outage with the model checker; mend what it found

Now a watch of the runners ends within two heartbeats, and a list says whether its sender finds the store away. Both findings have scenarios.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from clementineyoke_core.edge.runner_record import (
     RunnerRecord,  # noqa: TC001 - msgspec reads it
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
 RETURN_TIME_MS = 2_500.0
 """Entries that lapsed with the store are back about 2 s after its return; the rest is
 for the node's own delay in seeing either."""
@@ -24,6 +21,8 @@
     records: tuple[RunnerRecord, ...]
     lapsed: tuple[RunnerRecord, ...] = ()
     """Entries that vanished in an outage and whose runners may yet return."""
+    in_outage: bool = False
+    """Whether the sender finds the store away: more may vanish for that reason."""
 
 
 class RunnerDirectory:
@@ -56,7 +55,9 @@
         lapsed: list[RunnerRecord] = []
         for runner_id, record in self._records.items():
             (lapsed if runner_id in self._lapsed else held).append(record)
-        return DirectoryView(self.revision, tuple(held), tuple(lapsed))
+        return DirectoryView(
+            self.revision, tuple(held), tuple(lapsed), self._is_store_away
+        )
 
     def record_outage(self) -> None:
         """Note that the store does not answer."""
@@ -69,30 +70,23 @@
         for runner_id in self._lapsed:
             self._lapsed[runner_id] = now_ms + RETURN_TIME_MS
 
-    def replace(
-        self,
-        records: Iterable[RunnerRecord],
-        *,
-        revision: int,
-        now_ms: float,
-        lapsed: Iterable[RunnerRecord] = (),
-    ) -> bool:
-        """Take the whole list as of a revision; return whether anything changed.
-
-        ``lapsed`` are entries that another node still waits for.
-        """
-        if revision <= self.revision:
+    def replace(self, view: DirectoryView, *, now_ms: float) -> bool:
+        """Take the whole list as of a revision; return whether anything changed."""
+        if view.revision <= self.revision:
             return False
+        if view.in_outage and not self.revision:
+            # A node that has just started has not met the outage itself.
+            self._outage_ended_ms = max(self._outage_ended_ms, now_ms)
         before = dict(self._records)
-        fresh = {record.runner.runner_id: record for record in records}
-        waited_for = {record.runner.runner_id: record for record in lapsed}
+        fresh = {record.runner.runner_id: record for record in view.records}
+        waited_for = {record.runner.runner_id: record for record in view.lapsed}
         for runner_id in before.keys() - fresh.keys():
             self._remove(runner_id, now_ms, is_lapsed=runner_id in waited_for)
         for record in fresh.values():
             self._put(record)
         if not self.revision:
             self._adopt_lapsed(waited_for, now_ms)
-        self.revision = revision
+        self.revision = view.revision
         return before != self._records
 
     def put(self, record: RunnerRecord, *, revision: int) -> bool:
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -64,3 +64,14 @@
     When the entry of a ends at 60000 ms
     And a peer that waits for a hands over a newer list with b at 60900 ms
     Then the runners in force are b
+
+  Scenario: A node starts in the outage and reads the store after it
+    # Symptom: a restarted node has no runner for two seconds after an outage.
+    # Sequence: it starts while the store is away and takes a peer's list; the store
+    #   returns without the lapsed entries before this node has met the outage itself.
+    # Cause: the list did not say that its sender found the store away. Found by the
+    #   model checker (runner_entries_spec).
+    Given a directory with the runners a, b
+    And the store is away
+    When a new node takes over the list, and reads an empty one at 10200 ms
+    Then the new node's runners are a, b until 12600 ms
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -14,7 +14,7 @@
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.route import Route, WeightedPool
 from clementineyoke_core.edge.route_table import RouteTable
-from clementineyoke_core.edge.runner_directory import RunnerDirectory
+from clementineyoke_core.edge.runner_directory import DirectoryView, RunnerDirectory
 from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.edge.runner_watch import RunnerWatch
 from clementineyoke_core.pool_rings import PoolRings
@@ -193,7 +193,7 @@
 def given_directory(context, names):
     context.directory = RunnerDirectory()
     context.old = [make_record(name) for name in names.split(", ")]
-    context.directory.replace(context.old, revision=10, now_ms=0.0)
+    context.directory.replace(DirectoryView(10, tuple(context.old)), now_ms=0.0)
     context.revision = 10
 
 
@@ -212,7 +212,7 @@
 @when("a list with no runners comes at {now:d} ms")
 def empty_list(context, now):
     context.revision += 1
-    context.directory.replace([], revision=context.revision, now_ms=now)
+    context.directory.replace(DirectoryView(context.revision, ()), now_ms=now)
 
 
 @when("the entry of {name} comes back at {now:d} ms")
@@ -230,7 +230,7 @@
 
 @when("the old list with {names} comes from a peer at {now:d} ms")
 def old_list(context, names, now):
-    context.directory.replace(context.old, revision=10, now_ms=now)
+    context.directory.replace(DirectoryView(10, tuple(context.old)), now_ms=now)
 
 
 @when("lapsed entries are dropped at {now:d} ms")
@@ -259,21 +259,24 @@
 )
 def peer_waits(context, lapsed, names, now):
     context.revision += 1
-    context.directory.replace(
-        [make_record(name) for name in names.split(", ")],
-        revision=context.revision,
-        now_ms=now,
-        lapsed=[make_record(lapsed)],
-    )
+    held = tuple(make_record(name) for name in names.split(", "))
+    view = DirectoryView(context.revision, held, (make_record(lapsed),))
+    context.directory.replace(view, now_ms=now)
 
 
 @when("a new node takes over the list at {now:d} ms")
 def take_over(context, now):
     view = context.directory.view()
     context.new_directory = RunnerDirectory()
-    context.new_directory.replace(
-        view.records, revision=view.revision, now_ms=now, lapsed=view.lapsed
-    )
+    context.new_directory.replace(view, now_ms=now)
+
+
+@when("a new node takes over the list, and reads an empty one at {now:d} ms")
+def take_over_and_read(context, now):
+    context.new_directory = RunnerDirectory()
+    context.new_directory.replace(context.directory.view(), now_ms=now - 100)
+    empty = DirectoryView(context.revision + 1, ())
+    context.new_directory.replace(empty, now_ms=now)
 
 
 @then("the new node's runners are {names} until {now:d} ms")
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -32,6 +32,8 @@
     """IP:PORT of the control port of some nodes, which may be down."""
     peer_keys: list[str]
     """The first signs, all are accepted."""
+    heartbeat_ms: float
+    """How often runners renew their entries; they lapse after three times as long."""
     retry_ratio: float
     """Second tries allowed for each call, over all nodes."""
     retry_allowance: float
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -160,6 +160,7 @@
             region=self._config.region,
             rng=state.rng,
             count_nodes=lambda: len(state.membership.alive()),
+            heartbeat_ms=self._config.heartbeat_ms,
         )
         self.roster = NodeRoster(
             store=self.store, introducer=self.introducer, own=state.membership.own
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -73,13 +73,7 @@
 
     def take_runners(self, view: DirectoryView, *, source: str) -> None:
         """Take the whole list of runners as of a revision."""
-        changed = self._directory.replace(
-            view.records,
-            revision=view.revision,
-            now_ms=self._timers.now_ms(),
-            lapsed=view.lapsed,
-        )
-        if changed:
+        if self._directory.replace(view, now_ms=self._timers.now_ms()):
             self._apply(source)
         self._note_ready()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -40,6 +40,10 @@
 PAUSE_GROWTH = 1.6
 """Pauses between tries while the store is away: a cold fleet serves again within half
 a second of its return, for at most two calls a second and node."""
+HEARTBEATS_A_WATCH = 2.0
+"""Longest watch of the runners' entries, in heartbeats. Entries lapse after three: an
+outage that lets them lapse is then noticed by each node's own calls, before the watch
+that waited through it could show them as ended."""
 
 FOLLOWED_KINDS = (names.STATE_KIND, names.RUNNERS_KIND)
 
@@ -55,12 +59,17 @@
         region: str,
         rng: Random,
         count_nodes: Callable[[], int],
+        heartbeat_ms: float,
     ) -> None:
         self._store = store
         self._view = view
         self._region = region
         self._rng = rng
         self._count_nodes = count_nodes
+        self._longest_wait_ms = {
+            names.STATE_KIND: LONGEST_WATCH_WAIT_MS,
+            names.RUNNERS_KIND: HEARTBEATS_A_WATCH * heartbeat_ms,
+        }
         self._nudges = {kind: asyncio.Event() for kind in FOLLOWED_KINDS}
         self._tasks = BackgroundTasks()
         self._away: set[str] = set()
@@ -106,7 +115,7 @@
             return
         # After an outage the first call must come back soon: it tells that the store
         # is there again, which decides about entries that lapsed meanwhile.
-        wait_ms = 0 if kind in self._away else self._watch_wait_ms()
+        wait_ms = 0 if kind in self._away else self._watch_wait_ms(kind)
         seen = await self._watch(kind, position, wait_ms)
         if seen is None:
             return
@@ -140,9 +149,9 @@
             if other != kind and other not in self._away:
                 nudge.set()
 
-    def _watch_wait_ms(self) -> int:
-        even_ms = WATCH_WAIT_MS_A_NODE * self._count_nodes()
-        wait_ms = max(LEAST_WATCH_WAIT_MS, min(LONGEST_WATCH_WAIT_MS, even_ms))
+    def _watch_wait_ms(self, kind: str) -> int:
+        even_ms = max(LEAST_WATCH_WAIT_MS, WATCH_WAIT_MS_A_NODE * self._count_nodes())
+        wait_ms = min(self._longest_wait_ms[kind], even_ms)
         return int(wait_ms * self._rng.uniform(0.7, 1.0))
 
     def _take_list(self, kind: str, entries: list[StoredEntry], revision: int) -> None:
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -63,3 +63,12 @@
     Given a fleet of 1 node and 1 runner
     When the store is away, the runner's entry lapses and the store returns
     Then calls are still served
+
+  Scenario: A watch that waits through an outage
+    # Symptom: a large fleet refuses everything after an outage of the store.
+    # Sequence: watches wait 20 s; a silent outage of 6 s lets all entries lapse; the
+    #   watches end in order and show the entries as ended.
+    # Cause: no call was made in the outage, so no node knew of it. Found by the model
+    #   checker (runner_entries_spec).
+    Given a fleet of 1 node and 1 runner
+    Then with 60 nodes alive a watch of the runners ends before three heartbeats
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -131,6 +131,7 @@
             "store": self.store_address,
             "seeds": [f"127.0.0.2:{control}"],
             "peer_keys": ["peers"],
+            "heartbeat_ms": 1_200,
             "retry_ratio": 0.2,
             "retry_allowance": 50,
             "retry_window_s": 10,
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import time
+from random import Random
 
 import aiohttp
 from behave import given, then, when
 from edge_fleet import CALL_ID, KEY, EdgeFleet, make_route
 
+from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.platform.state_decoder import decode_state
+from clementineyoke_node.platform.store_client import WATCH_SLACK_MS
 from clementineyoke_standins.edge.edge_runner import EVENTS, PROOF, Act
 from clementineyoke_standins.edge.edge_store import StoreFault
 
@@ -384,3 +387,17 @@
 def check_explained(context, call_id):
     page = context.run(get_page(context, f"/explain?id={call_id}"))
     assert '"routed"' in page and '"answered"' in page, page
+
+
+@then("with 60 nodes alive a watch of the runners ends before three heartbeats")
+def check_watch_wait(context):
+    io = context.fleet.nodes[0].io
+    watcher = StoreWatcher(
+        store=io.store,
+        view=io.view,
+        region="region",
+        rng=Random(1),
+        count_nodes=lambda: 60,
+        heartbeat_ms=1_200,
+    )
+    assert watcher._watch_wait_ms("servers") + WATCH_SLACK_MS < 3 * 1_200
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -9,6 +9,7 @@
 from clementineyoke_standins.model import (
     claims_roll_spec,
     claims_spec,
+    runner_entries_spec,
     settings_spec,
 )
 
@@ -16,7 +17,12 @@
     from collections.abc import Iterator
 
 MOST_STATES = 2_000_000
-SPECS: tuple[Any, ...] = (claims_spec, claims_roll_spec, settings_spec)
+SPECS: tuple[Any, ...] = (
+    claims_spec,
+    claims_roll_spec,
+    settings_spec,
+    runner_entries_spec,
+)
 
 
 class ModelResult(NamedTuple):
