--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEPLOYMENT ?= league
 PACKAGES := core wire node cli standins
 
-.PHONY: setup demo test bench capacity model lint events faults clean
+.PHONY: setup demo test bench capacity model lint events faults mutations clean
 
 setup: $(VENV)/.ready
 
@@ -42,3 +42,6 @@
 
 faults: setup
 	$(BIN)/python -m clementineyoke_standins.console.faults
+
+mutations: setup
+	$(BIN)/python tools/mutations.py
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,229 @@
+"""Take each mechanism of the edge out, and see that a scenario fails without it.
+
+Not part of CI: it rewrites sources for seconds at a time. ``make mutations`` runs it on
+a clean work tree and exits 1 when a mutation is missed.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+ROOT = Path(__file__).parent.parent
+CORE = "packages/clementineyoke-core"
+NODE = "packages/clementineyoke-node"
+EDGE = f"{NODE}/src/clementineyoke_node/edge"
+DECISIONS = f"{CORE}/src/clementineyoke_core"
+RUN_LIMIT_S = 90
+
+
+class Mutation(NamedTuple):
+    """One mechanism taken out."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    feature: str
+
+
+CALLS = f"{NODE}/tests/edge/calls.feature"
+STREAMS = f"{NODE}/tests/edge/streams.feature"
+FLEET = f"{NODE}/tests/edge/fleet.feature"
+PURE = f"{CORE}/tests/edge"
+
+MUTATIONS = (
+    Mutation(
+        "a reset ends an answer without a length",
+        f"{EDGE}/runner_protocol.py",
+        "if exc is not None and payload",
+        "if False and payload",
+        CALLS,
+    ),
+    Mutation(
+        "a connection with a stray answer is kept",
+        f"{EDGE}/runner_protocol.py",
+        "return super().is_connected() and not has_stray",
+        "return super().is_connected()",
+        CALLS,
+    ),
+    Mutation(
+        "any answer is taken for the call's own",
+        f"{EDGE}/runner_link.py",
+        "if head.call_id == call.call_id:",
+        "if True:",
+        CALLS,
+    ),
+    Mutation(
+        "a success needs no proof",
+        f"{EDGE}/runner_link.py",
+        "and not head.has_proof:",
+        "and False:",
+        CALLS,
+    ),
+    Mutation(
+        "a bare 503 goes on",
+        f"{EDGE}/runner_link.py",
+        "if head.status in PROMISES:",
+        "if False:",
+        CALLS,
+    ),
+    Mutation(
+        "a caller sets what only the system may set",
+        f"{NODE}/src/clementineyoke_node/platform/call_decoder.py",
+        "if name.lower() not in names.ONLY_OURS",
+        "if True",
+        CALLS,
+    ),
+    Mutation(
+        "a head may have two ids",
+        f"{NODE}/src/clementineyoke_node/platform/call_decoder.py",
+        "if len(fields.getall(name, [])) > 1:",
+        "if False:",
+        CALLS,
+    ),
+    Mutation(
+        "idle connections of a leaving node stay open",
+        f"{EDGE}/edge_service.py",
+        "connection.force_close()",
+        "connection.close()",
+        FLEET,
+    ),
+    Mutation(
+        "a watch of the runners waits through an outage",
+        f"{EDGE}/store_watcher.py",
+        "HEARTBEATS_A_WATCH = 2.0",
+        "HEARTBEATS_A_WATCH = 20.0",
+        FLEET,
+    ),
+    Mutation(
+        "an older state is put in force",
+        f"{EDGE}/fleet_view.py",
+        "if state.revision <= self.state_revision:",
+        "if False:",
+        FLEET,
+    ),
+    Mutation(
+        "nothing is fetched from peers",
+        f"{EDGE}/peer_states.py",
+        "if address in self._asked:",
+        "if True:",
+        FLEET,
+    ),
+    Mutation(
+        "a torn event goes on",
+        f"{EDGE}/caller_stream.py",
+        "self._splitter = EventSplitter()\n        if self._response",
+        "if self._response",
+        STREAMS,
+    ),
+    Mutation(
+        "a lost answer is sent again",
+        f"{DECISIONS}/edge/attempt_ledger.py",
+        "if self._may_have_run and not self._may_repeat:",
+        "if False:",
+        PURE,
+    ),
+    Mutation(
+        "each node spends the whole allowance",
+        f"{DECISIONS}/edge/retry_window.py",
+        "allowance = self._allowance / max(1, sharers)",
+        "allowance = self._allowance",
+        PURE,
+    ),
+    Mutation(
+        "a lapse is an end",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if until_ms <= now_ms or record.is_leaving:",
+        "if True:",
+        PURE,
+    ),
+    Mutation(
+        "whatever a peer waits for is adopted",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "        if not self.revision:\n            self._adopt_lapsed",
+        "        if True:\n            self._adopt_lapsed",
+        PURE,
+    ),
+    Mutation(
+        "a long prompt is waited for like a short one",
+        f"{DECISIONS}/edge/patience.py",
+        "return LEAST_HEAD_MS + READING_MS_PER_TOKEN * prompt_tokens",
+        "return 720.0",
+        PURE,
+    ),
+    Mutation(
+        "quarantined runners are never tried",
+        f"{DECISIONS}/pool_rings.py",
+        "yield from quarantined",
+        "return",
+        PURE,
+    ),
+    Mutation(
+        "a node without a state says that there is no route",
+        f"{DECISIONS}/edge/admission.py",
+        'raise _refuse(503, "no desired',
+        'raise _refuse(404, "no desired',
+        PURE,
+    ),
+    Mutation(
+        "a failing runner is never taken out",
+        f"{DECISIONS}/edge/runner_watch.py",
+        "share > LARGEST_SHARE",
+        "share > 1.0",
+        PURE,
+    ),
+    Mutation(
+        "a paused runner is pressed first",
+        f"{DECISIONS}/slot_search.py",
+        "if load < PAUSED_LOAD]",
+        "]",
+        f"{CORE}/tests/slot_search.feature",
+    ),
+    Mutation(
+        "homes pause nobody",
+        f"{DECISIONS}/fault_share.py",
+        "is_paused = tally.until_ms > now_ms",
+        "is_paused = True",
+        f"{CORE}/tests/fault_share.feature",
+    ),
+)
+
+
+def main() -> None:
+    """Try all; exit 1 when one is missed or no longer fits the source."""
+    missed = [mutation.name for mutation in MUTATIONS if not _is_caught(mutation)]
+    print(f"{len(MUTATIONS) - len(missed)} caught, {len(missed)} missed")
+    sys.exit(1 if missed else 0)
+
+
+def _is_caught(mutation: Mutation) -> bool:
+    path = ROOT / mutation.file
+    source = path.read_text()
+    if mutation.old not in source:
+        print(f"NO LONGER FITS {mutation.name}")
+        return False
+    path.write_text(source.replace(mutation.old, mutation.new, 1))
+    try:
+        caught = _fails(mutation.feature)
+    finally:
+        path.write_text(source)
+    print(f"{'caught' if caught else 'MISSED'} {mutation.name}", flush=True)
+    return caught
+
+
+def _fails(feature: str) -> bool:
+    command = [sys.executable, "-m", "behave", feature, "--stop", "--no-capture"]
+    try:
+        done = subprocess.run(
+            command, cwd=ROOT, check=False, capture_output=True, timeout=RUN_LIMIT_S
+        )
+    except subprocess.TimeoutExpired:
+        return True
+    return done.returncode != 0
+
+
+if __name__ == "__main__":
+    main()
