--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
@@ -10,6 +10,12 @@
 from clementineyoke_core.claims.chain import ClaimChain
 from clementineyoke_core.claims.messages import ClaimAsk
 from clementineyoke_core.claims.segment import FIRST_HEAD, ChainRead, StoredSegment
+from clementineyoke_core.edge.call_kind import CallKind
+from clementineyoke_core.edge.desired_state import CallerLimits, DesiredState, Team
+from clementineyoke_core.edge.route import Route, WeightedPool
+from clementineyoke_core.edge.route_table import RouteTable
+from clementineyoke_core.edge.runner_directory import DirectoryView, RunnerDirectory
+from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.hash_ring import HashRing
 from clementineyoke_core.membership import Membership
 from clementineyoke_core.node import Node
@@ -26,6 +32,7 @@
 RUNNERS = (500, 1_170, 2_300, 3_500)
 NODES = (50, 137, 274, 410)
 HOLDS = (500, 1_000, 2_000, 4_000)
+ROUTES = (100, 200, 400, 800)
 CLAIMS = (400, 800, 1_600, 3_200)
 WALL_MS = 1_790_000_000_000
 POOLS = 8
@@ -41,6 +48,9 @@
         _slope("slot ledger", "slot held", HOLDS, _make_ledger),
         _slope("claims in a home's memory", "claim", CLAIMS, make_chain),
         _slope_of_shard_object(),
+        _slope("runner entries of the edge", "runner", RUNNERS, _make_directory),
+        _slope("routes of the edge", "route", ROUTES, _make_routes),
+        _slope("teams and keys of the edge", "team", TEAMS, _make_teams),
     ]
 
 
@@ -146,3 +156,61 @@
         write = make_chain(claims).next_write([], [], wall_ms=WALL_MS + 1)
         points.append((float(claims), float(len(write.body))))
     return fit("object: claims of a segment", unit="bytes", per="claim", points=points)
+
+
+def _make_directory(runners: int) -> RunnerDirectory:
+    records = tuple(
+        RunnerRecord(_make_edge_runner(number), is_leaving=False, revision=number + 1)
+        for number in range(runners)
+    )
+    directory = RunnerDirectory()
+    directory.replace(DirectoryView(runners + 1, records), now_ms=0.0)
+    return directory
+
+
+def _make_edge_runner(number: int) -> Runner:
+    return Runner(
+        f"i-{number:010x}",
+        f"10.1.{number // 250}.{number % 250}",
+        8_000,
+        "zone",
+        "region",
+        RunnerKind.ENGINE,
+        "pool",
+        24,
+    )
+
+
+def _make_routes(routes: int) -> RouteTable:
+    return _make_table_of(tuple(_make_route(number) for number in range(routes)), ())
+
+
+def _make_teams(teams: int) -> RouteTable:
+    keyed = tuple(
+        Team(f"team-{number}", (f"key-{number:020}", f"old-{number:020}"), 1)
+        for number in range(teams)
+    )
+    return _make_table_of((), keyed)
+
+
+def _make_table_of(routes: tuple[Route, ...], teams: tuple[Team, ...]) -> RouteTable:
+    state = DesiredState(1, 1, routes, teams, True, CallerLimits(), {})
+    return RouteTable(state=state)
+
+
+def _make_route(number: int) -> Route:
+    return Route(
+        name=f"route-{number}",
+        hostname="host.example",
+        path_prefix=f"/path-{number}/",
+        kind=CallKind.STREAM,
+        pools=(WeightedPool("pool", 1.0),),
+        timeout_ms=12_000.0,
+        objective_ms=1_200.0,
+        pause_objective_ms=400.0,
+        priority=1,
+        most_runners=2,
+        is_public=False,
+        is_resumable=True,
+        has_prompt=True,
+    )
