--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -55,19 +55,23 @@
         self.events += len(events)
         return len(events)
 
-    async def finish(self) -> web.StreamResponse:
-        """End the answer as complete."""
+    @property
+    def response(self) -> web.StreamResponse:
+        """The answer that was begun."""
         if self._response is None:
-            message = "a stream ends that has not begun"
+            message = "the stream has not begun"
             raise RuntimeError(message)
-        await self._response.write_eof()
         return self._response
 
-    def abort(self) -> web.StreamResponse | None:
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        await self.response.write_eof()
+
+    def abort(self) -> web.StreamResponse:
         """Break the connection: the caller must not take a part for the whole."""
         if self._request.transport is not None:
             self._request.transport.abort()
-        return self._response
+        return self.response
 
     def _is_new(self, event: StreamEvent) -> bool:
         if event.number is None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -13,6 +13,7 @@
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.node_roster import NodeRoster
 from clementineyoke_node.edge.peer_states import PeerStates
+from clementineyoke_node.edge.runner_attempts import RunnerAttempts
 from clementineyoke_node.edge.runner_link import RunnerLink
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.fleet.gossiper import Gossiper
@@ -168,22 +169,28 @@
 
     def _make_forwarder(self) -> Forwarder:
         config, state = self._config, self._state
-        return Forwarder(
+        attempts = RunnerAttempts(
             broker=self.broker,
             link=self.link,
             rings=state.rings,
             table=state.table,
+            patience=Patience(),
+            timers=self.timers,
+            decisions=state.decisions,
+            is_leaving=lambda: self.is_leaving,
+        )
+        return Forwarder(
+            broker=self.broker,
+            attempts=attempts,
             watch=self.watch,
             retries=RetryWindow(
                 ratio=config.retry_ratio,
                 allowance=config.retry_allowance,
                 window_ms=config.retry_window_s * MS_PER_S,
             ),
-            patience=Patience(),
             timers=self.timers,
             decisions=state.decisions,
             sharers=lambda: len(state.membership.alive()),
-            is_leaving=lambda: self.is_leaving,
             random_key=lambda: state.rng.getrandbits(KEY_BITS),
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -2,42 +2,33 @@
 
 from __future__ import annotations
 
-import asyncio
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-import aiohttp
 from aiohttp import web
 
-from clementineyoke_core.edge.attempt_ledger import AttemptEnd, AttemptLedger
+from clementineyoke_core.edge.attempt_ledger import AttemptLedger
 from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.caller_stream import CallerStream
-from clementineyoke_node.edge.runner_link import check_outcome, read_whole
-from clementineyoke_node.platform.runner_codec import RunnerOrder
 from clementineyoke_node.slots.slot_wish import SlotWish
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import Callable
 
     from clementineyoke_core.edge.admission import AdmittedCall
-    from clementineyoke_core.edge.patience import Patience
     from clementineyoke_core.edge.retry_window import RetryWindow
     from clementineyoke_core.edge.runner_watch import RunnerWatch
-    from clementineyoke_core.pool_rings import PoolRings
-    from clementineyoke_core.runner import Runner
-    from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
-    from clementineyoke_node.edge.runner_link import OpenAnswer, RunnerLink, WholeAnswer
+    from clementineyoke_node.edge.runner_attempts import RunnerAttempts
+    from clementineyoke_node.edge.runner_link import WholeAnswer
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
 
-MS_PER_S = 1000.0
 REFUSED_RETRY_MS = 100
 """When a call that met a full or leaving runner may come back: the node knows by then
 that the runner takes no more, and chooses another one."""
@@ -53,31 +44,22 @@
         self,
         *,
         broker: SlotBroker,
-        link: RunnerLink,
-        rings: PoolRings,
-        table: RunnerTable,
+        attempts: RunnerAttempts,
         watch: RunnerWatch,
         retries: RetryWindow,
-        patience: Patience,
         timers: TimerService,
         decisions: DecisionRing,
         sharers: Callable[[], int],
-        is_leaving: Callable[[], bool],
         random_key: Callable[[], int],
     ) -> None:
         self._broker = broker
-        self._link = link
-        self._rings = rings
-        self._table = table
+        self._attempts = attempts
         self._watch = watch
         self._retries = retries
-        self._patience = patience
         self._timers = timers
         self._decisions = decisions
         self._sharers = sharers
-        self._is_leaving = is_leaving
         self._random_key = random_key
-        self._alarms: dict[str, asyncio.TimerHandle] = {}
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -92,11 +74,11 @@
         while True:
             lease = await self._acquire(admitted, ledger, stream)
             if lease is None:
-                return self._aborted(stream)
+                return stream.abort()
             runner = lease.runner
             with self._broker.holding(lease):
                 try:
-                    answer = await self._attempt(admitted, runner, stream)
+                    answer = await self._attempts.carry_out(admitted, runner, stream)
                 except AttemptError as error:
                     self._record_failure(admitted, ledger, error)
                     failure = error
@@ -104,7 +86,7 @@
                     self._watch.record_success(
                         runner.runner_id, now_ms=self._timers.now_ms()
                     )
-                    return answer
+                    return stream.response if answer is None else _to_response(answer)
             if not self._may_go_on(admitted, ledger):
                 return self._give_up(admitted, ledger, stream, failure)
 
@@ -137,165 +119,6 @@
             retry_after_ms=REFUSED_RETRY_MS,
         )
 
-    async def _attempt(
-        self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
-    ) -> web.StreamResponse:
-        now_ms = self._timers.now_ms()
-        left_ms = admitted.deadline_ms - now_ms
-        if left_ms <= 0:
-            raise AttemptError(
-                end=AttemptEnd.NOT_SENT,
-                step="dispatch",
-                peer=runner.runner_id,
-                reason="no time left",
-            )
-        key = prompt_key(admitted.call.prompt_parts, model=admitted.call.model)
-        order = RunnerOrder(
-            runner_id=runner.runner_id,
-            team=admitted.team,
-            left_ms=left_ms,
-            urgency=admitted.priority,
-            last_event=stream.last_event,
-            fetch_from=None if key is None else self._holder(admitted, runner, key),
-        )
-        head_ms = min(left_ms, self._head_ms(admitted))
-        async with (
-            self._overdue_alarm(admitted, runner),
-            self._link.open(runner, admitted.call, order, head_ms=head_ms) as answer,
-        ):
-            if answer.head.is_event_stream and not answer.head.is_refusal:
-                return await self._relay(admitted, runner, stream, answer)
-            whole = await self._read(admitted, runner, answer)
-        check_outcome(whole, runner=runner)
-        if stream.has_begun:
-            raise AttemptError(
-                end=AttemptEnd.FAILED,
-                step="resume",
-                peer=runner.runner_id,
-                reason=f"answered {whole.head.status} to a stream that goes on",
-            )
-        return self._to_response(whole)
-
-    async def _read(
-        self, admitted: AdmittedCall, runner: Runner, answer: OpenAnswer
-    ) -> WholeAnswer:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        try:
-            async with asyncio.timeout(max(1.0, left_ms) / MS_PER_S):
-                return await read_whole(answer, runner=runner)
-        except TimeoutError as error:
-            raise AttemptError(
-                end=AttemptEnd.LOST,
-                step="read_body",
-                peer=runner.runner_id,
-                reason="the time is up",
-            ) from error
-
-    async def _relay(
-        self,
-        admitted: AdmittedCall,
-        runner: Runner,
-        stream: CallerStream,
-        answer: OpenAnswer,
-    ) -> web.StreamResponse:
-        if not answer.head.has_proof:
-            raise AttemptError(
-                end=AttemptEnd.LOST,
-                step="check_proof",
-                peer=runner.runner_id,
-                reason="a stream without the runner's proof",
-            )
-        await stream.begin(answer.head, is_leaving=self._is_leaving())
-        while chunk := await self._next_chunk(admitted, runner, answer, stream):
-            self._stop_alarm(admitted)
-            await stream.feed(chunk)
-        if stream.has_part:
-            raise AttemptError(
-                end=AttemptEnd.LOST,
-                step="relay",
-                peer=runner.runner_id,
-                reason="the stream stopped within an event",
-            )
-        return await stream.finish()
-
-    async def _next_chunk(
-        self,
-        admitted: AdmittedCall,
-        runner: Runner,
-        answer: OpenAnswer,
-        stream: CallerStream,
-    ) -> bytes:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        pause_ms = (
-            self._patience.pause_ms(admitted.route)
-            if stream.events
-            else self._head_ms(admitted)
-        )
-        try:
-            async with asyncio.timeout(max(1.0, min(left_ms, pause_ms)) / MS_PER_S):
-                return await answer.response.content.readany()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise AttemptError(
-                end=AttemptEnd.LOST,
-                step="relay",
-                peer=runner.runner_id,
-                reason=repr(error),
-                is_break=not isinstance(error, TimeoutError),
-            ) from error
-
-    def _holder(self, admitted: AdmittedCall, runner: Runner, key: int) -> str | None:
-        """Return the address of another runner that most likely holds the prompt.
-
-        A part that is fetched costs about a seventh of one that is read again.
-        """
-        for holder_id in self._rings.holders(admitted.pool, key):
-            entry = self._table.get(holder_id)
-            if holder_id == runner.runner_id or entry is None:
-                continue
-            return f"{entry.runner.address}:{entry.runner.port}"
-        return None
-
-    @asynccontextmanager
-    async def _overdue_alarm(
-        self, admitted: AdmittedCall, runner: Runner
-    ) -> AsyncIterator[None]:
-        """Report a runner whose answer is long overdue.
-
-        A runner may take calls and never answer. Calls that may not be sent again wait
-        out their time there; without a word meanwhile the next ones follow them.
-        """
-        overdue_ms = self._patience.overdue_ms(
-            admitted.route, prompt_tokens=admitted.prompt_tokens
-        )
-        loop = asyncio.get_running_loop()
-        alarm = loop.call_later(
-            overdue_ms / MS_PER_S, self._report_overdue, admitted, runner
-        )
-        self._alarms[admitted.call.call_id] = alarm
-        try:
-            yield
-        finally:
-            self._stop_alarm(admitted)
-
-    def _stop_alarm(self, admitted: AdmittedCall) -> None:
-        alarm = self._alarms.pop(admitted.call.call_id, None)
-        if alarm is not None:
-            alarm.cancel()
-
-    def _report_overdue(self, admitted: AdmittedCall, runner: Runner) -> None:
-        self._broker.report_fault(runner.runner_id)
-        self._decisions.record(
-            Event.RUNNER_OVERDUE,
-            request_id=admitted.call.call_id,
-            runner=runner.runner_id,
-            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
-        )
-
-    def _head_ms(self, admitted: AdmittedCall) -> float:
-        return self._patience.head_ms(
-            admitted.route, prompt_tokens=admitted.prompt_tokens
-        )
-
     def _may_go_on(self, admitted: AdmittedCall, ledger: AttemptLedger) -> bool:
         now_ms = self._timers.now_ms()
         if admitted.deadline_ms <= now_ms or not ledger.may_try_again():
@@ -312,9 +135,9 @@
         failure: AttemptError,
     ) -> web.StreamResponse:
         if stream.has_begun:
-            return self._aborted(stream)
+            return stream.abort()
         if failure.answer is not None:
-            return self._to_response(failure.answer)
+            return _to_response(failure.answer)
         is_late = admitted.deadline_ms <= self._timers.now_ms()
         if ledger.may_have_run:
             status = 504 if is_late else 502
@@ -331,22 +154,6 @@
             retry_after_ms=BROKEN_RETRY_MS if ledger.may_have_run else REFUSED_RETRY_MS,
         ) from failure
 
-    def _aborted(self, stream: CallerStream) -> web.StreamResponse:
-        response = stream.abort()
-        if response is None:
-            message = "a stream is aborted that has not begun"
-            raise RuntimeError(message)
-        return response
-
-    def _to_response(self, answer: WholeAnswer) -> web.Response:
-        response = web.Response(status=answer.head.status, body=answer.body)
-        for name, value in answer.head.passed_headers:
-            if name.lower() == "content-type":
-                response.headers[name] = value
-            else:
-                response.headers.add(name, value)
-        return response
-
     def _record_route(
         self, admitted: AdmittedCall, lease: SlotLease, *, attempt: int
     ) -> None:
@@ -384,3 +191,13 @@
             kind=admitted.route.kind.value,
             after_ms=round(now_ms - admitted.arrived_ms),
         )
+
+
+def _to_response(answer: WholeAnswer) -> web.Response:
+    response = web.Response(status=answer.head.status, body=answer.body)
+    for name, value in answer.head.passed_headers:
+        if name.lower() == "content-type":
+            response.headers[name] = value
+        else:
+            response.headers.add(name, value)
+    return response
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
@@ -0,0 +1,207 @@
+"""Carry out one attempt of a call at one runner."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from clementineyoke_core.edge.attempt_ledger import AttemptEnd
+from clementineyoke_core.edge.prompt_key import prompt_key
+from clementineyoke_node.edge.attempt_error import AttemptError
+from clementineyoke_node.edge.overdue_alarm import OverdueAlarm
+from clementineyoke_node.edge.runner_link import check_outcome, read_whole
+from clementineyoke_node.platform.runner_codec import RunnerOrder
+from clementineyoke_wire.events import Event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from clementineyoke_core.edge.admission import AdmittedCall
+    from clementineyoke_core.edge.patience import Patience
+    from clementineyoke_core.pool_rings import PoolRings
+    from clementineyoke_core.runner import Runner
+    from clementineyoke_core.runner_table import RunnerTable
+    from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.caller_stream import CallerStream
+    from clementineyoke_node.edge.runner_link import OpenAnswer, RunnerLink, WholeAnswer
+    from clementineyoke_node.slots.slot_broker import SlotBroker
+    from clementineyoke_node.timers.timer_service import TimerService
+
+MS_PER_S = 1000.0
+LEAST_WAIT_S = 0.001
+
+
+class RunnerAttempts:
+    """Send a call to a runner, and hand on or return what comes back."""
+
+    def __init__(
+        self,
+        *,
+        broker: SlotBroker,
+        link: RunnerLink,
+        rings: PoolRings,
+        table: RunnerTable,
+        patience: Patience,
+        timers: TimerService,
+        decisions: DecisionRing,
+        is_leaving: Callable[[], bool],
+    ) -> None:
+        self._broker = broker
+        self._link = link
+        self._rings = rings
+        self._table = table
+        self._patience = patience
+        self._timers = timers
+        self._decisions = decisions
+        self._is_leaving = is_leaving
+
+    async def carry_out(
+        self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
+    ) -> WholeAnswer | None:
+        """Return the runner's whole answer, or None when its stream was handed on.
+
+        Raises ``AttemptError``.
+        """
+        now_ms = self._timers.now_ms()
+        left_ms = admitted.deadline_ms - now_ms
+        if left_ms <= 0:
+            raise AttemptError(
+                end=AttemptEnd.NOT_SENT,
+                step="dispatch",
+                peer=runner.runner_id,
+                reason="no time left",
+            )
+        key = prompt_key(admitted.call.prompt_parts, model=admitted.call.model)
+        order = RunnerOrder(
+            runner_id=runner.runner_id,
+            team=admitted.team,
+            left_ms=left_ms,
+            urgency=admitted.priority,
+            last_event=stream.last_event,
+            fetch_from=None if key is None else self._holder(admitted, runner, key),
+        )
+        head_ms = min(left_ms, self._head_ms(admitted))
+        with self._alarm(admitted, runner) as alarm:
+            async with self._link.open(
+                runner, admitted.call, order, head_ms=head_ms
+            ) as answer:
+                if answer.head.is_event_stream and not answer.head.is_refusal:
+                    await self._relay(admitted, runner, stream, answer, alarm)
+                    return None
+                whole = await self._read(admitted, runner, answer)
+        check_outcome(whole, runner=runner)
+        if stream.has_begun:
+            raise AttemptError(
+                end=AttemptEnd.FAILED,
+                step="resume",
+                peer=runner.runner_id,
+                reason=f"answered {whole.head.status} to a stream that goes on",
+            )
+        return whole
+
+    async def _read(
+        self, admitted: AdmittedCall, runner: Runner, answer: OpenAnswer
+    ) -> WholeAnswer:
+        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        try:
+            async with asyncio.timeout(max(LEAST_WAIT_S, left_ms / MS_PER_S)):
+                return await read_whole(answer, runner=runner)
+        except TimeoutError as error:
+            raise AttemptError(
+                end=AttemptEnd.LOST,
+                step="read_body",
+                peer=runner.runner_id,
+                reason="the time is up",
+            ) from error
+
+    async def _relay(
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        stream: CallerStream,
+        answer: OpenAnswer,
+        alarm: OverdueAlarm,
+    ) -> None:
+        if not answer.head.has_proof:
+            raise AttemptError(
+                end=AttemptEnd.LOST,
+                step="check_proof",
+                peer=runner.runner_id,
+                reason="a stream without the runner's proof",
+            )
+        await stream.begin(answer.head, is_leaving=self._is_leaving())
+        while chunk := await self._next_chunk(admitted, runner, answer, stream):
+            alarm.stop()
+            await stream.feed(chunk)
+        if stream.has_part:
+            raise AttemptError(
+                end=AttemptEnd.LOST,
+                step="relay",
+                peer=runner.runner_id,
+                reason="the stream stopped within an event",
+            )
+        await stream.finish()
+
+    async def _next_chunk(
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        answer: OpenAnswer,
+        stream: CallerStream,
+    ) -> bytes:
+        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        pause_ms = (
+            self._patience.pause_ms(admitted.route)
+            if stream.events
+            else self._head_ms(admitted)
+        )
+        try:
+            async with asyncio.timeout(
+                max(LEAST_WAIT_S, min(left_ms, pause_ms) / MS_PER_S)
+            ):
+                return await answer.response.content.readany()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise AttemptError(
+                end=AttemptEnd.LOST,
+                step="relay",
+                peer=runner.runner_id,
+                reason=repr(error),
+                is_break=not isinstance(error, TimeoutError),
+            ) from error
+
+    def _holder(self, admitted: AdmittedCall, runner: Runner, key: int) -> str | None:
+        """Return the address of another runner that most likely holds the prompt.
+
+        A part that is fetched costs about a seventh of one that is read again.
+        """
+        for holder_id in self._rings.holders(admitted.pool, key):
+            entry = self._table.get(holder_id)
+            if holder_id == runner.runner_id or entry is None:
+                continue
+            return f"{entry.runner.address}:{entry.runner.port}"
+        return None
+
+    def _alarm(self, admitted: AdmittedCall, runner: Runner) -> OverdueAlarm:
+        after_ms = self._patience.overdue_ms(
+            admitted.route, prompt_tokens=admitted.prompt_tokens
+        )
+        return OverdueAlarm(
+            after_ms=after_ms, call=partial(self._report_overdue, admitted, runner)
+        )
+
+    def _report_overdue(self, admitted: AdmittedCall, runner: Runner) -> None:
+        self._broker.report_fault(runner.runner_id)
+        self._decisions.record(
+            Event.RUNNER_OVERDUE,
+            request_id=admitted.call.call_id,
+            runner=runner.runner_id,
+            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        )
+
+    def _head_ms(self, admitted: AdmittedCall) -> float:
+        return self._patience.head_ms(
+            admitted.route, prompt_tokens=admitted.prompt_tokens
+        )
