Take changed settings, with a signal or without one

Cause: settings files change on the platform, also silently; a node read them at SIGHUP only and took nothing from them. Now the file is looked at every 5 s, a changed one is checked as a whole, new seeds are met, and a half-written one changes nothing.

--- a/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
@@ -11,12 +11,14 @@
 
 from clementineyoke_node.config.config_error import ConfigError
 from clementineyoke_node.config.edge_config import EdgeConfig, load_edge_config
+from clementineyoke_node.config.settings_file import SettingsFile
 from clementineyoke_node.edge.edge_service import EdgeService
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
-from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.log_sink import log_to_pipe
 
 EXIT_BAD_CONFIG = 2
+SETTINGS_INTERVAL_MS = 5_000
+"""How often to look whether the settings file was written without a signal."""
 
 
 def main() -> None:
@@ -34,21 +36,15 @@
 async def _serve(config: EdgeConfig, path: str) -> None:
     loop = asyncio.get_running_loop()
     async with EdgeService(config=config) as service:
+        settings = SettingsFile(path=path, config=config, on_change=service.take_config)
+        service.io.timers.subscribe(
+            "settings", interval_ms=SETTINGS_INTERVAL_MS, call=settings.check
+        )
         loop.add_signal_handler(signal.SIGTERM, service.order_stop)
         loop.add_signal_handler(signal.SIGINT, service.order_stop)
-        loop.add_signal_handler(signal.SIGHUP, _reload, config, path)
+        loop.add_signal_handler(signal.SIGHUP, settings.reload)
         await service.run_until_stopped()
 
 
-def _reload(config: EdgeConfig, path: str) -> None:
-    """Check settings that have changed; what is in force needs a restart."""
-    try:
-        changed = load_edge_config(path) != config
-    except ConfigError as error:
-        log_event(Event.SETTINGS_REFUSED, step=error.step, reason=error.reason)
-        return
-    log_event(Event.NODE_RELOADED, changed=changed)
-
-
 if __name__ == "__main__":
     main()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -87,7 +87,7 @@
             await self._stack.enter_async_context(part)
         self._subscribe()
         self.tasks.spawn(self.roster.enter(), name="enter_roster")
-        self._meet_seeds()
+        self.meet_seeds(self._config.seeds)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -112,6 +112,15 @@
         self.apply_hosts()
         self.gossiper.announce()
 
+    def meet_seeds(self, seeds: list[str]) -> None:
+        """Say hello to the nodes that the settings name, and ask them for news."""
+        for seed in seeds:
+            address = seed.partition(":")[0]
+            if address == self._config.address:
+                continue
+            self.introducer.greet_address(PeerAddress(address, self._config.peer_port))
+            self.peers.fetch(seed)
+
     def _make_slots(self) -> None:
         state = self._state
         self.slot_home = SlotHome(
@@ -200,15 +209,6 @@
     def _announce(self) -> None:
         self.gossiper.announce()
 
-    def _meet_seeds(self) -> None:
-        own = f"{self._config.address}:{self._config.control_port}"
-        for seed in self._config.seeds:
-            if seed == own:
-                continue
-            address = seed.partition(":")[0]
-            self.introducer.greet_address(PeerAddress(address, self._config.peer_port))
-            self.peers.fetch(seed)
-
     async def _keep_house(self) -> None:
         await self.view.drop_lapsed()
         self._state.table.end_due_quarantines(now_ms=self.timers.now_ms())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -77,6 +77,10 @@
         """Take an order to stop; more of them change nothing."""
         self._stop_ordered.set()
 
+    def take_config(self, config: EdgeConfig) -> None:
+        """Take changed settings: new seeds are met; all else waits for a restart."""
+        self.io.meet_seeds(config.seeds)
+
     async def run_until_stopped(self) -> None:
         """Serve until ordered to stop, then let every call end."""
         await self._stop_ordered.wait()
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -72,3 +72,13 @@
     #   checker (runner_entries_spec).
     Given a fleet of 1 node and 1 runner
     Then with 60 nodes alive a watch of the runners ends before three heartbeats
+
+  Scenario: The settings file changes
+    # Symptom: a node ends when its settings file is written.
+    # Sequence: the file is half written at one check, whole and changed at the next.
+    # Cause: settings that did not read as agreed were taken for a fatal fault.
+    Given a settings file of a node
+    When it is half written and the node looks at it
+    Then the node keeps its settings
+    When it names another seed and the node looks at it
+    Then the node takes the new seed
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -1,13 +1,18 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import tempfile
 import time
+from pathlib import Path
 from random import Random
 
 import aiohttp
+import msgspec
 from behave import given, then, when
 from edge_fleet import CALL_ID, KEY, EdgeFleet, make_route
 
+from clementineyoke_node.config.settings_file import SettingsFile
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.platform.state_decoder import decode_state
 from clementineyoke_node.platform.store_client import WATCH_SLACK_MS
@@ -401,3 +406,50 @@
         heartbeat_ms=1_200,
     )
     assert watcher._watch_wait_ms("servers") + WATCH_SLACK_MS < 3 * 1_200
+
+
+@given("a settings file of a node")
+def given_file(context):
+    fleet = EdgeFleet()
+    fleet.ports = [1, 2, 3, 4, 5]
+    fleet.store_address = "127.0.0.1:6"
+    config = fleet.config(0)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.file = Path(folder.name) / "node.json"
+    context.file.write_bytes(msgspec.json.encode(config))
+    context.taken = []
+    context.settings = SettingsFile(
+        path=str(context.file), config=config, on_change=context.taken.append
+    )
+
+
+def look(context, content):
+    context.file.write_bytes(content)
+    # The clock of the file system is coarse; a test writes twice within one tick.
+    os.utime(context.file, ns=(0, context.file.stat().st_mtime_ns + 1_000_000))
+    context.run(context.settings.check())
+
+
+@when("it is half written and the node looks at it")
+def half_written(context):
+    context.whole = context.file.read_bytes()
+    look(context, context.whole[: len(context.whole) // 2])
+
+
+@then("the node keeps its settings")
+def check_kept(context):
+    assert context.taken == []
+
+
+@when("it names another seed and the node looks at it")
+def another_seed(context):
+    changed = msgspec.json.decode(context.whole)
+    changed["seeds"] = ["127.0.0.9:4"]
+    look(context, msgspec.json.encode(changed))
+
+
+@then("the node takes the new seed")
+def check_taken(context):
+    (config,) = context.taken
+    assert config.seeds == ["127.0.0.9:4"]
