--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
@@ -37,5 +37,3 @@
     needs_key: bool
     """Whether callers must show a key: the state names teams."""
     limits: CallerLimits
-    health_paths: dict[str, str]
-    """Path of the health check, by pool."""
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -302,7 +302,7 @@
 def given_state(context, host):
     routes = (make_route("/a/"), make_route("/a/b/"), make_route("/p/", is_public=True))
     teams = (Team("one", ("k1",), None), Team("two", ("k2",), 0))
-    state = DesiredState(1, 1, routes, teams, True, CallerLimits(), {})
+    state = DesiredState(1, 1, routes, teams, True, CallerLimits())
     context.routes = RouteTable(state=state)
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -38,8 +38,6 @@
     """Whether the runner says that it did not run the call."""
     has_proof: bool
     is_event_stream: bool
-    is_closing: bool
-    """Whether the runner closes the connection after this answer."""
     passed_headers: list[tuple[str, str]]
 
 
@@ -68,6 +66,5 @@
         is_refusal=names.NOT_EXECUTED in fields or status == STATUS_MISDIRECTED,
         has_proof=names.PROOF in fields,
         is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
-        is_closing=fields.get("Connection", "").lower() == "close",
         passed_headers=end_to_end(list(fields.items())),
     )
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
@@ -26,10 +26,6 @@
             teams=tuple(_decode_team(team) for team in spec.get("tenants", [])),
             needs_key=bool(spec.get("tenants")),
             limits=_decode_limits(spec.get("limits") or {}),
-            health_paths={
-                service["name"]: service.get("healthCheck", "")
-                for service in spec.get("services", [])
-            },
         )
     except (KeyError, TypeError, ValueError) as error:
         raise FormatError(
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -1,4 +1,4 @@
-"""The store's calls: list, watch, create, replace, delete."""
+"""The store's calls: list, watch, create, replace."""
 
 from __future__ import annotations
 
@@ -23,8 +23,6 @@
 CALL_TIMEOUT_MS = 900
 """Bounds a call that should be answered at once: a silent store must not hold a node
 longer than it takes to ask again. A slow store was seen to take 0.4 s."""
-_STATUS_OK = 200
-_STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
 _STATUS_GONE = 410
 _STATUS_ERROR = 400
@@ -116,10 +114,6 @@
         """Replace an object's content, whatever its revision."""
         await self._call("PUT", f"{_path(kind)}/{name}", body=_object(name, spec))
 
-    async def delete(self, kind: str, name: str) -> None:
-        """Remove an object; one that does not exist is no fault."""
-        await self._call("DELETE", f"{_path(kind)}/{name}", allow_missing=True)
-
     async def _call(
         self,
         method: str,
@@ -128,7 +122,6 @@
         params: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         wait_ms: int = 0,
-        allow_missing: bool = False,
     ) -> Any:
         step = f"{method} {path}"
         if self._session is None:
@@ -153,8 +146,6 @@
             raise StoreError(
                 step=step, peer=self._address, reason=repr(error)
             ) from error
-        if allow_missing and response.status == _STATUS_NOT_FOUND:
-            return None
         self._check_status(step, response.status)
         return self._decode(step, content)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
@@ -194,7 +194,7 @@
 
 
 def _make_table_of(routes: tuple[Route, ...], teams: tuple[Team, ...]) -> RouteTable:
-    state = DesiredState(1, 1, routes, teams, True, CallerLimits(), {})
+    state = DesiredState(1, 1, routes, teams, True, CallerLimits())
     return RouteTable(state=state)
 
 
