Change rings piece by piece instead of sorting them anew

Cause: each runner that joins, leaves or changes rebuilt its pool's ring: 3.35 ms of a full core for 75 members, and a release of 49 runners brings some 150 such changes to each of 59 nodes, the smallest of which have half a core. Ruled out: rendezvous hashing for each lookup (633 us at 3,500 runners, docs/design). Change: members keep a number while they are on the ring; points of a member that leaves or joins are cut out of or merged into the sorted ones by slices. A scenario compares a ring after 200 rounds of churn with a new one.

--- a/packages/clementineyoke-core/src/clementineyoke_core/hash_ring.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/hash_ring.py
@@ -12,13 +12,16 @@
     from collections.abc import Iterable, Iterator
 
 DEFAULT_POINTS_PER_MEMBER = 64
+MOST_MEMBERS = 2**16
+"""Owners of points are numbers of 16 bits."""
 
 
 class HashRing:
     """Order members by key so that a join or leave moves few keys.
 
-    A lookup costs one bisection. ``replace`` hashes only members it has not seen:
-    a flapping member costs a merge of sorted runs, not a rebuild.
+    A lookup costs one bisection. ``replace`` touches only what changed: a member that
+    leaves or joins costs one copy of the points. Sorting all of them anew took 3.3 ms
+    for 75 members, seen in a release of 49 runners as nodes that answer callers late.
     """
 
     def __init__(self, *, points_per_member: int = DEFAULT_POINTS_PER_MEMBER) -> None:
@@ -27,6 +30,9 @@
         # Arrays, not a list of pairs: 0.7 kB a member instead of 7 kB.
         self._points = array("Q")
         self._owners = array("H")
+        self._places: dict[str, int] = {}
+        """The number by which a member owns points; kept while it is on the ring."""
+        self._names: dict[int, str] = {}
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -38,15 +44,13 @@
         wanted = tuple(sorted(set(members)))
         if wanted == self._members:
             return False
-        pairs = self._pairs_of(set(wanted))
-        known = set(self._members)
-        for member in wanted:
-            if member not in known:
-                pairs.extend(self._hash_points(member))
-        pairs.sort()
-        index_of = {member: index for index, member in enumerate(wanted)}
-        self._points = array("Q", (point for point, _ in pairs))
-        self._owners = array("H", (index_of[member] for _, member in pairs))
+        known = self._places.keys()
+        gone = known - set(wanted)
+        joined = [member for member in wanted if member not in known]
+        if gone:
+            self._drop(gone)
+        if joined:
+            self._insert(joined)
         self._members = wanted
         return True
 
@@ -55,12 +59,12 @@
         if not self._members:
             return None
         index = bisect_right(self._points, key) % len(self._points)
-        return self._members[self._owners[index]]
+        return self._names[self._owners[index]]
 
     def order(self, key: int) -> Iterator[str]:
         """Yield every member once, the owner of the key first."""
         owners = self._owners
-        members = self._members
+        names = self._names
         size = len(owners)
         start = bisect_right(self._points, key)
         seen: set[int] = set()
@@ -69,20 +73,64 @@
             if owner in seen:
                 continue
             seen.add(owner)
-            yield members[owner]
-            if len(seen) == len(members):
+            yield names[owner]
+            if len(seen) == len(names):
                 return
 
-    def _pairs_of(self, kept: set[str]) -> list[tuple[int, str]]:
-        members = self._members
-        return [
-            (point, members[owner])
-            for point, owner in zip(self._points, self._owners, strict=True)
-            if members[owner] in kept
-        ]
+    def _drop(self, gone: set[str]) -> None:
+        dropped: list[int] = []
+        for member in gone:
+            place = self._places.pop(member)
+            del self._names[place]
+            dropped.extend(self._positions_of(place))
+        points, owners = array("Q"), array("H")
+        done = 0
+        for position in sorted(dropped):
+            points.extend(self._points[done:position])
+            owners.extend(self._owners[done:position])
+            done = position + 1
+        points.extend(self._points[done:])
+        owners.extend(self._owners[done:])
+        self._points, self._owners = points, owners
+
+    def _positions_of(self, place: int) -> list[int]:
+        positions: list[int] = []
+        next_position = 0
+        for _ in range(self._points_per_member):
+            position = self._owners.index(place, next_position)
+            positions.append(position)
+            next_position = position + 1
+        return positions
+
+    def _insert(self, joined: list[str]) -> None:
+        """Merge the new members' points into the sorted ones, piece by piece."""
+        fresh: list[tuple[int, int]] = []
+        for member in joined:
+            place = self._take_place(member)
+            fresh.extend((point, place) for point in self._hash_points(member))
+        fresh.sort()
+        points, owners = array("Q"), array("H")
+        done = 0
+        for point, place in fresh:
+            index = bisect_right(self._points, point, done)
+            points.extend(self._points[done:index])
+            owners.extend(self._owners[done:index])
+            points.append(point)
+            owners.append(place)
+            done = index
+        points.extend(self._points[done:])
+        owners.extend(self._owners[done:])
+        self._points, self._owners = points, owners
+
+    def _take_place(self, member: str) -> int:
+        place = len(self._names)
+        while place in self._names:
+            place = (place + 1) % MOST_MEMBERS
+        self._places[member] = place
+        self._names[place] = member
+        return place
 
-    def _hash_points(self, member: str) -> list[tuple[int, str]]:
+    def _hash_points(self, member: str) -> list[int]:
         return [
-            (hash_text(f"{member}#{index}"), member)
-            for index in range(self._points_per_member)
+            hash_text(f"{member}#{index}") for index in range(self._points_per_member)
         ]
--- a/packages/clementineyoke-core/tests/steps/hash_ring_steps.py
+++ b/packages/clementineyoke-core/tests/steps/hash_ring_steps.py
@@ -47,3 +47,22 @@
     for key in KEYS[:count]:
         owned[context.ring.first(key)] += 1
     assert max(owned.values()) <= 2 * count / len(context.members), max(owned.values())
+
+
+@when("{count:d} members join and leave in turns")
+def churn(context, count):
+    rng = Random(11)
+    for number in range(count):
+        for _ in range(rng.randrange(3)):
+            context.members.remove(rng.choice(context.members))
+        context.members += [f"new-{number}-{n}" for n in range(rng.randrange(3))]
+        context.ring.replace(context.members)
+
+
+@then("the order of each key is that of a ring made anew")
+def check_anew(context):
+    anew = HashRing()
+    anew.replace(reversed(context.members))
+    assert anew.members == context.ring.members
+    for key in KEYS[:300]:
+        assert list(context.ring.order(key)) == list(anew.order(key))
