Soak real node processes with random faults, and check the promises

Change: four nodes, four runners and a store on loopback; each node's path to the store and each runner's to the nodes goes through a proxy that delays, resets, cuts one way or silences; processes are stopped, paused, killed and started by signals, some with a time of day that is off by up to 30 s, and settings files are torn. Checked while and after it runs: own whole answers, at most once, true refusals, withdrawn keys and leaving runners within the bound where nothing else goes on, planned work that cuts nothing, no process that ends by itself, all nodes serving again, no state that goes back.

--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -0,0 +1,71 @@
+"""``make soak``: random faults on real node processes, and the promises checked."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import fire
+import json5
+
+from clementineyoke_standins.soak.soak_run import SoakReport, SoakRun
+
+FOLDER = Path("build/soak")
+KEPT_SEEDS = Path("samples/soak-seeds.json")
+"""Seeds that have failed once, each with its cause."""
+LENGTH_S = 14.0
+
+
+def run(
+    seeds: str = "1-3",
+    *,
+    length_s: float = LENGTH_S,
+    timed: bool = True,
+    kept: bool = False,
+) -> None:
+    """Play seeds such as ``7``, ``1-50`` or ``3,8``; exits 1 if a promise broke.
+
+    ``--timed=False`` leaves out promises that a busy machine would decide; ``--kept``
+    adds the seeds that have failed before.
+    """
+    wanted = _parse(str(seeds))
+    if kept:
+        wanted += [entry["seed"] for entry in json5.loads(KEPT_SEEDS.read_text())]
+    reports = [_play(seed, length_s, is_timed=timed) for seed in wanted]
+    failed = [report for report in reports if report.broken]
+    print(
+        f"{len(reports) - len(failed)} seeds kept every promise, {len(failed)} did not"
+    )
+    if failed:
+        sys.exit(1)
+
+
+def _play(seed: int, length_s: float, *, is_timed: bool) -> SoakReport:
+    folder = FOLDER / f"seed-{seed}"
+    played = SoakRun(seed=seed, length_s=length_s, folder=folder, is_timed=is_timed)
+    report = asyncio.run(played.run())
+    print(
+        f"seed {report.seed}: {report.calls} calls, {report.served} served,"
+        f" {len(report.faults)} faults, all serve {report.recovered_s:.1f} s after"
+    )
+    for line in report.broken:
+        print(f"  BROKEN {line}")
+    if report.broken:
+        print(f"  faults: {', '.join(report.faults)}; logs in {folder}")
+    sys.stdout.flush()
+    return report
+
+
+def _parse(seeds: str) -> list[int]:
+    wanted: list[int] = []
+    for part in seeds.strip("()").replace(" ", "").split(","):
+        if not part:
+            continue
+        first, _, last = part.partition("-")
+        wanted += range(int(first), int(last or first) + 1)
+    return wanted
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+import time
 from enum import Enum
 from typing import NamedTuple, Self
 
@@ -58,6 +59,15 @@
     target: str
     fields: dict[str, str]
     body: bytes
+    at_s: float = 0.0
+    """When it came; monotonic."""
+    has_run: bool = True
+    """Whether the runner began to work on it."""
+
+    @property
+    def call_id(self) -> str:
+        """The id of the caller's try."""
+        return self.fields.get(names.CALL_ID.lower(), "")
 
 
 class EdgeRunner:
@@ -67,6 +77,8 @@
         self.runner_id = runner_id
         self.usual = usual
         self.script: list[Act] = []
+        self.answers_by_path: dict[str, Act] = {}
+        """What is usual for targets that begin so."""
         self.calls: list[SeenCall] = []
         self.event_pause_s = 0.0
         self.port = 0
@@ -100,13 +112,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
         call = await _read_call(reader)
-        self.calls.append(call)
-        act = self.script.pop(0) if self.script else self.usual
-        call_id = call.fields.get(names.CALL_ID.lower(), "")
+        act = self.script.pop(0) if self.script else self._usual(call.target)
+        seen = call._replace(at_s=time.monotonic(), has_run=act is not Act.REFUSE)
+        self.calls.append(seen)
+        call_id = call.call_id
         if act in (Act.STREAM, Act.CUT):
             return await self._stream(writer, call, call_id, is_cut=act is Act.CUT)
         return await self._answer(writer, act, call_id)
 
+    def _usual(self, target: str) -> Act:
+        for prefix, act in self.answers_by_path.items():
+            if target.startswith(prefix):
+                return act
+        return self.usual
+
     async def _answer(
         self, writer: asyncio.StreamWriter, act: Act, call_id: str
     ) -> bool:
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -0,0 +1,140 @@
+"""Check the promises of a soak from what callers and runners saw."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, NamedTuple
+
+from clementineyoke_standins.edge.edge_runner import EVENTS
+from clementineyoke_standins.soak.operator_state import RouteKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from clementineyoke_standins.soak.caller import CallRecord
+    from clementineyoke_standins.soak.operator_state import WithdrawnKey
+
+PROMISES = frozenset((408, 421, 429, 503))
+"""Statuses that promise that the call has not run and never will."""
+WHOLE_STREAM = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, EVENTS + 1))
+STATUS_OK = 200
+DENIALS = frozenset((400, 401, 403, 404))
+APPLY_S = 2.0
+"""How soon a desired state or a runner's leave is in force at a node in touch."""
+CLOCK_SLACK_S = 0.5
+"""For what lies between the store's word and the soak's own clock reading."""
+
+
+class RunnerSight(NamedTuple):
+    """A call as a runner saw it."""
+
+    runner_id: str
+    call_id: str
+    at_s: float
+    has_run: bool
+
+
+class Span(NamedTuple):
+    """A time from a beginning to an end; monotonic."""
+
+    from_s: float
+    until_s: float
+
+
+class Evidence(NamedTuple):
+    """What the soak saw."""
+
+    calls: list[CallRecord]
+    sights: list[RunnerSight]
+    withdrawn: list[WithdrawnKey]
+    left: dict[str, float]
+    """When the store confirmed a runner's leave."""
+    calm: list[Span]
+    """Without fault or restart; promises with a time bind in them."""
+    planned_only: list[Span]
+    """With planned work at most: stops in order, changes of state, runners leaving."""
+
+
+def audit(evidence: Evidence, *, is_timed: bool) -> list[str]:
+    """Return each broken promise in one line.
+
+    Promises with a time are left out where the machine's load would decide.
+    """
+    runs: dict[str, list[RunnerSight]] = defaultdict(list)
+    for sight in evidence.sights:
+        if sight.has_run:
+            runs[sight.call_id].append(sight)
+    broken = [
+        *_check_answers(evidence.calls),
+        *_check_runs(evidence.calls, runs),
+        *_check_cuts(evidence, runs),
+    ]
+    if is_timed:
+        broken += [*_check_keys(evidence, runs), *_check_leaves(evidence)]
+    return broken
+
+
+def _check_answers(calls: Iterable[CallRecord]) -> Iterable[str]:
+    for call in calls:
+        if call.status != STATUS_OK:
+            continue
+        whole = f"answer to {call.call_id}"
+        if call.kind is RouteKind.STREAM:
+            whole = WHOLE_STREAM
+        if call.body != whole:
+            yield f"{call.call_id}: not its own whole answer: {call.body!r}"
+        if not call.has_proof:
+            yield f"{call.call_id}: a success without the runner's proof"
+
+
+def _check_runs(
+    calls: Iterable[CallRecord], runs: dict[str, list[RunnerSight]]
+) -> Iterable[str]:
+    for call in calls:
+        seen = runs.get(call.call_id, [])
+        if call.kind is RouteKind.NON_IDEMPOTENT and len(seen) > 1:
+            yield f"{call.call_id}: ran {len(seen)} times"
+        if call.status in PROMISES and seen and call.kind is RouteKind.NON_IDEMPOTENT:
+            yield f"{call.call_id}: told {call.status} and ran"
+        if call.status in DENIALS and seen:
+            yield f"{call.call_id}: told {call.status} and ran"
+
+
+def _check_cuts(
+    evidence: Evidence, runs: dict[str, list[RunnerSight]]
+) -> Iterable[str]:
+    """Planned work cuts no call that a runner has begun."""
+    for call in evidence.calls:
+        if call.status is not None or not runs.get(call.call_id):
+            continue
+        if _is_in(evidence.planned_only, call.sent_s, call.ended_s):
+            yield f"{call.call_id}: ran and was cut by planned work: {call.reason}"
+
+
+def _check_keys(
+    evidence: Evidence, runs: dict[str, list[RunnerSight]]
+) -> Iterable[str]:
+    confirmed_s = {entry.key: entry.confirmed_s for entry in evidence.withdrawn}
+    for call in evidence.calls:
+        since_s = confirmed_s.get(call.key)
+        if since_s is None or call.sent_s < since_s + APPLY_S + CLOCK_SLACK_S:
+            continue
+        if runs.get(call.call_id) and _is_in(evidence.calm, since_s, call.sent_s):
+            late_s = call.sent_s - since_s
+            yield f"{call.call_id}: ran {late_s:.1f} s after its key was withdrawn"
+
+
+def _check_leaves(evidence: Evidence) -> Iterable[str]:
+    sent_s = {call.call_id: call.sent_s for call in evidence.calls}
+    for sight in evidence.sights:
+        since_s = evidence.left.get(sight.runner_id)
+        if since_s is None or sight.at_s < since_s + APPLY_S + CLOCK_SLACK_S:
+            continue
+        is_new = sent_s.get(sight.call_id, 0.0) > since_s
+        if is_new and _is_in(evidence.calm, since_s, sight.at_s):
+            late_s = sight.at_s - since_s
+            yield f"{sight.call_id}: reached {sight.runner_id} {late_s:.1f} s too late"
+
+
+def _is_in(spans: list[Span], from_s: float, until_s: float) -> bool:
+    return any(span.from_s <= from_s and until_s <= span.until_s for span in spans)
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -0,0 +1,177 @@
+"""How each kind of fault is brought about, and undone."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from clementineyoke_standins.edge.edge_runner import Act
+from clementineyoke_standins.edge.edge_store import StoreFault
+from clementineyoke_standins.soak.fault_proxy import LinkFault
+from clementineyoke_standins.soak.schedule import FaultKind
+from clementineyoke_standins.soak.soak_fleet import GRACE_S
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from clementineyoke_standins.soak.fault_proxy import FaultProxy
+    from clementineyoke_standins.soak.node_process import NodeProcess
+    from clementineyoke_standins.soak.schedule import PlannedFault
+    from clementineyoke_standins.soak.soak_fleet import SoakFleet
+
+SPOILED = (
+    Act.RESET,
+    Act.FAIL,
+    Act.CROSSED,
+    Act.EXTRA,
+    Act.NO_PROOF,
+    Act.UNFRAMED_RESET,
+    Act.REFUSE,
+    Act.BUSY,
+)
+SPOILED_ANSWERS = 6
+STORE_FAULTS = (
+    StoreFault.BUSY,
+    StoreFault.MANY,
+    StoreFault.RESET,
+    StoreFault.SILENT,
+)
+LARGEST_SKEW_S = 30
+STORM_CHANGES = 12
+STORM_GAP_S = 0.05
+TORN_SHARE = 0.6
+
+
+class FaultActs:
+    """Play planned faults on a fleet, each until it is undone."""
+
+    def __init__(self, *, fleet: SoakFleet) -> None:
+        self._fleet = fleet
+        self._lock = asyncio.Lock()
+        self._acts: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
+            FaultKind.NODE_STOP: self._stop_node,
+            FaultKind.NODE_KILL: self._kill_node,
+            FaultKind.NODE_PAUSE: self._pause_node,
+            FaultKind.NODE_CLOCK: self._skew_node,
+            FaultKind.ALL_KILL: self._kill_all,
+            FaultKind.HUP: self._hup,
+            FaultKind.SETTINGS_TORN: self._tear_settings,
+            FaultKind.STORE_LINK: self._break_store_link,
+            FaultKind.STORE_AWAY: self._take_store_away,
+            FaultKind.STORE_FORGETS: self._forget,
+            FaultKind.RUNNER_LINK: self._break_runner_link,
+            FaultKind.RUNNER_ANSWERS: self._spoil_answers,
+            FaultKind.RUNNER_LEAVES: self._leave,
+            FaultKind.KEY_CHANGE: self._change_key,
+            FaultKind.STATE_STORM: self._storm,
+        }
+
+    async def play(self, fault: PlannedFault) -> None:
+        """Bring a fault about and undo it after its time."""
+        await self._acts[fault.kind](fault)
+
+    async def _stop_node(self, fault: PlannedFault) -> None:
+        node = self._node(fault)
+        if node.is_running:
+            await node.stop(limit_s=GRACE_S + 1)
+            await self._restart(node, fault)
+
+    async def _kill_node(self, fault: PlannedFault) -> None:
+        node = self._node(fault)
+        await node.kill()
+        await self._restart(node, fault)
+
+    async def _skew_node(self, fault: PlannedFault) -> None:
+        node = self._node(fault)
+        await node.kill()
+        node.skew_s = fault.pick % (2 * LARGEST_SKEW_S) - LARGEST_SKEW_S
+        await self._restart(node, fault)
+
+    async def _kill_all(self, fault: PlannedFault) -> None:
+        await asyncio.gather(*(node.kill() for node in self._fleet.nodes))
+        for node in self._fleet.nodes:
+            await self._restart(node, fault._replace(for_s=0.0))
+
+    async def _pause_node(self, fault: PlannedFault) -> None:
+        node = self._node(fault)
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        node.send(signal.SIGCONT)
+
+    async def _hup(self, fault: PlannedFault) -> None:
+        node = self._node(fault)
+        node.write_settings()
+        node.send(signal.SIGHUP)
+
+    async def _tear_settings(self, fault: PlannedFault) -> None:
+        node = self._node(fault)
+        node.write_settings(share=TORN_SHARE)
+        node.send(signal.SIGHUP)
+        await asyncio.sleep(fault.for_s)
+        node.write_settings()
+
+    async def _break_store_link(self, fault: PlannedFault) -> None:
+        links = self._fleet.store_links
+        await self._break(links[fault.pick % len(links)], fault)
+
+    async def _break_runner_link(self, fault: PlannedFault) -> None:
+        links = self._fleet.runner_links
+        await self._break(links[fault.pick % len(links)], fault)
+
+    async def _break(self, link: FaultProxy, fault: PlannedFault) -> None:
+        faults = list(LinkFault)
+        link.begin(faults[fault.pick // 16 % len(faults)])
+        await asyncio.sleep(fault.for_s)
+        link.heal()
+
+    async def _take_store_away(self, fault: PlannedFault) -> None:
+        self._fleet.store.fault = STORE_FAULTS[fault.pick % len(STORE_FAULTS)]
+        await asyncio.sleep(fault.for_s)
+        self._fleet.store.fault = None
+
+    async def _forget(self, fault: PlannedFault) -> None:
+        self._fleet.store.is_deaf = True
+        await asyncio.sleep(min(1.0, fault.for_s))
+        self._fleet.store.is_deaf = False
+        self._fleet.store.forget_history()
+
+    async def _spoil_answers(self, fault: PlannedFault) -> None:
+        runner = self._fleet.runners[fault.pick % len(self._fleet.runners)]
+        first = fault.pick // 16
+        runner.script = [
+            SPOILED[(first + n) % len(SPOILED)] for n in range(SPOILED_ANSWERS)
+        ]
+        await asyncio.sleep(fault.for_s)
+        runner.script = []
+
+    async def _leave(self, fault: PlannedFault) -> None:
+        """Let a runner leave for good, unless it would be one of the last two."""
+        staying = [
+            number
+            for number, runner in enumerate(self._fleet.runners)
+            if runner.runner_id not in self._fleet.state.left
+        ]
+        if len(staying) <= 2:
+            return
+        number = staying[fault.pick % len(staying)]
+        runner, link = self._fleet.runners[number], self._fleet.runner_links[number]
+        await self._fleet.state.enter(runner, link.listen, state="draining")
+        await asyncio.sleep(fault.for_s)
+        await self._fleet.state.remove(runner)
+
+    async def _change_key(self, fault: PlannedFault) -> None:
+        async with self._lock:
+            await self._fleet.state.change_key()
+
+    async def _storm(self, fault: PlannedFault) -> None:
+        async with self._lock:
+            await self._fleet.state.storm(STORM_CHANGES, gap_s=STORM_GAP_S)
+
+    async def _restart(self, node: NodeProcess, fault: PlannedFault) -> None:
+        await asyncio.sleep(fault.for_s)
+        if not node.is_running:
+            await node.start()
+
+    def _node(self, fault: PlannedFault) -> NodeProcess:
+        return self._fleet.nodes[fault.pick % len(self._fleet.nodes)]
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -0,0 +1,120 @@
+"""The operator of the soak: versions of the desired state, and runners' entries."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from enum import Enum
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    from clementineyoke_standins.edge.edge_runner import EdgeRunner
+    from clementineyoke_standins.edge.edge_store import EdgeStore
+    from clementineyoke_standins.soak.loopback import Endpoint
+
+HOSTNAME = "shop.example"
+TEAM = "team-one"
+POOL = "pool"
+OVERLAP_S = 1.0
+"""How long an old key and its successor are both good, so that callers can change."""
+
+
+class RouteKind(Enum):
+    """The routes of the soak, one for each kind."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "streaming"
+
+
+class WithdrawnKey(NamedTuple):
+    """A key that the operator has taken away."""
+
+    key: str
+    confirmed_s: float
+    """When the store confirmed the version without it; monotonic."""
+
+
+class OperatorState:
+    """Write desired states and entries into the store, and remember what is owed."""
+
+    def __init__(self, *, store: EdgeStore) -> None:
+        self._store = store
+        self._number = 0
+        self._version = 0
+        self.key = "key-0"
+        """The key that callers are to use."""
+        self.withdrawn: list[WithdrawnKey] = []
+        self.left: dict[str, float] = {}
+        """When the store confirmed that a runner leaves or is gone; monotonic."""
+
+    async def begin(self) -> None:
+        """Write the first desired state."""
+        await self._put([self.key])
+
+    async def change_key(self) -> None:
+        """Give out a new key, and take the old one away a little later."""
+        old = self.key
+        self._number += 1
+        new = f"key-{self._number}"
+        await self._put([old, new])
+        await asyncio.sleep(OVERLAP_S)
+        self.key = new
+        await asyncio.sleep(OVERLAP_S)
+        await self._put([new])
+        self.withdrawn.append(WithdrawnKey(old, time.monotonic()))
+
+    async def storm(self, count: int, *, gap_s: float) -> None:
+        """Write versions in quick succession; each differs from the one before."""
+        for _ in range(count):
+            await self._put([self.key])
+            await asyncio.sleep(gap_s)
+
+    async def enter(
+        self, runner: EdgeRunner, at: Endpoint, *, state: str = "ready"
+    ) -> None:
+        """Write a runner's entry."""
+        spec = {
+            "service": POOL,
+            "address": str(at),
+            "zone": "zone-0",
+            "slots": 8,
+            "state": state,
+        }
+        await self._store.put("servers", runner.runner_id, spec)
+        if state != "ready":
+            self.left.setdefault(runner.runner_id, time.monotonic())
+
+    async def remove(self, runner: EdgeRunner) -> None:
+        """Remove a runner's entry: it has left."""
+        await self._store.remove("servers", runner.runner_id)
+        self.left.setdefault(runner.runner_id, time.monotonic())
+
+    async def _put(self, keys: list[str]) -> None:
+        self._version += 1
+        state: dict[str, Any] = {
+            "version": self._version,
+            "routes": [_route(kind) for kind in RouteKind],
+            "services": [{"name": POOL, "healthCheck": "/healthz"}],
+            "limits": {},
+            "tenants": [{"name": TEAM, "apiKeys": keys}],
+        }
+        await self._store.put("config", "main", state)
+
+
+def _route(kind: RouteKind) -> dict[str, Any]:
+    return {
+        "name": kind.value,
+        "hostname": HOSTNAME,
+        "pathPrefix": f"/{kind.value}/",
+        "kind": kind.value,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": POOL,
+        "maxAttempts": 1 if kind is RouteKind.NON_IDEMPOTENT else 2,
+        "public": False,
+        "sticky": False,
+        "resumable": kind is RouteKind.STREAM,
+        "gapAimMs": 400,
+    }
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -0,0 +1,77 @@
+"""Which faults a seed brings, when and how long; the same for a seed each time."""
+
+from __future__ import annotations
+
+from enum import Enum
+from random import Random
+from typing import NamedTuple
+
+CALM_BEFORE_S = 2.0
+"""Calls before the first fault, so that connections are kept and caches are warm."""
+LEAST_GAP_S = 0.1
+LARGEST_GAP_S = 1.6
+"""Between the beginnings of two faults: most of them overlap."""
+SHORTEST_S = 0.4
+LONGEST_S = 3.0
+
+
+class FaultKind(Enum):
+    """What a soak does to the fleet."""
+
+    NODE_STOP = "node_stop"
+    NODE_KILL = "node_kill"
+    NODE_PAUSE = "node_pause"
+    NODE_CLOCK = "node_clock"
+    """Killed, and started again with a time of day that is off."""
+    ALL_KILL = "all_kill"
+    HUP = "hup"
+    SETTINGS_TORN = "settings_torn"
+    """The settings file is half written when the node is told to read it."""
+    STORE_LINK = "store_link"
+    """The path from one node to the store fails."""
+    STORE_AWAY = "store_away"
+    STORE_FORGETS = "store_forgets"
+    RUNNER_LINK = "runner_link"
+    """The path from all nodes to one runner fails."""
+    RUNNER_ANSWERS = "runner_answers"
+    """A runner spoils some of its answers."""
+    RUNNER_LEAVES = "runner_leaves"
+    KEY_CHANGE = "key_change"
+    STATE_STORM = "state_storm"
+
+
+HARMLESS = frozenset(
+    (
+        FaultKind.HUP,
+        FaultKind.RUNNER_LEAVES,
+        FaultKind.KEY_CHANGE,
+        FaultKind.STATE_STORM,
+    )
+)
+"""What no promise may suffer under at all."""
+PLANNED = HARMLESS | {FaultKind.NODE_STOP}
+"""Work of operators: it cuts no call."""
+
+
+class PlannedFault(NamedTuple):
+    """One fault of a seed."""
+
+    at_s: float
+    kind: FaultKind
+    pick: int
+    """Chooses the target and the variant, by its remainder."""
+    for_s: float
+
+
+def plan_faults(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return a seed's faults in order of their beginning."""
+    rng = Random(seed)
+    kinds = list(FaultKind)
+    planned = []
+    at_s = CALM_BEFORE_S
+    while at_s < length_s:
+        kind = rng.choice(kinds)
+        for_s = rng.uniform(SHORTEST_S, LONGEST_S)
+        planned.append(PlannedFault(at_s, kind, rng.getrandbits(16), for_s))
+        at_s += rng.uniform(LEAST_GAP_S, LARGEST_GAP_S)
+    return planned
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -0,0 +1,110 @@
+"""The store, runners, links and node processes of one soak."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from typing import TYPE_CHECKING, Any, Self
+
+from aiohttp import web
+
+from clementineyoke_standins.edge.edge_runner import EdgeRunner
+from clementineyoke_standins.edge.edge_store import EdgeStore
+from clementineyoke_standins.soak.fault_proxy import FaultProxy
+from clementineyoke_standins.soak.loopback import Endpoint, free_ports, node_address
+from clementineyoke_standins.soak.node_process import NodeProcess
+from clementineyoke_standins.soak.operator_state import OperatorState
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+LOCAL = "127.0.0.1"
+NODE_PORTS = ("front", "ready", "directory", "control", "peer_port")
+GRACE_S = 8
+ZONES = 2
+
+
+class SoakFleet:
+    """Own everything of a soak; ends all of it when closed.
+
+    Each node has its own link to the store, and each runner one for all nodes.
+    """
+
+    def __init__(self, *, nodes: int, runners: int, folder: Path) -> None:
+        self._folder = folder
+        self._stack = AsyncExitStack()
+        ports = free_ports(len(NODE_PORTS) + 1 + nodes + 2 * runners)
+        self._node_ports = dict(zip(NODE_PORTS, ports, strict=False))
+        self._store_at = Endpoint(LOCAL, ports[len(NODE_PORTS)])
+        spare = ports[len(NODE_PORTS) + 1 :]
+        self.store = EdgeStore()
+        self.state = OperatorState(store=self.store)
+        self.runners = [EdgeRunner(runner_id=f"runner-{n}") for n in range(runners)]
+        self.runner_links: list[FaultProxy] = []
+        self._runner_ports = spare[nodes : nodes + runners]
+        self.store_links = [
+            FaultProxy(listen=Endpoint(LOCAL, spare[n]), target=self._store_at)
+            for n in range(nodes)
+        ]
+        self.nodes = [
+            NodeProcess(name=f"node-{n}", folder=folder, settings=self._settings(n))
+            for n in range(nodes)
+        ]
+
+    async def __aenter__(self) -> Self:
+        """Start the store and the runners, then the nodes."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        server = web.AppRunner(self.store.application(), shutdown_timeout=0.1)
+        await server.setup()
+        self._stack.push_async_callback(server.cleanup)
+        await web.TCPSite(server, *self._store_at).start()
+        await self.state.begin()
+        for runner, port in zip(self.runners, self._runner_ports, strict=True):
+            await self._stack.enter_async_context(runner)
+            link = FaultProxy(
+                listen=Endpoint(LOCAL, port), target=Endpoint(LOCAL, runner.port)
+            )
+            self.runner_links.append(await self._stack.enter_async_context(link))
+            await self.state.enter(runner, link.listen)
+        for store_link in self.store_links:
+            await self._stack.enter_async_context(store_link)
+        for node in self.nodes:
+            await self._stack.enter_async_context(node)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """End everything."""
+        await self._stack.aclose()
+
+    @property
+    def fronts(self) -> list[Endpoint]:
+        """Where callers connect, node by node."""
+        port = self._node_ports["front"]
+        return [Endpoint(node_address(n), port) for n in range(len(self.nodes))]
+
+    def _settings(self, number: int) -> dict[str, Any]:
+        address = node_address(number)
+        at = {
+            name: f"{address}:{self._node_ports[name]}"
+            for name in ("front", "ready", "directory", "control")
+        }
+        seed = f"{node_address(0)}:{self._node_ports['control']}"
+        return {
+            "node_id": f"node-{number}",
+            "address": address,
+            **at,
+            "peer_port": self._node_ports["peer_port"],
+            "availability_zone": f"zone-{number % ZONES}",
+            "region": "region",
+            "store": str(self.store_links[number].listen),
+            "seeds": [seed],
+            "peer_keys": ["soak"],
+            "heartbeat_ms": 1_200,
+            "apply_within_ms": 2_000,
+            "drain_within_ms": 2_000,
+            "retry_ratio": 0.2,
+            "retry_allowance": 50,
+            "retry_window_s": 10,
+            "cap_factor": 2,
+            "stop_deadline_s": GRACE_S,
+            "longest_keep_s": 5,
+        }
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -0,0 +1,189 @@
+"""Play one seed: calls, faults and checks while they run, then a last look at all."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import AsyncExitStack
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
+
+import aiohttp
+
+from clementineyoke_node.timers.background_tasks import BackgroundTasks
+from clementineyoke_standins.edge.edge_runner import Act
+from clementineyoke_standins.soak.audit import Evidence, RunnerSight, Span, audit
+from clementineyoke_standins.soak.caller import Caller
+from clementineyoke_standins.soak.fault_acts import FaultActs
+from clementineyoke_standins.soak.operator_state import RouteKind
+from clementineyoke_standins.soak.schedule import (
+    HARMLESS,
+    PLANNED,
+    FaultKind,
+    PlannedFault,
+    plan_faults,
+)
+from clementineyoke_standins.soak.soak_fleet import SoakFleet
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+NODES = 4
+RUNNERS = 4
+CALLERS = 6
+START_LIMIT_S = 30.0
+RECOVER_LIMIT_S = 30.0
+"""Long for a busy machine; how long it took is in the report."""
+POLL_S = 0.1
+CALM_AFTER_S = 3.0
+"""A node is in touch again so long after a fault."""
+STATUS_OK = 200
+STATUS_UNKNOWN_KEY = 401
+
+
+class SoakReport(NamedTuple):
+    """What one seed showed."""
+
+    seed: int
+    calls: int
+    served: int
+    faults: list[str]
+    recovered_s: float
+    broken: list[str]
+
+
+class SoakRun:
+    """Own one seed's fleet, callers and faults."""
+
+    def __init__(
+        self, *, seed: int, length_s: float, folder: Path, is_timed: bool
+    ) -> None:
+        self._seed = seed
+        self._length_s = length_s
+        self._is_timed = is_timed
+        self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
+        self._acts = FaultActs(fleet=self._fleet)
+        self._callers = [
+            Caller(
+                name=f"s{seed}c{number}",
+                endpoints=self._fleet.fronts,
+                state=self._fleet.state,
+                rng=Random(seed * CALLERS + number),
+            )
+            for number in range(CALLERS)
+        ]
+        self._probe = Caller(
+            name=f"s{seed}probe",
+            endpoints=self._fleet.fronts,
+            state=self._fleet.state,
+            rng=Random(seed),
+        )
+        self._played: list[tuple[FaultKind, Span]] = []
+        self._broken: list[str] = []
+
+    async def run(self) -> SoakReport:
+        """Play the seed and return what it showed."""
+        async with AsyncExitStack() as stack:
+            await stack.enter_async_context(self._fleet)
+            session = await stack.enter_async_context(aiohttp.ClientSession())
+            await self._wait_all_serve(session, START_LIMIT_S)
+            # Streams and whole answers by turns, as the routes ask for.
+            for runner in self._fleet.runners:
+                runner.answers_by_path = {"/streaming/": Act.STREAM}
+            began_s = time.monotonic()
+            tasks = await stack.enter_async_context(BackgroundTasks())
+            for caller in self._callers:
+                tasks.spawn(caller.run(), name="soak_caller")
+            planned = plan_faults(self._seed, length_s=self._length_s)
+            await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
+            recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
+            await asyncio.sleep(CALM_AFTER_S)
+            await self._check_newest(session)
+            await tasks.__aexit__(None, None, None)
+            for node in self._fleet.nodes:
+                await node.stop(limit_s=START_LIMIT_S)
+                self._broken += node.own_ends
+        return self._report(planned, began_s, recovered_s)
+
+    async def _play(self, fault: PlannedFault, began_s: float) -> None:
+        await asyncio.sleep(max(0.0, began_s + fault.at_s - time.monotonic()))
+        from_s = time.monotonic()
+        for node in self._fleet.nodes:
+            node.check_alive()
+        await self._acts.play(fault)
+        span = Span(from_s, time.monotonic() + CALM_AFTER_S)
+        self._played.append((fault.kind, span))
+
+    async def _wait_all_serve(
+        self, session: aiohttp.ClientSession, limit_s: float
+    ) -> float:
+        """Wait until each node serves a call; return how long it took."""
+        began_s = time.monotonic()
+        for node in range(len(self._fleet.nodes)):
+            while not await self._serves(session, node):
+                if time.monotonic() > began_s + limit_s:
+                    self._broken.append(f"node-{node} does not serve after {limit_s} s")
+                    break
+                await asyncio.sleep(POLL_S)
+        return time.monotonic() - began_s
+
+    async def _serves(self, session: aiohttp.ClientSession, node: int) -> bool:
+        key = self._fleet.state.key
+        record = await self._probe.call(
+            session, node=node, kind=RouteKind.IDEMPOTENT, key=key
+        )
+        return record.status == STATUS_OK
+
+    async def _check_newest(self, session: aiohttp.ClientSession) -> None:
+        """See that no node went back to a state with a withdrawn key."""
+        for entry in self._fleet.state.withdrawn:
+            for node in range(len(self._fleet.nodes)):
+                record = await self._probe.call(
+                    session, node=node, kind=RouteKind.IDEMPOTENT, key=entry.key
+                )
+                if record.status != STATUS_UNKNOWN_KEY:
+                    self._broken.append(
+                        f"node-{node} answers {record.status} to the withdrawn key"
+                        f" {entry.key}"
+                    )
+
+    def _report(
+        self, planned: list[PlannedFault], began_s: float, recovered_s: float
+    ) -> SoakReport:
+        calls = [record for caller in self._callers for record in caller.records]
+        calls += self._probe.records
+        sights = [
+            RunnerSight(runner.runner_id, call.call_id, call.at_s, call.has_run)
+            for runner in self._fleet.runners
+            for call in runner.calls
+        ]
+        evidence = Evidence(
+            calls=calls,
+            sights=sights,
+            withdrawn=self._fleet.state.withdrawn,
+            left=self._fleet.state.left,
+            calm=self._spans_without(HARMLESS, began_s),
+            planned_only=self._spans_without(PLANNED, began_s),
+        )
+        self._broken += audit(evidence, is_timed=self._is_timed)
+        return SoakReport(
+            seed=self._seed,
+            calls=len(calls),
+            served=sum(record.status == STATUS_OK for record in calls),
+            faults=[fault.kind.value for fault in planned],
+            recovered_s=recovered_s,
+            broken=self._broken,
+        )
+
+    def _spans_without(
+        self, allowed: frozenset[FaultKind], began_s: float
+    ) -> list[Span]:
+        """Return the spans in which nothing but the allowed kinds went on."""
+        spans = []
+        calm_since_s = began_s
+        for span in sorted(span for kind, span in self._played if kind not in allowed):
+            if span.from_s > calm_since_s:
+                spans.append(Span(calm_since_s, span.from_s))
+            calm_since_s = max(calm_since_s, span.until_s)
+        spans.append(Span(calm_since_s, time.monotonic()))
+        return spans
