--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -33,6 +33,7 @@
         self._log: IO[bytes] | None = None
         self._process: asyncio.subprocess.Process | None = None
         self._may_end = False
+        self._is_killed = False
         self._log_began = 0
 
     async def __aenter__(self) -> Self:
@@ -78,6 +79,7 @@
             SKEW_VARIABLE: str(self.skew_s),
         }
         self._may_end = False
+        self._is_killed = False
         self._log_began = self._log_path.stat().st_size
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -104,6 +106,7 @@
         """Kill the process."""
         self.check_alive()
         self._may_end = True
+        self._is_killed = True
         self.send(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
@@ -123,5 +126,7 @@
             return
         if code == -signal.SIGTERM and not self._has_served():
             return  # told to stop while it was still loading its modules
+        if code == -signal.SIGKILL and self._is_killed:
+            return  # another fault killed it while it stopped
         if code:
             self.own_ends.append(f"{self.name} was told to stop and ended with {code}")
