Refuse heads and bodies larger than the operator allows

Cause: the limits of the desired state were decoded and read by nobody; a node applied fixed ones of the same size, so an operator's change of them had no effect. Ruled out: the limits on idle and on slow heads; aiohttp sets both when a server is made and has no public way to change them (docs/design/platform.md, open). Before and after: three examples of admission.feature; the two over a limit were served.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 
 if TYPE_CHECKING:
     from random import Random
 
-    from clementineyoke_core.edge.desired_state import Team
+    from clementineyoke_core.edge.desired_state import CallerLimits, Team
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.edge.route import Route
     from clementineyoke_core.edge.route_table import RouteTable
@@ -37,6 +38,8 @@
     """When the caller or the route's limit ends it; monotonic."""
     version: int
     """The operator's version by which it was admitted."""
+    prompt_key: int | None
+    """By which its prompt finds a runner; None for a call without one."""
 
     @property
     def prompt_tokens(self) -> int:
@@ -51,6 +54,7 @@
     if table is None:
         # Refusing with "no such route" would tell a caller what only a known state can.
         raise _refuse(503, "no desired state is known yet", _return_ms(call, rng))
+    _check_size(call, table.state.limits)
     match = table.match(call.hostname, call.path)
     route = match.route
     if route is None:
@@ -70,9 +74,18 @@
         arrived_ms=arrived_ms,
         deadline_ms=arrived_ms + wait_ms,
         version=match.version,
+        prompt_key=prompt_key(call.prompt_parts, model=call.model),
     )
 
 
+def _check_size(call: EdgeCall, limits: CallerLimits) -> None:
+    """Refuse what is larger than the operator lets a caller send."""
+    if call.head_bytes > limits.header_bytes:
+        raise _refuse(431, f"headers of {call.head_bytes} bytes are too large")
+    if len(call.body) > limits.body_bytes:
+        raise _refuse(413, f"a body of {len(call.body)} bytes is too large")
+
+
 def _return_ms(call: EdgeCall, rng: Random) -> int:
     longest_ms = NO_STATE_RETRY_SHARE * (call.budget_ms or 0.0)
     longest_ms = min(LONGEST_NO_STATE_RETRY_MS, longest_ms)
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/edge_call.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/edge_call.py
@@ -19,6 +19,8 @@
     hostname: str
     passed_headers: tuple[tuple[str, str], ...]
     """What the runner gets to see of the caller's headers."""
+    head_bytes: int
+    """Size of the request's line and headers as they came."""
     body: bytes
     key: str | None
     """The caller's key, or None without one."""
--- a/packages/clementineyoke-core/tests/edge/admission.feature
+++ b/packages/clementineyoke-core/tests/edge/admission.feature
@@ -42,3 +42,14 @@
     Given a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "shop.example"
     When a call for "shop.example/a/x" with the key "k1" comes that waits 300 ms
     Then it ends 300 ms after its arrival
+
+  Scenario Outline: The operator limits what a caller may send
+    Given a desired state with the routes "/a/", "/a/b/" and a public "/p/" of "shop.example"
+    When a call with a head of <head> bytes and a body of <body> bytes comes
+    Then its end is "<end>"
+
+    Examples:
+      | head  | body    | end        |
+      | 16384 | 4194304 | route /a/  |
+      | 16385 | 0       | status 431 |
+      | 200   | 4194305 | status 413 |
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -355,6 +355,15 @@
 
 @when('a call for "{target}" with the key "{key}" comes that waits {wait:d} ms')
 def call_waits(context, target, key, wait):
+    admit_call(context, target, key, wait)
+
+
+@when("a call with a head of {head:d} bytes and a body of {body:d} bytes comes")
+def sized_call(context, head, body):
+    admit_call(context, "shop.example/a/x", "k1", 60_000, head=head, body=body)
+
+
+def admit_call(context, target, key, wait, *, head=200, body=0):
     host, _, path = target.partition("/")
     call = EdgeCall(
         call_id="call",
@@ -363,7 +372,8 @@
         path=f"/{path}",
         hostname=host,
         passed_headers=(),
-        body=b"",
+        head_bytes=head,
+        body=bytes(body),
         key=key or None,
         budget_ms=wait,
         model="",
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/call_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/call_decoder.py
@@ -30,6 +30,8 @@
     )
 )
 """What concerns one connection only; the length is set anew for the next one."""
+LINE_BYTES = len(": \r\n")
+FIRST_LINE_BYTES = len("  HTTP/1.1\r\n\r\n")
 _SINGLE = (names.CALL_ID, names.TIME_LEFT_MS, names.AUTHORIZATION, "Host")
 
 
@@ -53,6 +55,7 @@
         path=target.partition("?")[0],
         hostname=fields.get("Host", "").partition(":")[0],
         passed_headers=_passed(fields),
+        head_bytes=_head_bytes(method, target, fields),
         body=body,
         key=_decode_key(fields.get(names.AUTHORIZATION)),
         budget_ms=_decode_budget(fields.get(names.TIME_LEFT_MS)),
@@ -83,6 +86,11 @@
             )
 
 
+def _head_bytes(method: str, target: str, fields: CIMultiDictProxy[str]) -> int:
+    lines = sum(len(name) + len(value) + LINE_BYTES for name, value in fields.items())
+    return len(method) + len(target) + FIRST_LINE_BYTES + lines
+
+
 def _passed(fields: CIMultiDictProxy[str]) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name, value)
