Ask the membership alone whether a node leaves

Clean-up: it stood in three places (EdgeIo, CallerDoor, Membership). The node reads at most 64 kB a header and 16 MB a body; the operator's limits lie below.

--- a/packages/clementineyoke-core/src/clementineyoke_core/membership.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/membership.py
@@ -147,6 +147,11 @@
         known = self._rumour_of(node_id)
         return self.hear(Rumour(node_id, known.incarnation, NodeState.DOWN))
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this node has told the others that it leaves."""
+        return self.state(self._own.node_id) is NodeState.LEAVING
+
     def begin_leaving(self) -> None:
         """Tell the others that this node is leaving."""
         own_id = self._own.node_id
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -19,6 +19,7 @@
     from random import Random
 
     from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.membership import Membership
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.callers.in_flight import InFlight
     from clementineyoke_node.edge.fleet_view import FleetView
@@ -42,6 +43,7 @@
         decisions: DecisionRing,
         metrics: Metrics,
         rng: Random,
+        membership: Membership,
     ) -> None:
         self._view = view
         self._forwarder = forwarder
@@ -50,8 +52,8 @@
         self._decisions = decisions
         self._metrics = metrics
         self._rng = rng
+        self._membership = membership
         self._busy: set[web.RequestHandler] = set()
-        self.is_leaving = False
 
     def is_busy(self, connection: web.RequestHandler) -> bool:
         """Whether a caller's connection carries a call now."""
@@ -67,7 +69,7 @@
                 response = await self._answer(request, arrived_ms)
         finally:
             self._busy.discard(connection)
-        if self.is_leaving and not response.prepared:
+        if self._membership.is_leaving and not response.prepared:
             response.force_close()
         elapsed_ms = self._timers.now_ms() - arrived_ms
         self._metrics.record_outcome(str(response.status), elapsed_ms)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -59,7 +59,6 @@
         self._state = state
         self._stack = AsyncExitStack()
         self._is_apply_due = False
-        self.is_leaving = False
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
@@ -130,7 +129,6 @@
 
     def begin_leaving(self) -> None:
         """Tell the peers at once that this node takes no more callers."""
-        self.is_leaving = True
         self._state.membership.begin_leaving()
         self.apply_hosts()
         self.gossiper.announce()
@@ -219,7 +217,7 @@
             patience=Patience(),
             timers=self.timers,
             decisions=state.decisions,
-            is_leaving=lambda: self.is_leaving,
+            membership=state.membership,
         )
         return Forwarder(
             broker=self.broker,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -25,8 +25,10 @@
 CLEANUP_RESERVE_MS = 400.0
 """Left before the process is killed, to end what is still open in order."""
 END_POLL_MS = 50.0
-LARGEST_FIELD_BYTES = 16_384
-LARGEST_BODY_BYTES = 4_194_304
+LARGEST_FIELD_BYTES = 65_536
+LARGEST_BODY_BYTES = 16_777_216
+"""What a node reads at most, whatever the operator allows: a tenth of the smallest
+host's memory for one body."""
 IDLE_TIMEOUT_S = 15.0
 BACKLOG = 512
 
@@ -48,6 +50,7 @@
             decisions=self.state.decisions,
             metrics=self.state.metrics,
             rng=self.state.rng,
+            membership=self.state.membership,
         )
         self._directory = DirectoryDoor(
             membership=self.state.membership,
@@ -85,7 +88,6 @@
         """Serve until ordered to stop, then let every call end."""
         await self._stop_ordered.wait()
         ordered_ms = self.io.timers.now_ms()
-        self._door.is_leaving = True
         self.io.begin_leaving()
         log_event(Event.NODE_DRAINING, in_flight=self.state.in_flight.count)
         await asyncio.sleep(self._config.linger_ms / MS_PER_S)
@@ -115,7 +117,7 @@
                 connection.force_close()
 
     def _is_serving(self) -> bool:
-        return self.io.view.ready.is_set() and not self.io.is_leaving
+        return self.io.view.ready.is_set() and not self.state.membership.is_leaving
 
     def _caller_application(self) -> web.Application:
         app = web.Application(client_max_size=LARGEST_BODY_BYTES)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 
 from clementineyoke_core.edge.attempt_ledger import AttemptLedger
-from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
@@ -94,8 +93,7 @@
         self, admitted: AdmittedCall, ledger: AttemptLedger, stream: CallerStream
     ) -> SlotLease | None:
         """Return a lease, or None when a begun stream cannot go on for want of one."""
-        call = admitted.call
-        key = prompt_key(call.prompt_parts, model=call.model)
+        key = admitted.prompt_key
         left_ms = admitted.deadline_ms - self._timers.now_ms()
         wish = SlotWish(
             pool=admitted.pool,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
@@ -9,7 +9,6 @@
 import aiohttp
 
 from clementineyoke_core.edge.attempt_ledger import AttemptEnd
-from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_alarm import OverdueAlarm
 from clementineyoke_node.edge.runner_link import check_outcome, read_whole
@@ -17,10 +16,9 @@
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.patience import Patience
+    from clementineyoke_core.membership import Membership
     from clementineyoke_core.pool_rings import PoolRings
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
@@ -47,7 +45,7 @@
         patience: Patience,
         timers: TimerService,
         decisions: DecisionRing,
-        is_leaving: Callable[[], bool],
+        membership: Membership,
     ) -> None:
         self._broker = broker
         self._link = link
@@ -56,7 +54,7 @@
         self._patience = patience
         self._timers = timers
         self._decisions = decisions
-        self._is_leaving = is_leaving
+        self._membership = membership
 
     async def carry_out(
         self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
@@ -74,14 +72,13 @@
                 peer=runner.runner_id,
                 reason="no time left",
             )
-        key = prompt_key(admitted.call.prompt_parts, model=admitted.call.model)
         order = RunnerOrder(
             runner_id=runner.runner_id,
             team=admitted.team,
             left_ms=left_ms,
             urgency=admitted.priority,
             last_event=stream.last_event,
-            fetch_from=None if key is None else self._holder(admitted, runner, key),
+            fetch_from=self._holder(admitted, runner),
         )
         head_ms = min(left_ms, self._head_ms(admitted))
         with self._alarm(admitted, runner) as alarm:
@@ -136,7 +133,7 @@
                 peer=runner.runner_id,
                 reason="a stream without the runner's proof",
             )
-        await stream.begin(answer.head, is_leaving=self._is_leaving())
+        await stream.begin(answer.head, is_leaving=self._membership.is_leaving)
         while chunk := await self._next_chunk(admitted, runner, answer, stream):
             alarm.stop()
             await stream.feed(chunk)
@@ -176,12 +173,14 @@
                 is_break=not isinstance(error, TimeoutError),
             ) from error
 
-    def _holder(self, admitted: AdmittedCall, runner: Runner, key: int) -> str | None:
+    def _holder(self, admitted: AdmittedCall, runner: Runner) -> str | None:
         """Return the address of another runner that most likely holds the prompt.
 
         A part that is fetched costs about a seventh of one that is read again.
         """
-        for holder_id in self._rings.holders(admitted.pool, key):
+        if admitted.prompt_key is None:
+            return None
+        for holder_id in self._rings.holders(admitted.pool, admitted.prompt_key):
             entry = self._table.get(holder_id)
             if holder_id == runner.runner_id or entry is None:
                 continue
