Wait for a settings file that is being written when a node starts

Ruled out: the running node's own reload (it keeps what it has, tested before). Change: a node that starts reads the file again every 0.1 s for 5 s before it gives up.

--- a/packages/clementineyoke-node/src/clementineyoke_node/config/settings_file.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/settings_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,30 @@
     from collections.abc import Callable
 
 
+START_ATTEMPTS = 50
+START_PAUSE_S = 0.1
+"""How often a node that starts reads a file that does not read as agreed, and the pause
+between: a writer has five seconds to finish."""
+
+
+def wait_for_config(
+    path: str, *, attempts: int = START_ATTEMPTS, pause_s: float = START_PAUSE_S
+) -> EdgeConfig:
+    """Read the settings of a node that starts; raises ``ConfigError`` in the end.
+
+    The file may be half written just then, as when a host is set up and its processes
+    are started at once. Ending there costs a start more, seen as a host that is ready
+    seconds after the others.
+    """
+    for _ in range(attempts - 1):
+        try:
+            return load_edge_config(path)
+        except ConfigError as error:
+            log_event(Event.SETTINGS_REFUSED, step=error.step, reason=error.reason)
+            time.sleep(pause_s)
+    return load_edge_config(path)
+
+
 class SettingsFile:
     """Hold the settings in force; hand over those that a changed file brings.
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
@@ -6,17 +6,22 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from clementineyoke_node.config.config_error import ConfigError
-from clementineyoke_node.config.edge_config import EdgeConfig, load_edge_config
-from clementineyoke_node.config.settings_file import SettingsFile
+from clementineyoke_node.config.settings_file import SettingsFile, wait_for_config
 from clementineyoke_node.edge.edge_service import EdgeService
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
 from clementineyoke_wire.log_sink import log_to_pipe
 
+if TYPE_CHECKING:
+    from clementineyoke_node.config.edge_config import EdgeConfig
+
 EXIT_BAD_CONFIG = 2
+FIRST_LOG_LEVEL = "INFO"
+"""Until the settings are read; lines carry the process id until the name is known."""
 SETTINGS_INTERVAL_MS = 5_000
 """How often to look whether the settings file was written without a signal."""
 
@@ -24,8 +29,9 @@
 def main() -> None:
     """Read the settings that the platform wrote, and serve."""
     path = os.environ.get(SETTINGS_FILE_VARIABLE, "")
+    log_to_pipe(FIRST_LOG_LEVEL, node=str(os.getpid()))
     try:
-        config = load_edge_config(path)
+        config = wait_for_config(path)
     except ConfigError as error:
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_BAD_CONFIG) from error
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -82,3 +82,11 @@
     Then the node keeps its settings
     When it names another seed and the node looks at it
     Then the node takes the new seed
+
+  Scenario: A node starts while its settings file is written
+    # Symptom: a node ends with exit code 2 and is up seconds after the others.
+    # Sequence: all nodes are killed while the settings file of one is half written.
+    # Cause: a start took settings that did not read as agreed for final.
+    Given a settings file of a node
+    When a node starts while the file is half written, and the rest follows
+    Then it has its settings
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import tempfile
+import threading
 import time
 from pathlib import Path
 from random import Random
@@ -12,7 +13,7 @@
 from behave import given, then, when
 from edge_fleet import CALL_ID, KEY, EdgeFleet, make_route
 
-from clementineyoke_node.config.settings_file import SettingsFile
+from clementineyoke_node.config.settings_file import SettingsFile, wait_for_config
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.platform.state_decoder import decode_state
 from clementineyoke_node.platform.store_client import WATCH_SLACK_MS
@@ -478,3 +479,18 @@
 def check_taken(context):
     (config,) = context.taken
     assert config.seeds == ["127.0.0.9:4"]
+
+
+@when("a node starts while the file is half written, and the rest follows")
+def start_half_written(context):
+    whole = context.file.read_bytes()
+    context.file.write_bytes(whole[: len(whole) // 2])
+    writer = threading.Timer(0.05, context.file.write_bytes, (whole,))
+    writer.start()
+    context.started_with = wait_for_config(str(context.file), pause_s=0.02)
+    writer.join()
+
+
+@then("it has its settings")
+def check_config(context):
+    assert context.started_with.node_id == "node-0"
