Survive a change of settings that is signalled while a node loads or ends

First guess: SIGHUP came to a process that was loading its modules. The log showed the signal 0.13 s after node_stopped: the interpreter gives handled signals their defaults back before it unloads its modules, and SIGHUP then ends the process. Change: the entry ignores SIGHUP first and loads the node after; after the last answer all three signals are ignored. The file is read later anyway and looked at every 5 s.

--- a/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
@@ -2,57 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 import signal
-import sys
-from typing import TYPE_CHECKING
-
-import uvloop
-
-from clementineyoke_node.config.config_error import ConfigError
-from clementineyoke_node.config.settings_file import SettingsFile, wait_for_config
-from clementineyoke_node.edge.edge_service import EdgeService
-from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
-from clementineyoke_wire.log_sink import log_to_pipe
-
-if TYPE_CHECKING:
-    from clementineyoke_node.config.edge_config import EdgeConfig
-
-EXIT_BAD_CONFIG = 2
-FIRST_LOG_LEVEL = "INFO"
-"""Until the settings are read; lines carry the process id until the name is known."""
-SETTINGS_INTERVAL_MS = 5_000
-"""How often to look whether the settings file was written without a signal."""
 
 
 def main() -> None:
-    """Read the settings that the platform wrote, and serve."""
-    path = os.environ.get(SETTINGS_FILE_VARIABLE, "")
-    log_to_pipe(FIRST_LOG_LEVEL, node=str(os.getpid()))
-    try:
-        config = wait_for_config(path)
-    except ConfigError as error:
-        print(error, file=sys.stderr)
-        raise SystemExit(EXIT_BAD_CONFIG) from error
-    log_to_pipe(config.log_level, node=config.node_id)
-    uvloop.run(_serve(config, path))
-
-
-async def _serve(config: EdgeConfig, path: str) -> None:
-    loop = asyncio.get_running_loop()
-    service = EdgeService(config=config)
-    settings = SettingsFile(path=path, config=config, on_change=service.take_config)
-    # Before the doors open: a signal that met its default then would end the process
-    # with the calls that it has already taken.
-    loop.add_signal_handler(signal.SIGTERM, service.order_stop)
-    loop.add_signal_handler(signal.SIGINT, service.order_stop)
-    loop.add_signal_handler(signal.SIGHUP, settings.reload)
-    async with service:
-        service.io.timers.subscribe(
-            "settings", interval_ms=SETTINGS_INTERVAL_MS, call=settings.check
-        )
-        await service.run_until_stopped()
+    """Make the start safe from signals, then load the node and run it.
+
+    The platform may say that the settings have changed while a process loads its
+    modules, which takes some tenths of a second. Python's default would end the process
+    there, seen as a node that ends by itself with -1. What the signal tells is read
+    anyway: the settings come after this, and the file is looked at every few seconds.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Here and not above: this is what takes the time.
+    from clementineyoke_node.console import edge_process
+
+    edge_process.run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge_process.py
@@ -0,0 +1,67 @@
+"""One node on the users' platform, from its settings to its last answer."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from clementineyoke_node.config.config_error import ConfigError
+from clementineyoke_node.config.settings_file import SettingsFile, wait_for_config
+from clementineyoke_node.edge.edge_service import EdgeService
+from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
+from clementineyoke_wire.log_sink import log_to_pipe
+
+if TYPE_CHECKING:
+    from clementineyoke_node.config.edge_config import EdgeConfig
+
+EXIT_BAD_CONFIG = 2
+FIRST_LOG_LEVEL = "INFO"
+"""Until the settings are read; lines carry the process id until the name is known."""
+SETTINGS_INTERVAL_MS = 5_000
+"""How often to look whether the settings file was written without a signal."""
+
+
+def run() -> None:
+    """Read the settings that the platform wrote, and serve until told to stop."""
+    path = os.environ.get(SETTINGS_FILE_VARIABLE, "")
+    log_to_pipe(FIRST_LOG_LEVEL, node=str(os.getpid()))
+    try:
+        config = wait_for_config(path)
+    except ConfigError as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(EXIT_BAD_CONFIG) from error
+    log_to_pipe(config.log_level, node=config.node_id)
+    uvloop.run(_serve(config, path))
+    _ignore_signals()
+
+
+def _ignore_signals() -> None:
+    """Let the process end in order after its last answer.
+
+    The interpreter gives signals with a handler their defaults back as it ends, and
+    then takes a tenth of a second to unload its modules. A signal that comes meanwhile
+    would make a stop in order look like a process that was killed; ignored ones stay.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
+async def _serve(config: EdgeConfig, path: str) -> None:
+    loop = asyncio.get_running_loop()
+    service = EdgeService(config=config)
+    settings = SettingsFile(path=path, config=config, on_change=service.take_config)
+    # Before the doors open: a signal that met its default then would end the process
+    # with the calls that it has already taken.
+    loop.add_signal_handler(signal.SIGTERM, service.order_stop)
+    loop.add_signal_handler(signal.SIGINT, service.order_stop)
+    loop.add_signal_handler(signal.SIGHUP, settings.reload)
+    async with service:
+        service.io.timers.subscribe(
+            "settings", interval_ms=SETTINGS_INTERVAL_MS, call=settings.check
+        )
+        await service.run_until_stopped()
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -90,3 +90,21 @@
     Given a settings file of a node
     When a node starts while the file is half written, and the rest follows
     Then it has its settings
+
+  Scenario: The settings change while a node loads its modules
+    # Symptom: a node ends by itself with -1 right after its start.
+    # Sequence: a process starts; the platform signals a change of the settings before
+    #   the node has got to its signal handlers.
+    # Cause: the signal met its default, which ends the process.
+    Given a settings file of a node
+    When a node's process is told of changed settings while it starts
+    Then it goes on to start
+
+  Scenario: The settings change while a node ends
+    # Symptom: a node that was stopped in order ends with -1.
+    # Sequence: its last call is answered; the platform signals a change of the settings
+    #   while the interpreter unloads its modules.
+    # Cause: the interpreter gives signals their defaults back before it does so.
+    Given a settings file of a node
+    When a node's process is told of changed settings after its last answer
+    Then it ends in order
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -15,6 +17,7 @@
 
 from clementineyoke_node.config.settings_file import SettingsFile, wait_for_config
 from clementineyoke_node.edge.store_watcher import StoreWatcher
+from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
 from clementineyoke_node.platform.state_decoder import decode_state
 from clementineyoke_node.platform.store_client import WATCH_SLACK_MS
 from clementineyoke_standins.edge.edge_runner import EVENTS, PROOF, Act
@@ -494,3 +497,63 @@
 @then("it has its settings")
 def check_config(context):
     assert context.started_with.node_id == "node-0"
+
+
+@when("a node's process is told of changed settings while it starts")
+def signal_at_start(context):
+    # Stands for the modules that take long to load: the signal comes while they do.
+    loading = (
+        "import os, signal, sys, types\n"
+        "from clementineyoke_node.console import edge\n"
+        "class Slow:\n"
+        "    def find_spec(self, name, path, target=None):\n"
+        "        if name.endswith('edge_process'):\n"
+        "            os.kill(os.getpid(), signal.SIGHUP)\n"
+        "            print('goes on', flush=True)\n"
+        "            sys.exit(0)\n"
+        "sys.meta_path.insert(0, Slow())\n"
+        "edge.main()\n"
+    )
+    context.started = subprocess.run(
+        [sys.executable, "-c", loading], capture_output=True, check=False, timeout=60
+    )
+
+
+@then("it goes on to start")
+def check_goes_on(context):
+    assert context.started.returncode == 0, context.started
+    assert context.started.stdout == b"goes on\n"
+
+
+@when("a node's process is told of changed settings after its last answer")
+def signal_at_end(context):
+    # Stands for a node that has served: what it serves with ends at once. The signal
+    # comes when the interpreter drops the last object.
+    ending = (
+        "import asyncio, os, signal\n"
+        "from clementineyoke_node.console import edge_process\n"
+        "async def serve(config, path):\n"
+        "    loop = asyncio.get_running_loop()\n"
+        "    loop.add_signal_handler(signal.SIGHUP, lambda: None)\n"
+        "class Last:\n"
+        "    kill, pid, number = os.kill, os.getpid(), signal.SIGHUP\n"
+        "    def __del__(self):\n"
+        "        Last.kill(Last.pid, Last.number)\n"
+        "last = Last()\n"
+        "last.itself = last\n"
+        "edge_process._serve = serve\n"
+        "edge_process.run()\n"
+    )
+    environment = {**os.environ, SETTINGS_FILE_VARIABLE: str(context.file)}
+    context.ended = subprocess.run(
+        [sys.executable, "-c", ending],
+        capture_output=True,
+        check=False,
+        timeout=60,
+        env=environment,
+    )
+
+
+@then("it ends in order")
+def check_ends_in_order(context):
+    assert context.ended.returncode == 0, context.ended
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -10,13 +10,13 @@
 from typing import IO, TYPE_CHECKING, Any, Self
 
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
+from clementineyoke_standins.console.skewed_edge import SKEW_VARIABLE
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 NODE_MODULE = "clementineyoke_standins.console.skewed_edge"
 STARTED_LINE = b'"node_started"'
-SKEW_VARIABLE = "CLEMENTINEYOKE_SOAK_SKEW_S"
 
 
 class NodeProcess:
