Let the store's own word of an end outweigh a lapse that a peer told

Three nodes are cut off from the store alone (16.5 to 24.5 s). An entry ends at 24.507 s; one of the three, a watcher, is back at 24.526, takes the end for a lapse and tells its zone so. The zone's other watcher was between two watches: it watched on from the revision that it had been told and never saw the end itself. All of the zone held the runner until 27.04 s ('source': 'lapsed' in hosts_changed). Change: a watcher watches from what it has itself heard; an end told by one that saw it with the store well ends a lapse that was told before; news of a known revision are looked at. What a node itself knows of an outage still decides. The model has the step.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -152,6 +152,11 @@
         record = self._records.get(ended.runner_id)
         if record is not None and record.revision > ended.revision:
             return False
+        if not ended.is_lapsed:
+            # Whoever was cut off takes an end for a lapse and tells so. The word of one
+            # that saw it with the store well counts more; what this node itself knows of
+            # an outage still decides.
+            self._lapsed.pop(ended.runner_id, None)
         return self._remove(ended.runner_id, now_ms, is_lapsed=ended.is_lapsed)
 
     def _remove(
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -102,3 +102,20 @@
     Then changes from revision 10 to 12 follow on it
     And changes from revision 11 to 12 do not follow on it
     And changes from revision 0 to 12 do not follow on an empty directory
+
+  Scenario: Two peers tell of one end, and one of them was cut off
+    # Symptom: a call reaches a runner 2.2 s after its entry has ended.
+    # Sequence: a watcher that was cut off is back, sees the entry end and takes it for a
+    #   lapse; it tells so before a watcher that saw the end with the store well.
+    # Cause: an entry that was held as lapsed stayed so, whatever was told of it later.
+    Given a directory with the runners a, b
+    When a peer tells at 60000 ms that the entry of a lapsed
+    And a peer that saw the end of a tells of it at 60005 ms
+    Then the runners in force are b
+
+  Scenario: A peer that slept through an outage tells of an end
+    Given a directory with the runners a, b
+    And the store returned at 60000 ms
+    When a peer tells at 60100 ms that the entry of a lapsed
+    And a peer that saw the end of a tells of it at 60105 ms
+    Then the runners in force are a, b
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -316,6 +316,13 @@
     end(context, name, now=now, is_lapsed=True)
 
 
+@when("a peer that saw the end of {name} tells of it at {now:d} ms")
+def told_end(context, name, now):
+    removal = RunnerRemoval(name, context.revision)
+    changes = DirectoryChanges(10, context.revision, (), (removal,))
+    context.directory.apply(changes, now_ms=now)
+
+
 def follows(directory, base, revision):
     return directory.follows_on(DirectoryChanges(base, revision, (), ()))
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
@@ -86,9 +86,9 @@
             sender.availability_zone == self._membership.own.availability_zone
         )
         changes = _changes_of(news)
-        if changes.revision > self._view.runners_revision and self._view.follows_on(
-            changes
-        ):
+        # Also news of a revision that is known: another watcher may know better whether
+        # an entry ended or lapsed.
+        if _size(changes) and self._view.follows_on(changes):
             self._view.take_changes(
                 changes, source=sender.node_id, is_zone_told=is_zone_told
             )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -157,7 +157,9 @@
             self._confirm(followed, listed.revision)
             self._take_list(kind, listed.entries, listed.revision)
             return
-        position = self._position(followed)
+        # From what this node itself has heard, not from what peers have told: one that
+        # was cut off tells an end as a lapse, and the store's own word mends that.
+        position = self._positions[kind]
         seen = await self._watch(kind, position, self._wait_ms(followed))
         if seen is None:
             return
@@ -169,13 +171,6 @@
         elif self._has_duty():
             self._news.tell()
 
-    def _position(self, followed: FollowedKind) -> int:
-        """Return from where to watch: what peers have told need not be heard again."""
-        known = self._view.runners_revision
-        if followed.part is Followed.STATE:
-            known = self._view.state_revision
-        return max(self._positions[followed.kind], known)
-
     def _confirm(self, followed: FollowedKind, revision: int) -> None:
         self._positions[followed.kind] = revision
         self._view.confirm(followed.part)
--- a/packages/clementineyoke-node/tests/edge/news.feature
+++ b/packages/clementineyoke-node/tests/edge/news.feature
@@ -56,3 +56,21 @@
     Given a watcher that holds a runner, after an outage of the store
     When its own watch shows the end of the runner's entry
     Then the news say that it may have lapsed
+
+  Scenario: The second of two news is the better one
+    # Symptom: a call reaches a runner 2.2 s after its entry has ended.
+    # Sequence: a watcher that was cut off tells of the end as a lapse; one that was not
+    #   tells of the same revision a moment later.
+    # Cause: news of a revision that was known already were not looked at.
+    Given a node that two watchers tell of the end of a runner, the first as a lapse
+    Then it knows the runner no more
+
+  Scenario: A watcher hears of an end from a peer that was cut off
+    # Symptom: a call reaches a runner 2.2 s after its entry has ended, also from nodes
+    #   that were never cut off.
+    # Sequence: a watcher is back from a cut; it sees an entry end and tells it as a
+    #   lapse; another watcher hears so between two of its own watches.
+    # Cause: it watched on from the revision that it was told, and never saw the end.
+    Given a fleet of 2 nodes and 1 runner that know of one another
+    When a peer tells node 0 of a runner's end as a lapse, between two of its watches
+    Then node 0 knows the runner no more within 1 s
--- a/packages/clementineyoke-node/tests/steps/news_steps.py
+++ b/packages/clementineyoke-node/tests/steps/news_steps.py
@@ -21,9 +21,10 @@
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.news_cast import NewsCast
+from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
 from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_standins.edge.edge_store import StoreFault
-from clementineyoke_wire.messages import StoreNews
+from clementineyoke_wire.messages import RemovalNote, StoreNews
 
 
 @given("a fleet of {nodes:d} nodes and {runners:d} runner that know of one another")
@@ -158,9 +159,10 @@
 class SocketRecorder:
     def __init__(self):
         self.sent = []
+        self.handlers = {}
 
     def handle(self, message_type, handler):
-        pass
+        self.handlers[message_type] = handler
 
     def send_all(self, peers, message):
         self.sent.append(message)
@@ -174,8 +176,9 @@
     membership = Membership(own=a_node(0), incarnation=1, rng=Random(1))
     membership.add(a_node(1))
     context.socket = SocketRecorder()
+    context.runner_table = RunnerTable()
     context.view = FleetView(
-        table=RunnerTable(),
+        table=context.runner_table,
         timers=TimerService(),
         freshness=StoreFreshness(bound_ms=2_000),
         on_runners=lambda: None,
@@ -205,6 +208,23 @@
     context.view.record_store_back()
 
 
+@given("a node that two watchers tell of the end of a runner, the first as a lapse")
+def given_two_news(context):
+    runner = Runner("runner", "", 1, "zone", "region", RunnerKind.SERVICE, POOL, 8)
+    record = RunnerRecord(runner, is_leaving=False, revision=1)
+    make_watcher(context, DirectoryView(10, (record,)))
+    for is_lapsed in (True, False):
+        note = RemovalNote("runner", 12, is_lapsed)
+        news = StoreNews(0, 60_000, 10, 12, 60_000, [], [note])
+        peer = PeerAddress("127.0.0.1", 1)
+        context.socket.handlers[StoreNews](PeerMessage(peer, 1, news))
+
+
+@then("it knows the runner no more")
+def check_unknown(context):
+    assert context.runner_table.get("runner") is None
+
+
 @when("its own watch shows the end of the runner's entry")
 def watch_shows_end(context):
     changes = DirectoryChanges(10, 12, (), (RunnerRemoval("runner", 12),))
@@ -229,3 +249,29 @@
     (news,) = context.socket.sent
     assert len(news.removals) == 1
     assert news.runners_version == revision, news
+
+
+@when("a peer tells node 0 of a runner's end as a lapse, between two of its watches")
+def told_between(context):
+    async def act():
+        fleet = context.fleet
+        node, peer = fleet.nodes
+        await enter(context)
+        await wait_until(lambda: known(context, 0) is not None, 1)
+        revision = fleet.store.revision
+        note = RemovalNote("runner-new", revision + 1, is_lapsed=True)
+        news = StoreNews(0, 60_000, revision, revision + 1, 60_000, [], [note])
+        sender = PeerAddress.of(peer.state.membership.own)
+        node.io.socket._handlers[StoreNews](PeerMessage(sender, 1, news))
+        # The watch that is under way ends, and the next one begins.
+        await asyncio.sleep(0.1)
+        node.io.store_watcher._nudges["servers"].set()
+        await asyncio.sleep(0.1)
+        await fleet.store.remove("servers", "runner-new")
+
+    context.run(act())
+
+
+@then("node 0 knows the runner no more within {limit:d} s")
+def check_no_more(context, limit):
+    context.run(wait_until(lambda: known(context, 0) is None, limit))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/runner_entries_spec.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/runner_entries_spec.py
@@ -133,6 +133,8 @@
     if other.revision > node.revision:
         told = _tell(node, other, guards)
         yield f"tell {index}", _with(state, index, told)
+    if other.saw_end and node.belief in (HELD, LAPSED):
+        yield f"hear_end {index}", _with(state, index, _hear_end(node, other, guards))
     if node.belief == LAPSED and state.store == UP and not state.is_entered:
         yield f"expire {index}", _with(state, index, _end(node))
     if node.revision:
@@ -174,6 +176,16 @@
     return _end(told)
 
 
+def _hear_end(node: Node, other: Node, guards: Guards) -> Node:
+    """Take the word of a node that has seen the end, not only a list without it."""
+    if other.revision < node.revision:
+        return node
+    heard = node._replace(revision=other.revision)
+    if (node.is_away or node.saw_outage) and guards.hold_while_away:
+        return heard._replace(belief=LAPSED)
+    return _end(heard)
+
+
 def _end(node: Node) -> Node:
     return node._replace(belief=GONE, saw_end=True)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -141,6 +141,20 @@
         "is_lapsed=False",
         NEWS,
     ),
+    Mutation(
+        "a watcher skips what peers have told",
+        f"{EDGE}/store_watcher.py",
+        "position = self._positions[kind]",
+        "position = max(self._positions[kind], self._view.runners_revision)",
+        NEWS,
+    ),
+    Mutation(
+        "a told lapse outlives the word of its end",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if not ended.is_lapsed:",
+        "if False:",
+        PURE,
+    ),
     Mutation(
         "a gap in the news goes unnoticed",
         f"{DECISIONS}/edge/runner_directory.py",
