--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -154,8 +154,8 @@
             return False
         if not ended.is_lapsed:
             # Whoever was cut off takes an end for a lapse and tells so. The word of one
-            # that saw it with the store well counts more; what this node itself knows of
-            # an outage still decides.
+            # that saw it with the store well counts more; what this node itself knows
+            # of an outage still decides.
             self._lapsed.pop(ended.runner_id, None)
         return self._remove(ended.runner_id, now_ms, is_lapsed=ended.is_lapsed)
 
