Take old news of an entry for no sign of its return

Cause: found by reading the change before: any record cleared the mark of a lapsed entry, also one of the revision that was known. A watcher that catches up tells old records; if what it tells of the end is lost, the runner would be held for good. Ruled out: a return with the same revision (each change of an entry gets a new one). Change: only a newer record clears the mark. Before and after: the scenario holds a and b without, b with.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -141,10 +141,11 @@
 
     def _put(self, record: RunnerRecord) -> bool:
         runner_id = record.runner.runner_id
-        self._lapsed.pop(runner_id, None)
         known = self._records.get(runner_id)
         if known is not None and known.revision >= record.revision:
+            # Old news of an entry that may have ended since: no sign of its return.
             return False
+        self._lapsed.pop(runner_id, None)
         self._records[runner_id] = record
         return known is None or known[:2] != record[:2]
 
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -119,3 +119,14 @@
     When a peer tells at 60100 ms that the entry of a lapsed
     And a peer that saw the end of a tells of it at 60105 ms
     Then the runners in force are a, b
+
+  Scenario: Old news of an entry that has lapsed
+    # Symptom: a runner that is gone gets calls for good.
+    # Sequence: its entry lapses; a watcher that was cut off catches up and tells of the
+    #   entry as it was before; what it tells of the end is lost.
+    # Cause: any word of an entry was taken for the runner's return.
+    Given a directory with the runners a, b
+    When a peer tells at 60000 ms that the entry of a lapsed
+    And a peer tells at 60100 ms of the entry of a as it was at the start
+    And lapsed entries are dropped at 62500 ms
+    Then the runners in force are b
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -323,6 +323,12 @@
     context.directory.apply(changes, now_ms=now)
 
 
+@when("a peer tells at {now:d} ms of the entry of {name} as it was at the start")
+def told_old_entry(context, now, name):
+    changes = DirectoryChanges(10, context.revision, (make_record(name),), ())
+    context.directory.apply(changes, now_ms=now)
+
+
 def follows(directory, base, revision):
     return directory.follows_on(DirectoryChanges(base, revision, (), ()))
 
