Write what operators and runners enter in one place of the stand-ins

Change: the specs that go into the store are made in standins/edge, for the soak and for the tests of nodes, which had them a second time.

--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -14,6 +14,11 @@
 from clementineyoke_node.edge.edge_service import EdgeService
 from clementineyoke_standins.edge.edge_runner import EdgeRunner
 from clementineyoke_standins.edge.edge_store import EdgeStore
+from clementineyoke_standins.edge.written_specs import (
+    route_spec,
+    runner_spec,
+    state_spec,
+)
 
 STORE_HOST = "127.0.0.1"
 HOSTNAME = "shop.example"
@@ -30,32 +35,18 @@
 
 
 def make_route(kind, *, runners=2, resumable=False, **changes):
-    return {
-        "name": kind,
-        "hostname": HOSTNAME,
-        "pathPrefix": f"/{kind}/",
-        "kind": kind,
-        "timeoutMs": 3_000,
-        "targetLatencyMs": 500,
-        "priority": 1,
-        "service": POOL,
-        "maxAttempts": runners,
-        "public": False,
-        "sticky": False,
-        "resumable": resumable,
-        "gapAimMs": 400,
-        **changes,
-    }
+    route = route_spec(
+        hostname=HOSTNAME,
+        kind=kind,
+        pool=POOL,
+        most_runners=runners,
+        is_resumable=resumable,
+    )
+    return {**route, **changes}
 
 
 def make_state(version, *routes, keys=(KEY,)):
-    return {
-        "version": version,
-        "routes": list(routes),
-        "services": [{"name": POOL, "healthCheck": "/healthz"}],
-        "limits": {},
-        "tenants": [{"name": TEAM, "apiKeys": list(keys)}],
-    }
+    return state_spec(version=version, routes=list(routes), team=TEAM, keys=list(keys))
 
 
 class EdgeFleet:
@@ -100,13 +91,8 @@
         await self._stack.aclose()
 
     async def list_runner(self, standin, state="ready"):
-        spec = {
-            "service": POOL,
-            "address": f"{STORE_HOST}:{standin.port}",
-            "zone": "zone",
-            "slots": 8,
-            "state": state,
-        }
+        address = f"{STORE_HOST}:{standin.port}"
+        spec = runner_spec(pool=POOL, address=address, zone="zone", state=state)
         await self.store.put("servers", standin.runner_id, spec)
 
     async def put_state(self, *routes, keys=(KEY,)):
--- a/packages/clementineyoke-node/tests/steps/news_steps.py
+++ b/packages/clementineyoke-node/tests/steps/news_steps.py
@@ -24,6 +24,7 @@
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
 from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_standins.edge.edge_store import StoreFault
+from clementineyoke_standins.edge.written_specs import runner_spec
 from clementineyoke_wire.messages import RemovalNote, StoreNews
 
 
@@ -68,15 +69,8 @@
     assert calls[2:] == context.calls_before[2:], (calls, context.calls_before)
 
 
-async def enter(context, **changes):
-    spec = {
-        "service": POOL,
-        "address": "127.0.0.1:9",
-        "zone": "zone",
-        "slots": 8,
-        "state": "ready",
-        **changes,
-    }
+async def enter(context, state="ready"):
+    spec = runner_spec(pool=POOL, address="127.0.0.1:9", zone="zone", state=state)
     await context.fleet.store.put("servers", "runner-new", spec)
 
 
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
@@ -0,0 +1,56 @@
+"""What the operator and the runners write into the store, in the platform's words."""
+
+from __future__ import annotations
+
+from typing import Any
+
+SLOTS = 8
+TIMEOUT_MS = 3_000
+OBJECTIVE_MS = 500
+PAUSE_OBJECTIVE_MS = 400
+
+
+def state_spec(
+    *, version: int, routes: list[dict[str, Any]], team: str, keys: list[str]
+) -> dict[str, Any]:
+    """Return a desired state with one team."""
+    pools = sorted({route["service"] for route in routes})
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": pool, "healthCheck": "/healthz"} for pool in pools],
+        "limits": {},
+        "tenants": [{"name": team, "apiKeys": keys}],
+    }
+
+
+def route_spec(
+    *, hostname: str, kind: str, pool: str, most_runners: int, is_resumable: bool
+) -> dict[str, Any]:
+    """Return a route that is named after its kind and lies below that name."""
+    return {
+        "name": kind,
+        "hostname": hostname,
+        "pathPrefix": f"/{kind}/",
+        "kind": kind,
+        "timeoutMs": TIMEOUT_MS,
+        "targetLatencyMs": OBJECTIVE_MS,
+        "priority": 1,
+        "service": pool,
+        "maxAttempts": most_runners,
+        "public": False,
+        "sticky": False,
+        "resumable": is_resumable,
+        "gapAimMs": PAUSE_OBJECTIVE_MS,
+    }
+
+
+def runner_spec(*, pool: str, address: str, zone: str, state: str) -> dict[str, Any]:
+    """Return a runner's entry."""
+    return {
+        "service": pool,
+        "address": address,
+        "zone": zone,
+        "slots": SLOTS,
+        "state": state,
+    }
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -7,6 +7,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from clementineyoke_node.platform import names
+from clementineyoke_standins.edge.written_specs import (
+    route_spec,
+    runner_spec,
+    state_spec,
+)
+
 if TYPE_CHECKING:
     from clementineyoke_standins.edge.edge_runner import EdgeRunner
     from clementineyoke_standins.edge.edge_store import EdgeStore
@@ -15,6 +22,7 @@
 HOSTNAME = "shop.example"
 TEAM = "team-one"
 POOL = "pool"
+ZONE = "zone-0"
 OVERLAP_S = 1.0
 """How long an old key and its successor are both good, so that callers can change."""
 
@@ -74,47 +82,28 @@
         self, runner: EdgeRunner, at: Endpoint, *, state: str = "ready"
     ) -> None:
         """Write a runner's entry."""
-        spec = {
-            "service": POOL,
-            "address": str(at),
-            "zone": "zone-0",
-            "slots": 8,
-            "state": state,
-        }
-        await self._store.put("servers", runner.runner_id, spec)
+        spec = runner_spec(pool=POOL, address=str(at), zone=ZONE, state=state)
+        await self._store.put(names.RUNNERS_KIND, runner.runner_id, spec)
         if state != "ready":
             self.left.setdefault(runner.runner_id, time.monotonic())
 
     async def remove(self, runner: EdgeRunner) -> None:
         """Remove a runner's entry: it has left."""
-        await self._store.remove("servers", runner.runner_id)
+        await self._store.remove(names.RUNNERS_KIND, runner.runner_id)
         self.left.setdefault(runner.runner_id, time.monotonic())
 
     async def _put(self, keys: list[str]) -> None:
         self._version += 1
-        state: dict[str, Any] = {
-            "version": self._version,
-            "routes": [_route(kind) for kind in RouteKind],
-            "services": [{"name": POOL, "healthCheck": "/healthz"}],
-            "limits": {},
-            "tenants": [{"name": TEAM, "apiKeys": keys}],
-        }
-        await self._store.put("config", "main", state)
+        routes = [_route(kind) for kind in RouteKind]
+        spec = state_spec(version=self._version, routes=routes, team=TEAM, keys=keys)
+        await self._store.put(names.STATE_KIND, names.STATE_NAME, spec)
 
 
 def _route(kind: RouteKind) -> dict[str, Any]:
-    return {
-        "name": kind.value,
-        "hostname": HOSTNAME,
-        "pathPrefix": f"/{kind.value}/",
-        "kind": kind.value,
-        "timeoutMs": 3_000,
-        "targetLatencyMs": 500,
-        "priority": 1,
-        "service": POOL,
-        "maxAttempts": 1 if kind is RouteKind.NON_IDEMPOTENT else 2,
-        "public": False,
-        "sticky": False,
-        "resumable": kind is RouteKind.STREAM,
-        "gapAimMs": 400,
-    }
+    return route_spec(
+        hostname=HOSTNAME,
+        kind=kind.value,
+        pool=POOL,
+        most_runners=1 if kind is RouteKind.NON_IDEMPOTENT else 2,
+        is_resumable=kind is RouteKind.STREAM,
+    )
