Soak: change key and runners once more in calm, and look for good keys refused

Change: when all nodes serve again and have been in touch for 3 s, the key changes and a runner leaves, and calls go on; calls whose 2.5 s before them were calm are judged. Keys that are good and refused count too.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -46,6 +47,8 @@
 
     calls: list[CallRecord]
     sights: list[RunnerSight]
+    issued: dict[str, float]
+    """When the store confirmed the first version with a key."""
     withdrawn: list[WithdrawnKey]
     left: dict[str, float]
     """When the store confirmed a runner's leave."""
@@ -106,7 +109,7 @@
 def _check_cuts(
     evidence: Evidence, runs: dict[str, list[RunnerSight]]
 ) -> Iterable[str]:
-    """Planned work cuts no call that a runner has begun."""
+    """Find calls that a runner had begun and that planned work cut."""
     for call in evidence.calls:
         if call.status is not None or not runs.get(call.call_id):
             continue
@@ -117,24 +120,31 @@
 def _check_keys(
     evidence: Evidence, runs: dict[str, list[RunnerSight]]
 ) -> Iterable[str]:
-    confirmed_s = {entry.key: entry.confirmed_s for entry in evidence.withdrawn}
+    """Find withdrawn keys that ran something, and good ones that were refused."""
+    withdrawn_s = {entry.key: entry.confirmed_s for entry in evidence.withdrawn}
     for call in evidence.calls:
-        since_s = confirmed_s.get(call.key)
-        if since_s is None or call.sent_s < since_s + APPLY_S + CLOCK_SLACK_S:
+        settled_s = call.sent_s - APPLY_S - CLOCK_SLACK_S
+        if not _is_in(evidence.calm, settled_s, call.ended_s):
             continue
-        if runs.get(call.call_id) and _is_in(evidence.calm, since_s, call.sent_s):
-            late_s = call.sent_s - since_s
+        gone_s = withdrawn_s.get(call.key, math.inf)
+        if gone_s <= settled_s and runs.get(call.call_id):
+            late_s = call.sent_s - gone_s
             yield f"{call.call_id}: ran {late_s:.1f} s after its key was withdrawn"
+        is_good = evidence.issued[call.key] <= settled_s and call.ended_s < gone_s
+        if is_good and call.status in DENIALS:
+            yield f"{call.call_id}: told {call.status} though {call.key} is good"
 
 
 def _check_leaves(evidence: Evidence) -> Iterable[str]:
+    """Find new work that reached a leaving runner after the bound."""
     sent_s = {call.call_id: call.sent_s for call in evidence.calls}
     for sight in evidence.sights:
-        since_s = evidence.left.get(sight.runner_id)
-        if since_s is None or sight.at_s < since_s + APPLY_S + CLOCK_SLACK_S:
-            continue
+        settled_s = sight.at_s - APPLY_S - CLOCK_SLACK_S
+        since_s = evidence.left.get(sight.runner_id, math.inf)
         is_new = sent_s.get(sight.call_id, 0.0) > since_s
-        if is_new and _is_in(evidence.calm, since_s, sight.at_s):
+        if since_s > settled_s or not is_new:
+            continue
+        if _is_in(evidence.calm, settled_s, sight.at_s):
             late_s = sight.at_s - since_s
             yield f"{sight.call_id}: reached {sight.runner_id} {late_s:.1f} s too late"
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -52,6 +52,8 @@
         self._version = 0
         self.key = "key-0"
         """The key that callers are to use."""
+        self.issued: dict[str, float] = {}
+        """When the store confirmed the first version with a key; monotonic."""
         self.withdrawn: list[WithdrawnKey] = []
         self.left: dict[str, float] = {}
         """When the store confirmed that a runner leaves or is gone; monotonic."""
@@ -97,6 +99,8 @@
         routes = [_route(kind) for kind in RouteKind]
         spec = state_spec(version=self._version, routes=routes, team=TEAM, keys=keys)
         await self._store.put(names.STATE_KIND, names.STATE_NAME, spec)
+        for key in keys:
+            self.issued.setdefault(key, time.monotonic())
 
 
 def _route(kind: RouteKind) -> dict[str, Any]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -12,7 +12,13 @@
 
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_standins.edge.edge_runner import Act
-from clementineyoke_standins.soak.audit import Evidence, RunnerSight, Span, audit
+from clementineyoke_standins.soak.audit import (
+    APPLY_S,
+    Evidence,
+    RunnerSight,
+    Span,
+    audit,
+)
 from clementineyoke_standins.soak.caller import Caller
 from clementineyoke_standins.soak.fault_acts import FaultActs
 from clementineyoke_standins.soak.operator_state import RouteKind
@@ -37,6 +43,8 @@
 POLL_S = 0.1
 CALM_AFTER_S = 3.0
 """A node is in touch again so long after a fault."""
+SEEN_S = 1.5
+"""How long calls go on after the last change must be in force."""
 STATUS_OK = 200
 STATUS_UNKNOWN_KEY = 401
 
@@ -98,7 +106,7 @@
             planned = plan_faults(self._seed, length_s=self._length_s)
             await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
             recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
-            await asyncio.sleep(CALM_AFTER_S)
+            await self._change_in_calm()
             await self._check_newest(session)
             await tasks.__aexit__(None, None, None)
             for node in self._fleet.nodes:
@@ -135,6 +143,17 @@
         )
         return record.status == STATUS_OK
 
+    async def _change_in_calm(self) -> None:
+        """Change key and runners once more, with nothing else going on.
+
+        Faults overlap from the first to the last, so that no promise with a time binds
+        among them. A node that has been left deaf by them shows it here.
+        """
+        await asyncio.sleep(CALM_AFTER_S)
+        for kind in (FaultKind.KEY_CHANGE, FaultKind.RUNNER_LEAVES):
+            await self._acts.play(PlannedFault(0.0, kind, self._seed, 0.0))
+        await asyncio.sleep(APPLY_S + SEEN_S)
+
     async def _check_newest(self, session: aiohttp.ClientSession) -> None:
         """See that no node went back to a state with a withdrawn key."""
         for entry in self._fleet.state.withdrawn:
@@ -161,6 +180,7 @@
         evidence = Evidence(
             calls=calls,
             sights=sights,
+            issued=self._fleet.state.issued,
             withdrawn=self._fleet.state.withdrawn,
             left=self._fleet.state.left,
             calm=self._spans_without(HARMLESS, began_s),
