Let the soak's callers end with their block

Clean-up of the soak alone: the callers' tasks were closed by hand in the middle of a stack of contexts.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from contextlib import AsyncExitStack
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -92,23 +91,19 @@
 
     async def run(self) -> SoakReport:
         """Play the seed and return what it showed."""
-        async with AsyncExitStack() as stack:
-            await stack.enter_async_context(self._fleet)
-            session = await stack.enter_async_context(aiohttp.ClientSession())
+        async with self._fleet, aiohttp.ClientSession() as session:
             await self._wait_all_serve(session, START_LIMIT_S)
-            # Streams and whole answers by turns, as the routes ask for.
             for runner in self._fleet.runners:
                 runner.answers_by_path = {"/streaming/": Act.STREAM}
             began_s = time.monotonic()
-            tasks = await stack.enter_async_context(BackgroundTasks())
-            for caller in self._callers:
-                tasks.spawn(caller.run(), name="soak_caller")
-            planned = plan_faults(self._seed, length_s=self._length_s)
-            await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
-            recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
-            await self._change_in_calm()
-            await self._check_newest(session)
-            await tasks.__aexit__(None, None, None)
+            async with BackgroundTasks() as tasks:
+                for caller in self._callers:
+                    tasks.spawn(caller.run(), name="soak_caller")
+                planned = plan_faults(self._seed, length_s=self._length_s)
+                await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
+                recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
+                await self._change_in_calm()
+                await self._check_newest(session)
             for node in self._fleet.nodes:
                 await node.stop(limit_s=self._stop_limit_s)
                 self._broken += node.own_ends
