--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
@@ -20,8 +20,8 @@
     from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
 
 MOST_NOTES = 8
-"""Changes that go along with the news: eight alike ones make a datagram of 607 bytes, so
-that longer names fit into 1.4 kB as well. Nodes fetch more than that from the sender."""
+"""Changes that go along with the news: eight alike ones make a datagram of 607 bytes,
+so longer names fit into 1.4 kB as well. Nodes fetch more than that from the sender."""
 
 
 class NewsCast:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
@@ -28,12 +28,12 @@
 
 
 CONNECT_TIMEOUT_S = 0.25
-"""Several round trips between regions. A peer that is dark would hold up the fetch from
-the next for the whole time of a fetch."""
+"""Several round trips between regions. A peer that is dark would hold up the fetch
+from the next for the whole time of a fetch."""
 MOST_FETCHES = 4
 """Answers waited for at a time: more than one, in case the first peers are dead."""
 PACKING_LEVEL = 1
-"""States repeat themselves: 127 kB for 1,400 alike routes pack to 8 kB in 0.7 ms, so that
+"""States repeat themselves: 127 kB for 1,400 alike routes pack to 8 kB in 0.7 ms, so
 the nodes of a zone can fetch them at once from one with a slow link."""
 UNPACKED_BYTES = 65_536
 
