--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -8,9 +8,24 @@
     RunnerRecord,  # noqa: TC001 - msgspec reads it
 )
 
-RETURN_TIME_MS = 2_500.0
-"""Entries that lapsed with the store are back about 2 s after its return; the rest is
-for the node's own delay in seeing either."""
+RETURN_TIME_MS = 2_200.0
+"""Entries that lapsed with the store are back about 2 s after its return, which a node
+notices some hundred ms late. A node that was cut off for itself is bound by the store's
+word again 3 s after its cut; with 2,500 ms and a late notice of 340 ms it still sent
+calls to a runner that had left."""
+FIRST_LOOK_MS = 50.0
+"""After a node has noticed the store's return: what it is shown within this time may
+have happened in the outage. The first answer is taken in the same turn of the loop."""
+LIVE_END_SHARE = 0.7
+"""Longest wait for a runner whose entry was seen to end with the store there, as a
+share of the operator's bound on new work for leaving runners."""
+
+
+class LapsedRecord(NamedTuple):
+    """An entry that vanished in an outage, and how long to wait for its return."""
+
+    record: RunnerRecord
+    wait_ms: int
 
 
 class DirectoryView(NamedTuple):
@@ -19,7 +34,7 @@
     revision: int
     """As of which revision of the store."""
     records: tuple[RunnerRecord, ...]
-    lapsed: tuple[RunnerRecord, ...] = ()
+    lapsed: tuple[LapsedRecord, ...] = ()
     """Entries that vanished in an outage and whose runners may yet return."""
     in_outage: bool = False
     """Whether the sender finds the store away: more may vanish for that reason."""
@@ -30,8 +45,12 @@
 
     runner_id: str
     revision: int
-    is_lapsed: bool = False
-    """Whether it ended in an outage, so that its runner may yet return."""
+    wait_ms: int = 0
+    """How much longer its runner may yet return; above 0 if it ended in an outage."""
+    born_ms: int = 0
+    """Which lifetime the entry was of; 0 if it did not say."""
+    is_refused: bool = False
+    """Whether the entry is still there and names no runner that can be used."""
 
 
 class DirectoryChanges(NamedTuple):
@@ -51,9 +70,14 @@
     the runners live. Taking that for their end would leave no runner at all, seen as a
     fleet that refuses everything for seconds after each outage. An entry that vanished
     in an outage is therefore kept until its runner has had time to return.
+
+    A runner may start anew under its id. What the lifetime before it wrote or tells
+    late then changes nothing: seen otherwise as a new runner that is taken for a
+    leaving one, or that is dropped with its predecessor's entry.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, drain_within_ms: float) -> None:
+        self._longest_live_wait_ms = LIVE_END_SHARE * drain_within_ms
         self._records: dict[str, RunnerRecord] = {}
         self._lapsed: dict[str, float] = {}
         self._is_store_away = False
@@ -64,16 +88,20 @@
         """Return the entries in force."""
         return list(self._records.values())
 
-    def view(self) -> DirectoryView:
+    def view(self, *, now_ms: float) -> DirectoryView:
         """Return what to hand to another node.
 
         Lapsed entries go by themselves: the other node must neither drop them at once
         nor hold them for good.
         """
         held: list[RunnerRecord] = []
-        lapsed: list[RunnerRecord] = []
+        lapsed: list[LapsedRecord] = []
         for runner_id, record in self._records.items():
-            (lapsed if runner_id in self._lapsed else held).append(record)
+            if runner_id in self._lapsed:
+                wait_ms = self.wait_ms(runner_id, now_ms=now_ms)
+                lapsed.append(LapsedRecord(record, wait_ms))
+            else:
+                held.append(record)
         return DirectoryView(
             self.revision, tuple(held), tuple(lapsed), self._is_store_away
         )
@@ -98,13 +126,15 @@
             self._outage_ended_ms = max(self._outage_ended_ms, now_ms)
         before = dict(self._records)
         fresh = {record.runner.runner_id: record for record in view.records}
-        waited_for = {record.runner.runner_id: record for record in view.lapsed}
+        waited_for = {lapsed.record.runner.runner_id: lapsed for lapsed in view.lapsed}
         for runner_id in before.keys() - fresh.keys():
-            self._remove(runner_id, now_ms, is_lapsed=runner_id in waited_for)
+            told = waited_for.get(runner_id)
+            until_ms = self._wait_until_ms(now_ms, 0 if told is None else told.wait_ms)
+            self._remove(runner_id, now_ms, until_ms)
         for record in fresh.values():
             self._put(record)
         if not self.revision:
-            self._adopt_lapsed(waited_for, now_ms)
+            self._adopt_lapsed(view.lapsed, now_ms)
         self.revision = view.revision
         return before != self._records
 
@@ -123,9 +153,10 @@
         """Whether nothing is missing between this directory and the changes."""
         return 0 < self.revision >= changes.base_revision
 
-    def is_lapsed(self, runner_id: str) -> bool:
-        """Whether an entry ended in an outage and its runner may yet return."""
-        return runner_id in self._lapsed
+    def wait_ms(self, runner_id: str, *, now_ms: float) -> int:
+        """Return how much longer a runner may return; 0 for one that is not lapsed."""
+        until_ms = self._lapsed.get(runner_id, now_ms)
+        return max(0, int(until_ms - now_ms))
 
     def drop_lapsed(self, *, now_ms: float) -> list[str]:
         """Drop entries whose runners did not return in time, and return their ids."""
@@ -135,54 +166,79 @@
             if until_ms <= now_ms
         ]
         for runner_id in gone:
-            del self._lapsed[runner_id]
-            self._records.pop(runner_id, None)
+            self._drop(runner_id)
         return gone
 
     def _put(self, record: RunnerRecord) -> bool:
         runner_id = record.runner.runner_id
         known = self._records.get(runner_id)
-        if known is not None and known.revision >= record.revision:
-            # Old news of an entry that may have ended since: no sign of its return.
-            return False
+        if known is not None:
+            if known.revision >= record.revision:
+                # Old news of an entry that may have ended since: no sign of its return.
+                return False
+            if record.runner.born_ms < known.runner.born_ms:
+                # A write of the lifetime before, done late by the store.
+                return False
         self._lapsed.pop(runner_id, None)
         self._records[runner_id] = record
         return known is None or known[:2] != record[:2]
 
     def _end(self, ended: RunnerRemoval, now_ms: float) -> bool:
         record = self._records.get(ended.runner_id)
-        if record is not None and record.revision > ended.revision:
+        if record is None or record.revision > ended.revision:
             return False
-        if not ended.is_lapsed:
+        if ended.is_refused:
+            self._drop(ended.runner_id)
+            return True
+        if 0 < ended.born_ms < record.runner.born_ms:
+            # The entry of the lifetime before it; the new one enters itself again.
+            return self._remove(ended.runner_id, now_ms, now_ms + RETURN_TIME_MS)
+        if not ended.wait_ms:
             # Whoever was cut off takes an end for a lapse and tells so. The word of one
             # that saw it with the store well counts more; what this node itself knows
             # of an outage still decides.
             self._lapsed.pop(ended.runner_id, None)
-        return self._remove(ended.runner_id, now_ms, is_lapsed=ended.is_lapsed)
-
-    def _remove(
-        self, runner_id: str, now_ms: float, *, is_lapsed: bool = False
-    ) -> bool:
+        until_ms = self._wait_until_ms(now_ms, ended.wait_ms)
+        if not ended.wait_ms and not self._is_first_look(now_ms):
+            # Seen as it happened, so hardly a lapse; if it is the runner's leaving, the
+            # operator's bound runs from now.
+            until_ms = min(until_ms, now_ms + self._longest_live_wait_ms)
+        return self._remove(ended.runner_id, now_ms, until_ms)
+
+    def _wait_until_ms(self, now_ms: float, told_wait_ms: int) -> float:
+        """Return until when to wait for a runner whose entry is gone."""
+        if self._is_store_away:
+            return now_ms + RETURN_TIME_MS
+        return max(now_ms + told_wait_ms, self._outage_ended_ms + RETURN_TIME_MS)
+
+    def _is_first_look(self, now_ms: float) -> bool:
+        """Whether the store is away, or what it shows may have happened meanwhile."""
+        return self._is_store_away or now_ms - self._outage_ended_ms < FIRST_LOOK_MS
+
+    def _remove(self, runner_id: str, now_ms: float, until_ms: float) -> bool:
+        """Drop an entry, or wait for its runner; return whether runners changed."""
         record = self._records.get(runner_id)
         if record is None or runner_id in self._lapsed:
             return False
-        until_ms = self._outage_ended_ms + RETURN_TIME_MS
-        if self._is_store_away or is_lapsed:
-            until_ms = now_ms + RETURN_TIME_MS
         if until_ms <= now_ms or record.is_leaving:
-            del self._records[runner_id]
+            self._drop(runner_id)
             return True
         self._lapsed[runner_id] = until_ms
         return False
 
-    def _adopt_lapsed(self, lapsed: dict[str, RunnerRecord], now_ms: float) -> None:
+    def _drop(self, runner_id: str) -> None:
+        self._lapsed.pop(runner_id, None)
+        self._records.pop(runner_id, None)
+
+    def _adopt_lapsed(self, lapsed: tuple[LapsedRecord, ...], now_ms: float) -> None:
         """Take over what a peer waits for.
 
         Only a node that knows nothing yet does so: one that has seen an entry end
         while the store was well would bring back a runner that leaves, seen as new
         work there seconds after its end.
         """
-        for runner_id, record in lapsed.items():
+        for record, wait_ms in lapsed:
             if not record.is_leaving:
+                runner_id = record.runner.runner_id
                 self._records[runner_id] = record
-                self._lapsed[runner_id] = now_ms + RETURN_TIME_MS
+                self._lapsed[runner_id] = now_ms + wait_ms
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_watch.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_watch.py
@@ -7,6 +7,7 @@
 from clementineyoke_core.edge.attempt_ledger import AttemptEnd
 
 if TYPE_CHECKING:
+    from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
 
 HALF_LIFE_MS = 4_000.0
@@ -45,28 +46,37 @@
         self._table = table
         self._tallies: dict[str, Tally] = {}
 
-    def record_success(self, runner_id: str, *, now_ms: float) -> None:
+    def record_success(self, runner: Runner, *, now_ms: float) -> None:
         """Note a call that a runner answered whole."""
-        tally = self._tally(runner_id, now_ms)
-        self._tallies[runner_id] = tally._replace(successes=tally.successes + 1)
-        self._table.record_success(runner_id)
+        if not self._is_current(runner):
+            return
+        tally = self._tally(runner, now_ms)
+        self._tallies[runner.lifetime] = tally._replace(successes=tally.successes + 1)
+        self._table.record_success(runner.runner_id)
 
-    def record_failure(self, runner_id: str, *, end: AttemptEnd, now_ms: float) -> None:
+    def record_failure(self, runner: Runner, *, end: AttemptEnd, now_ms: float) -> None:
         """Note a failed attempt; may quarantine the runner."""
+        if not self._is_current(runner):
+            return
         if end is AttemptEnd.NOT_SENT:
-            self._table.record_transport_failure(runner_id, now_ms=now_ms)
+            self._table.record_transport_failure(runner.runner_id, now_ms=now_ms)
             return
-        tally = self._tally(runner_id, now_ms)
+        tally = self._tally(runner, now_ms)
         tally = tally._replace(failures=tally.failures + 1)
-        self._tallies[runner_id] = tally
+        self._tallies[runner.lifetime] = tally
         share = tally.failures / (tally.failures + tally.successes)
         if tally.failures >= LEAST_FAILURES and share > LARGEST_SHARE:
-            self._table.record_transport_failure(runner_id, now_ms=now_ms)
+            self._table.record_transport_failure(runner.runner_id, now_ms=now_ms)
 
     def forget(self, kept: set[str]) -> None:
-        """Drop what is known of runners that are gone."""
-        for runner_id in self._tallies.keys() - kept:
-            del self._tallies[runner_id]
+        """Drop what is known of lifetimes that are over."""
+        for lifetime in self._tallies.keys() - kept:
+            del self._tallies[lifetime]
+
+    def _is_current(self, runner: Runner) -> bool:
+        """Whether a call's end says anything of the runner that is there now."""
+        entry = self._table.get(runner.runner_id)
+        return entry is not None and entry.runner.lifetime == runner.lifetime
 
-    def _tally(self, runner_id: str, now_ms: float) -> Tally:
-        return self._tallies.get(runner_id, EMPTY).decayed(now_ms)
+    def _tally(self, runner: Runner, now_ms: float) -> Tally:
+        return self._tallies.get(runner.lifetime, EMPTY).decayed(now_ms)
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -149,7 +149,8 @@
 
     def _keep_or_add(self, runner: Runner, now_ms: float) -> RunnerEntry:
         known = self._entries.get(runner.runner_id)
-        if known is None:
+        if known is None or known.runner.lifetime != runner.lifetime:
+            # Failures and a leaving of the lifetime before say nothing of this one.
             return RunnerEntry(runner, RunnerState.READY, 0, 0.0)
         if known.state is RunnerState.DRAINING and known.retry_at_ms <= now_ms:
             return RunnerEntry(runner, RunnerState.READY, 0, 0.0)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -37,7 +37,9 @@
 MS_PER_S = 1000.0
 RENEWAL_INTERVAL_MS = 4_000
 EXPIRY_INTERVAL_MS = 1_000
-SERVE_WAITING_INTERVAL_MS = 50
+PROMPT_WORK_INTERVAL_MS = 50
+"""Calls that wait for a slot, and runners that were waited for long enough: each ms
+here is one that callers wait, or that a leaving runner goes on getting calls."""
 HOUSEKEEPING_INTERVAL_MS = 250
 NODES_BURST_MS = 20.0
 """How long changes among the nodes are gathered. A home that moves so much later costs
@@ -76,6 +78,7 @@
             freshness=StoreFreshness(
                 bound_ms=min(config.apply_within_ms, config.drain_within_ms)
             ),
+            drain_within_ms=config.drain_within_ms,
             on_runners=self.apply_hosts,
             on_news=lambda changes: self.news.tell(changes),
         )
@@ -110,7 +113,7 @@
         self.slot_home.rebuild()
         entries = self._state.table.entries()
         self.gossiper.learn_pools({entry.runner.pool for entry in entries})
-        self.watch.forget({entry.runner.runner_id for entry in entries})
+        self.watch.forget({entry.runner.lifetime for entry in entries})
         if moved:
             # New homes know nothing of what already runs until they are told.
             self.tasks.spawn(self.broker.renew(), name="renew_at_new_homes")
@@ -252,8 +255,11 @@
         self._is_apply_due = False
         self.apply_hosts()
 
-    async def _keep_house(self) -> None:
+    async def _do_prompt_work(self) -> None:
+        await self.slot_home.serve_all_waiting()
         await self.view.drop_lapsed()
+
+    async def _keep_house(self) -> None:
         self._state.table.end_due_quarantines(now_ms=self.timers.now_ms())
 
     def _subscribe(self) -> None:
@@ -262,7 +268,7 @@
             ("gossip", gossip_ms, self.gossiper.run_round),
             ("renew", RENEWAL_INTERVAL_MS, self.broker.renew),
             ("expire", EXPIRY_INTERVAL_MS, self.slot_home.expire),
-            ("waiting", SERVE_WAITING_INTERVAL_MS, self.slot_home.serve_all_waiting),
+            ("prompt", PROMPT_WORK_INTERVAL_MS, self._do_prompt_work),
             ("house", HOUSEKEEPING_INTERVAL_MS, self._keep_house),
         )
         for name, interval_ms, call in plan:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -32,6 +32,7 @@
         table: RunnerTable,
         timers: TimerService,
         freshness: StoreFreshness,
+        drain_within_ms: float,
         on_runners: Callable[[], None],
         on_news: Callable[[DirectoryChanges | None], None],
     ) -> None:
@@ -40,7 +41,7 @@
         self._freshness = freshness
         self._on_runners = on_runners
         self._on_news = on_news
-        self._directory = RunnerDirectory()
+        self._directory = RunnerDirectory(drain_within_ms=drain_within_ms)
         self.routes: RouteTable | None = None
         self.ready = asyncio.Event()
         """Set once a desired state and a list of runners are known."""
@@ -57,7 +58,7 @@
 
     def directory_view(self) -> DirectoryView:
         """Return the runners as they are handed to a peer."""
-        return self._directory.view()
+        return self._directory.view(now_ms=self._timers.now_ms())
 
     def take_state(
         self, state: DesiredState, *, source: str, is_zone_told: bool = False
@@ -160,8 +161,11 @@
         self._on_runners()
 
     def _with_lapses(self, changes: DirectoryChanges) -> DirectoryChanges:
+        now_ms = self._timers.now_ms()
         removals = tuple(
-            ended._replace(is_lapsed=self._directory.is_lapsed(ended.runner_id))
+            ended._replace(
+                wait_ms=self._directory.wait_ms(ended.runner_id, now_ms=now_ms)
+            )
             for ended in changes.removals
         )
         return changes._replace(removals=removals)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -21,6 +21,7 @@
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.retry_window import RetryWindow
     from clementineyoke_core.edge.runner_watch import RunnerWatch
+    from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.runner_attempts import RunnerAttempts
     from clementineyoke_node.edge.runner_link import WholeAnswer
@@ -79,12 +80,10 @@
                 try:
                     answer = await self._attempts.carry_out(admitted, runner, stream)
                 except AttemptError as error:
-                    self._record_failure(admitted, ledger, error)
+                    self._record_failure(admitted, ledger, runner, error)
                     failure = error
                 else:
-                    self._watch.record_success(
-                        runner.runner_id, now_ms=self._timers.now_ms()
-                    )
+                    self._watch.record_success(runner, now_ms=self._timers.now_ms())
                     return stream.response if answer is None else _to_response(answer)
             if not self._may_go_on(admitted, ledger):
                 return self._give_up(admitted, ledger, stream, failure)
@@ -169,16 +168,20 @@
         )
 
     def _record_failure(
-        self, admitted: AdmittedCall, ledger: AttemptLedger, error: AttemptError
+        self,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        runner: Runner,
+        error: AttemptError,
     ) -> None:
         now_ms = self._timers.now_ms()
         ledger.record(error.peer, error.end)
         if admitted.deadline_ms > now_ms:
             # At the end of its time a call says little of the runner: the operator's
             # limit may be shorter than the work.
-            self._watch.record_failure(error.peer, end=error.end, now_ms=now_ms)
+            self._watch.record_failure(runner, end=error.end, now_ms=now_ms)
             if error.is_break:
-                self._broker.report_fault(error.peer)
+                self._broker.report_fault(runner)
         self._decisions.record(
             Event.RUNNER_FAILED,
             request_id=admitted.call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
@@ -122,6 +122,7 @@
         runner.slots,
         record.is_leaving,
         record.revision,
+        runner.born_ms,
     )
 
 
@@ -144,5 +145,6 @@
         kind=RunnerKind.ENGINE if note.is_engine else RunnerKind.SERVICE,
         pool=note.pool,
         slots=note.slots,
+        born_ms=note.born_ms,
     )
     return RunnerRecord(runner, note.is_leaving, note.revision)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
@@ -196,7 +196,7 @@
         )
 
     def _report_overdue(self, admitted: AdmittedCall, runner: Runner) -> None:
-        self._broker.report_fault(runner.runner_id)
+        self._broker.report_fault(runner)
         self._decisions.record(
             Event.RUNNER_OVERDUE,
             request_id=admitted.call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -11,6 +11,7 @@
 
 from clementineyoke_core.edge.attempt_ledger import AttemptEnd
 from clementineyoke_core.edge.idle_trust import IdleTrust
+from clementineyoke_node.edge.address_tenure import AddressTenure
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.runner_protocol import make_connector
 from clementineyoke_node.platform.runner_codec import (
@@ -69,15 +70,18 @@
     def __init__(self, *, timers: TimerService) -> None:
         self._timers = timers
         self._trust = IdleTrust()
+        self._tenure = AddressTenure()
         self._stack = AsyncExitStack()
         self._kept: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         """Open the pool of kept connections, and the way to make new ones."""
-        self._kept = await self._stack.enter_async_context(_make_session(is_kept=True))
+        self._kept = await self._stack.enter_async_context(
+            _make_session(is_kept=True, tenure=self._tenure)
+        )
         self._fresh = await self._stack.enter_async_context(
-            _make_session(is_kept=False)
+            _make_session(is_kept=False, tenure=self._tenure)
         )
         return self
 
@@ -100,6 +104,12 @@
         A connection whose answer was not read to its end is closed, so that the rest
         can never meet another call.
         """
+        self._tenure.enter(
+            runner.address,
+            runner.port,
+            lifetime=runner.lifetime,
+            now_s=asyncio.get_running_loop().time(),
+        )
         session = self._session_for(runner, may_repeat=may_repeat)
         response = await self._send(session, runner, call, order, head_ms=head_ms)
         is_whole = False
@@ -179,9 +189,11 @@
             )
 
 
-def _make_session(*, is_kept: bool) -> aiohttp.ClientSession:
+def _make_session(*, is_kept: bool, tenure: AddressTenure) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=make_connector(asyncio.get_running_loop(), is_kept=is_kept),
+        connector=make_connector(
+            asyncio.get_running_loop(), is_kept=is_kept, tenure=tenure
+        ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_OWN_HEADERS,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     import asyncio
 
+    from clementineyoke_node.edge.address_tenure import AddressTenure
+
 IDLE_KEPT_S = 4.0
 """Runners close idle connections after a time that they may not state; a call that
 crosses their close is lost, so a connection is not kept for long."""
@@ -20,6 +22,21 @@
 class RunnerProtocol(ResponseHandler):
     """Notice resets in answers without a length, and bytes that nobody asked for."""
 
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, tenure: AddressTenure
+    ) -> None:
+        super().__init__(loop=loop)
+        self._tenure = tenure
+        self._peer: tuple[str, int] = ("", 0)
+        self._made_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Note to whom the connection leads, and since when."""
+        super().connection_made(transport)
+        address, port = transport.get_extra_info("peername")[:2]
+        self._peer = (address, port)
+        self._made_s = self._loop.time()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer that was reset.
 
@@ -38,13 +55,19 @@
         read as that call's answer, seen as a caller with another caller's answer.
         """
         has_stray = self._buffer or self._tail or self._exception is not None
-        return super().is_connected() and not has_stray
+        address, port = self._peer
+        is_of_tenant = self._tenure.is_of_tenant(address, port, made_s=self._made_s)
+        return super().is_connected() and is_of_tenant and not has_stray
 
 
-def make_connector(loop: asyncio.AbstractEventLoop, *, is_kept: bool) -> TCPConnector:
+def make_connector(
+    loop: asyncio.AbstractEventLoop, *, is_kept: bool, tenure: AddressTenure
+) -> TCPConnector:
     """Return a pool of connections to runners, or one that keeps none."""
     keeping = {"keepalive_timeout": IDLE_KEPT_S} if is_kept else {"force_close": True}
     connector = TCPConnector(limit=0, socket_factory=open_socket, **keeping)
     # aiohttp has no public way to name the protocol class of a connector.
-    connector._factory = lambda: RunnerProtocol(loop=loop)  # type: ignore[assignment]
+    connector._factory = lambda: RunnerProtocol(  # type: ignore[assignment]
+        loop=loop, tenure=tenure
+    )
     return connector
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -10,27 +10,24 @@
     DirectoryView,
     RunnerRemoval,
 )
+from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.edge.store_freshness import Followed
 from clementineyoke_node.platform import names
-from clementineyoke_node.platform.entry_codec import decode_runner
+from clementineyoke_node.platform.entry_codec import decode_runner, lifetime_of
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.state_decoder import decode_state
 from clementineyoke_node.platform.store_error import HistoryGoneError, StoreError
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
-from clementineyoke_wire.events import Event, log_event
+from clementineyoke_wire.events import Event, log_event, log_failure
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from random import Random
 
-    from clementineyoke_core.edge.runner_record import RunnerRecord
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.edge.news_cast import NewsCast
-    from clementineyoke_node.platform.store_client import (
-        EntryChanges,
-        StoreClient,
-        StoredEntry,
-    )
+    from clementineyoke_node.platform.store_client import StoreClient
+    from clementineyoke_node.platform.store_page import EntryChanges, StoredEntry
 
 MS_PER_S = 1000.0
 WATCH_WAIT_MS_A_WATCHER = 250
@@ -137,6 +134,13 @@
                 await self._pause(pause_ms)
                 pause_ms = min(LONGEST_PAUSE_MS, pause_ms * PAUSE_GROWTH)
                 continue
+            except Exception as error:
+                # A fault of ours must not leave the node deaf for good: seen as
+                # withdrawn keys that still run. It lists anew, and the log tells.
+                log_failure(Event.TASK_FAILED, error, task=f"follow_{kind}")
+                self._positions.pop(kind, None)
+                await self._pause(LONGEST_PAUSE_MS)
+                continue
             pause_ms = FIRST_PAUSE_MS
 
     def _must_ask(self, followed: FollowedKind) -> bool:
@@ -217,9 +221,18 @@
             for entry in entries:
                 self._take_state(entry)
             return
-        records = [self._decode_runner(entry) for entry in entries]
-        known = tuple(record for record in records if record is not None)
-        self._view.take_runners(DirectoryView(revision, known), source="list")
+        records: list[RunnerRecord] = []
+        refused: list[RunnerRemoval] = []
+        for entry in entries:
+            found = self._decode_runner(entry)
+            if isinstance(found, RunnerRecord):
+                records.append(found)
+            else:
+                refused.append(found)
+        self._view.take_runners(DirectoryView(revision, tuple(records)), source="list")
+        if refused:
+            changes = DirectoryChanges(revision, revision, (), tuple(refused))
+            self._view.take_changes(changes, source="list")
 
     def _take_changes(self, kind: str, seen: EntryChanges, position: int) -> None:
         if kind == names.STATE_KIND:
@@ -234,14 +247,18 @@
         removals: dict[str, RunnerRemoval] = {}
         for change in seen.changes:
             name, revision = change.entry.name, change.entry.revision
+            found: RunnerRecord | RunnerRemoval
             if change.is_deleted:
-                records.pop(name, None)
-                removals[name] = RunnerRemoval(name, revision)
-                continue
-            record = self._decode_runner(change.entry)
-            if record is not None:
-                removals.pop(name, None)
-                records[name] = record
+                born_ms = lifetime_of(change.entry)
+                found = RunnerRemoval(name, revision, born_ms=born_ms)
+            else:
+                found = self._decode_runner(change.entry)
+            records.pop(name, None)
+            removals.pop(name, None)
+            if isinstance(found, RunnerRecord):
+                records[name] = found
+            else:
+                removals[name] = found
         return DirectoryChanges(
             position, seen.revision, tuple(records.values()), tuple(removals.values())
         )
@@ -256,12 +273,13 @@
             return
         self._view.take_state(state, source="store")
 
-    def _decode_runner(self, entry: StoredEntry) -> RunnerRecord | None:
+    def _decode_runner(self, entry: StoredEntry) -> RunnerRecord | RunnerRemoval:
+        """Return what an entry says, or the end of what bore its name before."""
         try:
             return decode_runner(entry, region=self._region)
         except FormatError as error:
             log_event(Event.HOST_REFUSED, host=error.peer, reason=error.reason)
-            return None
+            return RunnerRemoval(entry.name, entry.revision, is_refused=True)
 
     def _note_duty(self, followed: FollowedKind) -> None:
         """Log what decides whether this node asks the store, when it changes."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from ipaddress import IPv4Address
+from typing import TYPE_CHECKING, Any, Literal, TypeVar
+
+import msgspec
 
 from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.node import Node
@@ -10,32 +13,79 @@
 from clementineyoke_node.platform.format_error import FormatError
 
 if TYPE_CHECKING:
-    from clementineyoke_node.platform.store_client import StoredEntry
+    from clementineyoke_node.platform.store_page import StoredEntry
 
 LEAVING = "draining"
+MOST_SLOTS = 0xFFFF
+LAST_PORT = 0xFFFF
+LAST_MOMENT_MS = 0xFFFF_FFFF_FFFF
+"""What fits the messages between nodes."""
+
+
+class _RunnerSpec(msgspec.Struct, rename="camel"):
+    """A runner's entry, with every field that one has: fewer are not a runner's own."""
+
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    seq: int
+    models: list[Any] = []
+    born: int = 0
+    """Not said by all runners."""
+
+
+class _NodeSpec(msgspec.Struct, rename="camel"):
+    address: str
+    caller_port: int
+    peer_port: int
+    zone: str
+    region: str
+
+
+_Spec = TypeVar("_Spec", _RunnerSpec, _NodeSpec)
 
 
 def decode_runner(entry: StoredEntry, *, region: str) -> RunnerRecord:
-    """Decode a runner's entry; raises ``FormatError``."""
-    spec = entry.spec
+    """Decode a runner's entry; raises ``FormatError``.
+
+    Other writers can put entries there as well. One with fields missing or of another
+    type names nothing that a call could be sent to.
+    """
+    spec = _decode(entry, _RunnerSpec, step="decode_runner")
     try:
-        address, port = split_address(spec["address"])
-        runner = Runner(
-            runner_id=entry.name,
-            address=address,
-            port=port,
-            availability_zone=spec["zone"],
-            region=region,
-            kind=RunnerKind.ENGINE if spec.get("models") else RunnerKind.SERVICE,
-            pool=spec["service"],
-            slots=int(spec.get("slots") or 1),
-        )
-        is_leaving = spec.get("state") == LEAVING
-    except (KeyError, TypeError, ValueError) as error:
+        address, port = split_address(spec.address)
+        _check_range(spec.slots, 1, MOST_SLOTS)
+        _check_range(spec.born, 0, LAST_MOMENT_MS)
+    except ValueError as error:
         raise FormatError(
-            step="decode_runner", peer=entry.name, reason=repr(error)
+            step="decode_runner", peer=entry.name, reason=str(error)
         ) from error
-    return RunnerRecord(runner, is_leaving, entry.revision)
+    runner = Runner(
+        runner_id=entry.name,
+        address=address,
+        port=port,
+        availability_zone=spec.zone,
+        region=region,
+        kind=RunnerKind.ENGINE if spec.models else RunnerKind.SERVICE,
+        pool=spec.service,
+        slots=spec.slots,
+        born_ms=spec.born,
+    )
+    return RunnerRecord(runner, spec.state == LEAVING, entry.revision)
+
+
+def lifetime_of(entry: StoredEntry) -> int:
+    """Return when the runner of an entry that ended was born; 0 if it did not say."""
+    try:
+        born_ms = _decode(entry, _RunnerSpec, step="decode_runner").born
+        _check_range(born_ms, 0, LAST_MOMENT_MS)
+    except (FormatError, ValueError):
+        return 0  # the end of what names no runner is told by its name alone
+    return born_ms
 
 
 def encode_node(node: Node) -> dict[str, Any]:
@@ -51,23 +101,41 @@
 
 def decode_node(entry: StoredEntry) -> Node:
     """Decode a node's entry; raises ``FormatError``."""
-    spec = entry.spec
+    spec = _decode(entry, _NodeSpec, step="decode_node")
     try:
-        return Node(
-            node_id=entry.name,
-            address=spec["address"],
-            caller_port=int(spec["callerPort"]),
-            peer_port=int(spec["peerPort"]),
-            availability_zone=spec["zone"],
-            region=spec["region"],
-        )
-    except (KeyError, TypeError, ValueError) as error:
+        IPv4Address(spec.address)
+        _check_range(spec.caller_port, 1, LAST_PORT)
+        _check_range(spec.peer_port, 1, LAST_PORT)
+    except ValueError as error:
         raise FormatError(
-            step="decode_node", peer=entry.name, reason=repr(error)
+            step="decode_node", peer=entry.name, reason=str(error)
         ) from error
+    return Node(
+        node_id=entry.name,
+        address=spec.address,
+        caller_port=spec.caller_port,
+        peer_port=spec.peer_port,
+        availability_zone=spec.zone,
+        region=spec.region,
+    )
 
 
 def split_address(text: str) -> tuple[str, int]:
     """Return IP number and port of an address; raises ``ValueError``."""
-    address, _, port = text.rpartition(":")
-    return address, int(port)
+    address, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    _check_range(port, 1, LAST_PORT)
+    return str(IPv4Address(address)), port
+
+
+def _check_range(value: int, least: int, most: int) -> None:
+    if not least <= value <= most:
+        message = f"{value} is not between {least} and {most}"
+        raise ValueError(message)
+
+
+def _decode(entry: StoredEntry, kind: type[_Spec], *, step: str) -> _Spec:
+    try:
+        return msgspec.json.decode(entry.spec, type=kind)
+    except ValueError as error:
+        raise FormatError(step=step, peer=entry.name, reason=str(error)) from error
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import msgspec
+
 from clementineyoke_core.edge.call_kind import CallKind
 from clementineyoke_core.edge.desired_state import CallerLimits, DesiredState, Team
 from clementineyoke_core.edge.route import Route, WeightedPool
@@ -16,9 +18,10 @@
 }
 
 
-def decode_state(spec: dict[str, Any], *, revision: int) -> DesiredState:
+def decode_state(content: bytes, *, revision: int) -> DesiredState:
     """Decode the operator's object; raises ``FormatError``."""
     try:
+        spec = msgspec.json.decode(content)
         return DesiredState(
             revision=revision,
             version=int(spec["version"]),
@@ -27,7 +30,13 @@
             needs_key=bool(spec.get("tenants")),
             limits=_decode_limits(spec.get("limits") or {}),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         raise FormatError(
             step="decode_state", peer="store", reason=repr(error)
         ) from error
@@ -35,9 +44,9 @@
 
 def _decode_route(route: dict[str, Any]) -> Route:
     return Route(
-        name=route["name"],
-        hostname=route["hostname"],
-        path_prefix=route["pathPrefix"],
+        name=_text(route["name"]),
+        hostname=_text(route["hostname"]),
+        path_prefix=_text(route["pathPrefix"]),
         kind=_KINDS.get(route["kind"], CallKind.NON_IDEMPOTENT),
         pools=_decode_pools(route),
         timeout_ms=float(route["timeoutMs"]),
@@ -55,21 +64,28 @@
 def _decode_pools(route: dict[str, Any]) -> tuple[WeightedPool, ...]:
     if route.get("weightedServices"):
         return tuple(
-            WeightedPool(entry["service"], float(entry["weight"]))
+            WeightedPool(_text(entry["service"]), float(entry["weight"]))
             for entry in route["weightedServices"]
         )
-    return (WeightedPool(route["service"], 1.0),)
+    return (WeightedPool(_text(route["service"]), 1.0),)
 
 
 def _decode_team(team: dict[str, Any]) -> Team:
     priority = team.get("priority")
     return Team(
-        name=team["name"],
-        keys=tuple(team.get("apiKeys", [])),
+        name=_text(team["name"]),
+        keys=tuple(map(_text, team.get("apiKeys", []))),
         priority=None if priority is None else int(priority),
     )
 
 
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        message = f"{value!r} is no text"
+        raise TypeError(message)
+    return value
+
+
 def _decode_limits(limits: dict[str, Any]) -> CallerLimits:
     known = CallerLimits()
     return CallerLimits(
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -2,17 +2,29 @@
 
 from __future__ import annotations
 
-from typing import Any, NamedTuple, Self
+from typing import TYPE_CHECKING, Any, NamedTuple, Self, TypeVar
 
 import aiohttp
 import msgspec
 
+from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.store_error import (
     HistoryGoneError,
     RevisionConflictError,
     StoreError,
 )
+from clementineyoke_node.platform.store_page import (
+    EntryChanges,
+    EntryPage,
+    StoredEntry,
+    decode_events,
+    decode_page,
+)
 from clementineyoke_node.runners.keep_alive_socket import open_socket
+from clementineyoke_wire.events import Event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_MS = 500
@@ -28,19 +40,7 @@
 _STATUS_ERROR = 400
 
 
-class StoredEntry(NamedTuple):
-    """One object of the store."""
-
-    name: str
-    revision: int
-    spec: dict[str, Any]
-
-
-class EntryChange(NamedTuple):
-    """One event of a watch."""
-
-    entry: StoredEntry
-    is_deleted: bool
+_Answer = TypeVar("_Answer", EntryPage, EntryChanges)
 
 
 class EntryList(NamedTuple):
@@ -50,13 +50,6 @@
     revision: int
 
 
-class EntryChanges(NamedTuple):
-    """What a watch saw, and from where to watch on."""
-
-    changes: list[EntryChange]
-    revision: int
-
-
 class StoreClient:
     """Speak the store's protocol; owns its connections."""
 
@@ -84,14 +77,15 @@
         after = ""
         while True:
             params = {"afterRev": after} if after else {}
-            page = await self._call("GET", _path(kind), params=params)
-            entries += [_decode_entry(item) for item in page["items"]]
+            content = await self._call("GET", _path(kind), params=params)
+            page = self._read(decode_page, content, kind)
+            entries += page.entries
             # Later pages are of later revisions; a watch from the first one's misses
             # no change that came in between.
-            revision = revision or int(page["storeRevision"])
-            if not page.get("more") or not page["items"]:
+            revision = revision or page.revision
+            if not page.has_more:
                 return EntryList(entries, revision)
-            after = entries[-1].name
+            after = page.last_name
 
     async def watch(self, kind: str, *, revision: int, wait_ms: int) -> EntryChanges:
         """Wait until objects of a kind change after a revision.
@@ -99,12 +93,8 @@
         Raises ``HistoryGoneError`` when only a new list helps.
         """
         params = {"watch": str(revision), "waitMs": str(wait_ms)}
-        answer = await self._call("GET", _path(kind), params=params, wait_ms=wait_ms)
-        changes = [
-            EntryChange(_decode_entry(event["object"]), bool(event.get("deleted")))
-            for event in answer["events"]
-        ]
-        return EntryChanges(changes, int(answer["storeRevision"]))
+        content = await self._call("GET", _path(kind), params=params, wait_ms=wait_ms)
+        return self._read(decode_events, content, kind)
 
     async def create(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         """Create an object; raises ``RevisionConflictError`` if there is one."""
@@ -122,7 +112,7 @@
         params: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         wait_ms: int = 0,
-    ) -> Any:
+    ) -> bytes:
         step = f"{method} {path}"
         if self._session is None:
             raise StoreError(step=step, peer=self._address, reason="is closed")
@@ -147,7 +137,7 @@
                 step=step, peer=self._address, reason=repr(error)
             ) from error
         self._check_status(step, response.status)
-        return self._decode(step, content)
+        return content
 
     def _check_status(self, step: str, status: int) -> None:
         if status < _STATUS_ERROR:
@@ -159,13 +149,18 @@
             error = RevisionConflictError
         raise error(step=step, peer=self._address, reason=f"status {status}")
 
-    def _decode(self, step: str, content: bytes) -> Any:
+    def _read(
+        self, decode: Callable[[bytes], _Answer], content: bytes, kind: str
+    ) -> _Answer:
         try:
-            return msgspec.json.decode(content) if content else None
-        except msgspec.DecodeError as error:
+            answer = decode(content)
+        except FormatError as error:
             raise StoreError(
-                step=step, peer=self._address, reason=str(error)
+                step=error.step, peer=self._address, reason=error.reason
             ) from error
+        if answer.unreadable:
+            log_event(Event.ENTRY_UNREADABLE, kind=kind, count=answer.unreadable)
+        return answer
 
 
 def _path(kind: str) -> str:
@@ -174,10 +169,3 @@
 
 def _object(name: str, spec: dict[str, Any]) -> dict[str, Any]:
     return {"metadata": {"name": name}, "spec": spec}
-
-
-def _decode_entry(item: dict[str, Any]) -> StoredEntry:
-    metadata = item["metadata"]
-    return StoredEntry(
-        metadata["name"], int(metadata["revision"]), item.get("spec") or {}
-    )
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -9,7 +9,6 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHold, SlotRefusal
 from clementineyoke_core.slot_search import SlotAttempt, SlotSearch
 from clementineyoke_node.peers.peer_socket import PeerAddress
@@ -78,19 +77,26 @@
         first: SlotAttempt | None = None
         while (attempt := search.next_attempt()) is not None:
             first = first or attempt
+            runner = self._runner_of(attempt)
+            if runner is None:
+                search.record_silence(attempt)
+                continue
             ask_id = self._socket.next_ask_id()
-            answer = await self._ask(attempt, ask_id)
+            answer = await self._ask(runner, attempt, ask_id)
             if answer is None:
                 search.record_silence(attempt)
             elif is_successful(answer):
                 reason = "affinity" if attempt.rank == 0 else "displaced"
-                return self._keep(attempt, ask_id, reason=reason)
+                return self._keep(runner, attempt, ask_id, reason=reason)
             else:
                 search.record_refusal(attempt, in_use=answer.failure().in_use)
         last_choice = search.fallback(self._last_in_use)
         if last_choice is not None:
+            runner = self._runner_of(last_choice)
+            if runner is None:
+                return None
             ask_id = self._socket.next_ask_id()
-            return self._keep(last_choice, ask_id, reason="home_silent")
+            return self._keep(runner, last_choice, ask_id, reason="home_silent")
         if first is None or wish.wait_ms <= 0:
             return None
         return await self._wait(first, wish)
@@ -100,7 +106,7 @@
         ask_id = self._socket.next_ask_id()
         lease = SlotLease(runner, ask_id, "resume", 0)
         self._leases[ask_id] = lease
-        self._renew_at_home(runner.runner_id, [ask_id])
+        self._renew_at_home(runner, [ask_id])
         return lease
 
     @contextmanager
@@ -111,15 +117,16 @@
         finally:
             self._release(lease)
 
-    def report_fault(self, runner_id: str) -> None:
+    def report_fault(self, runner: Runner) -> None:
         """Tell a runner's home that a call there failed or is overdue."""
-        home = self._home_of(runner_id)
+        home = self._home_of(runner.runner_id)
         if home is None:
             return
-        if home.node_id == self._own_id:
-            self._slot_home.record_fault(runner_id)
+        if home.node_id != self._own_id:
+            self._socket.send(PeerAddress.of(home), RunnerFault(runner.lifetime_hash))
             return
-        self._socket.send(PeerAddress.of(home), RunnerFault(hash_text(runner_id)))
+        if self._is_current(runner):
+            self._slot_home.record_fault(runner.runner_id)
 
     def held(self) -> int:
         """Return how many slots this node's requests hold."""
@@ -127,28 +134,29 @@
 
     async def renew(self) -> None:
         """Renew all leases, one message a runner."""
-        by_runner: dict[str, list[int]] = {}
+        by_runner: dict[Runner, list[int]] = {}
         for lease in self._leases.values():
-            by_runner.setdefault(lease.runner.runner_id, []).append(lease.ask_id)
-        for runner_id, ask_ids in by_runner.items():
-            self._renew_at_home(runner_id, ask_ids)
+            by_runner.setdefault(lease.runner, []).append(lease.ask_id)
+        for runner, ask_ids in by_runner.items():
+            self._renew_at_home(runner, ask_ids)
 
-    def _renew_at_home(self, runner_id: str, ask_ids: list[int]) -> None:
-        home = self._home_of(runner_id)
-        if home is None:
+    def _renew_at_home(self, runner: Runner, ask_ids: list[int]) -> None:
+        home = self._home_of(runner.runner_id)
+        if home is None or not self._is_current(runner):
+            # What was sent to a lifetime that is over runs nowhere.
             return
         if home.node_id == self._own_id:
             for ask_id in ask_ids:
-                self._slot_home.renew(runner_id, self._own_hold(ask_id))
+                self._slot_home.renew(runner.runner_id, self._own_hold(ask_id))
             return
-        renewal = SlotRenewal(hash_text(runner_id), ask_ids)
+        renewal = SlotRenewal(runner.lifetime_hash, ask_ids)
         self._socket.send(PeerAddress.of(home), renewal)
 
     async def _ask(
-        self, attempt: SlotAttempt, ask_id: int
+        self, runner: Runner, attempt: SlotAttempt, ask_id: int
     ) -> Result[SlotGrant, SlotRefusal] | None:
         """Return the home's answer, or None if it gave none."""
-        runner_id = attempt.runner_id
+        runner_id = runner.runner_id
         home = self._home_of(runner_id)
         if home is None:
             return None
@@ -156,20 +164,20 @@
             return self._slot_home.ask(
                 runner_id, self._own_hold(ask_id), seen_mean=attempt.seen_mean
             )
-        ask = SlotAsk(ask_id, hash_text(runner_id), attempt.seen_mean)
+        ask = SlotAsk(ask_id, runner.lifetime_hash, attempt.seen_mean)
         try:
             reply = await self._socket.ask(
                 home, ask, reply_type=SlotReply, timeout_ms=self._timeout_ms
             )
         except asyncio.CancelledError:
             # The caller is gone; the ask may yet be granted, to nobody.
-            self._give_back(runner_id, ask_id)
+            self._give_back(runner, ask_id)
             raise
         except TimeoutError:
             log_event(Event.HOME_SILENT, home=home.node_id, runner=runner_id)
             self._membership.suspect(home.node_id)
             # The ask may have been granted and only its reply lost.
-            self._give_back(runner_id, ask_id)
+            self._give_back(runner, ask_id)
             return None
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
@@ -188,25 +196,25 @@
         return SlotSearch(order=order, preferred=preferred)
 
     async def _wait(self, attempt: SlotAttempt, wish: SlotWish) -> SlotLease | None:
-        runner_id = attempt.runner_id
-        home = self._home_of(runner_id)
-        if home is None:
+        runner = self._runner_of(attempt)
+        home = self._home_of(attempt.runner_id)
+        if home is None or runner is None:
             return None
         ask_id = self._socket.next_ask_id()
         try:
             if home.node_id == self._own_id:
-                granted = await self._wait_here(runner_id, ask_id, wish)
+                granted = await self._wait_here(runner.runner_id, ask_id, wish)
             else:
-                granted = await self._wait_at(home, runner_id, ask_id, wish)
+                granted = await self._wait_at(home, runner, ask_id, wish)
         except (TimeoutError, asyncio.CancelledError) as error:
             # Given up: a grant under way must not hold the slot until it lapses.
-            self._give_back(runner_id, ask_id)
+            self._give_back(runner, ask_id)
             if isinstance(error, asyncio.CancelledError):
                 raise
             return None
         if not granted:
             return None
-        return self._keep(attempt, ask_id, reason="waited")
+        return self._keep(runner, attempt, ask_id, reason="waited")
 
     async def _wait_here(self, runner_id: str, ask_id: int, wish: SlotWish) -> bool:
         loop = asyncio.get_running_loop()
@@ -227,11 +235,11 @@
         return await asyncio.wait_for(future, wish.wait_ms / MS_PER_S)
 
     async def _wait_at(
-        self, home: Node, runner_id: str, ask_id: int, wish: SlotWish
+        self, home: Node, runner: Runner, ask_id: int, wish: SlotWish
     ) -> bool:
         ask = SlotAsk(
             ask_id,
-            hash_text(runner_id),
+            runner.lifetime_hash,
             0.0,
             wait_ms=min(wish.wait_ms, LONGEST_WAIT_MS),
             team=wish.team,
@@ -243,31 +251,39 @@
         return reply.granted
 
     def _keep(
-        self, attempt: SlotAttempt, ask_id: int, *, reason: str
+        self, runner: Runner, attempt: SlotAttempt, ask_id: int, *, reason: str
     ) -> SlotLease | None:
-        entry = self._table.get(attempt.runner_id)
-        if entry is None:
-            self._give_back(attempt.runner_id, ask_id)
+        if not self._is_current(runner):
+            # It ended while the home was asked.
+            self._give_back(runner, ask_id)
             return None
-        lease = SlotLease(entry.runner, ask_id, reason, attempt.rank)
+        lease = SlotLease(runner, ask_id, reason, attempt.rank)
         self._leases[ask_id] = lease
         return lease
 
     def _release(self, lease: SlotLease) -> None:
         self._leases.pop(lease.ask_id, None)
-        self._give_back(lease.runner.runner_id, lease.ask_id)
+        self._give_back(lease.runner, lease.ask_id)
 
-    def _give_back(self, runner_id: str, ask_id: int) -> None:
-        home = self._home_of(runner_id)
+    def _give_back(self, runner: Runner, ask_id: int) -> None:
+        home = self._home_of(runner.runner_id)
         if home is None:
             return
         if home.node_id == self._own_id:
-            self._slot_home.release(runner_id, self._own_hold(ask_id))
+            self._slot_home.release(runner.runner_id, self._own_hold(ask_id))
             return
         self._socket.send(
-            PeerAddress.of(home), SlotRelease(ask_id, hash_text(runner_id))
+            PeerAddress.of(home), SlotRelease(ask_id, runner.lifetime_hash)
         )
 
+    def _runner_of(self, attempt: SlotAttempt) -> Runner | None:
+        entry = self._table.get(attempt.runner_id)
+        return None if entry is None else entry.runner
+
+    def _is_current(self, runner: Runner) -> bool:
+        entry = self._table.get(runner.runner_id)
+        return entry is not None and entry.runner.lifetime == runner.lifetime
+
     def _home_of(self, runner_id: str) -> Node | None:
         home_id = self._homes.home_of(runner_id)
         return None if home_id is None else self._membership.node(home_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -8,7 +8,6 @@
 from returns.result import Failure
 
 from clementineyoke_core.fault_share import FaultShare
-from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound, bound_by_home
 from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHold, SlotRefusal
@@ -65,6 +64,7 @@
         self._socket = socket
         self._timers = timers
         self._names: dict[int, str] = {}
+        self._lifetimes: dict[str, str] = {}
         self._homed: dict[str, list[str]] = {}
         self._queues: dict[str, SlotQueue] = {}
         self._answers: dict[SlotHold, Callable[[bool], None]] = {}
@@ -77,9 +77,11 @@
         """Work out which runners this node is home of, after any change of hosts."""
         self._names = {}
         homed: dict[str, list[str]] = {}
-        for entry in self._table.entries():
+        entries = self._table.entries()
+        self._forget_reborn({e.runner.runner_id: e.runner.lifetime for e in entries})
+        for entry in entries:
             runner = entry.runner
-            self._names[hash_text(runner.runner_id)] = runner.runner_id
+            self._names[runner.lifetime_hash] = runner.runner_id
             if entry.state is RunnerState.DRAINING:
                 continue
             if self._homes.home_of(runner.runner_id) == self._own_id:
@@ -199,6 +201,18 @@
                 self._ledger.forget(runner_id)
                 self._faults.forget(runner_id)
 
+    def _forget_reborn(self, lifetimes: dict[str, str]) -> None:
+        """Drop counts and faults of runners that have started anew under their ids.
+
+        What ran in the lifetime before runs no more; counted on, it would keep the
+        empty runner at its bound until the leases lapse.
+        """
+        for runner_id, lifetime in lifetimes.items():
+            if self._lifetimes.get(runner_id, lifetime) != lifetime:
+                self._ledger.forget(runner_id)
+                self._faults.forget(runner_id)
+        self._lifetimes = lifetimes
+
     def _report_runner(self, runner_id: str) -> None:
         entry = self._table.get(runner_id)
         if entry is not None:
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/store_entries_steps.py
@@ -0,0 +1,207 @@
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import given, then, when
+from edge_fleet import POOL, STORE_HOST
+from edge_steps import wait_until
+from hypothesis import given as drawn, settings, strategies as st
+
+from clementineyoke_core.edge.runner_record import RunnerRecord
+from clementineyoke_node.platform.entry_codec import decode_node, decode_runner
+from clementineyoke_node.platform.format_error import FormatError
+from clementineyoke_node.platform.state_decoder import decode_state
+from clementineyoke_node.platform.store_page import (
+    StoredEntry,
+    decode_events,
+    decode_page,
+)
+from clementineyoke_standins.edge.written_specs import runner_spec
+
+GOOD = runner_spec(pool=POOL, address="127.0.0.1:9", zone="zone", state="ready")
+FAULTS = {
+    "no state": {k: v for k, v in GOOD.items() if k != "state"},
+    "an unknown state": {**GOOD, "state": "resting"},
+    "a number as its address": {**GOOD, "address": 7},
+    "an address of no host": {**GOOD, "address": "somewhere:80"},
+    "a port out of range": {**GOOD, "address": "127.0.0.1:70000"},
+    "a text as its slots": {**GOOD, "slots": "8"},
+    "no service": {k: v for k, v in GOOD.items() if k != "service"},
+    "a text as its birth": {**GOOD, "born": "1790000000000"},
+    "a broken birth": {**GOOD, "born": 1.5},
+    "no sequence": {k: v for k, v in GOOD.items() if k != "seq"},
+    "a list in place of all": [1, 2],
+}
+NAMELESS = {
+    "no metadata": {"spec": GOOD},
+    "a number as its name": {"metadata": {"name": 5, "revision": 1}, "spec": GOOD},
+    "a text as its revision": {
+        "metadata": {"name": "x", "revision": "1"},
+        "spec": GOOD,
+    },
+}
+
+
+def item(name, spec):
+    return json.dumps({"metadata": {"name": name, "revision": 3}, "spec": spec})
+
+
+def page(*items):
+    return f'{{"items":[{",".join(items)}],"more":false,"storeRevision":9}}'
+
+
+def decoded(content):
+    found = {}
+    for entry in decode_page(content).entries:
+        try:
+            found[entry.name] = decode_runner(entry, region="region")
+        except FormatError as error:
+            found[entry.name] = error
+    return found
+
+
+@when("a page holds a good entry and one with {fault}")
+def faulty_page(context, fault):
+    if fault == "bytes that are no text":
+        bad = item("bad", {**GOOD, "zone": "ZONE"}).encode()
+        bad = bad.replace(b"ZONE", b"\xff\xfe")
+    else:
+        bad = item("bad", FAULTS[fault]).encode()
+    content = page("BAD", item("good", GOOD)).encode().replace(b"BAD", bad)
+    context.found = decoded(content)
+
+
+@when("a page holds a good entry and a content that strict JSON does not know")
+def lenient_page(context):
+    bad = item("bad", {**GOOD, "seq": 0}).replace('"seq": 0', '"seq": NaN')
+    context.found = decoded(page(bad, item("good", GOOD)).encode())
+
+
+@then("the good entry names a runner, and the other one is refused")
+def check_found(context):
+    assert isinstance(context.found["good"], RunnerRecord), context.found
+    assert isinstance(context.found["bad"], FormatError), context.found
+
+
+@when("a page holds a good entry and an object with {fault}")
+def nameless_page(context, fault):
+    content = page(json.dumps(NAMELESS[fault]), item("good", GOOD))
+    context.page = decode_page(content.encode())
+
+
+@then("the page has the good entry and {count:d} unreadable object")
+def check_page(context, count):
+    assert [entry.name for entry in context.page.entries] == ["good"]
+    assert context.page.unreadable == count
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                [*GOOD, "born", "metadata", "routes", "tenants", "version"]
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@then("no bytes make a decoder raise anything but the error it declares")
+def fuzz_decoders(context):
+    @settings(max_examples=300, database=None, derandomize=True, deadline=None)
+    @drawn(content=st.binary(max_size=64) | JSON_VALUES.map(to_json))
+    def check(content):
+        entry = StoredEntry("name", 1, content)
+        for decode in (
+            lambda: decode_page(content),
+            lambda: decode_events(content),
+            lambda: decode_runner(entry, region="region"),
+            lambda: decode_node(entry),
+            lambda: decode_state(content, revision=1),
+        ):
+            try:
+                decode()
+            except FormatError:
+                continue
+
+    check()
+
+
+def to_json(value):
+    return json.dumps(value).encode()
+
+
+@then("nothing that lies beside a good entry hides it")
+def fuzz_neighbours(context):
+    @settings(max_examples=300, database=None, derandomize=True, deadline=None)
+    @drawn(value=JSON_VALUES)
+    def check(value):
+        bad = item("bad", value)
+        content = page(bad, json.dumps(value), item("good", GOOD)).encode()
+        assert isinstance(decoded(content)["good"], RunnerRecord)
+
+    check()
+
+
+@when("another writer puts a number in place of the address of runner {number:d}")
+def spoil(context, number):
+    runner = context.fleet.runners[number]
+    spec = {**GOOD, "address": 7}
+    context.run(context.fleet.store.put("servers", runner.runner_id, spec))
+
+
+@when("runner {number:d} enters itself again")
+def enter_again(context, number):
+    context.run(context.fleet.list_runner(context.fleet.runners[number]))
+
+
+async def wait_known(context, count, limit):
+    table = context.fleet.nodes[0].state.table
+    await wait_until(lambda: len(table.entries()) == count, limit)
+
+
+@then("the node knows {count:d} runner within {limit:d} s, and calls are still served")
+def check_known_and_served(context, count, limit):
+    context.run(wait_known(context, count, limit))
+    status, _, _ = context.run(context.fleet.call("idempotent"))
+    assert status == 200
+
+
+@then("the node knows {count:d} runners within {limit:d} s")
+def check_known(context, count, limit):
+    context.run(wait_known(context, count, limit))
+
+
+@given("runner {number:d} resets what comes on a connection that has rested")
+def forget_resting(context, number):
+    context.fleet.runners[number].forgets_idle = True
+
+
+@when("runner {number:d} starts anew under its id")
+def start_anew(context, number):
+    async def act():
+        runner = context.fleet.runners[number]
+        spec = runner_spec(
+            pool=POOL,
+            address=f"{STORE_HOST}:{runner.port}",
+            zone="zone",
+            state="ready",
+            born_ms=1_790_000_000_000,
+        )
+        await context.fleet.store.put("servers", runner.runner_id, spec)
+        table = context.fleet.nodes[0].state.table
+        await wait_until(lambda: table.get(runner.runner_id).runner.born_ms > 0, 2)
+        await asyncio.sleep(0.05)
+
+    context.run(act())
+
+
+@then("the caller gets 200 from a connection of the new lifetime")
+def check_new_connection(context):
+    assert context.answer[0] == 200, context.answer
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
@@ -34,6 +34,7 @@
 HOLDS = (500, 1_000, 2_000, 4_000)
 ROUTES = (100, 200, 400, 800)
 CLAIMS = (400, 800, 1_600, 3_200)
+DRAIN_WITHIN_MS = 2_000.0
 WALL_MS = 1_790_000_000_000
 POOLS = 8
 
@@ -163,7 +164,7 @@
         RunnerRecord(_make_edge_runner(number), is_leaving=False, revision=number + 1)
         for number in range(runners)
     )
-    directory = RunnerDirectory()
+    directory = RunnerDirectory(drain_within_ms=DRAIN_WITHIN_MS)
     directory.replace(DirectoryView(runners + 1, records), now_ms=0.0)
     return directory
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
@@ -45,12 +45,19 @@
     }
 
 
-def runner_spec(*, pool: str, address: str, zone: str, state: str) -> dict[str, Any]:
-    """Return a runner's entry."""
+def runner_spec(
+    *, pool: str, address: str, zone: str, state: str, born_ms: int | None = None
+) -> dict[str, Any]:
+    """Return a runner's entry; most runners do not say when they were born."""
+    born = {} if born_ms is None else {"born": born_ms}
     return {
+        **born,
         "service": pool,
         "address": address,
         "zone": zone,
+        "version": "v1",
         "slots": SLOTS,
         "state": state,
+        "coldRemainingMs": 0,
+        "seq": 1,
     }
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -47,6 +47,7 @@
     PEER_STATE_MISSED = EventKind(310, "INFO", "A peer did not hand over its state.")
     STORE_WATCHED = EventKind(311, "INFO", "The node watches the store for its zone.")
     STORE_UNWATCHED = EventKind(312, "INFO", "Other nodes watch the store for it.")
+    ENTRY_UNREADABLE = EventKind(314, "WARNING", "Objects of the store name nothing.")
     VIEW_STALE = EventKind(313, "WARNING", "Nobody confirmed the view; asks itself.")
     TIMER_FAILED = EventKind(305, "ERROR", "Periodic work failed; it goes on.")
     TASK_FAILED = EventKind(306, "ERROR", "A background task died of a fault.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -95,6 +95,7 @@
     slots: int
     is_leaving: bool
     revision: int
+    born_ms: int
 
 
 class RemovalNote(NamedTuple):
@@ -102,7 +103,10 @@
 
     runner_id: str
     revision: int
-    is_lapsed: bool
+    wait_ms: int
+    """How much longer the runner may return; above 0 if the entry lapsed."""
+    born_ms: int
+    is_refused: bool
 
 
 class StoreNews(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -32,8 +32,16 @@
   slots @7 :UInt16;
   isLeaving @8 :Bool;
   revision @9 :UInt64;
+  bornMs @10 :UInt64;
+}
+struct RemovalNote {
+  runnerId @0 :Text;
+  revision @1 :UInt64;
+  isLapsed @2 :Bool;  # no longer sent: waitMs says how long
+  waitMs @3 :UInt16;
+  bornMs @4 :UInt64;
+  isRefused @5 :Bool;
 }
-struct RemovalNote { runnerId @0 :Text; revision @1 :UInt64; isLapsed @2 :Bool; }
 struct StoreNews {
   stateVersion @0 :UInt64;
   stateAgeMs @1 :UInt16;
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -151,7 +151,7 @@
     Mutation(
         "a told lapse outlives the word of its end",
         f"{DECISIONS}/edge/runner_directory.py",
-        "if not ended.is_lapsed:",
+        "if not ended.wait_ms:",
         "if False:",
         PURE,
     ),
@@ -246,6 +246,55 @@
         "is_paused = True",
         f"{CORE}/tests/fault_share.feature",
     ),
+    Mutation(
+        "an end that was seen as it happened is waited for like a lapse",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "until_ms = min(until_ms, now_ms + self._longest_live_wait_ms)",
+        "pass",
+        PURE,
+    ),
+    Mutation(
+        "a peer's wait begins anew",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "return max(now_ms + told_wait_ms,",
+        "return max(now_ms + RETURN_TIME_MS * (told_wait_ms > 0),",
+        PURE,
+    ),
+    Mutation(
+        "a late write of an earlier lifetime counts",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if record.runner.born_ms < known.runner.born_ms:",
+        "if False:",
+        PURE,
+    ),
+    Mutation(
+        "the end of an earlier lifetime's entry ends the new one",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if 0 < ended.born_ms < record.runner.born_ms:",
+        "if False:",
+        PURE,
+    ),
+    Mutation(
+        "an entry that was written over stays in use",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if ended.is_refused:",
+        "if False:",
+        PURE,
+    ),
+    Mutation(
+        "connections outlive the lifetime that they were made to",
+        f"{EDGE}/address_tenure.py",
+        "if known is None or known[0] != lifetime:",
+        "if known is None:",
+        f"{NODE}/tests/edge/store_entries.feature",
+    ),
+    Mutation(
+        "an unknown state counts as ready",
+        f"{NODE}/src/clementineyoke_node/platform/entry_codec.py",
+        'state: Literal["ready", "draining"]',
+        "state: str",
+        f"{NODE}/tests/edge/store_entries.feature",
+    ),
 )
 
 
