--- a/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge.py
@@ -2,22 +2,22 @@
 
 from __future__ import annotations
 
-import signal
+import sys
+
+from clementineyoke_node.console.early_start import EarlyStart, door_addresses
 
 
 def main() -> None:
-    """Make the start safe from signals, then load the node and run it.
+    """Open the doors and make the start safe from signals, then load the node.
 
-    The platform may say that the settings have changed while a process loads its
-    modules, which takes some tenths of a second. Python's default would end the process
-    there, seen as a node that ends by itself with -1. What the signal tells is read
-    anyway: the settings come after this, and the file is looked at every few seconds.
+    Loading takes some tenths of a second. Python's defaults would let a signal end the
+    process meanwhile, seen as a node that ends by itself with -1 or -15.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    # Here and not above: this is what takes the time.
-    from clementineyoke_node.console import edge_process
+    with EarlyStart(addresses=door_addresses(sys.argv[1:])) as start:
+        # Here and not above: this is what takes the time.
+        from clementineyoke_node.console import edge_process
 
-    edge_process.run()
+        edge_process.run(start)
 
 
 if __name__ == "__main__":
--- a/packages/clementineyoke-node/src/clementineyoke_node/console/edge_process.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/edge_process.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from clementineyoke_node.config.edge_config import EdgeConfig
+    from clementineyoke_node.console.early_start import EarlyStart
 
 EXIT_BAD_CONFIG = 2
 FIRST_LOG_LEVEL = "INFO"
@@ -26,7 +27,7 @@
 """How often to look whether the settings file was written without a signal."""
 
 
-def run() -> None:
+def run(start: EarlyStart) -> None:
     """Read the settings that the platform wrote, and serve until told to stop."""
     path = os.environ.get(SETTINGS_FILE_VARIABLE, "")
     log_to_pipe(FIRST_LOG_LEVEL, node=str(os.getpid()))
@@ -36,7 +37,7 @@
         print(error, file=sys.stderr)
         raise SystemExit(EXIT_BAD_CONFIG) from error
     log_to_pipe(config.log_level, node=config.node_id)
-    uvloop.run(_serve(config, path))
+    uvloop.run(_serve(config, path, start))
     _ignore_signals()
 
 
@@ -51,15 +52,17 @@
         signal.signal(number, signal.SIG_IGN)
 
 
-async def _serve(config: EdgeConfig, path: str) -> None:
+async def _serve(config: EdgeConfig, path: str, start: EarlyStart) -> None:
     loop = asyncio.get_running_loop()
-    service = EdgeService(config=config)
+    service = EdgeService(config=config, take_door=start.take)
     settings = SettingsFile(path=path, config=config, on_change=service.take_config)
-    # Before the doors open: a signal that met its default then would end the process
-    # with the calls that it has already taken.
+    # Before any call is taken: a signal that met its default then would end the process
+    # with the calls that it has.
     loop.add_signal_handler(signal.SIGTERM, service.order_stop)
     loop.add_signal_handler(signal.SIGINT, service.order_stop)
     loop.add_signal_handler(signal.SIGHUP, settings.reload)
+    if start.is_stop_ordered:
+        service.order_stop()
     async with service:
         service.io.timers.subscribe(
             "settings", interval_ms=SETTINGS_INTERVAL_MS, call=settings.check
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -19,6 +19,7 @@
     from random import Random
 
     from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.edge.start_wait import StartWait
     from clementineyoke_core.membership import Membership
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.callers.in_flight import InFlight
@@ -27,6 +28,7 @@
     from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.timers.timer_service import TimerService
 
+MS_PER_S = 1000.0
 BUSY_RETRY_MS = 500
 
 
@@ -44,6 +46,7 @@
         metrics: Metrics,
         rng: Random,
         membership: Membership,
+        start_wait: StartWait,
     ) -> None:
         self._view = view
         self._forwarder = forwarder
@@ -53,8 +56,13 @@
         self._metrics = metrics
         self._rng = rng
         self._membership = membership
+        self._start_wait = start_wait
         self._busy: set[web.RequestHandler] = set()
 
+    def begin(self) -> None:
+        """Note the node's start."""
+        self._start_wait.begin(now_ms=self._timers.now_ms())
+
     def is_busy(self, connection: web.RequestHandler) -> bool:
         """Whether a caller's connection carries a call now."""
         return connection in self._busy
@@ -115,6 +123,8 @@
                 reason="this node has as many requests as it may hold",
                 retry_after_ms=BUSY_RETRY_MS,
             )
+        if not self._view.ready.is_set():
+            await self._wait_for_state()
         admitted = admit(call, self._view.routes, arrived_ms=arrived_ms, rng=self._rng)
         response = await self._forwarder.forward(request, admitted)
         self._decisions.record(
@@ -125,6 +135,16 @@
         )
         return response
 
+    async def _wait_for_state(self) -> None:
+        wait_ms = self._start_wait.enter(now_ms=self._timers.now_ms())
+        try:
+            async with asyncio.timeout(wait_ms / MS_PER_S):
+                await self._view.ready.wait()
+        except TimeoutError:
+            return  # what is known by now decides, and the refusal says so
+        finally:
+            self._start_wait.leave()
+
     def _refuse(
         self, call: EdgeCall, error: RequestError, arrived_ms: float
     ) -> web.Response:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -8,7 +8,9 @@
 
 from aiohttp import web
 
+from clementineyoke_core.edge.start_wait import StartWait
 from clementineyoke_node.config.edge_config import port_of
+from clementineyoke_node.console.early_start import BACKLOG
 from clementineyoke_node.edge.caller_door import CallerDoor
 from clementineyoke_node.edge.directory_door import DirectoryDoor
 from clementineyoke_node.edge.edge_io import EdgeIo
@@ -19,6 +21,9 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
     from clementineyoke_node.config.edge_config import EdgeConfig
 
 MS_PER_S = 1000.0
@@ -30,14 +35,20 @@
 """What a node reads at most, whatever the operator allows: a twelfth of the
 smallest host's memory (200 MB) for one body."""
 IDLE_TIMEOUT_S = 15.0
-BACKLOG = 512
 
 
 class EdgeService:
     """Own one node on the platform from its first socket to its last answer."""
 
-    def __init__(self, *, config: EdgeConfig) -> None:
+    def __init__(
+        self,
+        *,
+        config: EdgeConfig,
+        take_door: Callable[[str], socket.socket | None] = lambda address: None,
+    ) -> None:
+        """Put the node together; ``take_door`` gives doors that are open already."""
         self._config = config
+        self._take_door = take_door
         self._stack = AsyncExitStack()
         self._stop_ordered = asyncio.Event()
         self.state = NodeState(config=config)
@@ -51,6 +62,7 @@
             metrics=self.state.metrics,
             rng=self.state.rng,
             membership=self.state.membership,
+            start_wait=StartWait(),
         )
         self._directory = DirectoryDoor(
             membership=self.state.membership,
@@ -61,10 +73,9 @@
     async def __aenter__(self) -> Self:
         """Open the doors, then find store and peers."""
         config = self._config
+        self._door.begin()
         await self._open_control()
-        self._callers = await self._open(
-            self._caller_application(), [config.caller_port]
-        )
+        self._callers = await self._open(self._caller_application(), [config.front])
         await self._stack.enter_async_context(self.io)
         log_event(
             Event.NODE_STARTED, node=config.node_id, zone=config.availability_zone
@@ -131,11 +142,9 @@
         app.router.add_get(names.RESOLVE_PATH, self._directory.resolve)
         app.router.add_get(STATE_PATH, self.io.peers.answer)
         OperatorDoor(state=self.state, io=self.io).add_routes(app)
-        await self._open(
-            app, [port_of(a) for a in (config.ready, config.directory, config.control)]
-        )
+        await self._open(app, [config.ready, config.directory, config.control])
 
-    async def _open(self, app: web.Application, ports: list[int]) -> web.AppRunner:
+    async def _open(self, app: web.Application, doors: list[str]) -> web.AppRunner:
         runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -147,7 +156,13 @@
         )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
-        for port in sorted(set(ports)):
-            site = web.TCPSite(runner, self._config.address, port, backlog=BACKLOG)
-            await site.start()
+        for address in sorted(set(doors)):
+            await self._make_site(runner, address).start()
         return runner
+
+    def _make_site(self, runner: web.AppRunner, address: str) -> web.BaseSite:
+        door = self._take_door(address)
+        if door is not None:
+            return web.SockSite(runner, door, backlog=BACKLOG)
+        host, port = address.rpartition(":")[0], port_of(address)
+        return web.TCPSite(runner, host, port, backlog=BACKLOG)
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -108,3 +108,30 @@
     Given a settings file of a node
     When a node's process is told of changed settings after its last answer
     Then it ends in order
+
+  Scenario: Callers come while a node loads its modules
+    # Symptom: callers are refused for 0.2 s after each start, and those that were
+    #   refused twice are not served at all.
+    # Sequence: all nodes are killed; callers come back while the processes start.
+    # Cause: a node listened only after its modules were loaded.
+    When a process opens its doors first and loads its modules after that
+    Then a caller that connects meanwhile is answered once they are loaded
+
+  Scenario: A stop is ordered while a node loads its modules
+    # Symptom: a node that was told to stop in its first moment ends with -15.
+    # Sequence: the platform stops hosts in turn, and one of them has just been started.
+    # Cause: the signal met its default until the node had its handlers.
+    When a node's process is told to stop while it starts
+    Then it goes on to start and knows of the order
+
+  Scenario: A door's address is taken
+    When a process opens a door whose address is taken
+    Then it goes on without it
+
+  Scenario: A call comes before the first state
+    # Symptom: callers of a restarted node are told to come back in a second.
+    # Sequence: a call comes 10 ms before the node has heard the store.
+    # Cause: what had no state refused at once, though it was 20 ms away.
+    Given a fleet of 0 nodes and 1 runner
+    When a node starts and a caller's call comes before its state
+    Then the caller gets 200
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/early_start_steps.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+from behave import then, when
+from edge_fleet import free_port
+
+from clementineyoke_node.console.early_start import EarlyStart, door_addresses
+
+
+@when("a process opens its doors first and loads its modules after that")
+def open_early(context):
+    address = f"127.0.0.1:{free_port()}"
+
+    async def act():
+        with EarlyStart(addresses=[address]) as start:
+            host, port = address.split(":")
+            caller = socket.create_connection((host, int(port)), timeout=2)
+            caller.sendall(b"a call")
+            # The modules are loaded here; then the loop takes the door.
+            server = await asyncio.start_server(echo, sock=start.take(address))
+            caller.setblocking(False)
+            loop = asyncio.get_running_loop()
+            context.reply = await asyncio.wait_for(loop.sock_recv(caller, 64), 2)
+            caller.close()
+            server.close()
+
+    handlers = {number: signal.getsignal(number) for number in STOPPERS}
+    context.run(act())
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
+
+
+STOPPERS = (signal.SIGTERM, signal.SIGHUP)
+
+
+async def echo(reader, writer):
+    writer.write(await reader.read(64))
+    await writer.drain()
+    writer.close()
+
+
+@then("a caller that connects meanwhile is answered once they are loaded")
+def check_reply(context):
+    assert context.reply == b"a call"
+
+
+@when("a node's process is told to stop while it starts")
+def stop_at_start(context):
+    loading = (
+        "import os, signal\n"
+        "from clementineyoke_node.console.early_start import EarlyStart\n"
+        "with EarlyStart(addresses=[]) as start:\n"
+        "    os.kill(os.getpid(), signal.SIGTERM)\n"
+        "    print(start.is_stop_ordered, flush=True)\n"
+    )
+    context.started = subprocess.run(
+        [sys.executable, "-c", loading], capture_output=True, check=False, timeout=60
+    )
+
+
+@then("it goes on to start and knows of the order")
+def check_order(context):
+    assert context.started.returncode == 0, context.started
+    assert context.started.stdout == b"True\n"
+
+
+@when("a process opens a door whose address is taken")
+def open_taken(context):
+    with socket.socket() as holder:
+        holder.bind(("127.0.0.1", 0))
+        holder.listen()
+        address = f"127.0.0.1:{holder.getsockname()[1]}"
+        code = (
+            "from clementineyoke_node.console.early_start import EarlyStart\n"
+            f"with EarlyStart(addresses=[{address!r}]) as start:\n"
+            f"    print(start.take({address!r}))\n"
+        )
+        context.started = subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            check=False,
+            timeout=60,
+            env=dict(os.environ),
+        )
+
+
+@then("it goes on without it")
+def check_without(context):
+    assert context.started.stdout == b"None\n", context.started
+    assert door_addresses(["--doors=a:1,b:2", "x"]) == ["a:1", "b:2"]
+
+
+@when("a node starts and a caller's call comes before its state")
+def call_before_state(context):
+    async def act():
+        fleet = context.fleet
+        node = await fleet.start_node(0, wait=False)
+        context.was_ready = node.io.view.ready.is_set()
+        context.answer = await fleet.call("idempotent")
+
+    context.run(act())
+    assert not context.was_ready, "the state came before the call"
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -534,7 +534,7 @@
     ending = (
         "import asyncio, os, signal\n"
         "from clementineyoke_node.console import edge_process\n"
-        "async def serve(config, path):\n"
+        "async def serve(config, path, start):\n"
         "    loop = asyncio.get_running_loop()\n"
         "    loop.add_signal_handler(signal.SIGHUP, lambda: None)\n"
         "class Last:\n"
@@ -544,7 +544,8 @@
         "last = Last()\n"
         "last.itself = last\n"
         "edge_process._serve = serve\n"
-        "edge_process.run()\n"
+        "from clementineyoke_node.console.early_start import EarlyStart\n"
+        "edge_process.run(EarlyStart(addresses=[]))\n"
     )
     environment = {**os.environ, SETTINGS_FILE_VARIABLE: str(context.file)}
     context.ended = subprocess.run(
