--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/displacement.py
@@ -0,0 +1,29 @@
+"""Up to which load a call may follow its prompt to the runner that holds it."""
+
+from __future__ import annotations
+
+PLAIN_SHARE = 0.8
+"""Of the operator's cap, for calls without a prompt; the rest is for grants that two
+homes give at once."""
+CHEAP_SHARE = 0.6
+"""For the shortest prompts: they are read elsewhere in a few ms."""
+DEAR_SHARE = 0.95
+"""For long prompts. Grants over the cap were 3 in 1,000 with it, where the operators
+count 3 in 100."""
+DEAR_TOKENS = 3_000
+"""Prompts from this length on are dear: moving one takes 0.3 GB, reading it 30 ms of an
+engine that others wait for."""
+
+
+def load_share(prompt_tokens: int) -> float:
+    """Return the share of the operator's cap up to which a call may go.
+
+    A runner at its bound turns calls away in the order of their arrival. Most that
+    arrive are short and hold their slots long, so they fill it, and long prompts are
+    read elsewhere for want of a slot: each costs ten times what a short one costs. With
+    a lower bound for cheap calls, these give way while there is room for dear ones.
+    """
+    if not prompt_tokens:
+        return PLAIN_SHARE
+    dearness = min(1.0, prompt_tokens / DEAR_TOKENS)
+    return CHEAP_SHARE + (DEAR_SHARE - CHEAP_SHARE) * dearness
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
+from clementineyoke_core.edge.displacement import PLAIN_SHARE
 from clementineyoke_core.edge.patience import Patience
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_watch import RunnerWatch
@@ -45,10 +46,6 @@
 """How long changes among the nodes are gathered. A home that moves so much later costs
 one ask that goes to the old one."""
 KEY_BITS = 64
-CAP_SHARE = 0.8
-"""Share of the operator's cap up to which affinity goes; the rest is for grants that
-two homes give at once. At 1.25 times the mean a third of the calls missed their runner,
-and each read its prompt again."""
 SLACK_SLOTS = 3
 """Slots over the bound: with a mean of two, single calls would decide otherwise."""
 
@@ -156,7 +153,7 @@
             socket=self.socket,
             timers=self.timers,
             load_bound=LoadBound(
-                factor=CAP_SHARE * self._config.cap_factor, slack_slots=SLACK_SLOTS
+                factor=PLAIN_SHARE * self._config.cap_factor, slack_slots=SLACK_SLOTS
             ),
         )
         self.broker = SlotBroker(
@@ -235,6 +232,7 @@
             decisions=state.decisions,
             sharers=lambda: len(state.membership.alive()),
             random_key=lambda: state.rng.getrandbits(KEY_BITS),
+            cap_factor=config.cap_factor,
         )
 
     def _hear_of_newer(self, node: Node, version: int = 0) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from clementineyoke_core.edge.attempt_ledger import AttemptLedger
+from clementineyoke_core.edge.displacement import load_share
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
@@ -51,7 +52,9 @@
         decisions: DecisionRing,
         sharers: Callable[[], int],
         random_key: Callable[[], int],
+        cap_factor: float,
     ) -> None:
+        """Take the parts; ``cap_factor`` is the operator's cap over the mean load."""
         self._broker = broker
         self._attempts = attempts
         self._watch = watch
@@ -60,6 +63,7 @@
         self._decisions = decisions
         self._sharers = sharers
         self._random_key = random_key
+        self._cap_factor = cap_factor
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -100,6 +104,7 @@
             team=hash_text(admitted.team or ""),
             priority=admitted.priority,
             wait_ms=int(max(0.0, min(LONGEST_QUEUE_MS, left_ms))),
+            load_factor=self._cap_factor * load_share(admitted.prompt_tokens),
             tried=ledger.tried,
         )
         lease = await self._broker.acquire(wish)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -82,7 +82,7 @@
                 search.record_silence(attempt)
                 continue
             ask_id = self._socket.next_ask_id()
-            answer = await self._ask(runner, attempt, ask_id)
+            answer = await self._ask(runner, attempt, ask_id, wish.load_factor)
             if answer is None:
                 search.record_silence(attempt)
             elif is_successful(answer):
@@ -153,7 +153,7 @@
         self._socket.send(PeerAddress.of(home), renewal)
 
     async def _ask(
-        self, runner: Runner, attempt: SlotAttempt, ask_id: int
+        self, runner: Runner, attempt: SlotAttempt, ask_id: int, load_factor: float
     ) -> Result[SlotGrant, SlotRefusal] | None:
         """Return the home's answer, or None if it gave none."""
         runner_id = runner.runner_id
@@ -162,9 +162,14 @@
             return None
         if home.node_id == self._own_id:
             return self._slot_home.ask(
-                runner_id, self._own_hold(ask_id), seen_mean=attempt.seen_mean
+                runner_id,
+                self._own_hold(ask_id),
+                seen_mean=attempt.seen_mean,
+                load_factor=load_factor,
             )
-        ask = SlotAsk(ask_id, runner.lifetime_hash, attempt.seen_mean)
+        ask = SlotAsk(
+            ask_id, runner.lifetime_hash, attempt.seen_mean, load_factor=load_factor
+        )
         try:
             reply = await self._socket.ask(
                 home, ask, reply_type=SlotReply, timeout_ms=self._timeout_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -93,14 +93,22 @@
             self._report_load(pool)
 
     def ask(
-        self, runner_id: str, hold: SlotHold, *, seen_mean: float
+        self,
+        runner_id: str,
+        hold: SlotHold,
+        *,
+        seen_mean: float,
+        load_factor: float = 0.0,
     ) -> Result[SlotGrant, SlotRefusal]:
-        """Grant or refuse a slot at once; the asker may have seen a higher mean."""
+        """Grant or refuse a slot at once; the asker may have seen a higher mean.
+
+        With ``load_factor`` the asker says how far over the mean its call may go.
+        """
         now_ms = self._timers.now_ms()
         is_last_resort = seen_mean > 0.0
         if not is_last_resort and self._faults.is_paused(runner_id, now_ms=now_ms):
             return Failure(SlotRefusal(runner_id, PAUSED_LOAD))
-        bound = self._bound(runner_id, seen_mean)
+        bound = self._bound(runner_id, seen_mean, load_factor)
         result = self._ledger.ask(runner_id, hold, bound=bound, now_ms=now_ms)
         if is_successful(result):
             self._faults.record_call(runner_id, now_ms=now_ms)
@@ -183,16 +191,23 @@
         if answer is not None:
             answer(granted)
 
-    def _bound(self, runner_id: str, seen_mean: float = 0.0) -> int:
+    def _bound(
+        self, runner_id: str, seen_mean: float = 0.0, load_factor: float = 0.0
+    ) -> int:
         entry = self._table.get(runner_id)
         if entry is None or entry.state is RunnerState.DRAINING:
             # The asker may have been frozen and not know; two views must both err.
             return 0
+        load_bound = self._load_bound
+        if load_factor > 0.0:
+            # The last ask of a search is for any room, also for a call that gives way.
+            least = load_bound.factor if seen_mean > 0.0 else 0.0
+            load_bound = load_bound._replace(factor=max(least, load_factor))
         return bound_by_home(
             estimated_mean=self._mean_load.mean(entry.runner.pool),
             seen_mean=seen_mean,
             slots=entry.runner.slots,
-            load_bound=self._load_bound,
+            load_bound=load_bound,
         )
 
     def _forget_moved(self, kept: set[str]) -> None:
@@ -233,7 +248,9 @@
         if ask.wait_ms:
             self._queue_remote(received.peer, runner_id, hold, ask)
             return
-        result = self.ask(runner_id, hold, seen_mean=ask.seen_mean)
+        result = self.ask(
+            runner_id, hold, seen_mean=ask.seen_mean, load_factor=ask.load_factor
+        )
         granted = is_successful(result)
         answer = result.unwrap() if granted else result.failure()
         reply = SlotReply(ask.ask_id, granted, answer.in_use)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_wish.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_wish.py
@@ -19,5 +19,7 @@
     wait_ms: int
     tried: Collection[str] = ()
     """Runners that this request must not meet again."""
+    load_factor: float = 0.0
+    """Multiple of the mean load up to which the call may go; 0 for the home's own."""
     preferred: str | None = None
     """The runner that a placement token names."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -20,6 +20,8 @@
     team: int = 0
     """Hash of the team's path; only for asks that wait."""
     priority: int = 0
+    load_factor: float = 0.0
+    """Multiple of the mean load up to which the call may go; 0 for the home's own."""
 
 
 class SlotReply(NamedTuple):
