--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -145,7 +145,7 @@
         late word of its end then changes nothing.
         """
         removed = [self._end(ended, now_ms) for ended in changes.removals]
-        put = [self._put(record) for record in changes.records]
+        put = [self._put(record) for record in changes.records if self._is_news(record)]
         self.revision = max(self.revision, changes.revision)
         return any(removed) or any(put)
 
@@ -169,6 +169,15 @@
             self._drop(runner_id)
         return gone
 
+    def _is_news(self, record: RunnerRecord) -> bool:
+        """Whether a told entry is newer than this view, which is whole up to then.
+
+        A datagram may come after the one that told of the entry's end: what is not
+        known here as of a later revision has ended, and would get calls for good.
+        """
+        is_known = record.runner.runner_id in self._records
+        return is_known or record.revision > self.revision
+
     def _put(self, record: RunnerRecord) -> bool:
         runner_id = record.runner.runner_id
         known = self._records.get(runner_id)
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -187,3 +187,13 @@
     And the store returned at 10000 ms
     When the entry of a names no runner any more at 10100 ms
     Then the runners in force are b
+
+  Scenario: News of an entry come after those of its end
+    # Symptom: a runner that is gone gets calls until the next whole list.
+    # Sequence: two datagrams of a watcher change places; the entry ends in the second.
+    # Cause: an entry that was not known was taken for a new one. Found by the model
+    #   checker (runner_lifetimes_spec).
+    Given a directory with the runners a, b
+    When the entry of a ends at 60000 ms
+    And a peer tells at 60100 ms of the entry of a as it was at the start
+    Then the runners in force are b
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -10,6 +10,7 @@
     claims_roll_spec,
     claims_spec,
     runner_entries_spec,
+    runner_lifetimes_spec,
     settings_spec,
 )
 
@@ -22,6 +23,7 @@
     claims_roll_spec,
     settings_spec,
     runner_entries_spec,
+    runner_lifetimes_spec,
 )
 
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -274,6 +274,13 @@
         "if False:",
         PURE,
     ),
+    Mutation(
+        "news of an entry that has ended bring it back",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "return is_known or record.revision > self.revision",
+        "return True",
+        PURE,
+    ),
     Mutation(
         "an entry that was written over stays in use",
         f"{DECISIONS}/edge/runner_directory.py",
