--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/experiment.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/experiment.py
@@ -9,7 +9,7 @@
 
 import fire
 
-from clementineyoke_standins.experiment.day_player import DayPlayer, Play
+from clementineyoke_standins.experiment.day_player import Case, DayPlayer, Play
 from clementineyoke_standins.experiment.paired_difference import compare
 
 if TYPE_CHECKING:
@@ -19,7 +19,17 @@
 FOLDER = Path("build/experiment")
 LEAST_SHOWN = 0.0005
 """Differences of prices and parts under this are not printed."""
+ARM_FIGURES = (
+    "part: whole day",
+    "part: worst windows",
+    "part: worst class",
+    "part: nines",
+    "prices",
+)
+"""Printed for each of several arms where the interval leaves no doubt."""
 Pairs = list[tuple["DayReport", "DayReport"]]
+Played = dict[str, list["DayReport | None"]]
+"""Reports of each arm, in the order of the cases."""
 
 
 def run(
@@ -35,13 +45,13 @@
     cpu: bool = True,
     name: str = "experiment",
 ) -> None:
-    """Play two arms, given as ``old=DIR,new=DIR``, on each site, day and seed.
+    """Play arms, given as ``old=DIR,new=DIR``, on each site, day and seed.
 
-    DIR is a work tree. Prints the paired differences with their 95% intervals, and
-    writes all figures to ``build/experiment/NAME.json`` with a plot beside it.
+    DIR is a work tree. Compares each arm with the first one: prints the paired
+    differences with their 95% intervals, one line an arm, or every figure if there are
+    only two arms; writes all to ``build/experiment/NAME.json`` with a plot beside it.
     """
     places = dict(entry.split("=", 1) for entry in _words(arms))
-    first, second = places
     folder = (FOLDER / name).resolve()
     folder.mkdir(parents=True, exist_ok=True)
     player = DayPlayer(
@@ -52,15 +62,14 @@
         jobs=jobs,
         charges_cpu=cpu,
     )
-    paths = [str(Path(site).resolve()) for site in _words(sites)]
     cases = [
-        (site, day, seed)
-        for site in paths
+        Case(str(Path(site).resolve()), day, seed)
+        for site in _words(sites)
         for day in _words(days)
         for seed in range(first_seed, first_seed + seeds)
     ]
-    pairs = asyncio.run(_play_all(player, (first, second), cases))
-    _report(pairs, (first, second), FOLDER / f"{name}.json")
+    played = asyncio.run(_play_all(player, list(places), cases))
+    _report(played, FOLDER / f"{name}.json")
 
 
 def _words(text: object) -> list[str]:
@@ -70,44 +79,60 @@
     return str(text).split(",")
 
 
-async def _play_all(
-    player: DayPlayer, arms: tuple[str, str], cases: list[tuple[str, str, int]]
-) -> Pairs:
-    pairs: Pairs = []
+async def _play_all(player: DayPlayer, arms: list[str], cases: list[Case]) -> Played:
+    played: Played = {arm: [None] * len(cases) for arm in arms}
+
+    async def play_case(index: int, case: Case) -> None:
+        reports = await asyncio.gather(*(player.play(Play(arm, *case)) for arm in arms))
+        for arm, report in zip(arms, reports, strict=True):
+            played[arm][index] = report
+        worths = " ".join("-" if r is None else f"{r.worth:.3f}" for r in reports)
+        print(f"{case.day} {case.seed}: {worths}", flush=True)
+
+    await asyncio.gather(*(play_case(*numbered) for numbered in enumerate(cases)))
+    return played
+
+
+def _report(played: Played, path: Path) -> None:
+    first, *others = played
+    found: dict[str, dict[str, PairedDifference]] = {}
+    for arm in others:
+        pairs = _pairs(played[first], played[arm])
+        if not pairs:
+            print(f"{arm}: no pairs were played")
+            continue
+        found[arm] = _differences(pairs)
+        _plot(pairs, (first, arm), path.with_name(f"{path.stem}-{arm}.png"))
+    if len(others) == 1:
+        for differences in found.values():
+            _print_figures(differences)
+    else:
+        _print_arms(found)
+    document = {
+        arm: {name: result._asdict() for name, result in differences.items()}
+        for arm, differences in found.items()
+    }
+    path.write_text(json.dumps(document, indent=1))
 
-    async def play_pair(case: tuple[str, str, int]) -> None:
-        first, second = await asyncio.gather(
-            *(player.play(Play(arm, *case)) for arm in arms)
-        )
-        if first is not None and second is not None:
-            pairs.append((first, second))
-        difference = "no pair"
-        if first is not None and second is not None:
-            difference = f"{first.worth:.3f} {second.worth:.3f}"
-        print(f"{len(pairs)}/{len(cases)} {case[1]} {case[2]}: {difference}")
-
-    await asyncio.gather(*map(play_pair, cases))
-    return pairs
-
-
-def _report(pairs: Pairs, arms: tuple[str, str], path: Path) -> None:
-    if not pairs:
-        print("no pairs were played")
-        return
-    found = _differences(pairs)
-    print(f"{'':42} {arms[0]:>9} {arms[1]:>9} {'diff':>9}   95% of {len(pairs)} pairs")
+
+def _pairs(first: list[DayReport | None], second: list[DayReport | None]) -> Pairs:
+    both = zip(first, second, strict=True)
+    return [(one, two) for one, two in both if one is not None and two is not None]
+
+
+def _print_figures(found: dict[str, PairedDifference]) -> None:
     for figure, result in found.items():
-        is_large = abs(result.difference) >= LEAST_SHOWN
-        if figure == "worth" or is_large:
-            mark = "" if result.is_clear else "  unclear"
-            print(
-                f"{figure:42} {result.first:9.4f} {result.second:9.4f}"
-                f" {result.difference:+9.4f}   [{result.low:+.4f}, {result.high:+.4f}]"
-                f"{mark}"
-            )
-    document = {name: result._asdict() for name, result in found.items()}
-    path.write_text(json.dumps(document, indent=1))
-    _plot(pairs, arms, path.with_suffix(".png"))
+        if figure == "worth" or abs(result.difference) >= LEAST_SHOWN:
+            print(f"{figure:42} {result.first:9.4f} {result.second:9.4f} {result}")
+
+
+def _print_arms(found: dict[str, dict[str, PairedDifference]]) -> None:
+    for arm, differences in found.items():
+        broken = differences["broken rules"].second * differences["broken rules"].pairs
+        print(f"{arm:14} worth {differences['worth']}  rules broken {broken:.0f}")
+        for figure in ARM_FIGURES:
+            if figure in differences and differences[figure].is_clear:
+                print(f"{'':14} {figure} {differences[figure]}")
 
 
 def _differences(pairs: Pairs) -> dict[str, PairedDifference]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/day_player.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/day_player.py
@@ -9,6 +9,14 @@
 from clementineyoke_standins.experiment.day_report import DayReport, read_report
 
 
+class Case(NamedTuple):
+    """One day with one seed, for all arms."""
+
+    site: str
+    day: str
+    seed: int
+
+
 class Play(NamedTuple):
     """One day with one seed, in one arm."""
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/paired_difference.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/paired_difference.py
@@ -30,6 +30,12 @@
         """Whether the interval leaves no doubt about the sign."""
         return self.low > 0.0 or self.high < 0.0
 
+    def __str__(self) -> str:
+        """Return difference and interval, as a table shows them."""
+        mark = "" if self.is_clear else " unclear"
+        interval = f"[{self.low:+.4f}, {self.high:+.4f}]"
+        return f"{self.difference:+.4f} {interval} of {self.pairs} pairs{mark}"
+
 
 def compare(first: Sequence[float], second: Sequence[float]) -> PairedDifference:
     """Return the paired difference with its 95% bootstrap interval."""
