--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEEDS ?= 1-50
 PACKAGES := core wire node cli standins
 
-.PHONY: setup demo test bench capacity model lint events faults soak mutations clean
+.PHONY: setup demo test bench capacity model lint events faults soak mutations experiment clean
 
 setup: $(VENV)/.ready
 
@@ -49,3 +49,7 @@
 
 mutations: setup
 	$(BIN)/python tools/mutations.py
+
+# make experiment ARGS="--bench=BENCH --arms=old=DIR,new=DIR --sites=SITE --days=DAY --why=..."
+experiment: setup
+	$(BIN)/python -m clementineyoke_standins.console.experiment $(ARGS)
