--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/start_wait.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/start_wait.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 START_MS = 500.0
-"""After its start a node whose store or peers are well has a state within 20 ms. This is
-twice the longest wait: what has not come by then will hardly come while a call waits."""
+"""After its start a node whose store or peers are well has a state within 20 ms. This
+is twice the longest wait: what has not come by then will hardly come in time."""
 LONGEST_WAIT_MS = 250.0
 """What is left of the shortest objectives (300 ms) is for the answer itself."""
 MOST_WAITING = 256
--- a/packages/clementineyoke-node/src/clementineyoke_node/console/early_start.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/console/early_start.py
@@ -19,8 +19,9 @@
 
     When all nodes are killed, callers that come back are refused until the first node
     listens; a node that opened its doors after its modules were loaded did so some
-    tenths of a second after its start. Callers whose connections wait in the door's queue meanwhile are
-    answered late; those that were refused twice were not answered at all.
+    tenths of a second after its start. Callers whose connections wait in the door's
+    queue meanwhile are answered late; those that were refused twice were not answered
+    at all.
     """
 
     def __init__(self, *, addresses: list[str]) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -50,8 +50,8 @@
 """Calls that may queue at a runner, as a share of its slots; runners queue four times
 as many. With none a slot stood empty for a quarter of its time, until its release and
 the next grant had crossed the fleet: two runners with 12 slots and 9 calls' work at a
-time refused 32 in 100 calls, and 19 with a queue. Twice as long a queue refused as many,
-and its calls took 250 ms instead of 190."""
+time refused 32 in 100 calls, and 19 with a queue. Twice as long a queue refused as
+many, and its calls took 250 ms instead of 190."""
 SLACK_SLOTS = 3
 """Slots over the bound: with a mean of two, single calls would decide otherwise."""
 
