--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_watch.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_watch.py
@@ -48,7 +48,7 @@
 
     def record_success(self, runner: Runner, *, now_ms: float) -> None:
         """Note a call that a runner answered whole."""
-        if not self._is_current(runner):
+        if not self._table.is_current(runner):
             return
         tally = self._tally(runner, now_ms)
         self._tallies[runner.lifetime] = tally._replace(successes=tally.successes + 1)
@@ -56,7 +56,7 @@
 
     def record_failure(self, runner: Runner, *, end: AttemptEnd, now_ms: float) -> None:
         """Note a failed attempt; may quarantine the runner."""
-        if not self._is_current(runner):
+        if not self._table.is_current(runner):
             return
         if end is AttemptEnd.NOT_SENT:
             self._table.record_transport_failure(runner.runner_id, now_ms=now_ms)
@@ -73,10 +73,5 @@
         for lifetime in self._tallies.keys() - kept:
             del self._tallies[lifetime]
 
-    def _is_current(self, runner: Runner) -> bool:
-        """Whether a call's end says anything of the runner that is there now."""
-        entry = self._table.get(runner.runner_id)
-        return entry is not None and entry.runner.lifetime == runner.lifetime
-
     def _tally(self, runner: Runner, now_ms: float) -> Tally:
         return self._tallies.get(runner.lifetime, EMPTY).decayed(now_ms)
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -79,6 +79,14 @@
         entry = self._entries.get(runner_id)
         return entry is not None and entry.state is RunnerState.READY
 
+    def is_current(self, runner: Runner) -> bool:
+        """Tell whether the list holds this very lifetime of a runner.
+
+        Word of a call to an earlier lifetime says nothing of the runner there now.
+        """
+        entry = self._entries.get(runner.runner_id)
+        return entry is not None and entry.runner.lifetime == runner.lifetime
+
     def is_quarantined(self, runner_id: str) -> bool:
         """Tell whether a runner is out for a while after failures."""
         entry = self._entries.get(runner_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -125,7 +125,7 @@
         if home.node_id != self._own_id:
             self._socket.send(PeerAddress.of(home), RunnerFault(runner.lifetime_hash))
             return
-        if self._is_current(runner):
+        if self._table.is_current(runner):
             self._slot_home.record_fault(runner.runner_id)
 
     def held(self) -> int:
@@ -142,7 +142,7 @@
 
     def _renew_at_home(self, runner: Runner, ask_ids: list[int]) -> None:
         home = self._home_of(runner.runner_id)
-        if home is None or not self._is_current(runner):
+        if home is None or not self._table.is_current(runner):
             # What was sent to a lifetime that is over runs nowhere.
             return
         if home.node_id == self._own_id:
@@ -258,7 +258,7 @@
     def _keep(
         self, runner: Runner, attempt: SlotAttempt, ask_id: int, *, reason: str
     ) -> SlotLease | None:
-        if not self._is_current(runner):
+        if not self._table.is_current(runner):
             # It ended while the home was asked.
             self._give_back(runner, ask_id)
             return None
@@ -285,10 +285,6 @@
         entry = self._table.get(attempt.runner_id)
         return None if entry is None else entry.runner
 
-    def _is_current(self, runner: Runner) -> bool:
-        entry = self._table.get(runner.runner_id)
-        return entry is not None and entry.runner.lifetime == runner.lifetime
-
     def _home_of(self, runner_id: str) -> Node | None:
         home_id = self._homes.home_of(runner_id)
         return None if home_id is None else self._membership.node(home_id)
