--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/patience.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/patience.py
@@ -35,7 +35,7 @@
 sees of each route within seconds."""
 
 MOST_PACES = 4_096
-"""Routes whose pace is kept, 0.5 MB; after that all are learned anew."""
+"""Routes whose pace is kept, 0.2 MB; after that all are learned anew."""
 
 
 class Patience:
