Name callers the strongest hosts that bear the calls

Cause: a node named the first 64 of its list to callers, whatever the hosts bear. On 195 unequal hosts a third of them, mostly with half a core, got the calls of all zones: each saw too few to keep connections to runners or to notice that one had failed, and after a loss of power callers waited for the slowest starts.

Change: hosts say what their processor and link bear (settings, hello, own entry). Named is the strongest class of hosts that bears three times the calls of the fleet, which are averaged by gossip; 16 if fewer would do, 64 at most. The choice is the same on all nodes.

--- a/packages/clementineyoke-core/src/clementineyoke_core/membership.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/membership.py
@@ -110,6 +110,16 @@
             and region in (None, node.region)
         ]
 
+    def heard(self, *, region: str | None = None) -> list[Node]:
+        """Return the nodes alive that have made themselves heard, the own among them.
+
+        Nodes that were read of may not be up: after a loss of power the list is whole
+        long before the fleet is.
+        """
+        return [
+            node for node in self.alive(region=region) if self.has_heard(node.node_id)
+        ]
+
     def hear(self, rumour: Rumour) -> bool:
         """Take a rumour; return whether the view of that node changed."""
         if rumour.node_id == self._own.node_id:
--- a/packages/clementineyoke-core/src/clementineyoke_core/node.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/node.py
@@ -14,3 +14,5 @@
     peer_port: int
     availability_zone: str
     region: str
+    calls_per_s: int = 0
+    """What its processor and link bear; 0 for a node that does not say."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/steering.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/steering.py
@@ -52,20 +52,22 @@
         """
         wanted = max(FEWEST_NODES, math.ceil(team_rate_per_s / self._node_rate_per_s))
         ranked = sorted(alive, key=lambda node: hash_text(f"{team}\0{node.node_id}"))
-        chosen = self._spread_over_zones(ranked)[:wanted]
+        chosen = spread_over_zones(ranked)[:wanted]
         first = [node for node in alive if node.node_id == chat_home]
         rest = [node for node in chosen if node.node_id != chat_home]
         start = turn % max(1, len(rest))
         return SteeringAnswer(first + rest[start:] + rest[:start], self._keep_ms)
 
-    def _spread_over_zones(self, ranked: list[Node]) -> list[Node]:
-        by_zone: dict[str, list[Node]] = {}
-        for node in ranked:
-            by_zone.setdefault(node.availability_zone, []).append(node)
-        spread: list[Node] = []
-        while by_zone:
-            for zone in list(by_zone):
-                spread.append(by_zone[zone].pop(0))
-                if not by_zone[zone]:
-                    del by_zone[zone]
-        return spread
+
+def spread_over_zones(ranked: list[Node]) -> list[Node]:
+    """Return the nodes so that each stretch of them lies in as many zones as it can."""
+    by_zone: dict[str, list[Node]] = {}
+    for node in ranked:
+        by_zone.setdefault(node.availability_zone, []).append(node)
+    spread: list[Node] = []
+    while by_zone:
+        for zone in list(by_zone):
+            spread.append(by_zone[zone].pop(0))
+            if not by_zone[zone]:
+                del by_zone[zone]
+    return spread
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from clementineyoke_core.edge.node_capacity import calls_borne_per_s
 from clementineyoke_node.config.config_error import ConfigError
 from clementineyoke_node.config.json_file import read_json
 
@@ -49,6 +50,12 @@
     """From the order to stop until the process is killed."""
     longest_keep_s: float
     """Longest time that callers keep an answer to where to connect."""
+    cpu_share: float | None = None
+    """Share of a core that the host gives the node; None if it is not known."""
+    cpu_speed: float | None = None
+    """Speed of that core, as a multiple of an ordinary one."""
+    link_mbps: float | None = None
+    """What the host's link carries."""
     linger_ms: int = 2_600
     """How long a leaving node still takes calls: callers with an old answer to where
     to connect find it open. Some keep an answer of one second for three."""
@@ -65,6 +72,12 @@
         """The port for callers, the same on every node."""
         return port_of(self.front)
 
+    @property
+    def calls_per_s(self) -> int:
+        """Calls a second that processor and link bear; 0 if they are not known."""
+        cpu_cores = (self.cpu_share or 0.0) * (self.cpu_speed or 0.0)
+        return calls_borne_per_s(cpu_cores=cpu_cores, link_mbps=self.link_mbps or 0.0)
+
     @property
     def control_port(self) -> int:
         """The port for peers and operators, the same on every node."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/node_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/node_config.py
@@ -46,6 +46,11 @@
     max_requests: int = 2_000
     """Requests in flight at which a node answers ``not_run``."""
 
+    @property
+    def calls_per_s(self) -> int:
+        """Not told here: callers of this interface are steered by their team's rate."""
+        return 0
+
 
 def load_node_config(path: str) -> NodeConfig:
     """Read a node's settings; raises ``ConfigError`` that names file and fault."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/node_place.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/node_place.py
@@ -32,6 +32,10 @@
     def region(self) -> str:
         """The region that the node is in."""
 
+    @property
+    def calls_per_s(self) -> int:
+        """Calls a second that the node bears; 0 if its settings do not tell."""
+
     @property
     def peer_keys(self) -> list[str]:
         """Keys of datagrams; the first signs, all are accepted."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from clementineyoke_core.edge.call_rate import CallRate
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.edge.start_wait import StartWait
     from clementineyoke_core.membership import Membership
@@ -47,6 +48,7 @@
         rng: Random,
         membership: Membership,
         start_wait: StartWait,
+        rate: CallRate,
     ) -> None:
         self._view = view
         self._forwarder = forwarder
@@ -57,6 +59,7 @@
         self._rng = rng
         self._membership = membership
         self._start_wait = start_wait
+        self._rate = rate
         self._busy: set[web.RequestHandler] = set()
 
     def begin(self) -> None:
@@ -70,6 +73,7 @@
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request."""
         arrived_ms = self._timers.now_ms()
+        self._rate.record(now_ms=arrived_ms)
         connection = request.protocol
         self._busy.add(connection)
         try:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -45,6 +45,9 @@
 NODES_BURST_MS = 20.0
 """How long changes among the nodes are gathered. A home that moves so much later costs
 one ask that goes to the old one."""
+CALLS_AT_NODES = "\0calls"
+"""What the nodes' calls a second are averaged as, beside the load of pools; no pool's
+name begins so."""
 KEY_BITS = 64
 QUEUE_SHARE = 1.0
 """Calls that may queue at a runner, as a share of its slots; runners queue four times
@@ -115,7 +118,8 @@
         moved = self._state.take_hosts()
         self.slot_home.rebuild()
         entries = self._state.table.entries()
-        self.gossiper.learn_pools({entry.runner.pool for entry in entries})
+        pools = {entry.runner.pool for entry in entries}
+        self.gossiper.learn_pools({*pools, CALLS_AT_NODES})
         self.watch.forget({entry.runner.lifetime for entry in entries})
         if moved:
             # New homes know nothing of what already runs until they are told.
@@ -139,6 +143,11 @@
         self.apply_hosts()
         self.gossiper.announce()
 
+    def fleet_calls_per_s(self) -> float:
+        """Return the calls a second of the region's nodes, as their gossip tells."""
+        nodes = self._state.membership.heard(region=self._config.region)
+        return self._state.mean_load.mean(CALLS_AT_NODES) * len(nodes)
+
     def meet_seeds(self, seeds: list[str]) -> None:
         """Say hello to the nodes that the settings name, and ask them for news."""
         for seed in seeds:
@@ -266,6 +275,8 @@
         await self.view.drop_lapsed()
 
     async def _keep_house(self) -> None:
+        rate_per_s = self._state.call_rate.per_s(now_ms=self.timers.now_ms())
+        self._state.mean_load.set_local(CALLS_AT_NODES, load=rate_per_s, runners=1)
         self._state.table.end_due_quarantines(now_ms=self.timers.now_ms())
 
     def _subscribe(self) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -63,10 +63,13 @@
             rng=self.state.rng,
             membership=self.state.membership,
             start_wait=StartWait(),
+            rate=self.state.call_rate,
         )
         self._directory = DirectoryDoor(
             membership=self.state.membership,
             is_serving=self._is_serving,
+            calls_per_s=self.io.fleet_calls_per_s,
+            timers=self.io.timers,
             keep_ms=config.longest_keep_s * MS_PER_S,
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/introducer.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/introducer.py
@@ -61,6 +61,7 @@
             own.peer_port,
             own.availability_zone,
             own.region,
+            own.calls_per_s,
         )
         self._socket.send(peer, hello)
 
@@ -75,6 +76,7 @@
             hello.peer_port,
             hello.availability_zone,
             hello.region,
+            hello.calls_per_s,
         )
         is_new = self._membership.add(node)
         is_back = self._membership.record_heard(
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from clementineyoke_core.edge.call_rate import CallRate
 from clementineyoke_core.homes import Homes
 from clementineyoke_core.mean_load import MeanLoad
 from clementineyoke_core.membership import Membership
@@ -39,6 +40,7 @@
             config.peer_port,
             config.availability_zone,
             config.region,
+            config.calls_per_s,
         )
         incarnation = TimerService.wall_ms() // MS_PER_S
         self.rng = Random()
@@ -54,6 +56,7 @@
         homes of one claim shard would refuse each other's writes.
         """
         self.mean_load = MeanLoad()
+        self.call_rate = CallRate()
         self.ledger = SlotLedger()
         self.seal = Seal(keys=config.peer_keys)
         self.decisions = DecisionRing()
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from clementineyoke_core.edge.node_capacity import MOST_CALLS_PER_S
 from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.node import Node
 from clementineyoke_core.runner import Runner, RunnerKind
@@ -44,6 +45,7 @@
     peer_port: int
     zone: str
     region: str
+    calls_per_s: int = 0
 
 
 _Spec = TypeVar("_Spec", _RunnerSpec, _NodeSpec)
@@ -96,6 +98,7 @@
         "peerPort": node.peer_port,
         "zone": node.availability_zone,
         "region": node.region,
+        "callsPerS": node.calls_per_s,
     }
 
 
@@ -106,6 +109,7 @@
         IPv4Address(spec.address)
         _check_range(spec.caller_port, 1, LAST_PORT)
         _check_range(spec.peer_port, 1, LAST_PORT)
+        _check_range(spec.calls_per_s, 0, MOST_CALLS_PER_S)
     except ValueError as error:
         raise FormatError(
             step="decode_node", peer=entry.name, reason=str(error)
@@ -117,6 +121,7 @@
         peer_port=spec.peer_port,
         availability_zone=spec.zone,
         region=spec.region,
+        calls_per_s=spec.calls_per_s,
     )
 
 
--- a/packages/clementineyoke-node/tests/steps/node_state_steps.py
+++ b/packages/clementineyoke-node/tests/steps/node_state_steps.py
@@ -15,7 +15,8 @@
 
 def make_state(node):
     document = {
-        **{name: getattr(node, name) for name in node._fields},
+        # What a host bears is told by the platform's settings alone.
+        **{name: getattr(node, name) for name in node._fields if name != "calls_per_s"},
         "platform_url": "http://127.0.0.1:1",
         "peer_keys": ["key"],
         "admin_key_hashes": [],
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -134,6 +134,8 @@
     peer_port: int
     availability_zone: str
     region: str
+    calls_per_s: int = 0
+    """What the node bears; 0 if it does not say."""
 
 
 class ClaimRequest(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -90,6 +90,7 @@
   peerPort @4 :UInt16;
   availabilityZone @5 :Text;
   region @6 :Text;
+  callsPerS @7 :UInt16;
 }
 
 struct Envelope {
