Give up a silent runner only when another one may be tried

Cause: a call's last runner was given up as early as one that another could replace.

Change: when patience ends, the forwarder is asked whether another runner may be tried (ledger, retry budget, a ready runner that was not tried). If not, the wait goes on to four times the objective, when callers leave.

Ruled out: waiting to the deadline (a dark last runner would hold the call past the time at which its caller leaves and may come back).

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_ledger.py
@@ -59,6 +59,10 @@
         if end is not AttemptEnd.REFUSED:
             self._may_have_run = True
 
+    def may_give_up(self) -> bool:
+        """Whether one more runner may be tried if the attempt under way is ended."""
+        return self._may_repeat and self._sends + 1 < self._most_runners
+
     def may_try_again(self) -> bool:
         """Whether the call may be sent to one more runner."""
         if self._may_have_run and not self._may_repeat:
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/patience.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/patience.py
@@ -27,6 +27,9 @@
 LATE_FACTOR = 2.0
 """Multiple of the objective after which a silent runner is given up when a second one
 could no longer answer in time: callers leave after four times the objective."""
+LAST_FACTOR = 4.0
+"""Multiple of the objective for which the last runner of a call is waited for: callers
+leave then. An answer that comes late is worth more to them than none."""
 FIRST_ANSWER_MS = 100.0
 """Time to a stream's first event until the pace is known: the median of three kinds of
 prompts, of 700 to 9,000 tokens, lay between 90 and 110 ms."""
@@ -71,6 +74,18 @@
             return max(usual_ms, LATE_FACTOR * route.objective_ms)
         return max(LEAST_HEAD_MS, route.objective_ms)
 
+    def last_ms(self, route: Route, *, prompt_tokens: int) -> float:
+        """Return how long to wait for an answer when no other runner may be tried.
+
+        Given up sooner, a runner that is merely slow turns a late answer into none: on
+        a day with one of six runners dark and one slow, half of the calls that failed
+        had been ended after 0.6 s at their second runner, which was at work on them.
+        """
+        if not route.may_repeat:
+            return route.timeout_ms
+        patience_ms = self.head_ms(route, prompt_tokens=prompt_tokens)
+        return max(patience_ms, LAST_FACTOR * route.objective_ms)
+
     def overdue_ms(self, route: Route, *, prompt_tokens: int) -> float:
         """Return after how long a call's silence is a sign against its runner."""
         usual_ms = LEAST_HEAD_MS + READING_MS_PER_TOKEN * prompt_tokens
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/retry_window.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/retry_window.py
@@ -33,16 +33,20 @@
 
     def take(self, pool: str, *, sharers: int, now_ms: float) -> bool:
         """Take one second try for a pool, or return False when none is left."""
+        if not self.has_left(pool, sharers=sharers, now_ms=now_ms):
+            return False
+        self._retries[pool].append(now_ms)
+        return True
+
+    def has_left(self, pool: str, *, sharers: int, now_ms: float) -> bool:
+        """Whether a second try is left for a pool."""
         calls = self._calls.setdefault(pool, deque())
         retries = self._retries.setdefault(pool, deque())
         self._drop_old(calls, now_ms)
         self._drop_old(retries, now_ms)
         allowance = self._allowance / max(1, sharers)
         most = SAFETY * (self._ratio * len(calls) + allowance)
-        if len(retries) + 1 > most:
-            return False
-        retries.append(now_ms)
-        return True
+        return len(retries) + 1 <= most
 
     def _drop_old(self, times_ms: deque[float], now_ms: float) -> None:
         while times_ms and times_ms[0] <= now_ms - self._window_ms:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -82,7 +83,12 @@
             runner = lease.runner
             with self._broker.holding(lease):
                 try:
-                    answer = await self._attempts.carry_out(admitted, runner, stream)
+                    answer = await self._attempts.carry_out(
+                        admitted,
+                        runner,
+                        stream,
+                        partial(self._may_give_up, admitted, ledger, runner),
+                    )
                 except AttemptError as error:
                     self._record_failure(admitted, ledger, runner, error)
                     failure = error
@@ -121,6 +127,17 @@
             retry_after_ms=REFUSED_RETRY_MS,
         )
 
+    def _may_give_up(
+        self, admitted: AdmittedCall, ledger: AttemptLedger, runner: Runner
+    ) -> bool:
+        """Whether a call may leave a silent runner, because another may be tried."""
+        if not ledger.may_give_up():
+            return False
+        tried = {*ledger.tried, runner.runner_id}
+        return self._broker.has_other(admitted.pool, tried) and self._retries.has_left(
+            admitted.pool, sharers=self._sharers(), now_ms=self._timers.now_ms()
+        )
+
     def _may_go_on(self, admitted: AdmittedCall, ledger: AttemptLedger) -> bool:
         now_ms = self._timers.now_ms()
         if admitted.deadline_ms <= now_ms or not ledger.may_try_again():
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
@@ -12,10 +12,13 @@
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_alarm import OverdueAlarm
 from clementineyoke_node.edge.runner_link import check_outcome, read_whole
+from clementineyoke_node.edge.runner_wait import RunnerWait
 from clementineyoke_node.platform.runner_codec import RunnerOrder
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.patience import Patience
     from clementineyoke_core.membership import Membership
@@ -57,10 +60,15 @@
         self._membership = membership
 
     async def carry_out(
-        self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        stream: CallerStream,
+        may_go_on: Callable[[], bool],
     ) -> WholeAnswer | None:
         """Return the runner's whole answer, or None when its stream was handed on.
 
+        ``may_go_on`` tells whether another runner may be tried if this one is silent.
         Raises ``AttemptError``.
         """
         now_ms = self._timers.now_ms()
@@ -80,18 +88,24 @@
             last_event=stream.last_event,
             fetch_from=self._holder(admitted, runner),
         )
-        head_ms = min(left_ms, self._head_ms(admitted))
+        head_wait = self._head_wait(admitted, may_go_on)
         with self._alarm(admitted, runner) as alarm:
             async with self._link.open(
                 runner,
                 admitted.call,
                 order,
-                head_ms=head_ms,
+                wait=head_wait,
                 may_repeat=admitted.route.may_repeat,
             ) as answer:
                 if answer.head.is_event_stream and not answer.head.is_refusal:
                     await self._relay(
-                        admitted, runner, stream, answer, alarm, begun_ms=now_ms
+                        admitted,
+                        runner,
+                        stream,
+                        answer,
+                        alarm,
+                        may_go_on,
+                        begun_ms=now_ms,
                     )
                     return None
                 whole = await self._read(admitted, runner, answer)
@@ -127,6 +141,7 @@
         stream: CallerStream,
         answer: OpenAnswer,
         alarm: OverdueAlarm,
+        may_go_on: Callable[[], bool],
         *,
         begun_ms: float,
     ) -> None:
@@ -139,7 +154,9 @@
             )
         await stream.begin(answer.head, is_leaving=self._membership.is_leaving)
         is_first = True
-        while chunk := await self._next_chunk(admitted, runner, answer, stream):
+        while chunk := await self._next_chunk(
+            admitted, runner, answer, stream, may_go_on
+        ):
             alarm.stop()
             if is_first:
                 self._patience.record_first_event(
@@ -162,17 +179,14 @@
         runner: Runner,
         answer: OpenAnswer,
         stream: CallerStream,
+        may_go_on: Callable[[], bool],
     ) -> bytes:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        pause_ms = (
-            self._patience.pause_ms(admitted.route)
-            if stream.events
-            else self._head_ms(admitted)
-        )
+        if stream.events:
+            wait = self._pause_wait(admitted, may_go_on)
+        else:
+            wait = self._head_wait(admitted, may_go_on)
         try:
-            async with asyncio.timeout(
-                max(LEAST_WAIT_S, min(left_ms, pause_ms) / MS_PER_S)
-            ):
+            async with wait.bounded():
                 return await answer.response.content.readany()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise AttemptError(
@@ -214,7 +228,25 @@
             after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
         )
 
-    def _head_ms(self, admitted: AdmittedCall) -> float:
-        return self._patience.head_ms(
-            admitted.route, prompt_tokens=admitted.prompt_tokens
+    def _head_wait(
+        self, admitted: AdmittedCall, may_go_on: Callable[[], bool]
+    ) -> RunnerWait:
+        route, tokens = admitted.route, admitted.prompt_tokens
+        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        return RunnerWait(
+            patience_ms=self._patience.head_ms(route, prompt_tokens=tokens),
+            longest_ms=min(
+                left_ms, self._patience.last_ms(route, prompt_tokens=tokens)
+            ),
+            may_go_on=may_go_on,
+        )
+
+    def _pause_wait(
+        self, admitted: AdmittedCall, may_go_on: Callable[[], bool]
+    ) -> RunnerWait:
+        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        return RunnerWait(
+            patience_ms=self._patience.pause_ms(admitted.route),
+            longest_ms=left_ms,
+            may_go_on=may_go_on,
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -28,6 +28,7 @@
 
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.runner import Runner
+    from clementineyoke_node.edge.runner_wait import RunnerWait
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
@@ -96,7 +97,7 @@
         call: EdgeCall,
         order: RunnerOrder,
         *,
-        head_ms: float,
+        wait: RunnerWait,
         may_repeat: bool,
     ) -> AsyncIterator[OpenAnswer]:
         """Send a call and yield its answer's head; raises ``AttemptError``.
@@ -111,7 +112,7 @@
             now_s=asyncio.get_running_loop().time(),
         )
         session = self._session_for(runner, may_repeat=may_repeat)
-        response = await self._send(session, runner, call, order, head_ms=head_ms)
+        response = await self._send(session, runner, call, order, wait=wait)
         is_whole = False
         try:
             head = decode_head(response.status, response.headers)
@@ -141,7 +142,7 @@
         call: EdgeCall,
         order: RunnerOrder,
         *,
-        head_ms: float,
+        wait: RunnerWait,
     ) -> aiohttp.ClientResponse:
         use = ConnectionUse()
         url = URL(f"http://{runner.address}:{runner.port}{call.target}", encoded=True)
@@ -150,7 +151,7 @@
             sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
         )
         try:
-            async with asyncio.timeout(max(1.0, head_ms) / MS_PER_S):
+            async with wait.bounded():
                 return await session.request(
                     call.method,
                     url,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -101,6 +101,10 @@
             return None
         return await self._wait(first, wish)
 
+    def has_other(self, pool: str, tried: set[str]) -> bool:
+        """Whether a pool has a ready runner besides those that were tried."""
+        return any(runner_id not in tried for runner_id in self._rings.order(pool, 0))
+
     def adopt(self, runner: Runner) -> SlotLease:
         """Hold a slot for work that is on the runner already, whatever its load."""
         ask_id = self._socket.next_ask_id()
--- a/packages/clementineyoke-node/tests/edge/calls.feature
+++ b/packages/clementineyoke-node/tests/edge/calls.feature
@@ -28,6 +28,24 @@
     Then the caller gets 200 and its own answer, with the runner's proof
     And the runners saw 2 calls
 
+  Scenario: The last runner of a call is slow
+    # Symptom: calls fail with 502 after 0.6 s while a runner is at work on them.
+    # Sequence: the first runner is silent and is given up for the second one, which is
+    #   slow as well; no third one may be tried.
+    # Cause: the last runner was given up as early as one that another could replace.
+    Given a fleet of 1 node and 2 runners
+    And the next 2 calls are answered as "slow"
+    When a caller makes a "idempotent" call
+    Then the caller gets 200 and its own answer, with the runner's proof
+    And the runners saw 2 calls
+
+  Scenario: The only runner of a call is slow
+    Given a fleet of 1 node and 1 runner
+    And the next 2 calls are answered as "slow"
+    When a caller makes a "idempotent" call
+    Then the caller gets 200 and its own answer, with the runner's proof
+    And the runners saw 1 call
+
   Scenario Outline: A call that may not be repeated has no whole answer
     # Symptom: one booking is made twice, or a caller is told that it was not made.
     # Sequence: a runner runs the call and its answer breaks off, in one of many ways.
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -41,9 +41,14 @@
     given_script(context, Act(act))
 
 
-def given_script(context, act):
-    """Let whichever runner gets the next call take the act, and only that one."""
-    script = [act]
+@given('the next {count:d} calls are answered as "{act}"')
+def given_acts(context, count, act):
+    given_script(context, *[Act(act)] * count)
+
+
+def given_script(context, *acts):
+    """Let whichever runners get the next calls take the acts, and only those."""
+    script = list(acts)
     for runner in context.fleet.runners:
         runner.script = script
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -14,6 +14,7 @@
 PROOF = "proof-of-the-runner"
 EVENTS = 6
 FOREVER_S = 3600.0
+SLOW_S = 0.6
 LATE_S = 0.05
 """Until a late second answer comes: long after the first one was handed on."""
 
@@ -30,6 +31,8 @@
     BUSY = "busy"
     """Runs the call and says that it is busy, without a word on whether it ran."""
     HANG = "hang"
+    SLOW = "slow"
+    """Answers long after a runner that works as usual would have."""
     RESET = "reset"
     """Runs the call and loses the answer."""
     CUT = "cut"
@@ -136,6 +139,8 @@
     ) -> bool:
         if act is Act.HANG:
             await asyncio.sleep(FOREVER_S)
+        if act is Act.SLOW:
+            await asyncio.sleep(SLOW_S)
         if act is Act.RESET:
             _reset(writer)
             return False
