Pause runners that several nodes cannot reach, by their homes

Cause: a dark or crashed runner was found out by each node for itself, and each waited 350 ms for a connection.

Change: nodes tell a runner's home of connections that failed, and with each slot that they give back whether the runner answered. Two nodes that cannot reach it, and no answer to anyone between, pause it for 0.5 s, then up to 1 s. The wait for a connection is 120 ms.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from clementineyoke_core.edge.attempt_ledger import AttemptLedger
+from clementineyoke_core.edge.attempt_ledger import AttemptEnd, AttemptLedger
 from clementineyoke_core.edge.displacement import load_share
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
@@ -35,6 +35,8 @@
 """When a call that met a full or leaving runner may come back: the node knows by then
 that the runner takes no more, and chooses another one."""
 BROKEN_RETRY_MS = 200
+ANSWERED_ENDS = frozenset((AttemptEnd.FAILED, AttemptEnd.REFUSED))
+"""Ends by which a runner shows that it can be reached."""
 LONGEST_QUEUE_MS = 400
 """How long a call may wait for a slot before it is refused with a time to return."""
 
@@ -90,10 +92,11 @@
                         partial(self._may_give_up, admitted, ledger, runner),
                     )
                 except AttemptError as error:
-                    self._record_failure(admitted, ledger, runner, error)
+                    self._record_failure(admitted, ledger, lease, error)
                     failure = error
                 else:
                     self._watch.record_success(runner, now_ms=self._timers.now_ms())
+                    self._broker.note_answered(lease)
                     return stream.response if answer is None else _to_response(answer)
             if not self._may_go_on(admitted, ledger):
                 return self._give_up(admitted, ledger, stream, failure)
@@ -193,16 +196,21 @@
         self,
         admitted: AdmittedCall,
         ledger: AttemptLedger,
-        runner: Runner,
+        lease: SlotLease,
         error: AttemptError,
     ) -> None:
         now_ms = self._timers.now_ms()
+        runner = lease.runner
         ledger.record(error.peer, error.end)
+        if error.end in ANSWERED_ENDS:
+            self._broker.note_answered(lease)
         if admitted.deadline_ms > now_ms:
             # At the end of its time a call says little of the runner: the operator's
             # limit may be shorter than the work.
             self._watch.record_failure(runner, end=error.end, now_ms=now_ms)
-            if error.is_break:
+            if error.end is AttemptEnd.NOT_SENT:
+                self._broker.report_fault(runner, is_unreachable=True)
+            elif error.is_break:
                 self._broker.report_fault(runner)
         self._decisions.record(
             Event.RUNNER_FAILED,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -32,8 +32,10 @@
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
-CONNECT_TIMEOUT_MS = 350
-"""A runner takes a connection within 2 ms; a dark one never does."""
+CONNECT_TIMEOUT_MS = 120
+"""A runner takes a connection within 2 ms, another region's within 45; a dark one never
+does. A call that is to be answered within 500 ms can meet a dark runner and still be in
+time at the next."""
 LARGEST_HEAD_BYTES = 32_768
 STATUS_ERROR = 500
 STATUS_REDIRECT = 300
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -65,6 +65,7 @@
         self._timeout_ms = timeout_ms
         self._leases: dict[int, SlotLease] = {}
         self._last_in_use: dict[str, int] = {}
+        self._answered: set[int] = set()
 
     async def acquire(self, wish: SlotWish) -> SlotLease | None:
         """Return a lease on the first runner that grants one.
@@ -121,15 +122,24 @@
         finally:
             self._release(lease)
 
-    def report_fault(self, runner: Runner) -> None:
+    def note_answered(self, lease: SlotLease) -> None:
+        """Note that the runner answered; its home is told with the slot's release."""
+        self._answered.add(lease.ask_id)
+
+    def report_fault(self, runner: Runner, *, is_unreachable: bool = False) -> None:
         """Tell a runner's home that a call there failed or is overdue."""
         home = self._home_of(runner.runner_id)
         if home is None:
             return
         if home.node_id != self._own_id:
-            self._socket.send(PeerAddress.of(home), RunnerFault(runner.lifetime_hash))
+            fault = RunnerFault(runner.lifetime_hash, is_unreachable)
+            self._socket.send(PeerAddress.of(home), fault)
+            return
+        if not self._table.is_current(runner):
             return
-        if self._table.is_current(runner):
+        if is_unreachable:
+            self._slot_home.record_unreachable(runner.runner_id, reporter=self._own_id)
+        else:
             self._slot_home.record_fault(runner.runner_id)
 
     def held(self) -> int:
@@ -272,18 +282,23 @@
 
     def _release(self, lease: SlotLease) -> None:
         self._leases.pop(lease.ask_id, None)
-        self._give_back(lease.runner, lease.ask_id)
+        is_answered = lease.ask_id in self._answered
+        self._answered.discard(lease.ask_id)
+        self._give_back(lease.runner, lease.ask_id, is_answered=is_answered)
 
-    def _give_back(self, runner: Runner, ask_id: int) -> None:
+    def _give_back(
+        self, runner: Runner, ask_id: int, *, is_answered: bool = False
+    ) -> None:
         home = self._home_of(runner.runner_id)
         if home is None:
             return
         if home.node_id == self._own_id:
+            if is_answered:
+                self._slot_home.record_answer(runner.runner_id)
             self._slot_home.release(runner.runner_id, self._own_hold(ask_id))
             return
-        self._socket.send(
-            PeerAddress.of(home), SlotRelease(ask_id, runner.lifetime_hash)
-        )
+        release = SlotRelease(ask_id, runner.lifetime_hash, is_answered)
+        self._socket.send(PeerAddress.of(home), release)
 
     def _runner_of(self, attempt: SlotAttempt) -> Runner | None:
         entry = self._table.get(attempt.runner_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -9,6 +9,7 @@
 
 from clementineyoke_core.fault_share import FaultShare
 from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound, bound_by_home
+from clementineyoke_core.reachability import Reachability
 from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHold, SlotRefusal
 from clementineyoke_core.slot_queue import SlotQueue, WaitingAsk
@@ -55,6 +56,7 @@
         load_bound: LoadBound = DEFAULT_BOUND,
     ) -> None:
         self._faults = FaultShare()
+        self._reachability = Reachability()
         self._load_bound = load_bound
         self._own_id = own_id
         self._ledger = ledger
@@ -106,7 +108,7 @@
         """
         now_ms = self._timers.now_ms()
         is_last_resort = seen_mean > 0.0
-        if not is_last_resort and self._faults.is_paused(runner_id, now_ms=now_ms):
+        if not is_last_resort and self._is_paused(runner_id, now_ms):
             return Failure(SlotRefusal(runner_id, PAUSED_LOAD))
         bound = self._bound(runner_id, seen_mean, load_factor)
         result = self._ledger.ask(runner_id, hold, bound=bound, now_ms=now_ms)
@@ -154,6 +156,18 @@
         if self._faults.record_fault(runner_id, now_ms=self._timers.now_ms()):
             log_event(Event.RUNNER_PAUSED, runner=runner_id)
 
+    def record_unreachable(self, runner_id: str, *, reporter: str) -> None:
+        """Note that a node could not open a connection to a runner."""
+        now_ms = self._timers.now_ms()
+        if self._reachability.record_unreachable(
+            runner_id, reporter=reporter, now_ms=now_ms
+        ):
+            log_event(Event.RUNNER_UNREACHABLE, runner=runner_id, reporter=reporter)
+
+    def record_answer(self, runner_id: str) -> None:
+        """Note that a runner answered a call."""
+        self._reachability.record_answer(runner_id)
+
     def loads(self) -> dict[str, int]:
         """Return the slots in use on each runner that this node is home of."""
         return {
@@ -173,6 +187,16 @@
             log_event(Event.SLOT_LAPSED, runner=runner_id, holder=hold.node_id)
             self._report_runner(runner_id)
 
+    def _is_paused(self, runner_id: str, now_ms: float) -> bool:
+        return self._faults.is_paused(
+            runner_id, now_ms=now_ms
+        ) or self._reachability.is_paused(runner_id, now_ms=now_ms)
+
+    def _forget(self, runner_id: str) -> None:
+        self._ledger.forget(runner_id)
+        self._faults.forget(runner_id)
+        self._reachability.forget(runner_id)
+
     def _serve_waiting(self, runner_id: str) -> None:
         queue = self._queues.get(runner_id)
         if queue is None:
@@ -213,8 +237,7 @@
     def _forget_moved(self, kept: set[str]) -> None:
         for runner_id in self._ledger.runner_ids():
             if runner_id not in kept:
-                self._ledger.forget(runner_id)
-                self._faults.forget(runner_id)
+                self._forget(runner_id)
 
     def _forget_reborn(self, lifetimes: dict[str, str]) -> None:
         """Drop counts and faults of runners that have started anew under their ids.
@@ -224,8 +247,7 @@
         """
         for runner_id, lifetime in lifetimes.items():
             if self._lifetimes.get(runner_id, lifetime) != lifetime:
-                self._ledger.forget(runner_id)
-                self._faults.forget(runner_id)
+                self._forget(runner_id)
         self._lifetimes = lifetimes
 
     def _report_runner(self, runner_id: str) -> None:
@@ -275,13 +297,20 @@
     def _receive_release(self, received: PeerMessage) -> None:
         release: SlotRelease = received.message
         runner_id = self._names.get(release.runner)
-        if runner_id is not None:
-            self.release(runner_id, SlotHold(str(received.peer), release.ask_id))
+        if runner_id is None:
+            return
+        if release.is_answered:
+            self.record_answer(runner_id)
+        self.release(runner_id, SlotHold(str(received.peer), release.ask_id))
 
     def _receive_fault(self, received: PeerMessage) -> None:
         fault: RunnerFault = received.message
         runner_id = self._names.get(fault.runner)
-        if runner_id is not None:
+        if runner_id is None:
+            return
+        if fault.is_unreachable:
+            self.record_unreachable(runner_id, reporter=str(received.peer))
+        else:
             self.record_fault(runner_id)
 
     def _receive_renewal(self, received: PeerMessage) -> None:
--- a/packages/clementineyoke-node/tests/slots/slot_home.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_home.feature
@@ -35,3 +35,16 @@
     When 3 nodes report a failure of it
     Then an ask for it is refused as paused
     But the last ask of a search is granted
+
+  Scenario: Nodes cannot reach a runner
+    # Symptom: a dark runner goes on getting calls until each node has met it.
+    # Sequence: two nodes each wait in vain for a connection to it.
+    # Cause: only failures of calls that had begun were told to its home.
+    Given a home whose runner has its 1 slot free
+    When 2 nodes report that they cannot reach it
+    Then an ask for it is refused as paused
+
+  Scenario: A runner answers between two reports
+    Given a home whose runner has its 1 slot free
+    When a node reports that it cannot reach it, another is answered, and a third reports
+    Then an ask for it is granted
--- a/packages/clementineyoke-node/tests/steps/slot_home_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -34,8 +34,8 @@
     def send(self, peer, message):
         self.sent.append(message)
 
-    def receive(self, message):
-        self.handlers[type(message)](PeerMessage(PEER, 1, message))
+    def receive(self, message, *, peer=PEER):
+        self.handlers[type(message)](PeerMessage(peer, 1, message))
 
 
 def make_home(context, *, live=(), leaving=()):
@@ -157,3 +157,31 @@
 def check_last_ask(context):
     context.socket.receive(SlotAsk(2, hash_text("engine-1"), 0.01))
     assert context.socket.sent[-1].granted
+
+
+def report_unreachable(context, number):
+    fault = RunnerFault(hash_text("engine-1"), is_unreachable=True)
+    context.socket.receive(fault, peer=PEER._replace(port=number))
+
+
+@when("{count:d} nodes report that they cannot reach it")
+def report_several(context, count):
+    for number in range(count):
+        report_unreachable(context, number)
+
+
+@when(
+    "a node reports that it cannot reach it, another is answered, and a third reports"
+)
+def report_around_answer(context):
+    report_unreachable(context, 1)
+    ask(context, 5)
+    release = SlotRelease(5, hash_text("engine-1"), is_answered=True)
+    context.socket.receive(release)
+    report_unreachable(context, 3)
+
+
+@then("an ask for it is granted")
+def check_granted(context):
+    ask(context, 6)
+    assert context.socket.sent[-1].granted
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -36,6 +36,7 @@
     RUNNER_PAUSED = EventKind(212, "WARNING", "A runner failed too many of its calls.")
     RUNNER_OVERDUE = EventKind(213, "INFO", "A runner's answer is later than usual.")
     IDLE_LOST = EventKind(214, "WARNING", "A resting connection lost a call.")
+    RUNNER_UNREACHABLE = EventKind(215, "WARNING", "Several nodes get no connection.")
     NODE_DOWN = EventKind(300, "WARNING", "A node stopped answering probes.")
     NODE_BACK = EventKind(301, "INFO", "A node believed down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -37,12 +37,16 @@
 
     ask_id: int
     runner: int
+    is_answered: bool = False
+    """Whether the runner answered the call."""
 
 
 class RunnerFault(NamedTuple):
     """Tell a runner's home that a call there failed or is overdue."""
 
     runner: int
+    is_unreachable: bool = False
+    """Whether it took no connection."""
 
 
 class SlotRenewal(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -5,7 +5,7 @@
 struct SlotAsk { askId @0 :UInt32; runner @1 :UInt64; seenMean @2 :Float32;
   waitMs @3 :UInt16; team @4 :UInt64; priority @5 :UInt8; loadFactor @6 :Float32; }
 struct SlotReply { askId @0 :UInt32; granted @1 :Bool; inUse @2 :UInt16; }
-struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; }
+struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; isAnswered @2 :Bool; }
 struct SlotRenewal { runner @0 :UInt64; askIds @1 :List(UInt32); }
 
 struct PoolLoad { pool @0 :UInt64; load @1 :Float32; runners @2 :Float32; }
@@ -81,7 +81,7 @@
 struct ShareAsk { askId @0 :UInt32; team @1 :Text; tokens @2 :UInt16; }
 struct ShareReply { askId @0 :UInt32; tokens @1 :Float32; waitMs @2 :UInt32; }
 
-struct RunnerFault { runner @0 :UInt64; }
+struct RunnerFault { runner @0 :UInt64; isUnreachable @1 :Bool; }
 struct NodeHello {
   isReply @0 :Bool;
   nodeId @1 :Text;
