Tell every peer at once that a node leaves

Cause: a leaving node told the first 16 of its list, the same on all nodes, and its rumour was told some 24 times at most: on 195 nodes the rest heard by gossip only, and named the node to callers until then.

Change: all peers are told, drawn at random up to 256, and each message of a leaving node says so.

--- a/packages/clementineyoke-core/src/clementineyoke_core/membership.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/membership.py
@@ -120,6 +120,11 @@
             node for node in self.alive(region=region) if self.has_heard(node.node_id)
         ]
 
+    def sample(self, most: int) -> list[Node]:
+        """Return some other nodes alive, drawn at random."""
+        others = [node for node in self.alive() if node != self._own]
+        return self._rng.sample(others, min(most, len(others)))
+
     def hear(self, rumour: Rumour) -> bool:
         """Take a rumour; return whether the view of that node changed."""
         if rumour.node_id == self._own.node_id:
@@ -201,6 +206,9 @@
                 del self._sends_left[node_id]
         if self.state(receiver) is not NodeState.ALIVE and receiver not in chosen:
             chosen.append(receiver)
+        if self.is_leaving and self._own.node_id not in chosen:
+            # Whoever does not hear of it goes on naming this node to callers.
+            chosen.append(self._own.node_id)
         return [self._rumour_of(node_id) for node_id in chosen]
 
     def _refute(self, rumour: Rumour) -> bool:
--- a/packages/clementineyoke-core/tests/membership.feature
+++ b/packages/clementineyoke-core/tests/membership.feature
@@ -45,3 +45,12 @@
     Given a view of 9 nodes
     When node-3 misses 3 probes
     Then 80 turns of probing reach every node, node-3 included
+
+  Scenario: A node that leaves a large fleet tells everyone
+    # Symptom: callers are sent to a node that has closed its door, and come back later.
+    # Sequence: a node of 195 is told to stop; it tells a few peers, which pass it on.
+    # Cause: the first of a list were told, always the same ones, and a rumour was told
+    #   some 24 times at most.
+    Given a view of 195 nodes
+    When the own node begins to leave
+    Then a message to each of 194 peers that are told at once says so
--- a/packages/clementineyoke-core/tests/steps/membership_steps.py
+++ b/packages/clementineyoke-core/tests/steps/membership_steps.py
@@ -95,3 +95,18 @@
 def check_probes(context, count, node_id):
     probed = {context.view.next_probe().node_id for _ in range(count)}
     assert probed == {node.node_id for node in context.nodes[1:]}
+
+
+@when("the own node begins to leave")
+def leave(context):
+    context.view.begin_leaving()
+
+
+@then("a message to each of {count:d} peers that are told at once says so")
+def check_told(context, count):
+    peers = context.view.sample(256)
+    assert len(set(peers)) == count
+    own_id = context.view.own.node_id
+    for peer in peers:
+        rumours = context.view.rumours_to_send(receiver=peer.node_id)
+        assert Rumour(own_id, 101, NodeState.LEAVING) in rumours, peer
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
@@ -22,8 +22,10 @@
     from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
 
 
-MOST_ANNOUNCED = 16
-"""Peers told at once; the rest hear of it within a few rounds, whatever the size."""
+MOST_ANNOUNCED = 256
+"""Peers told at once that a node leaves, drawn anew each time. Told to a few, always
+the same ones, the news goes on by gossip for seconds in a large fleet, and callers are
+sent to a node that has closed its door."""
 KNOWN_STATES = frozenset(int(state) for state in NodeState)
 
 
@@ -84,12 +86,7 @@
         everyone, seen as calls on a leaving node. The receivers' replies count as no
         probe: the number is not kept.
         """
-        peers = [
-            node
-            for node in self._membership.alive()
-            if node.node_id != self._membership.own.node_id
-        ]
-        for node in peers[:MOST_ANNOUNCED]:
+        for node in self._membership.sample(MOST_ANNOUNCED):
             self._send(
                 node, sequence=self._socket.next_ask_id(), is_reply=True, shares={}
             )
