Let four strong hosts be enough to be named alone

Cause: with at least six named, a fleet with six strong hosts among 53 weak ones names sixteen weak ones as soon as one strong host is lost, and callers leave the connections that they had.

Change: four are enough. What they must bear is bounded by the calls of the fleet anyway.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/entry_choice.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/entry_choice.py
@@ -15,7 +15,7 @@
 
 MOST_NAMED = 64
 """What callers read of an answer."""
-FEWEST_NAMED = 6
+FEWEST_NAMED = 4
 """With fewer, the loss of one would break a larger share of the streams under way than
 the fleet can make up for in the same second."""
 ENOUGH_NAMED = 16
--- a/packages/clementineyoke-core/tests/edge/entry_choice.feature
+++ b/packages/clementineyoke-core/tests/edge/entry_choice.feature
@@ -31,6 +31,10 @@
     Given 15 hosts that bear 430 and 180 that bear 100 calls a second, in 5 zones
     When 10 of the strong hosts are lost
     And the fleet has 311 calls a second
+    Then 5 nodes are named, each of which bears 430
+    Given 15 hosts that bear 430 and 180 that bear 100 calls a second, in 5 zones
+    When 12 of the strong hosts are lost
+    And the fleet has 311 calls a second
     Then 16 nodes are named, each of which bears 100
 
   Scenario: A loss changes one place
