Claim different ports for fleets in tests; print what failed steps said

Cause of the one red line: the ports of a fleet were asked for one after the other and given back at once. Asked for six so 20,000 times, the kernel named one twice 22 times; a node with one port for two doors cannot start, 6 ms after the fleet's beginning, as seen.

--- a/packages/clementineyoke-node/tests/steps/early_start_steps.py
+++ b/packages/clementineyoke-node/tests/steps/early_start_steps.py
@@ -8,14 +8,15 @@
 import sys
 
 from behave import then, when
-from edge_fleet import free_port
 
 from clementineyoke_node.console.early_start import EarlyStart, door_addresses
+from clementineyoke_standins.soak.loopback import free_ports
 
 
 @when("a process opens its doors first and loads its modules after that")
 def open_early(context):
-    address = f"127.0.0.1:{free_port()}"
+    (port,) = free_ports(1)
+    address = f"127.0.0.1:{port}"
 
     async def act():
         with EarlyStart(addresses=[address]) as start:
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -19,6 +18,7 @@
     runner_spec,
     state_spec,
 )
+from clementineyoke_standins.soak.loopback import free_ports
 
 STORE_HOST = "127.0.0.1"
 HOSTNAME = "shop.example"
@@ -28,12 +28,6 @@
 CALL_ID = "X-Attempt-Id"
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((STORE_HOST, 0))
-        return probe.getsockname()[1]
-
-
 def make_route(kind, *, runners=2, resumable=False, **changes):
     route = route_spec(
         hostname=HOSTNAME,
@@ -62,8 +56,7 @@
         self.version = 0
 
     async def __aenter__(self):
-        self.ports = [free_port() for _ in range(5)]
-        store_port = free_port()
+        *self.ports, store_port = free_ports(6)
         runner = web.AppRunner(self.store.application(), shutdown_timeout=0.1)
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
--- a/packages/clementineyoke-node/tests/steps/one_node.py
+++ b/packages/clementineyoke-node/tests/steps/one_node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -15,6 +14,7 @@
 from clementineyoke_standins.platform.platform_server import PlatformServer
 from clementineyoke_standins.runners.model_engine import ModelEngine
 from clementineyoke_standins.runners.plain_service import PlainService
+from clementineyoke_standins.soak.loopback import free_ports
 
 HOST = "127.0.0.1"
 MODEL = "model"
@@ -30,12 +30,6 @@
 }
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
-
-
 class OneNode:
     """Own a node, its platform and its runners."""
 
@@ -53,7 +47,7 @@
         platform_port = await self._serve(self.platform.application())
         await self._list_runners(self.engines, "engine", MODEL)
         await self._list_runners(self.services, "service", SERVICE)
-        caller_port, peer_port = free_port(), free_port()
+        caller_port, peer_port = free_ports(2)
         document = {
             "node_id": "node-1",
             "address": HOST,
@@ -116,7 +110,7 @@
         runner = web.AppRunner(app, handler_cancellation=True)
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
-        port = free_port()
+        (port,) = free_ports(1)
         await web.TCPSite(runner, HOST, port).start()
         return port
 
@@ -142,7 +136,7 @@
 
     async def list_dead_engine(self, name):
         """List a live engine behind whose port nothing listens."""
-        await self._list(name, "engine", free_port(), MODEL)
+        await self._list(name, "engine", *free_ports(1), MODEL)
 
     async def _apply_settings(self):
         body = {"author": "t", "note": "", "based_on": 0, "dry_run": False}
--- a/tools/check.py
+++ b/tools/check.py
@@ -9,7 +9,7 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 ROOT = Path(__file__).parent.parent
 BUILD = ROOT / "build"
@@ -100,9 +100,20 @@
                 passed += 1
             else:
                 failed.append(f"{package}: {feature['name']}: {element['name']}")
+                print(_errors_of(element))
     return Tally(passed, failed)
 
 
+def _errors_of(element: dict[str, Any]) -> str:
+    """Return what the steps of a scenario said when they failed."""
+    messages = [
+        "\n".join(step["result"].get("error_message", []))
+        for step in element["steps"]
+        if step.get("result")
+    ]
+    return "\n".join(message for message in messages if message)
+
+
 def _known_red() -> set[str]:
     if not KNOWN_RED.exists():
         return set()
