--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.edge.attempt_ledger import AttemptEnd
-    from clementineyoke_node.edge.runner_link import WholeAnswer
+    from clementineyoke_node.edge.runner_answer import WholeAnswer
 
 
 class AttemptError(Exception):
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -25,8 +25,8 @@
     from clementineyoke_core.edge.runner_watch import RunnerWatch
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.runner_answer import WholeAnswer
     from clementineyoke_node.edge.runner_attempts import RunnerAttempts
-    from clementineyoke_node.edge.runner_link import WholeAnswer
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
@@ -9,9 +9,9 @@
 import aiohttp
 
 from clementineyoke_core.edge.attempt_ledger import AttemptEnd
+from clementineyoke_node.edge.answer_checks import check_outcome, read_whole
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_alarm import OverdueAlarm
-from clementineyoke_node.edge.runner_link import check_outcome, read_whole
 from clementineyoke_node.edge.runner_wait import RunnerWait
 from clementineyoke_node.platform.runner_codec import RunnerOrder
 from clementineyoke_wire.events import Event
@@ -27,7 +27,8 @@
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.caller_stream import CallerStream
-    from clementineyoke_node.edge.runner_link import OpenAnswer, RunnerLink, WholeAnswer
+    from clementineyoke_node.edge.runner_answer import OpenAnswer, WholeAnswer
+    from clementineyoke_node.edge.runner_link import RunnerLink
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.timers.timer_service import TimerService
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from contextlib import AsyncExitStack, asynccontextmanager
-from typing import TYPE_CHECKING, NamedTuple, Self
+from typing import TYPE_CHECKING, Self
 
 import aiohttp
 from yarl import URL
@@ -12,10 +12,11 @@
 from clementineyoke_core.edge.attempt_ledger import AttemptEnd
 from clementineyoke_core.edge.idle_trust import IdleTrust
 from clementineyoke_node.edge.address_tenure import AddressTenure
+from clementineyoke_node.edge.answer_checks import check_echo
 from clementineyoke_node.edge.attempt_error import AttemptError
+from clementineyoke_node.edge.runner_answer import OpenAnswer
 from clementineyoke_node.edge.runner_protocol import make_connector
 from clementineyoke_node.platform.runner_codec import (
-    AnswerHead,
     RunnerOrder,
     decode_head,
     encode_order,
@@ -37,21 +38,10 @@
 does. A call that is to be answered within 500 ms can meet a dark runner and still be in
 time at the next."""
 LARGEST_HEAD_BYTES = 32_768
-STATUS_ERROR = 500
-STATUS_REDIRECT = 300
-PROMISES = frozenset((408, 421, 429, 503))
-"""Statuses by which callers know that a call did not run and never will."""
 _OWN_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 """What aiohttp would add by itself: the runner gets the caller's headers only."""
 
 
-class OpenAnswer(NamedTuple):
-    """An answer whose head has come."""
-
-    head: AnswerHead
-    response: aiohttp.ClientResponse
-
-
 class ConnectionUse:
     """What one exchange learns of its connection."""
 
@@ -60,13 +50,6 @@
         """Whether the connection had carried another call before and was kept."""
 
 
-class WholeAnswer(NamedTuple):
-    """An answer that came whole."""
-
-    head: AnswerHead
-    body: bytes
-
-
 class RunnerLink:
     """Own the connections to runners."""
 
@@ -118,7 +101,7 @@
         is_whole = False
         try:
             head = decode_head(response.status, response.headers)
-            _check_echo(runner, call, head)
+            check_echo(runner, call, head)
             yield OpenAnswer(head, response)
             is_whole = response.content.at_eof()
         finally:
@@ -221,67 +204,3 @@
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(note_reuse)
     return trace
-
-
-async def read_whole(answer: OpenAnswer, *, runner: Runner) -> WholeAnswer:
-    """Read an answer to its end; raises ``AttemptError`` when it ends early."""
-    try:
-        body = await answer.response.read()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise AttemptError(
-            end=AttemptEnd.LOST,
-            step="read_body",
-            peer=runner.runner_id,
-            reason=repr(error),
-            is_break=not isinstance(error, TimeoutError),
-        ) from error
-    return WholeAnswer(answer.head, body)
-
-
-def check_outcome(answer: WholeAnswer, *, runner: Runner) -> None:
-    """Raise ``AttemptError`` for an answer that is no success of the runner's."""
-    head = answer.head
-    if head.is_refusal:
-        raise AttemptError(
-            end=AttemptEnd.REFUSED,
-            step="read_head",
-            peer=runner.runner_id,
-            reason=f"refused with {head.status}",
-        )
-    if head.status in PROMISES:
-        # Callers take these for "it did not run", which this runner has not said.
-        raise AttemptError(
-            end=AttemptEnd.FAILED,
-            step="read_head",
-            peer=runner.runner_id,
-            reason=f"answered {head.status} without a word that it did not run",
-        )
-    if head.status >= STATUS_ERROR:
-        raise AttemptError(
-            end=AttemptEnd.FAILED,
-            step="read_head",
-            peer=runner.runner_id,
-            reason=f"failed with {head.status}",
-            answer=answer if head.has_proof else None,
-        )
-    if head.status < STATUS_REDIRECT and not head.has_proof:
-        raise AttemptError(
-            end=AttemptEnd.LOST,
-            step="check_proof",
-            peer=runner.runner_id,
-            reason="a success without the runner's proof",
-        )
-
-
-def _check_echo(runner: Runner, call: EdgeCall, head: AnswerHead) -> None:
-    if head.call_id == call.call_id:
-        return
-    if head.is_refusal and not head.call_id:
-        return
-    # A runner that crosses answers would hand one caller's answer to another.
-    raise AttemptError(
-        end=AttemptEnd.LOST,
-        step="check_echo",
-        peer=runner.runner_id,
-        reason=f"the answer is for call {head.call_id!r}",
-    )
