--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/experiment.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/experiment.py
@@ -43,13 +43,16 @@
     first_seed: int = 1001,
     jobs: int = 4,
     cpu: bool = True,
+    small: bool = False,
     name: str = "experiment",
 ) -> None:
     """Play arms, given as ``old=DIR,new=DIR``, on each site, day and seed.
 
-    DIR is a work tree. Compares each arm with the first one: prints the paired
-    differences with their 95% intervals, one line an arm, or every figure if there are
-    only two arms; writes all to ``build/experiment/NAME.json`` with a plot beside it.
+    DIR is a work tree; a day is a name or the path of a TOML file; with ``small`` the
+    small twins of large days are played, for many seeds. Compares each arm with the
+    first one: prints the paired differences with their 95% intervals, one line an arm,
+    or every figure if there are only two arms; writes all to
+    ``build/experiment/NAME.json`` with a plot beside it.
     """
     places = dict(entry.split("=", 1) for entry in _words(arms))
     folder = (FOLDER / name).resolve()
@@ -61,9 +64,10 @@
         why=why,
         jobs=jobs,
         charges_cpu=cpu,
+        is_small=small,
     )
     cases = [
-        Case(str(Path(site).resolve()), day, seed)
+        Case(str(Path(site).resolve()), _day(day), seed)
         for site in _words(sites)
         for day in _words(days)
         for seed in range(first_seed, first_seed + seeds)
@@ -72,6 +76,11 @@
     _report(played, FOLDER / f"{name}.json")
 
 
+def _day(word: str) -> str:
+    """Return a day's name as it is, and the path of a day of our own made absolute."""
+    return str(Path(word).resolve()) if word.endswith(".toml") else word
+
+
 def _words(text: object) -> list[str]:
     """Return the words of an option, which ``fire`` may have split already."""
     if isinstance(text, list | tuple):
@@ -83,7 +92,7 @@
     played: Played = {arm: [None] * len(cases) for arm in arms}
 
     async def play_case(index: int, case: Case) -> None:
-        reports = await asyncio.gather(*(player.play(Play(arm, *case)) for arm in arms))
+        reports = await asyncio.gather(*(player.play(Play(arm, case)) for arm in arms))
         for arm, report in zip(arms, reports, strict=True):
             played[arm][index] = report
         worths = " ".join("-" if r is None else f"{r.worth:.3f}" for r in reports)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/day_player.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/day_player.py
@@ -14,21 +14,21 @@
 
     site: str
     day: str
+    """Its name in the site file, or the path of a day of our own."""
     seed: int
 
 
 class Play(NamedTuple):
-    """One day with one seed, in one arm."""
+    """A case in one arm."""
 
     arm: str
-    site: str
-    day: str
-    seed: int
+    case: Case
 
     @property
     def label(self) -> str:
         """Name of the play's files."""
-        return f"{self.arm}-{Path(self.site).stem}-{self.day}-{self.seed}"
+        site, day, seed = self.case
+        return f"{self.arm}-{Path(site).stem}-{Path(day).stem}-{seed}"
 
 
 class DayPlayer:
@@ -43,12 +43,15 @@
         why: str,
         jobs: int,
         charges_cpu: bool,
+        is_small: bool = False,
     ) -> None:
+        """Take the parts; ``is_small`` plays the small twins of large days."""
         self._bench = bench
         self._arms = arms
         self._folder = folder
         self._why = why
         self._charges_cpu = charges_cpu
+        self._is_small = is_small
         self._free = asyncio.Semaphore(jobs)
 
     async def play(self, play: Play) -> DayReport | None:
@@ -72,8 +75,11 @@
             return None
 
     def _arguments(self, play: Play, report: Path) -> list[str]:
-        arguments = ["run", play.site, play.day, "--seed", str(play.seed)]
+        site, day, seed = play.case
+        arguments = ["run", site, day, "--seed", str(seed)]
         arguments += ["--report", str(report), "--why", self._why]
+        if self._is_small:
+            arguments.append("--small")
         if not self._charges_cpu:
             arguments.append("--no-cpu")
         return arguments
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/day_report.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/experiment/day_report.py
@@ -27,6 +27,7 @@
         figures["prices"] = sum(self.prices.values())
         figures |= {f"part: {name}": value for name, value in self.parts.items()}
         figures |= {f"price: {name}": value for name, value in self.prices.items()}
+        figures |= {f"amount: {name}": value for name, value in self.amounts.items()}
         figures["unserved"] = float(sum(self.unserved.values()))
         figures |= {f"unserved: {end}": float(n) for end, n in self.unserved.items()}
         return figures
