--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/entry_choice.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/entry_choice.py
@@ -16,8 +16,7 @@
 MOST_NAMED = 64
 """What callers read of an answer."""
 FEWEST_NAMED = 4
-"""With fewer, the loss of one would break a larger share of the streams under way than
-the fleet can make up for in the same second."""
+"""With fewer, the loss of one host would break more than a quarter of all streams."""
 ENOUGH_NAMED = 16
 """Named even when fewer bear the calls: a loss of some hosts then takes about the same
 share of callers each time."""
