--- a/packages/clementineyoke-wire/tests/steps/codec_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/codec_steps.py
@@ -36,6 +36,7 @@
     "slots": 16,
     "caller_port": 16,
     "peer_port": 16,
+    "calls_per_s": 16,
     "in_use": 16,
     "shard": 16,
     "status": 16,
