--- a/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
@@ -28,7 +28,7 @@
 WATCHERS_A_ZONE = 2
 MANY_ZONES = 4
 """From this many zones on, one watcher a zone: each change is a call of every watcher,
-and a zone whose only one is cut off hears by gossip from the others within a second."""
+and a zone whose only one is cut off hears of changes by gossip from the others."""
 SNAPSHOT_DUTY = "settings snapshot"
 MS_PER_S = 1000
 
