Mark what a call asks for, and log cut streams as cut

Cause: no line of the logs said that two calls ask for the same, so the hypotheses could not be told apart; a stream that was broken on purpose was logged as answered with 200. Ruled out: the call's id (each try has a new one) and the prompt's parts (shared by many). A scenario shows both (it failed before); no decision changes.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.edge.prompt_key import prompt_key
+from clementineyoke_core.edge.request_digest import request_digest
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 
@@ -46,6 +47,16 @@
         """Length of the call's prompt; 0 for a call without one."""
         return sum(part.tokens for part in self.call.prompt_parts)
 
+    @property
+    def digest(self) -> bytes:
+        """Mark of what is asked for, by which a repeat of the call is known."""
+        return request_digest(
+            team=self.team,
+            method=self.call.method,
+            target=self.call.target,
+            body=self.call.body,
+        )
+
 
 def admit(
     call: EdgeCall, table: RouteTable | None, *, arrived_ms: float, rng: Random
--- /dev/null
+++ b/packages/clementineyoke-core/tests/edge/request_digest.feature
@@ -0,0 +1,13 @@
+Feature: The mark of a call
+
+  Scenario Outline: Calls that ask for the same, and calls that do not
+    Given the mark of a "POST" of "/chat/1" by "team-one" with the body "tell me"
+    Then a "<method>" of "<target>" by "<team>" with the body "<body>" has <which> mark
+
+    Examples:
+      | method | target  | team     | body    | which       |
+      | POST   | /chat/1 | team-one | tell me | the same    |
+      | PUT    | /chat/1 | team-one | tell me | another     |
+      | POST   | /chat/2 | team-one | tell me | another     |
+      | POST   | /chat/1 | team-two | tell me | another     |
+      | POST   | /chat/1 | team-one | tell    | another     |
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_door.py
@@ -130,14 +130,7 @@
         if not self._view.ready.is_set():
             await self._wait_for_state()
         admitted = admit(call, self._view.routes, arrived_ms=arrived_ms, rng=self._rng)
-        response = await self._forwarder.forward(request, admitted)
-        self._decisions.record(
-            Event.ANSWERED,
-            request_id=call.call_id,
-            status=response.status,
-            after_ms=round(self._timers.now_ms() - arrived_ms),
-        )
-        return response
+        return await self._forwarder.forward(request, admitted)
 
     async def _wait_for_state(self) -> None:
         wait_ms = self._start_wait.enter(now_ms=self._timers.now_ms())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -81,8 +81,9 @@
         while True:
             lease = await self._acquire(admitted, ledger, stream)
             if lease is None:
-                return stream.abort()
+                return self._cut(admitted, stream, reason="no runner has a free slot")
             runner = lease.runner
+            begun_ms = self._timers.now_ms()
             with self._broker.holding(lease):
                 try:
                     answer = await self._attempts.carry_out(
@@ -92,12 +93,17 @@
                         partial(self._may_give_up, admitted, ledger, runner),
                     )
                 except AttemptError as error:
-                    self._record_failure(admitted, ledger, lease, error)
+                    self._record_failure(
+                        admitted, ledger, lease, error, begun_ms=begun_ms
+                    )
                     failure = error
                 else:
                     self._watch.record_success(runner, now_ms=self._timers.now_ms())
                     self._broker.note_answered(lease)
-                    return stream.response if answer is None else _to_response(answer)
+                    return self._answer(
+                        admitted,
+                        stream.response if answer is None else _to_response(answer),
+                    )
             if not self._may_go_on(admitted, ledger):
                 return self._give_up(admitted, ledger, stream, failure)
 
@@ -157,9 +163,9 @@
         failure: AttemptError,
     ) -> web.StreamResponse:
         if stream.has_begun:
-            return stream.abort()
+            return self._cut(admitted, stream, reason=failure.reason)
         if failure.answer is not None:
-            return _to_response(failure.answer)
+            return self._answer(admitted, _to_response(failure.answer))
         is_late = admitted.deadline_ms <= self._timers.now_ms()
         if ledger.may_have_run:
             status = 504 if is_late else 502
@@ -176,6 +182,30 @@
             retry_after_ms=BROKEN_RETRY_MS if ledger.may_have_run else REFUSED_RETRY_MS,
         ) from failure
 
+    def _answer(
+        self, admitted: AdmittedCall, response: web.StreamResponse
+    ) -> web.StreamResponse:
+        self._decisions.record(
+            Event.ANSWERED,
+            request_id=admitted.call.call_id,
+            status=response.status,
+            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        )
+        return response
+
+    def _cut(
+        self, admitted: AdmittedCall, stream: CallerStream, *, reason: str
+    ) -> web.StreamResponse:
+        """Break a begun stream that cannot be completed."""
+        self._decisions.record(
+            Event.ANSWER_CUT,
+            request_id=admitted.call.call_id,
+            reason=reason,
+            events=stream.events,
+            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        )
+        return stream.abort()
+
     def _record_route(
         self, admitted: AdmittedCall, lease: SlotLease, *, attempt: int
     ) -> None:
@@ -198,6 +228,8 @@
         ledger: AttemptLedger,
         lease: SlotLease,
         error: AttemptError,
+        *,
+        begun_ms: float,
     ) -> None:
         now_ms = self._timers.now_ms()
         runner = lease.runner
@@ -220,6 +252,8 @@
             end=error.end.value,
             reason=error.reason,
             kind=admitted.route.kind.value,
+            request_digest=admitted.digest.hex(),
+            on_runner_ms=round(now_ms - begun_ms),
             after_ms=round(now_ms - admitted.arrived_ms),
         )
 
--- a/packages/clementineyoke-node/tests/edge/streams.feature
+++ b/packages/clementineyoke-node/tests/edge/streams.feature
@@ -30,3 +30,17 @@
     When a caller makes a "streaming" call that breaks
     Then the caller sees that the answer is not complete
     And the runners saw 1 call
+
+  Scenario: A stream that breaks is explained as cut, with the mark of what was asked for
+    # Symptom: the log says "answered" with 200 for a stream that the caller saw break,
+    #   and nothing tells whether two calls that broke asked for the same.
+    # Sequence: a runner dies in the middle of a stream that may not be resumed; the
+    #   caller sends the same request again.
+    # Cause: what was sent was logged, not how it ended; calls were known by ids only,
+    #   and each try of a caller has a new one.
+    Given a fleet of 1 node and 2 runners
+    And streams may not be resumed
+    And the runners stream
+    And the next 2 calls are answered as "cut"
+    When the same "streaming" request comes as "first" and as "second"
+    Then both are explained as cut and not as answered, with the same mark
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import subprocess
 import sys
@@ -427,6 +428,26 @@
     assert '"routed"' in page and '"answered"' in page, page
 
 
+@when('the same "{kind}" request comes as "{first}" and as "{second}"')
+def send_same(context, kind, first, second):
+    context.call_ids = (first, second)
+    for call_id in context.call_ids:
+        with contextlib.suppress(aiohttp.ClientError):
+            context.run(context.fleet.call(kind, call_id=call_id, data=b"the same"))
+
+
+@then("both are explained as cut and not as answered, with the same mark")
+def check_cut_explained(context):
+    marks = set()
+    for call_id in context.call_ids:
+        page = context.run(get_page(context, f"/explain?id={call_id}"))
+        decisions = msgspec.json.decode(page)["decisions"]
+        events = [decision["event"] for decision in decisions]
+        assert events == ["routed", "runner_failed", "answer_cut"], events
+        marks.add(decisions[1]["fields"]["request_digest"])
+    assert len(marks) == 1, marks
+
+
 @then("with 60 nodes that watch a watch of the runners ends before three heartbeats")
 def check_watch_wait(context):
     io = context.fleet.nodes[0].io
