A request that crashes every runner comes again and again: a scenario that fails

Symptom: runners end one at a time, each with the calls of others. Reproduced with three nodes and six stand-in runners, which now can end under a call and start again as a new lifetime. Cause shown: the copies bear one mark, come with new ids at different nodes, and each is sent on as if it were the first.

--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -83,9 +83,11 @@
             await node.__aexit__(None, None, None)
         await self._stack.aclose()
 
-    async def list_runner(self, standin, state="ready"):
+    async def list_runner(self, standin, state="ready", *, born_ms=None):
         address = f"{STORE_HOST}:{standin.port}"
-        spec = runner_spec(pool=POOL, address=address, zone="zone", state=state)
+        spec = runner_spec(
+            pool=POOL, address=address, zone="zone", state=state, born_ms=born_ms
+        )
         await self.store.put("servers", standin.runner_id, spec)
 
     async def put_state(self, *routes, keys=(KEY,)):
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -7,14 +7,19 @@
 import struct
 import time
 from enum import Enum
-from typing import NamedTuple, Self
+from typing import TYPE_CHECKING, NamedTuple, Self
 
 from clementineyoke_node.platform import names
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PROOF = "proof-of-the-runner"
 EVENTS = 6
 FOREVER_S = 3600.0
 SLOW_S = 0.6
+BEGIN_S = 0.03
+"""Until a runner begins to work on a call that will end it."""
 LATE_S = 0.05
 """Until a late second answer comes: long after the first one was handed on."""
 
@@ -86,13 +91,18 @@
         self.event_pause_s = 0.0
         self.forgets_idle = False
         """Whether what comes on a connection that has rested is reset."""
+        self.crashing_bodies: set[bytes] = set()
+        """Calls with such a body end the runner as soon as it begins to run them."""
+        self.crashes = 0
+        self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
+        """Called when the runner has ended; whoever owns it may start it again."""
         self.port = 0
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> Self:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on a free port, which the runner keeps over its lifetimes."""
+        await self.start()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -100,9 +110,26 @@
         if self._server is not None:
             self._server.close()
 
+    async def start(self) -> None:
+        """Listen, for the first time or after a crash."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """End at once: every connection breaks, and no new one is taken."""
+        if self._server is None:
+            return
+        self.crashes += 1
+        self._server.close()
+        self._server = None
+        for writer in list(self._writers):
+            _reset(writer)
+        self.on_crash(self)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 if self.forgets_idle:
@@ -114,6 +141,7 @@
         except asyncio.CancelledError:
             return  # the scenario is over
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(
@@ -123,6 +151,10 @@
         act = self.script.pop(0) if self.script else self._usual(call.target)
         seen = call._replace(at_s=time.monotonic(), has_run=act is not Act.REFUSE)
         self.calls.append(seen)
+        if call.body in self.crashing_bodies:
+            await asyncio.sleep(BEGIN_S)
+            self.crash()
+            return False
         call_id = call.call_id
         if act in (Act.STREAM, Act.CUT):
             return await self._stream(writer, call, call_id, is_cut=act is Act.CUT)
