Refuse requests under which runners have ended, on every node

Cause: a request may crash every runner that begins to run it. Each copy has a new id and comes to any node; each node judged it by itself and sent it on, and its own second try ended one more. Class: repeats that no bound of a single call or node can see (a poisoned message). Mended: nodes tell a request's homes which runners ended with it on them; the homes count by its mark, over lifetimes, one end after the other; all nodes refuse it from the third on (from the fourth where another suspect stood beside it) for five minutes, with 503 and when to come back. An answer clears it. Suspected requests go apart from their prompt and get no second try. Ruled out: taking explained ends off records for good.

--- a/packages/clementineyoke-core/src/clementineyoke_core/homes.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/homes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 from clementineyoke_core.hash_ring import HashRing
 from clementineyoke_core.hashing import hash_text
 
@@ -30,3 +32,7 @@
         if name not in self._cache:
             self._cache[name] = self._ring.first(hash_text(name))
         return self._cache[name]
+
+    def homes_of(self, key: int, *, most: int) -> list[str]:
+        """Return the nodes that are homes of a 64-bit key, the first one first."""
+        return list(islice(self._ring.order(key), most))
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/decision_ring.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/decision_ring.py
@@ -39,7 +39,7 @@
         self._lines.append(msgspec.json.encode(decision, enc_hook=repr))
 
     def find(self, text: str) -> list[Decision]:
-        """Return the decisions of a request id or a chat id, oldest first."""
+        """Return the decisions of a request id, a chat id or a mark, oldest first."""
         wanted = msgspec.json.encode(text)
         held = [
             msgspec.json.decode(line, type=Decision)
@@ -49,5 +49,10 @@
         return [
             decision
             for decision in held
-            if text in (decision["request_id"], decision["fields"].get("chat"))
+            if text
+            in (
+                decision["request_id"],
+                decision["fields"].get("chat"),
+                decision["fields"].get("request_digest"),
+            )
         ]
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -6,12 +6,14 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
+from clementineyoke_core.edge.crash_records import CrashRecords
 from clementineyoke_core.edge.displacement import PLAIN_SHARE
 from clementineyoke_core.edge.patience import Patience
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_watch import RunnerWatch
 from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
 from clementineyoke_core.load_bound import LoadBound
+from clementineyoke_node.edge.crash_watch import CrashWatch
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.news_cast import NewsCast
@@ -88,6 +90,17 @@
             on_runners=self.apply_hosts,
             on_news=lambda changes: self.news.tell(changes),
         )
+        self.crashes = CrashWatch(
+            records=CrashRecords(),
+            link=self.link,
+            table=state.table,
+            homes=state.fleet_homes,
+            membership=state.membership,
+            socket=self.socket,
+            tasks=self.tasks,
+            timers=self.timers,
+            decisions=state.decisions,
+        )
         self._make_slots()
         self._make_fleet()
         self.forwarder = self._make_forwarder()
@@ -185,7 +198,7 @@
 
     def _make_fleet(self) -> None:
         state = self._state
-        self.peers = PeerStates(view=self.view, seal=state.seal)
+        self.peers = PeerStates(view=self.view, crashes=self.crashes, seal=state.seal)
         self.introducer = Introducer(
             socket=self.socket,
             membership=state.membership,
@@ -202,7 +215,8 @@
             on_newer_runners=self._hear_of_newer,
             on_stranger=self.introducer.greet_address,
             store_ages=self.view.ages,
-            on_gossip=self._hear_ages,
+            on_gossip=self._hear_gossip,
+            crash_notes=self.crashes.next_notes,
         )
         self.news = NewsCast(
             socket=self.socket,
@@ -242,6 +256,7 @@
             broker=self.broker,
             attempts=attempts,
             watch=self.watch,
+            crashes=self.crashes,
             retries=RetryWindow(
                 ratio=config.retry_ratio,
                 allowance=config.retry_allowance,
@@ -263,7 +278,8 @@
             is_zone_told=node.availability_zone == self._config.availability_zone,
         )
 
-    def _hear_ages(self, gossip: Gossip) -> None:
+    def _hear_gossip(self, gossip: Gossip) -> None:
+        self.crashes.take_notes(gossip.crashes)
         self.view.hear_ages(
             StoreAges(gossip.state_age_ms, gossip.runners_age_ms),
             state_revision=gossip.settings_version,
@@ -283,6 +299,7 @@
         rate_per_s = self._state.call_rate.per_s(now_ms=self.timers.now_ms())
         self._state.mean_load.set_local(CALLS_AT_NODES, load=rate_per_s, runners=1)
         self._state.table.end_due_quarantines(now_ms=self.timers.now_ms())
+        self.crashes.drop_old()
 
     def _subscribe(self) -> None:
         gossip_ms = self._config.gossip_interval_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -25,6 +25,7 @@
     from clementineyoke_core.edge.runner_watch import RunnerWatch
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.crash_watch import CrashWatch
     from clementineyoke_node.edge.runner_answer import WholeAnswer
     from clementineyoke_node.edge.runner_attempts import RunnerAttempts
     from clementineyoke_node.slots.slot_broker import SlotBroker
@@ -50,6 +51,7 @@
         broker: SlotBroker,
         attempts: RunnerAttempts,
         watch: RunnerWatch,
+        crashes: CrashWatch,
         retries: RetryWindow,
         timers: TimerService,
         decisions: DecisionRing,
@@ -61,6 +63,7 @@
         self._broker = broker
         self._attempts = attempts
         self._watch = watch
+        self._crashes = crashes
         self._retries = retries
         self._timers = timers
         self._decisions = decisions
@@ -72,6 +75,7 @@
         self, request: web.Request, admitted: AdmittedCall
     ) -> web.StreamResponse:
         """Answer a call; raises ``RequestError`` when no runner's answer can be had."""
+        self._crashes.check(admitted)
         self._retries.record_call(admitted.pool, now_ms=self._timers.now_ms())
         stream = CallerStream(request=request, last_event=admitted.call.last_event)
         ledger = AttemptLedger(
@@ -99,19 +103,22 @@
                     failure = error
                 else:
                     self._watch.record_success(runner, now_ms=self._timers.now_ms())
+                    self._crashes.note_answer(admitted)
                     self._broker.note_answered(lease)
                     return self._answer(
                         admitted,
                         stream.response if answer is None else _to_response(answer),
                     )
-            if not self._may_go_on(admitted, ledger):
+            if not self._may_go_on(admitted, ledger, failure):
                 return self._give_up(admitted, ledger, stream, failure)
 
     async def _acquire(
         self, admitted: AdmittedCall, ledger: AttemptLedger, stream: CallerStream
     ) -> SlotLease | None:
         """Return a lease, or None when a begun stream cannot go on for want of one."""
-        key = admitted.prompt_key
+        key = self._crashes.key_apart(admitted)
+        if key is None:
+            key = admitted.prompt_key
         left_ms = admitted.deadline_ms - self._timers.now_ms()
         wish = SlotWish(
             pool=admitted.pool,
@@ -147,10 +154,15 @@
             admitted.pool, sharers=self._sharers(), now_ms=self._timers.now_ms()
         )
 
-    def _may_go_on(self, admitted: AdmittedCall, ledger: AttemptLedger) -> bool:
+    def _may_go_on(
+        self, admitted: AdmittedCall, ledger: AttemptLedger, failure: AttemptError
+    ) -> bool:
         now_ms = self._timers.now_ms()
         if admitted.deadline_ms <= now_ms or not ledger.may_try_again():
             return False
+        if failure.is_break and self._crashes.is_suspect(admitted):
+            # Runners ended under it before, and so, it seems, did this one.
+            return False
         if not ledger.sends:
             return True
         return self._retries.take(admitted.pool, sharers=self._sharers(), now_ms=now_ms)
@@ -170,16 +182,20 @@
         if ledger.may_have_run:
             status = 504 if is_late else 502
             outcome = Outcome.UNKNOWN
+            retry_after_ms = max(
+                BROKEN_RETRY_MS, round(self._crashes.refused_for_ms(admitted))
+            )
         else:
             status = 503
             outcome = Outcome.NOT_RUN
+            retry_after_ms = REFUSED_RETRY_MS
         raise RequestError(
             status=status,
             outcome=outcome,
             step=failure.step,
             peer=failure.peer,
             reason=failure.reason,
-            retry_after_ms=BROKEN_RETRY_MS if ledger.may_have_run else REFUSED_RETRY_MS,
+            retry_after_ms=retry_after_ms,
         ) from failure
 
     def _answer(
@@ -244,6 +260,7 @@
                 self._broker.report_fault(runner, is_unreachable=True)
             elif error.is_break:
                 self._broker.report_fault(runner)
+                self._crashes.note_break(admitted, runner, sent_ms=begun_ms)
         self._decisions.record(
             Event.RUNNER_FAILED,
             request_id=admitted.call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_states.py
@@ -15,9 +15,11 @@
 from clementineyoke_node.runners.keep_alive_socket import open_socket
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event
+from clementineyoke_wire.messages import CrashNote  # noqa: TC001 - msgspec reads it
 from clementineyoke_wire.wire_error import WireError
 
 if TYPE_CHECKING:
+    from clementineyoke_node.edge.crash_watch import CrashWatch
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_wire.seal import Seal
 
@@ -47,6 +49,8 @@
     runners_revision: int
     ages: StoreAges
     """How sure the sender is that its revisions are the newest."""
+    crashes: list[CrashNote] = []
+    """Requests under which runners have ended."""
 
 
 class PeerStates:
@@ -56,8 +60,9 @@
     would go on by an old state, seen as calls with withdrawn keys that still run.
     """
 
-    def __init__(self, *, view: FleetView, seal: Seal) -> None:
+    def __init__(self, *, view: FleetView, crashes: CrashWatch, seal: Seal) -> None:
         self._view = view
+        self._crashes = crashes
         self._seal = seal
         self._tasks = BackgroundTasks()
         self._session: aiohttp.ClientSession | None = None
@@ -111,6 +116,7 @@
             self._view.state_revision,
             self._view.runners_revision,
             self._view.ages(),
+            self._crashes.notes(),
         )
         packed = zlib.compress(msgspec.msgpack.encode(known), PACKING_LEVEL)
         return web.Response(body=self._seal.sign(packed))
@@ -139,6 +145,7 @@
             state_revision=found.state_revision,
             runners_revision=found.runners_revision,
         )
+        self._crashes.take_notes(found.crashes)
 
     async def _ask(self, address: str) -> PeerState:
         if self._session is None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -110,6 +110,22 @@
             else:
                 response.close()
 
+    async def is_listening(self, runner: Runner) -> bool:
+        """Whether a runner takes connections, by trying one.
+
+        Whatever does not say that nobody is there counts as a runner that lives.
+        """
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, writer = await asyncio.open_connection(runner.address, runner.port)
+        except (ConnectionRefusedError, TimeoutError):
+            return False
+        except OSError as error:
+            log_event(Event.RUNNER_UNSURE, runner=runner.runner_id, reason=repr(error))
+            return True
+        writer.close()
+        return True
+
     def _session_for(
         self, runner: Runner, *, may_repeat: bool
     ) -> aiohttp.ClientSession:
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
@@ -10,7 +10,7 @@
 from clementineyoke_core.rumour import NodeState, Rumour
 from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_wire.events import Event, log_event
-from clementineyoke_wire.messages import Gossip, PoolLoad, RumourNote
+from clementineyoke_wire.messages import CrashNote, Gossip, PoolLoad, RumourNote
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,6 +46,7 @@
         on_stranger: Callable[[PeerAddress], None] | None = None,
         store_ages: Callable[[], StoreAges] = lambda: UNKNOWN_AGES,
         on_gossip: Callable[[Gossip], None] = lambda _: None,
+        crash_notes: Callable[[], list[CrashNote]] = list,
     ) -> None:
         self._socket = socket
         self._membership = membership
@@ -58,6 +59,7 @@
         self._on_stranger = on_stranger
         self._store_ages = store_ages
         self._on_gossip = on_gossip
+        self._crash_notes = crash_notes
         self._pushed: dict[int, tuple[str, dict[str, LoadShare]]] = {}
         self._pool_names: dict[int, str] = {}
         socket.handle(Gossip, self._receive)
@@ -160,6 +162,7 @@
             self._runners_version(),
             ages.state_ms,
             ages.runners_ms,
+            self._crash_notes(),
         )
         self._socket.send(PeerAddress.of(node), message)
 
--- a/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
+++ b/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
@@ -4,14 +4,23 @@
 import time
 
 import aiohttp
+import msgspec
 from behave import given, then, when
 from edge_fleet import EdgeFleet
+from edge_steps import WHOLE_STREAM, wait_until
+
+from clementineyoke_standins.edge.edge_runner import Act
+from clementineyoke_standins.edge.edge_store import StoreFault
 
 BACK_S = 0.4
 GAP_S = 0.25
 """Between two copies: a caller comes back after some tenths of a second."""
 AT_ONCE_S = 0.1
 CRASHING = b"a request that crashes whoever runs it"
+UNLUCKY = b"a request that nothing is wrong with"
+STREAMS = 4
+EVENT_PAUSE_S = 0.06
+"""A stream takes some 0.4 s and so stands on a runner when a copy comes."""
 
 
 def start_again(context, runner):
@@ -26,6 +35,7 @@
     context.restarts.append(asyncio.ensure_future(act()))
 
 
+@given("a fleet of {nodes:d} node and {runners:d} runners that come back after a crash")
 @given(
     "a fleet of {nodes:d} nodes and {runners:d} runners that come back after a crash"
 )
@@ -51,7 +61,11 @@
     began_s = time.monotonic()
     try:
         status, headers, _ = await context.fleet.call(
-            kind, number=number, call_id=call_id, data=body
+            kind,
+            number=number,
+            call_id=call_id,
+            data=body,
+            session=context.fleet.many_callers,
         )
     except aiohttp.ClientError:
         status, headers = None, {}
@@ -69,6 +83,205 @@
     context.run(act())
 
 
+@when("it comes {count:d} times, at the newest node")
+def send_to_newest(context, count):
+    async def act():
+        for copy in range(count):
+            number = len(context.fleet.nodes) - 1
+            context.last = await send(context, number=number, call_id=f"late-{copy}")
+
+    context.run(act())
+
+
+@when("a third node starts while the store is away")
+def start_third(context):
+    async def act():
+        context.fleet.store.fault = StoreFault.BUSY
+        await context.fleet.start_node(len(context.fleet.nodes))
+
+    context.run(act())
+
+
+async def stream(context, name):
+    body = f"stream {name}".encode()
+    status, _, text = await context.fleet.call(
+        "streaming",
+        number=name % 2,
+        call_id=f"stream-{name}",
+        data=body,
+        session=context.fleet.many_callers,
+    )
+    return status, text
+
+
+@when("it comes {count:d} times while streams of other callers go on")
+def send_beside_streams(context, count):
+    for runner in context.fleet.runners:
+        runner.answers_by_path = {"/streaming/": Act.STREAM}
+        runner.event_pause_s = EVENT_PAUSE_S
+
+    async def act():
+        context.streamed = []
+        for copy in range(count):
+            streams = [
+                asyncio.ensure_future(stream(context, copy * STREAMS + number))
+                for number in range(STREAMS)
+            ]
+            await asyncio.sleep(EVENT_PAUSE_S)
+            await send(context, number=copy % 2, call_id=f"copy-{copy}")
+            context.streamed += await asyncio.gather(*streams)
+
+    context.run(act())
+    assert crashes(context) == 3, crashes(context)
+
+
+@then("every stream is whole")
+def check_streams(context):
+    assert set(context.streamed) == {(200, WHOLE_STREAM)}, context.streamed
+
+
+@then("the same streams are served when they come again")
+def check_streams_again(context):
+    async def act():
+        return [await stream(context, name) for name in range(len(context.streamed))]
+
+    assert set(context.run(act())) == {(200, WHOLE_STREAM)}
+
+
+def begin_slow(context, count, *, kind="non_idempotent"):
+    """Let copies of one request stand on as many runners as there are."""
+    return [
+        asyncio.ensure_future(
+            send(
+                context,
+                number=copy % len(context.fleet.nodes),
+                call_id=f"unlucky-{time.monotonic()}-{copy}",
+                kind=kind,
+                body=UNLUCKY,
+            )
+        )
+        for copy in range(count)
+    ]
+
+
+@when("all runners end at once with the same slow request on each, {times:d} times")
+def end_all(context, times):
+    async def act():
+        for runner in context.fleet.runners:
+            runner.usual = Act.SLOW
+        for _ in range(times):
+            await end_all_once(context)
+
+    context.run(act())
+    assert crashes(context) == times * len(context.fleet.runners)
+
+
+async def end_all_once(context):
+    runners = context.fleet.runners
+    seen = [len(runner.calls) for runner in runners]
+    calls = begin_slow(context, 3 * len(runners))
+
+    def is_on_all():
+        return all(len(r.calls) > n for r, n in zip(runners, seen, strict=True))
+
+    await wait_until(is_on_all, 2)
+    for runner in runners:
+        runner.crash()
+    await asyncio.gather(*calls)
+    await asyncio.gather(*context.restarts)
+    await wait_until(lambda: all_ready(context), 5)
+
+
+def all_ready(context):
+    tables = [node.state.table for node in context.fleet.nodes]
+    wanted = len(context.fleet.runners)
+    return all(
+        sum(table.is_ready(r.runner_id) for r in context.fleet.runners) == wanted
+        and all(entry.runner.born_ms for entry in table.entries())
+        for table in tables
+    )
+
+
+@when("the same request comes {count:d} times")
+def send_same_again(context, count):
+    async def act():
+        for copy in range(count):
+            await send(context, number=0, call_id=f"unlucky-{copy}", body=UNLUCKY)
+            await asyncio.sleep(GAP_S)
+
+    context.run(act())
+    assert not crashes(context)
+
+
+@when(
+    "{count:d} leaving runners end one after the other"
+    " with the same slow request on each"
+)
+def end_leaving(context, count):
+    async def act():
+        for runner in context.fleet.runners:
+            runner.usual = Act.SLOW
+            runner.on_crash = lambda _: None
+        for leaving in context.fleet.runners[:count]:
+            await end_leaving_one(context, leaving)
+
+    context.run(act())
+
+
+async def end_leaving_one(context, leaving):
+    seen = len(leaving.calls)
+    calls = begin_slow(context, 3 * len(context.fleet.runners))
+    await wait_until(lambda: len(leaving.calls) > seen, 2)
+    await context.fleet.list_runner(leaving, state="draining")
+    table = context.fleet.nodes[0].state.table
+    await wait_until(lambda: not table.is_ready(leaving.runner_id), 2)
+    leaving.crash()
+    await asyncio.gather(*calls)
+
+
+@then("the request is served when it comes again")
+def check_unlucky_served(context):
+    async def act():
+        await asyncio.sleep(GAP_S)
+        for runner in context.fleet.runners:
+            runner.usual = Act.OK
+        answers = []
+        for number in range(len(context.fleet.nodes)):
+            answers.append(
+                await send(context, number=number, call_id="again", body=UNLUCKY)
+            )
+        return [status for status, _, _ in answers]
+
+    assert set(context.run(act())) == {200}
+
+
+def decisions_of(context, number, wanted):
+    url = context.fleet.url(number, 3, f"/explain?id={wanted}")
+
+    async def act():
+        async with context.fleet.session.get(url) as response:
+            return msgspec.json.decode(await response.read())["decisions"]
+
+    return context.run(act())
+
+
+@then("the id of its last copy explains how many runners ended, and which")
+def check_explained(context):
+    barred, refused = decisions_of(context, 0, "copy-4")
+    assert (barred["event"], refused["event"]) == ("request_barred", "route_refused")
+    context.barred = barred["fields"]
+    assert context.barred["crashes"] == 3
+    assert len(context.barred["runners"]) == 3
+    assert refused["fields"]["outcome"] == "not_run"
+
+
+@then('the mark in that line finds the failed copy "{call_id}" of the same request')
+def check_same_mark(context, call_id):
+    mark = context.barred["request_digest"]
+    found = decisions_of(context, 0, mark)
+    assert call_id in {decision["request_id"] for decision in found}, found
+
+
 def crashes(context):
     return sum(runner.crashes for runner in context.fleet.runners)
 
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -74,6 +74,9 @@
         self.session = await self._stack.enter_async_context(
             aiohttp.ClientSession(connector=connector)
         )
+        self.many_callers = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
         for number in range(self._count):
             await self.start_node(number)
         return self
@@ -137,7 +140,16 @@
     def url(self, number, port, path):
         return f"http://127.0.0.{number + 2}:{self.ports[port]}{path}"
 
-    async def call(self, kind, *, number=0, call_id="call-1", headers=None, **options):
+    async def call(
+        self,
+        kind,
+        *,
+        number=0,
+        call_id="call-1",
+        headers=None,
+        session=None,
+        **options,
+    ):
         fields = {
             "Host": HOSTNAME,
             CALL_ID: call_id,
@@ -146,7 +158,7 @@
             **(headers or {}),
         }
         method = "GET" if kind == "idempotent" else "POST"
-        async with self.session.request(
+        async with (session or self.session).request(
             method, self.url(number, 0, f"/{kind}/x"), headers=fields, **options
         ) as response:
             body = await response.read()
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -123,7 +123,8 @@
         self._server.close()
         self._server = None
         for writer in list(self._writers):
-            _reset(writer)
+            if not writer.is_closing():
+                _reset(writer)
         self.on_crash(self)
 
     async def _serve(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -9,6 +9,7 @@
 from clementineyoke_standins.model import (
     claims_roll_spec,
     claims_spec,
+    crash_records_spec,
     runner_entries_spec,
     runner_lifetimes_spec,
     settings_spec,
@@ -24,6 +25,7 @@
     settings_spec,
     runner_entries_spec,
     runner_lifetimes_spec,
+    crash_records_spec,
 )
 
 
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -72,6 +72,36 @@
     state: int
 
 
+class CrashNote(NamedTuple):
+    """What the sender knows of a request under which runners have ended."""
+
+    digest: bytes
+    """The request's mark."""
+    clears: int
+    crashes: int
+    runners: list[str]
+    """The last of the lifetimes that ended."""
+    age_ms: int
+    """How long ago the last one ended."""
+
+
+class CrashReport(NamedTuple):
+    """Tell a request's homes that a runner ended with a copy of it on board."""
+
+    digest: bytes
+    runner: str
+    """The lifetime that ended."""
+    sent_age_ms: int
+    """How long ago the copy was sent to the runner."""
+    ended_age_ms: int
+
+
+class CrashNews(NamedTuple):
+    """Tell what has changed in the records of requests and ended runners."""
+
+    crashes: list[CrashNote]
+
+
 class Gossip(NamedTuple):
     """A probe and its reply; both carry load shares, rumours and a version."""
 
@@ -86,6 +116,8 @@
     """How long ago the sender's desired state was known to be the newest."""
     runners_age_ms: int = 0
     """How long ago the sender's list of runners was known to be the newest."""
+    crashes: list[CrashNote] = []
+    """Some of the records, in turn: what news of them was lost comes so."""
 
 
 class RunnerNote(NamedTuple):
@@ -206,5 +238,7 @@
     | NodeHello
     | RunnerFault
     | StoreNews
+    | CrashReport
+    | CrashNews
 )
 """Everything that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -10,6 +10,11 @@
 
 struct PoolLoad { pool @0 :UInt64; load @1 :Float32; runners @2 :Float32; }
 struct RumourNote { nodeId @0 :Text; incarnation @1 :UInt32; state @2 :UInt8; }
+struct CrashNote { digest @0 :Data; clears @1 :UInt32; crashes @2 :UInt32;
+  runners @3 :List(Text); ageMs @4 :UInt32; }
+struct CrashReport { digest @0 :Data; runner @1 :Text; sentAgeMs @2 :UInt32;
+  endedAgeMs @3 :UInt32; }
+struct CrashNews { crashes @0 :List(CrashNote); }
 struct Gossip {
   sequence @0 :UInt32;
   isReply @1 :Bool;
@@ -19,6 +24,7 @@
   runnersVersion @5 :UInt64;
   stateAgeMs @6 :UInt16;
   runnersAgeMs @7 :UInt16;
+  crashes @8 :List(CrashNote);
 }
 
 struct RunnerNote {
@@ -109,5 +115,7 @@
     nodeHello @11 :NodeHello;
     runnerFault @12 :RunnerFault;
     storeNews @13 :StoreNews;
+    crashReport @14 :CrashReport;
+    crashNews @15 :CrashNews;
   }
 }
--- a/packages/clementineyoke-wire/tests/steps/codec_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/codec_steps.py
@@ -11,6 +11,7 @@
 
 from clementineyoke_wire.codec import decode, encode
 from clementineyoke_wire.messages import (
+    CrashNote,
     Message,
     PoolLoad,
     RemovalNote,
@@ -63,7 +64,9 @@
     (entry,) = get_args(hint)
     if entry is int:
         return st.lists(st.integers(0, 2**32 - 1), max_size=5)
-    assert entry in (PoolLoad, RumourNote, RunnerNote, RemovalNote)
+    if entry is str:
+        return st.lists(TEXT, max_size=5)
+    assert entry in (PoolLoad, RumourNote, RunnerNote, RemovalNote, CrashNote)
     return st.lists(messages_of(entry), max_size=5)
 
 
