Keep refused requests in the store, for when all nodes start anew

Cause: what was learnt was in the nodes' memory. After a loss of power of all of them a refused request ended three more runners; the scenario for it failed first (5 ended instead of 3). Mended: the first home of a refused request writes one object, and removes it when its time is over; watchers read these objects once when they start and tell the rest. With the store away nothing changes but this. Figures: two calls to the store a refused request, one a start of a watcher.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_watch.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_watch.py
@@ -161,15 +161,31 @@
             self._log(digest, record)
             self._tell(digest, record)
 
-    def take_notes(self, notes: Iterable[CrashNote]) -> None:
-        """Take what a peer knows."""
+    def take_notes(self, notes: Iterable[CrashNote]) -> list[CrashNote]:
+        """Take what a peer or the store knows; return what was news."""
+        return [note for note in notes if self._take(note)]
+
+    def tell_notes(self, notes: Iterable[CrashNote]) -> None:
+        """Take what the store held, and tell the other nodes what was news."""
+        for note in self.take_notes(notes):
+            self._tell(note.digest, self._records.get(note.digest))
+
+    def is_refused(self, digest: bytes) -> bool:
+        """Whether a request is refused now."""
         now_ms = self._timers.now_ms()
-        for note in notes:
-            record = CrashRecord(
-                note.clears, note.crashes, tuple(note.runners), now_ms - note.age_ms
-            )
-            if self._records.take(note.digest, record, now_ms=now_ms):
-                self._log(note.digest, record)
+        return self._records.refused_for_ms(digest, now_ms=now_ms) > 0
+
+    def refused_here(self) -> dict[bytes, CrashRecord]:
+        """Return the refused requests of which this node is the first home."""
+        if self._records.is_empty:
+            return {}
+        own_id = self._membership.own.node_id
+        return {
+            digest: record
+            for digest, record in self._records.shared()
+            if self.is_refused(digest)
+            and self._homes.homes_of(_key_of(digest), most=1) == [own_id]
+        }
 
     def notes(self) -> list[CrashNote]:
         """Return the records for a node that has just started, the newest first."""
@@ -240,6 +256,16 @@
     def _receive_news(self, received: PeerMessage) -> None:
         self.take_notes(received.message.crashes)
 
+    def _take(self, note: CrashNote) -> bool:
+        now_ms = self._timers.now_ms()
+        record = CrashRecord(
+            note.clears, note.crashes, tuple(note.runners), now_ms - note.age_ms
+        )
+        is_news = self._records.take(note.digest, record, now_ms=now_ms)
+        if is_news:
+            self._log(note.digest, record)
+        return is_news
+
     def _tell(self, digest: bytes, record: CrashRecord) -> None:
         own = self._membership.own
         peers = [PeerAddress.of(n) for n in self._membership.alive() if n != own]
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -13,6 +13,7 @@
 from clementineyoke_core.edge.runner_watch import RunnerWatch
 from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
 from clementineyoke_core.load_bound import LoadBound
+from clementineyoke_node.edge.crash_archive import CrashArchive
 from clementineyoke_node.edge.crash_watch import CrashWatch
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
@@ -44,6 +45,8 @@
 """Calls that wait for a slot, and runners that were waited for long enough: each ms
 here is one that callers wait, or that a leaving runner goes on getting calls."""
 HOUSEKEEPING_INTERVAL_MS = 250
+ARCHIVE_INTERVAL_MS = 500
+"""How long a newly refused request is known to nodes only."""
 NODES_BURST_MS = 20.0
 """How long changes among the nodes are gathered. A home that moves so much later costs
 one ask that goes to the old one."""
@@ -101,6 +104,12 @@
             timers=self.timers,
             decisions=state.decisions,
         )
+        self.archive = CrashArchive(
+            store=self.store,
+            crashes=self.crashes,
+            timers=self.timers,
+            has_duty=self._has_watch_duty,
+        )
         self._make_slots()
         self._make_fleet()
         self.forwarder = self._make_forwarder()
@@ -119,6 +128,9 @@
             await self._stack.enter_async_context(part)
         self._subscribe()
         self.tasks.spawn(self.roster.enter(), name="enter_roster")
+        self.tasks.spawn(
+            self.archive.read_when(self.roster.entered), name="read_crash_archive"
+        )
         self.meet_seeds(self._config.seeds)
         return self
 
@@ -309,6 +321,7 @@
             ("expire", EXPIRY_INTERVAL_MS, self.slot_home.expire),
             ("prompt", PROMPT_WORK_INTERVAL_MS, self._do_prompt_work),
             ("house", HOUSEKEEPING_INTERVAL_MS, self._keep_house),
+            ("archive", ARCHIVE_INTERVAL_MS, self.archive.run_round),
         )
         for name, interval_ms, call in plan:
             self.timers.subscribe(name, interval_ms=interval_ms, call=call)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -7,18 +7,23 @@
 
 import msgspec
 
+from clementineyoke_core.edge.crash_records import MOST_NAMED
 from clementineyoke_core.edge.node_capacity import MOST_CALLS_PER_S
+from clementineyoke_core.edge.request_digest import DIGEST_BYTES
 from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.node import Node
 from clementineyoke_core.runner import Runner, RunnerKind
 from clementineyoke_node.platform.format_error import FormatError
+from clementineyoke_wire.messages import CrashNote
 
 if TYPE_CHECKING:
+    from clementineyoke_core.edge.crash_records import CrashRecord
     from clementineyoke_node.platform.store_page import StoredEntry
 
 LEAVING = "draining"
 MOST_SLOTS = 0xFFFF
 LAST_PORT = 0xFFFF
+MOST_COUNTED = 0xFFFF_FFFF
 LAST_MOMENT_MS = 0xFFFF_FFFF_FFFF
 """What fits the messages between nodes."""
 
@@ -48,7 +53,14 @@
     calls_per_s: int = 0
 
 
-_Spec = TypeVar("_Spec", _RunnerSpec, _NodeSpec)
+class _CrashSpec(msgspec.Struct, rename="camel"):
+    crashes: int
+    runners: list[str]
+    ended_at: int
+    """When the last one ended, in Unix milliseconds."""
+
+
+_Spec = TypeVar("_Spec", _RunnerSpec, _NodeSpec, _CrashSpec)
 
 
 def decode_runner(entry: StoredEntry, *, region: str) -> RunnerRecord:
@@ -125,6 +137,32 @@
     )
 
 
+def encode_crash(record: CrashRecord, *, ended_at_ms: int) -> dict[str, Any]:
+    """Return the entry of a request under which runners have ended."""
+    return {
+        "crashes": record.crashes,
+        "runners": list(record.runners),
+        "endedAt": ended_at_ms,
+    }
+
+
+def decode_crash(entry: StoredEntry, *, wall_ms: int) -> CrashNote:
+    """Decode such an entry, named by the request's mark; raises ``FormatError``."""
+    spec = _decode(entry, _CrashSpec, step="decode_crash")
+    try:
+        digest = bytes.fromhex(entry.name)
+        _check_range(len(digest), DIGEST_BYTES, DIGEST_BYTES)
+        _check_range(spec.crashes, 1, MOST_COUNTED)
+        _check_range(spec.ended_at, 0, LAST_MOMENT_MS)
+    except ValueError as error:
+        raise FormatError(
+            step="decode_crash", peer=entry.name, reason=str(error)
+        ) from error
+    # The clock of who wrote it may be ahead of the one here.
+    age_ms = min(MOST_COUNTED, max(0, wall_ms - spec.ended_at))
+    return CrashNote(digest, 0, spec.crashes, spec.runners[:MOST_NAMED], age_ms)
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Return IP number and port of an address; raises ``ValueError``."""
     address, _, port_text = text.rpartition(":")
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
@@ -53,3 +53,6 @@
 RUNNERS_KIND = "servers"
 NODES_KIND = "yoke-nodes"
 """A kind of the system's own: one object for each node."""
+CRASHES_KIND = "yoke-crashes"
+"""A kind of the system's own: one object for each request that is refused for the
+runners that ended under it."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any, NamedTuple, Self, TypeVar
 
 import aiohttp
@@ -10,6 +11,7 @@
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.store_error import (
     HistoryGoneError,
+    ObjectMissingError,
     RevisionConflictError,
     StoreError,
 )
@@ -35,6 +37,7 @@
 CALL_TIMEOUT_MS = 900
 """Bounds a call that should be answered at once: a silent store must not hold a node
 longer than it takes to ask again. A slow store was seen to take 0.4 s."""
+_STATUS_MISSING = 404
 _STATUS_CONFLICT = 409
 _STATUS_GONE = 410
 _STATUS_ERROR = 400
@@ -109,6 +112,11 @@
         """Replace an object's content, whatever its revision."""
         await self._call("PUT", f"{_path(kind)}/{name}", body=_object(name, spec))
 
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object; one that is gone already is no error."""
+        with suppress(ObjectMissingError):
+            await self._call("DELETE", f"{_path(kind)}/{name}")
+
     async def _call(
         self,
         method: str,
@@ -152,6 +160,8 @@
             error = HistoryGoneError
         elif status == _STATUS_CONFLICT:
             error = RevisionConflictError
+        elif status == _STATUS_MISSING:
+            error = ObjectMissingError
         raise error(step=step, peer=self._address, reason=f"status {status}")
 
     def _read(
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_error.py
@@ -22,3 +22,7 @@
 
 class RevisionConflictError(StoreError):
     """A conditional write met another revision, or an object that exists."""
+
+
+class ObjectMissingError(StoreError):
+    """There is no object of that name."""
