Tell a refused request together with its earlier copies

Cause: the command that explains a call by its id showed that runners had ended under earlier copies, and not which: each has an id of its own. Their lines bear the same mark.

--- a/packages/clementineyoke-cli/src/clementineyoke_cli/log_story.py
+++ b/packages/clementineyoke-cli/src/clementineyoke_cli/log_story.py
@@ -21,6 +21,9 @@
 def read_story(request_id: str, files: Sequence[str]) -> list[str]:
     """Return the request's lines and what its runners met meanwhile, in order.
 
+    A request that was refused for its earlier copies is told with those: their lines
+    bear the same mark, whatever their ids.
+
     Raises ``AdminError`` when a file cannot be read or no line names the request.
     """
     lines = [line for file in files for line in _read(file)]
@@ -32,7 +35,7 @@
             reason=f"no line names {request_id}",
             details=[],
         )
-    story = own + _around(own, lines)
+    story = own + _around(own, lines) + _same(own, lines)
     return [_render(line) for line in sorted(story, key=lambda line: line["time"])]
 
 
@@ -70,6 +73,16 @@
     ]
 
 
+def _same(own: list[Line], lines: list[Line]) -> list[Line]:
+    """Return what was logged of other calls that asked for the same."""
+    marks = {line["request_digest"] for line in own if line.get("request_digest")}
+    return [
+        line
+        for line in lines
+        if line.get("request_digest") in marks and line not in own
+    ]
+
+
 def _time_of(line: Line) -> datetime:
     return datetime.fromisoformat(line["time"])
 
--- a/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -36,6 +36,26 @@
         context.files.append(str(file))
 
 
+@given('the logs of 2 nodes that refuse the copy "{last}" for "{first}" and "{second}"')
+def given_refusing_logs(context, last, first, second):
+    mark = {"request_digest": "aa11"}
+    one = [
+        make_line(1, "runner_failed", request_id=first, runner="a", **mark),
+        make_line(9, "request_suspected", runners=["a", "b"], **mark),
+        make_line(20, "request_barred", request_id=last, **mark),
+        make_line(20, "route_refused", request_id=last),
+    ]
+    two = [
+        make_line(8, "runner_failed", request_id=second, runner="b", **mark),
+        make_line(8, "runner_failed", request_id="r-4", request_digest="bb22"),
+    ]
+    context.files = []
+    for name, lines in (("one", one), ("two", two)):
+        file = context.folder / f"{name}.log"
+        file.write_text("".join(f"{line}\n" for line in lines))
+        context.files.append(str(file))
+
+
 @when('the operator explains the request "{request_id}" by them')
 def explain(context, request_id):
     context.story = context.error = None
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_records.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_records.py
@@ -25,8 +25,8 @@
 """How long an end is remembered: a request that ends a runner every few minutes is
 known by the third one."""
 ORDER_SLACK_MS = 40.0
-"""How much the ways of two reports may differ, to a home in another region and on a busy
-node: the second send of a call follows on the first one's end within a millisecond."""
+"""How much the ways of two reports may differ, to a home in another region and on a
+busy node: a call's second send follows on the first one's end within a millisecond."""
 MOST_RECORDS = 2_048
 """When 100 runners with 64 calls each are killed at once, each of 410 nodes is told of
 47 calls; the rest is for many such moments within the time that an end is kept."""
