Let requests that end their runners come in the soak

Mended: twice in each seed, drawn apart from the other faults so that kept seeds go on playing what they played, such a request comes again and again at any node; runner and link go down together and come back as a new lifetime. Checked: no other call is refused for it, and in calm at the end it ends six runners at most, after which it is refused. The kept seeds play without it, as before. A first run of seed 2 had calls that ran twice: two senders shared one caller and gave out the same ids; each now has its own.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -23,6 +23,8 @@
 
     seed: int
     length_s: float
+    has_crashes: bool = True
+    """Whether requests come that end their runners; not in seeds from before."""
 
 
 def run(
@@ -40,7 +42,10 @@
     wanted = [Wanted(seed, length_s) for seed in _parse(str(seeds))]
     if kept:
         entries = json5.loads(KEPT_SEEDS.read_text())
-        wanted += [Wanted(entry["seed"], entry["length_s"]) for entry in entries]
+        wanted += [
+            Wanted(entry["seed"], entry["length_s"], entry.get("has_crashes", False))
+            for entry in entries
+        ]
     reports = [_play(entry, is_timed=timed) for entry in wanted]
     failed = [report for report in reports if report.broken]
     print(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -19,6 +19,8 @@
 """Statuses that promise that the call has not run and never will."""
 WHOLE_STREAM = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in range(1, EVENTS + 1))
 STATUS_OK = 200
+BLAMED = "check_crashes"
+"""Step of a refusal for runners that ended under the same request."""
 DENIALS = frozenset((400, 401, 403, 404))
 APPLY_S = 2.0
 """How soon a desired state or a runner's leave is in force at a node in touch."""
@@ -68,6 +70,7 @@
         if sight.has_run:
             runs[sight.call_id].append(sight)
     broken = [*_check_answers(evidence.calls), *_check_runs(evidence.calls, runs)]
+    broken += _check_blame(evidence.calls)
     if is_timed:
         broken += _check_cuts(evidence, runs)
         broken += _check_keys(evidence, runs)
@@ -106,6 +109,13 @@
             yield f"{call.call_id}: told {call.status} and ran"
 
 
+def _check_blame(calls: Iterable[CallRecord]) -> Iterable[str]:
+    """Find calls that are refused for runners that another request has ended."""
+    for call in calls:
+        if BLAMED in call.body and not call.ends_runners:
+            yield f"{call.call_id}: refused for what it stood beside"
+
+
 def _check_cuts(
     evidence: Evidence, runs: dict[str, list[RunnerSight]]
 ) -> Iterable[str]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/caller.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/caller.py
@@ -38,6 +38,8 @@
     body: str
     has_proof: bool
     reason: str = ""
+    ends_runners: bool = False
+    """Whether each runner that begins to run it ends."""
 
 
 class Caller:
@@ -71,7 +73,13 @@
                 await asyncio.sleep(self._rng.uniform(0.2, 1.8) * PAUSE_S)
 
     async def call(
-        self, session: aiohttp.ClientSession, *, node: int, kind: RouteKind, key: str
+        self,
+        session: aiohttp.ClientSession,
+        *,
+        node: int,
+        kind: RouteKind,
+        key: str,
+        request_body: bytes | None = None,
     ) -> CallRecord:
         """Make one call and record it."""
         call_id = f"{self._name}-{len(self.records)}"
@@ -80,7 +88,12 @@
         try:
             async with asyncio.timeout(2 * BUDGET_MS / 1000):
                 status, body, proof = await self._exchange(
-                    session, call_id, node=node, kind=kind, key=key
+                    session,
+                    call_id,
+                    node=node,
+                    kind=kind,
+                    key=key,
+                    request_body=request_body,
                 )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = repr(error)
@@ -95,6 +108,7 @@
             body=body,
             has_proof=proof,
             reason=reason,
+            ends_runners=request_body is not None,
         )
         self.records.append(record)
         return record
@@ -107,6 +121,7 @@
         node: int,
         kind: RouteKind,
         key: str,
+        request_body: bytes | None,
     ) -> tuple[int, str, bool]:
         method = "GET" if kind is RouteKind.IDEMPOTENT else "POST"
         fields = {
@@ -116,10 +131,17 @@
             names.AUTHORIZATION: f"{names.KEY_SCHEME}{key}",
         }
         url = f"http://{self._endpoints[node]}/{kind.value}/x"
-        async with session.request(method, url, headers=fields) as response:
+        async with session.request(
+            method, url, headers=fields, data=request_body
+        ) as response:
             body = await response.text()
             return response.status, body, names.PROOF in response.headers
 
+    @property
+    def good_key(self) -> str:
+        """The key that callers are to use now."""
+        return self._state.key
+
     def _pick_key(self) -> str:
         withdrawn = self._state.withdrawn
         if withdrawn and self._rng.random() < WITHDRAWN_SHARE:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -4,16 +4,24 @@
 
 import asyncio
 import signal
+import time
+from random import Random
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from clementineyoke_standins.edge.edge_runner import Act
 from clementineyoke_standins.edge.edge_store import StoreFault
+from clementineyoke_standins.soak.caller import Caller
 from clementineyoke_standins.soak.fault_proxy import LinkFault
+from clementineyoke_standins.soak.operator_state import RouteKind
 from clementineyoke_standins.soak.schedule import FaultKind
+from clementineyoke_standins.soak.soak_fleet import CRASHING_BODY
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from clementineyoke_standins.soak.caller import CallRecord
     from clementineyoke_standins.soak.fault_proxy import FaultProxy
     from clementineyoke_standins.soak.node_process import NodeProcess
     from clementineyoke_standins.soak.schedule import PlannedFault
@@ -40,6 +48,21 @@
 STORM_CHANGES = 12
 STORM_GAP_S = 0.05
 TORN_SHARE = 0.6
+CRASHING_KINDS = (RouteKind.NON_IDEMPOTENT, RouteKind.STREAM)
+CRASHING_GAP_S = 0.3
+
+
+async def send_crashing(
+    caller: Caller, session: aiohttp.ClientSession, *, node: int, kind: RouteKind
+) -> CallRecord:
+    """Send a request that ends each runner which begins to run it."""
+    return await caller.call(
+        session,
+        node=node,
+        kind=kind,
+        key=caller.good_key,
+        request_body=CRASHING_BODY,
+    )
 
 
 class FaultActs:
@@ -49,6 +72,8 @@
         self._fleet = fleet
         self._stop_limit_s = stop_limit_s
         self._lock = asyncio.Lock()
+        self.crashing: list[Caller] = []
+        """Those whose requests end their runners, one for each time."""
         self._acts: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
             FaultKind.NODE_STOP: self._stop_node,
             FaultKind.NODE_KILL: self._kill_node,
@@ -65,6 +90,7 @@
             FaultKind.RUNNER_LEAVES: self._leave,
             FaultKind.KEY_CHANGE: self._change_key,
             FaultKind.STATE_STORM: self._storm,
+            FaultKind.CRASHING_REQUEST: self._send_crashing,
         }
 
     async def play(self, fault: PlannedFault) -> None:
@@ -168,6 +194,29 @@
         async with self._lock:
             await self._fleet.state.storm(STORM_CHANGES, gap_s=STORM_GAP_S)
 
+    async def _send_crashing(self, fault: PlannedFault) -> None:
+        """Let a request that ends its runners come again and again, at any node."""
+        ends_s = time.monotonic() + fault.for_s
+        kind = CRASHING_KINDS[fault.pick % len(CRASHING_KINDS)]
+        rng = Random(fault.pick)
+        caller = self.new_crashing()
+        async with aiohttp.ClientSession() as session:
+            while time.monotonic() < ends_s:
+                node = rng.randrange(len(self._fleet.nodes))
+                await send_crashing(caller, session, node=node, kind=kind)
+                await asyncio.sleep(CRASHING_GAP_S)
+
+    def new_crashing(self) -> Caller:
+        """Return a caller with ids of its own for such requests."""
+        caller = Caller(
+            name=f"crashing{len(self.crashing)}",
+            endpoints=self._fleet.fronts,
+            state=self._fleet.state,
+            rng=Random(0),
+        )
+        self.crashing.append(caller)
+        return caller
+
     async def _restart(self, node: NodeProcess, fault: PlannedFault) -> None:
         await asyncio.sleep(fault.for_s)
         if not node.is_running:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
@@ -49,15 +49,24 @@
 
     async def __aenter__(self) -> Self:
         """Begin to listen."""
-        self._server = await asyncio.start_server(
-            self._serve, self.listen.address, self.listen.port
-        )
+        await self.come_up()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close everything."""
+        self.go_down()
+
+    async def come_up(self) -> None:
+        """Listen, for the first time or after the target was down."""
+        self._server = await asyncio.start_server(
+            self._serve, self.listen.address, self.listen.port
+        )
+
+    def go_down(self) -> None:
+        """Take no connections and break those that there are, as a dead target does."""
         if self._server is not None:
             self._server.close()
+            self._server = None
         self._reset_all()
 
     def begin(self, fault: LinkFault) -> None:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -81,10 +81,17 @@
             await asyncio.sleep(gap_s)
 
     async def enter(
-        self, runner: EdgeRunner, at: Endpoint, *, state: str = "ready"
+        self,
+        runner: EdgeRunner,
+        at: Endpoint,
+        *,
+        state: str = "ready",
+        born_ms: int | None = None,
     ) -> None:
-        """Write a runner's entry."""
-        spec = runner_spec(pool=POOL, address=str(at), zone=ZONE, state=state)
+        """Write a runner's entry; one that has started again says when it was born."""
+        spec = runner_spec(
+            pool=POOL, address=str(at), zone=ZONE, state=state, born_ms=born_ms
+        )
         await self._store.put(names.RUNNERS_KIND, runner.runner_id, spec)
         if state != "ready":
             self.left.setdefault(runner.runner_id, time.monotonic())
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -13,6 +13,8 @@
 """Between the beginnings of two faults: most of them overlap."""
 SHORTEST_S = 0.4
 LONGEST_S = 3.0
+CRASHING_REQUESTS = 2
+"""Times in a seed at which such a request comes, again and again for a while."""
 
 
 class FaultKind(Enum):
@@ -38,6 +40,8 @@
     RUNNER_LEAVES = "runner_leaves"
     KEY_CHANGE = "key_change"
     STATE_STORM = "state_storm"
+    CRASHING_REQUEST = "crashing_request"
+    """A request comes that ends each runner which begins to run it."""
 
 
 HARMLESS = frozenset(
@@ -63,10 +67,28 @@
     for_s: float
 
 
+def plan_crashes(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return when requests come that end their runners, drawn by themselves.
+
+    The faults of a seed are the same with and without them: a seed that has failed
+    once must go on playing what it played.
+    """
+    rng = Random(f"crashes of {seed}")
+    return [
+        PlannedFault(
+            rng.uniform(CALM_BEFORE_S, length_s),
+            FaultKind.CRASHING_REQUEST,
+            rng.getrandbits(16),
+            rng.uniform(SHORTEST_S, LONGEST_S),
+        )
+        for _ in range(CRASHING_REQUESTS)
+    ]
+
+
 def plan_faults(seed: int, *, length_s: float) -> list[PlannedFault]:
     """Return a seed's faults in order of their beginning."""
     rng = Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind is not FaultKind.CRASHING_REQUEST]
     planned = []
     at_s = CALM_BEFORE_S
     while at_s < length_s:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, Self
 
 from aiohttp import web
 
+from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_standins.edge.edge_runner import EdgeRunner
 from clementineyoke_standins.edge.edge_store import EdgeStore
 from clementineyoke_standins.soak.fault_proxy import FaultProxy
@@ -21,6 +24,10 @@
 NODE_PORTS = ("front", "ready", "directory", "control", "peer_port")
 GRACE_S = 8
 ZONES = 2
+MS_PER_S = 1000.0
+BACK_S = 1.0
+"""Until a runner that has crashed takes connections again."""
+CRASHING_BODY = b"ends whoever runs it"
 
 
 class SoakFleet:
@@ -32,6 +39,7 @@
     def __init__(self, *, nodes: int, runners: int, folder: Path) -> None:
         self._folder = folder
         self._stack = AsyncExitStack()
+        self._tasks = BackgroundTasks()
         ports = free_ports(len(NODE_PORTS) + 1 + nodes + 2 * runners)
         self._node_ports = dict(zip(NODE_PORTS, ports, strict=False))
         self._store_at = Endpoint(LOCAL, ports[len(NODE_PORTS)])
@@ -58,7 +66,10 @@
         self._stack.push_async_callback(server.cleanup)
         await web.TCPSite(server, *self._store_at).start()
         await self.state.begin()
+        await self._stack.enter_async_context(self._tasks)
         for runner, port in zip(self.runners, self._runner_ports, strict=True):
+            runner.crashing_bodies.add(CRASHING_BODY)
+            runner.on_crash = self._end_link_of
             await self._stack.enter_async_context(runner)
             link = FaultProxy(
                 listen=Endpoint(LOCAL, port), target=Endpoint(LOCAL, runner.port)
@@ -81,6 +92,20 @@
         port = self._node_ports["front"]
         return [Endpoint(node_address(n), port) for n in range(len(self.nodes))]
 
+    def _end_link_of(self, runner: EdgeRunner) -> None:
+        """Let a crashed runner's link go down with it, and both come back."""
+        link = self.runner_links[self.runners.index(runner)]
+        link.go_down()
+        self._tasks.spawn(self._start_again(runner, link), name="start_runner")
+
+    async def _start_again(self, runner: EdgeRunner, link: FaultProxy) -> None:
+        await asyncio.sleep(BACK_S)
+        await runner.start()
+        await link.come_up()
+        if runner.runner_id not in self.state.left:
+            born_ms = round(time.time() * MS_PER_S)
+            await self.state.enter(runner, link.listen, born_ms=born_ms)
+
     def _settings(self, number: int) -> dict[str, Any]:
         address = node_address(number)
         at = {
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -19,13 +19,14 @@
     audit,
 )
 from clementineyoke_standins.soak.caller import Caller
-from clementineyoke_standins.soak.fault_acts import FaultActs
+from clementineyoke_standins.soak.fault_acts import FaultActs, send_crashing
 from clementineyoke_standins.soak.operator_state import RouteKind
 from clementineyoke_standins.soak.schedule import (
     HARMLESS,
     PLANNED,
     FaultKind,
     PlannedFault,
+    plan_crashes,
     plan_faults,
 )
 from clementineyoke_standins.soak.soak_fleet import GRACE_S, SoakFleet
@@ -46,6 +47,10 @@
 """How long calls go on after the last change must be in force."""
 STATUS_OK = 200
 STATUS_UNKNOWN_KEY = 401
+STATUS_REFUSED = 503
+CRASHING_COPIES = 3
+"""Times at which the request that ends its runners comes to each node at the end."""
+MOST_CALM_CRASHES = 6
 
 
 class SoakReport(NamedTuple):
@@ -63,9 +68,16 @@
     """Own one seed's fleet, callers and faults."""
 
     def __init__(
-        self, *, seed: int, length_s: float, folder: Path, is_timed: bool
+        self,
+        *,
+        seed: int,
+        length_s: float,
+        folder: Path,
+        is_timed: bool,
+        has_crashes: bool = True,
     ) -> None:
         self._seed = seed
+        self._has_crashes = has_crashes
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -100,10 +112,14 @@
                 for caller in self._callers:
                     tasks.spawn(caller.run(), name="soak_caller")
                 planned = plan_faults(self._seed, length_s=self._length_s)
+                if self._has_crashes:
+                    planned += plan_crashes(self._seed, length_s=self._length_s)
                 await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
                 recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
                 await self._change_in_calm()
                 await self._check_newest(session)
+                if self._has_crashes:
+                    await self._check_crashing(session)
             for node in self._fleet.nodes:
                 await node.stop(limit_s=self._stop_limit_s)
                 self._broken += node.own_ends
@@ -162,11 +178,34 @@
                         f" {entry.key}"
                     )
 
+    async def _check_crashing(self, session: aiohttp.ClientSession) -> None:
+        """Let the request that ends its runners come once more, with nothing else on.
+
+        Its promise binds in calm: three runners may end until it is known, and three
+        more sends are allowed to those that learn late.
+        """
+        before = self._count_crashes()
+        caller = self._acts.new_crashing()
+        for number in range(CRASHING_COPIES * len(self._fleet.nodes)):
+            node = number % len(self._fleet.nodes)
+            kind = RouteKind.NON_IDEMPOTENT
+            record = await send_crashing(caller, session, node=node, kind=kind)
+            await asyncio.sleep(POLL_S)
+        ended = self._count_crashes() - before
+        if ended > MOST_CALM_CRASHES or record.status != STATUS_REFUSED:
+            self._broken.append(
+                f"a request ended {ended} runners in calm; then {record.status}"
+            )
+
+    def _count_crashes(self) -> int:
+        return sum(runner.crashes for runner in self._fleet.runners)
+
     def _report(
         self, planned: list[PlannedFault], began_s: float, recovered_s: float
     ) -> SoakReport:
         calls = [record for caller in self._callers for record in caller.records]
         calls += self._probe.records
+        calls += [call for caller in self._acts.crashing for call in caller.records]
         sights = [
             RunnerSight(runner.runner_id, call.call_id, call.at_s, call.has_run)
             for runner in self._fleet.runners
