--- a/packages/clementineyoke-node/tests/edge/crashing_requests.feature
+++ b/packages/clementineyoke-node/tests/edge/crashing_requests.feature
@@ -50,6 +50,14 @@
     When 300 s have passed for what the nodes remember
     Then the store holds 0 refused requests within 3 s
 
+  Scenario: A suspected request goes apart from its prompt
+    # Symptom: the same callers stand beside a request at one end after the other.
+    # Sequence: its prompt begins as theirs do; after each end all of them go on to the
+    #   same next runner.
+    Given a fleet of 1 node and 6 runners that come back after a crash
+    When runners end 2 times with a request on them whose prompt others share
+    Then its next copy goes where its own mark sends it, and others follow the prompt
+
   Scenario: Another caller's stream stands beside it
     # Symptom: a caller is refused, or its stream is lost, for what another one sent.
     # Sequence: a stream that may be resumed is on the runner that a request ends; each
--- a/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
+++ b/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
@@ -1,14 +1,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 
 import aiohttp
 import msgspec
 from behave import given, then, when
-from edge_fleet import EdgeFleet
+from edge_fleet import POOL, TEAM, EdgeFleet
 from edge_steps import WHOLE_STREAM, wait_until
 
+from clementineyoke_core.edge.prompt_key import PromptPart, prompt_key
+from clementineyoke_core.edge.request_digest import request_digest
 from clementineyoke_node.platform.names import CRASHES_KIND
 from clementineyoke_standins.edge.edge_runner import Act
 from clementineyoke_standins.edge.edge_store import StoreFault
@@ -139,6 +142,75 @@
             records._records[digest] = older
 
 
+PROMPT = {"X-Model": "m", "X-Prompt-Prefix": "shared:700,own:100"}
+PROMPT_KEY = prompt_key((PromptPart("shared", 700), PromptPart("own", 100)), model="m")
+
+
+def order_of(context, key):
+    """Return a pool's runners in the order in which a key tries them."""
+    return list(context.fleet.nodes[0].state.rings.order(POOL, key))
+
+
+def own_order(context, body):
+    """Return the order by the mark of a request with this body."""
+    digest = request_digest(
+        team=TEAM, method="POST", target="/non_idempotent/x", body=body
+    )
+    return order_of(context, int.from_bytes(digest[:8], "big"))
+
+
+def runner_of(context, call_id):
+    (found,) = (
+        runner.runner_id
+        for runner in context.fleet.runners
+        if call_id in {call.call_id for call in runner.calls}
+    )
+    return found
+
+
+async def send_prompted(context, call_id, body):
+    with contextlib.suppress(aiohttp.ClientError):
+        await context.fleet.call(
+            "non_idempotent", call_id=call_id, data=body, headers=PROMPT
+        )
+
+
+@when("runners end {times:d} times with a request on them whose prompt others share")
+def end_with_prompt(context, times):
+    first = order_of(context, PROMPT_KEY)[0]
+    bodies = (b"request %d" % number for number in range(100))
+    context.body = next(b for b in bodies if own_order(context, b)[0] != first)
+    for runner in context.fleet.runners:
+        runner.crashing_bodies = {context.body}
+
+    async def act():
+        table = context.fleet.nodes[0].state.table
+        for number in range(times):
+            await send_prompted(context, f"end-{number}", context.body)
+            await asyncio.sleep(GAP_S)
+            await asyncio.gather(*context.restarts)
+            await wait_until(
+                lambda: all(table.is_ready(r.runner_id) for r in context.fleet.runners),
+                5,
+            )
+
+    context.run(act())
+    assert crashes(context) == times
+    for runner in context.fleet.runners:
+        runner.crashing_bodies = set()
+
+
+@then("its next copy goes where its own mark sends it, and others follow the prompt")
+def check_apart(context):
+    async def act():
+        await send_prompted(context, "other", b"another request")
+        await send_prompted(context, "copy", context.body)
+
+    context.run(act())
+    assert runner_of(context, "other") == order_of(context, PROMPT_KEY)[0]
+    assert runner_of(context, "copy") == own_order(context, context.body)[0]
+
+
 async def stream(context, name):
     body = f"stream {name}".encode()
     status, _, text = await context.fleet.call(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/state_slopes.py
@@ -11,7 +11,9 @@
 from clementineyoke_core.claims.messages import ClaimAsk
 from clementineyoke_core.claims.segment import FIRST_HEAD, ChainRead, StoredSegment
 from clementineyoke_core.edge.call_kind import CallKind
+from clementineyoke_core.edge.crash_records import CrashRecords
 from clementineyoke_core.edge.desired_state import CallerLimits, DesiredState, Team
+from clementineyoke_core.edge.request_digest import DIGEST_BYTES
 from clementineyoke_core.edge.route import Route, WeightedPool
 from clementineyoke_core.edge.route_table import RouteTable
 from clementineyoke_core.edge.runner_directory import DirectoryView, RunnerDirectory
@@ -34,6 +36,9 @@
 HOLDS = (500, 1_000, 2_000, 4_000)
 ROUTES = (100, 200, 400, 800)
 CLAIMS = (400, 800, 1_600, 3_200)
+CRASHES = (256, 512, 1_024, 2_048)
+CALLS_A_RUNNER = 64
+CRASHES_A_REQUEST = 2
 DRAIN_WITHIN_MS = 2_000.0
 WALL_MS = 1_790_000_000_000
 POOLS = 8
@@ -52,6 +57,7 @@
         _slope("runner entries of the edge", "runner", RUNNERS, _make_directory),
         _slope("routes of the edge", "route", ROUTES, _make_routes),
         _slope("teams and keys of the edge", "team", TEAMS, _make_teams),
+        _slope("requests that runners ended under", "request", CRASHES, make_crashes),
     ]
 
 
@@ -133,6 +139,21 @@
     return chain
 
 
+def make_crashes(requests: int) -> CrashRecords:
+    """Return records of requests that each stood on two runners when these ended."""
+    records = CrashRecords()
+    for number in range(requests):
+        digest = number.to_bytes(DIGEST_BYTES, "big")
+        for end in range(CRASHES_A_REQUEST):
+            records.record_end(
+                digest,
+                runner=f"i-{number // CALLS_A_RUNNER:08x}{end:02x}@{WALL_MS}",
+                sent_ms=1_000.0 * end,
+                ended_ms=1_000.0 * end + 100.0,
+            )
+    return records
+
+
 def _slope(
     name: str, per: str, sizes: tuple[int, ...], make: Callable[[int], object]
 ) -> Slope:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/work_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/work_slopes.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+from clementineyoke_core.edge.crash_records import MOST_RECORDS, CrashRecords
+from clementineyoke_core.edge.request_digest import DIGEST_BYTES, request_digest
 from clementineyoke_core.hash_ring import HashRing
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.mean_load import MeanLoad
@@ -13,18 +15,32 @@
 from clementineyoke_core.settings.log import SettingsLog
 from clementineyoke_core.slot_ledger import SlotHold, SlotLedger
 from clementineyoke_standins.capacity.slope import Slope, fit
-from clementineyoke_standins.capacity.state_slopes import CLAIMS, WALL_MS, make_chain
+from clementineyoke_standins.capacity.state_slopes import (
+    CLAIMS,
+    WALL_MS,
+    make_chain,
+    make_crashes,
+)
 from clementineyoke_wire.codec import decode, encode
-from clementineyoke_wire.messages import Gossip, Message, PoolLoad, SlotAsk
+from clementineyoke_wire.messages import (
+    CrashReport,
+    Gossip,
+    Message,
+    PoolLoad,
+    SlotAsk,
+)
 from clementineyoke_wire.seal import Seal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 COUNTS = (500, 1_000, 2_000, 4_000)
+REPORTS = (250, 500, 1_000, 2_000)
 RING_RUNNERS = (146, 300, 600, 1_170)
 CHANGES = (100, 200, 400, 800)
 POOLS = 8
+MEAN_BODY_BYTES = 12_000
+"""Of the kind of request with the largest mean but one that was seen."""
 
 
 def measure_work() -> list[Slope]:
@@ -34,6 +50,8 @@
         _slope("gossip of 8 pools, both ways", "round", COUNTS, _run_gossip),
         _slope("grant and release at a home", "request", COUNTS, _run_ledger),
         _slope("settings change applied", "change", CHANGES, _run_changes),
+        _slope("report of a runner's end", "report", REPORTS, _run_reports),
+        _slope("call checked against 2,048 records", "call", COUNTS, _run_checks),
         _slope("claim segment written", "claim in it", CLAIMS, _run_segment_write),
         _slope("ring rebuilt from nothing", "runner", RING_RUNNERS, _run_ring),
         _slope("ring after one runner left", "runner", RING_RUNNERS, _run_ring_change),
@@ -88,6 +106,34 @@
     return _time(work)
 
 
+def _run_reports(count: int) -> float:
+    seal = Seal(keys=["key"])
+    records = CrashRecords()
+
+    def work() -> None:
+        for number in range(count):
+            digest = number.to_bytes(DIGEST_BYTES, "big")
+            runner = f"i-{number:010x}"
+            _pass(seal, CrashReport(digest, runner, 900, 25))
+            records.record_end(digest, runner=runner, sent_ms=0.0, ended_ms=900.0)
+
+    return _time(work)
+
+
+def _run_checks(count: int) -> float:
+    records = make_crashes(MOST_RECORDS)
+    body = bytes(MEAN_BODY_BYTES)
+
+    def work() -> None:
+        for number in range(count):
+            digest = request_digest(
+                team="team", method="POST", target=f"/path/{number}", body=body
+            )
+            records.refused_for_ms(digest, now_ms=2_000.0)
+
+    return _time(work)
+
+
 def _run_ledger(count: int) -> float:
     ledger = SlotLedger()
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/capacity.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/capacity.py
@@ -27,7 +27,7 @@
     BUILD.mkdir(exist_ok=True)
     document = {"slopes": [slope._asdict() for slope in slopes]}
     (BUILD / "capacity.json").write_text(json.dumps(document, indent=2))
-    figure, axes = plt.subplots(4, 4, figsize=(16, 13))
+    figure, axes = plt.subplots(5, 5, figsize=(20, 16))
     for slope, axis in zip(slopes, axes.flat, strict=False):
         xs = [x for x, _ in slope.points]
         axis.scatter(xs, [y for _, y in slope.points])
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -33,6 +33,7 @@
 STREAMS = f"{NODE}/tests/edge/streams.feature"
 FLEET = f"{NODE}/tests/edge/fleet.feature"
 NEWS = f"{NODE}/tests/edge/news.feature"
+CRASHING = f"{NODE}/tests/edge/crashing_requests.feature"
 PURE = f"{CORE}/tests/edge"
 
 MUTATIONS = (
@@ -372,6 +373,83 @@
         "if False:",
         f"{CORE}/tests/membership.feature",
     ),
+    Mutation(
+        "each runner of a common end counts",
+        f"{DECISIONS}/edge/crash_records.py",
+        "if sent_ms < known.last_ms - ORDER_SLACK_MS:",
+        "if False:",
+        f"{PURE}/crash_records.feature",
+    ),
+    Mutation(
+        "an answer clears nothing",
+        f"{DECISIONS}/edge/crash_records.py",
+        "cleared = CrashRecord(clears=known.clears + 1, last_ms=now_ms)",
+        "cleared = known",
+        f"{PURE}/crash_records.feature",
+    ),
+    Mutation(
+        "whoever was beside a request bears its ends",
+        f"{DECISIONS}/edge/crash_records.py",
+        "explained += most > record.crashes",
+        "explained += 0",
+        f"{PURE}/crash_records.feature",
+    ),
+    Mutation(
+        "of two suspected requests both are refused",
+        f"{DECISIONS}/edge/crash_records.py",
+        "CERTAIN_FROM if is_contested else REFUSED_FROM",
+        "REFUSED_FROM",
+        f"{PURE}/crash_records.feature",
+    ),
+    Mutation(
+        "a connection that broke is a runner that ended",
+        f"{EDGE}/crash_watch.py",
+        "if is_listening:",
+        "if False:",
+        CRASHING,
+    ),
+    Mutation(
+        "a leaving runner's end counts",
+        f"{EDGE}/crash_watch.py",
+        "entry is None or entry.state is RunnerState.DRAINING",
+        "entry is None",
+        CRASHING,
+    ),
+    Mutation(
+        "a suspected request gets its second try",
+        f"{EDGE}/forwarder.py",
+        "if failure.is_break and self._crashes.is_suspect(admitted):",
+        "if False:",
+        CRASHING,
+    ),
+    Mutation(
+        "a node that starts takes over no records",
+        f"{EDGE}/peer_states.py",
+        "self._crashes.take_notes(found.crashes)",
+        "pass",
+        CRASHING,
+    ),
+    Mutation(
+        "nobody reads what the store keeps of refused requests",
+        f"{EDGE}/crash_archive.py",
+        "await self._read()",
+        "return",
+        CRASHING,
+    ),
+    Mutation(
+        "what the store keeps of refused requests stays",
+        f"{EDGE}/crash_archive.py",
+        "await self._store.delete(names.CRASHES_KIND, digest.hex())",
+        "pass",
+        CRASHING,
+    ),
+    Mutation(
+        "a suspected request follows its prompt",
+        f"{EDGE}/forwarder.py",
+        "key = self._crashes.key_apart(admitted)",
+        "key = None",
+        CRASHING,
+    ),
 )
 
 
