A scenario for what another request explains

Cause: of eleven mutations one was missed: without ends that another request explains no scenario failed. It matters for requests that are tried again after their refusal and go on ending runners.

--- a/packages/clementineyoke-core/tests/edge/crash_records.feature
+++ b/packages/clementineyoke-core/tests/edge/crash_records.feature
@@ -102,6 +102,17 @@
     Then "bad" is refused at 3200 ms
     And "chat" is suspected and not refused at 3200 ms
 
+  Scenario: A request that is tried again every five minutes, and one beside it each time
+    # Symptom: a chat is refused with the request that it stood beside four times.
+    # Sequence: the one is let through for one more try after each refusal, and ends one
+    #   more runner.
+    # Cause: four ends were taken for proof, though another request explains all of them.
+    Given no runner has ended yet
+    When runners a, b, c, d, e end under "bad", the last at 2100 ms
+    And runners b, c, d, e end under "chat", the last at 2100 ms
+    Then "bad" is refused at 2200 ms
+    And "chat" is suspected and not refused at 2200 ms
+
   Scenario: A request with bad luck is taken for the cause
     # Symptom: a request goes on ending runners though three have ended under it.
     # Sequence: a chat stands beside it twice, and once where another runner ends; the
