Let copies stand on every runner before these end, in two scenarios

Cause: the scenario's own precondition left it to chance. Replaced by one as strict: copies are sent until one stands on each runner, and have stood for 100 ms, since copies sent just before an end cannot be told from sends that follow on it. What is checked is unchanged. The nodes are unchanged.

--- a/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
+++ b/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
@@ -26,6 +26,9 @@
 """Until a node that has just started has read what the store keeps."""
 MOST_CRASHES = 4
 """With streams beside it the request may be told from them by its fourth runner."""
+STAND_LIMIT_S = 5.0
+COPY_GAP_S = 0.01
+SETTLED_S = 0.1
 STREAMS = 4
 EVENT_PAUSE_S = 0.06
 """A stream takes some 0.4 s and so stands on a runner when a copy comes."""
@@ -257,20 +260,28 @@
     assert set(context.run(act())) == {(200, WHOLE_STREAM)}
 
 
-def begin_slow(context, count, *, kind="non_idempotent"):
-    """Let copies of one request stand on as many runners as there are."""
-    return [
-        asyncio.ensure_future(
-            send(
-                context,
-                number=copy % len(context.fleet.nodes),
-                call_id=f"unlucky-{time.monotonic()}-{copy}",
-                kind=kind,
-                body=UNLUCKY,
-            )
+async def stand_on(context, runners):
+    """Send copies of one request until one stands on each runner; return the calls.
+
+    A copy goes to any runner: a fixed number may leave one of them without.
+    """
+    seen = {runner.runner_id: len(runner.calls) for runner in runners}
+    calls = []
+    ends_s = time.monotonic() + STAND_LIMIT_S
+    while any(len(r.calls) == seen[r.runner_id] for r in runners):
+        assert time.monotonic() < ends_s, "no copy came to one of the runners"
+        copy = send(
+            context,
+            number=len(calls) % len(context.fleet.nodes),
+            call_id=f"unlucky-{time.monotonic()}-{len(calls)}",
+            kind="non_idempotent",
+            body=UNLUCKY,
         )
-        for copy in range(count)
-    ]
+        calls.append(asyncio.ensure_future(copy))
+        await asyncio.sleep(COPY_GAP_S)
+    # Copies sent just before an end cannot be told from sends that follow on it.
+    await asyncio.sleep(SETTLED_S)
+    return calls
 
 
 @when("all runners end at once with the same slow request on each, {times:d} times")
@@ -287,13 +298,7 @@
 
 async def end_all_once(context):
     runners = context.fleet.runners
-    seen = [len(runner.calls) for runner in runners]
-    calls = begin_slow(context, 3 * len(runners))
-
-    def is_on_all():
-        return all(len(r.calls) > n for r, n in zip(runners, seen, strict=True))
-
-    await wait_until(is_on_all, 2)
+    calls = await stand_on(context, runners)
     for runner in runners:
         runner.crash()
     await asyncio.gather(*calls)
@@ -338,9 +343,7 @@
 
 
 async def end_leaving_one(context, leaving):
-    seen = len(leaving.calls)
-    calls = begin_slow(context, 3 * len(context.fleet.runners))
-    await wait_until(lambda: len(leaving.calls) > seen, 2)
+    calls = await stand_on(context, [leaving])
     await context.fleet.list_runner(leaving, state="draining")
     table = context.fleet.nodes[0].state.table
     await wait_until(lambda: not table.is_ready(leaving.runner_id), 2)
