Count runners that are held back in the mean that a last ask carries

Cause: answers of 69 runners were lost for 5.7 s (own-d); three faults and a fifth of the calls pause a runner, so homes paused most of the pool. The calls of all chats met the few others, whose homes refused, and the last ask raised their bound to a multiple of the mean of just these: a loop in which runners rose from 9 to 19 calls while the mean of the pool stayed between 3 and 4 (counted from the nodes' logs: 193 grants over twice the mean + 3 in 29 to 34 s, 1 of them by a silent home). Ruled out: silent homes (1 grant), two homes at a time, lapsed grants (none), and the refusal of crashing requests: the search is older than that.

Now a refusal says whether the runner is held back and always names its true load; a paused runner is pressed when no other one grants.

--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
@@ -18,10 +18,12 @@
 
 
 class SlotRefusal(NamedTuple):
-    """The runner is at its bound."""
+    """The runner gets no call now."""
 
     runner_id: str
     in_use: int
+    is_held: bool = False
+    """Whether it is held back for another reason than its load."""
 
 
 class SlotHold(NamedTuple):
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
@@ -10,11 +10,9 @@
 MOST_ASKS = 8
 """Runners asked in the chat's order before the least loaded one is pressed."""
 FALLBACK_CHOICES = 2
-PAUSED_LOAD = 60_000
-"""Load that a home names for a runner that it has paused: the last to be pressed."""
 LEAST_EVIDENCE = 0.01
-"""Mean that goes with the last ask when only paused runners are left; above zero, it
-tells the home that this is the last ask."""
+"""Mean that goes with a last ask when all runners seen were idle; above zero, it tells
+the home that this is a last ask."""
 
 
 class SlotAttempt(NamedTuple):
@@ -27,13 +25,28 @@
     """Mean of the loads that refusing homes named; 0 without evidence."""
 
 
+class _Refused(NamedTuple):
+    """A refusal; the order is the one in which runners are pressed."""
+
+    is_held: bool
+    in_use: int
+    rank: int
+    runner_id: str
+
+
 class SlotSearch:
     """Walk a chat's order of runners until a home grants.
 
     A surge makes every bound too low for about a second: estimates of the mean lag,
     seen as refusals while runners have room. The refusing homes' exact loads are
-    fresher than any estimate, so the last ask goes to the least loaded of them and
+    fresher than any estimate, so a last ask goes to the least loaded of them and
     carries their mean; its home takes the larger mean for its bound.
+
+    Runners that are held back count in that mean with what they hold. Without them the
+    mean is that of the busy ones alone: when most of a pool is paused, each last ask
+    then raises the bound of the few others, seen as runners at four times the mean.
+    Held ones are pressed when no other grants: a runner that fails part of its calls
+    is still better than none.
     """
 
     def __init__(
@@ -47,9 +60,10 @@
         self._preferred = preferred
         self._most_asks = most_asks
         self._rank = 0
-        self._refused: list[tuple[int, int, str]] = []
+        self._refused: list[_Refused] = []
         self._silent: list[tuple[int, str]] = []
-        self._is_pressed = False
+        self._pressed: set[bool] = set()
+        """Of which kind a runner was pressed: held back or not."""
 
     def next_attempt(self) -> SlotAttempt | None:
         """Return whom to ask now, or None when the search is over."""
@@ -63,9 +77,14 @@
                 return attempt
         return self._press()
 
-    def record_refusal(self, attempt: SlotAttempt, *, in_use: int) -> None:
+    def record_refusal(
+        self, attempt: SlotAttempt, *, in_use: int, is_held: bool = False
+    ) -> None:
         """Take a home's refusal with the exact load that it named."""
-        self._refused.append((in_use, attempt.rank, attempt.runner_id))
+        if attempt.seen_mean > 0.0:
+            return  # a last ask; the runner's first refusal is known
+        refused = _Refused(is_held, in_use, attempt.rank, attempt.runner_id)
+        self._refused.append(refused)
 
     def record_silence(self, attempt: SlotAttempt) -> None:
         """Note that a home did not answer in time."""
@@ -93,11 +112,12 @@
         return None
 
     def _press(self) -> SlotAttempt | None:
-        if self._is_pressed or not self._refused:
+        left = [one for one in self._refused if one.is_held not in self._pressed]
+        if not left:
             return None
-        self._is_pressed = True
-        loads = [load for load, _, _ in self._refused if load < PAUSED_LOAD]
-        seen_mean = sum(loads) / len(loads) if loads else 0.0
-        seen_mean = max(LEAST_EVIDENCE, seen_mean)
-        _, rank, runner_id = min(self._refused)
-        return SlotAttempt(runner_id, rank, seen_mean)
+        chosen = min(left)
+        self._pressed.add(chosen.is_held)
+        seen_mean = sum(one.in_use for one in self._refused) / len(self._refused)
+        return SlotAttempt(
+            chosen.runner_id, chosen.rank, max(LEAST_EVIDENCE, seen_mean)
+        )
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -90,7 +90,10 @@
                 reason = "affinity" if attempt.rank == 0 else "displaced"
                 return self._keep(runner, attempt, ask_id, reason=reason)
             else:
-                search.record_refusal(attempt, in_use=answer.failure().in_use)
+                refusal = answer.failure()
+                search.record_refusal(
+                    attempt, in_use=refusal.in_use, is_held=refusal.is_held
+                )
         last_choice = search.fallback(self._last_in_use)
         if last_choice is not None:
             runner = self._runner_of(last_choice)
@@ -201,7 +204,7 @@
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
             return Success(SlotGrant(runner_id, reply.in_use))
-        return Failure(SlotRefusal(runner_id, reply.in_use))
+        return Failure(SlotRefusal(runner_id, reply.in_use, reply.is_held))
 
     def _make_search(self, wish: SlotWish) -> SlotSearch:
         order = (
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -13,7 +13,6 @@
 from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHold, SlotRefusal
 from clementineyoke_core.slot_queue import SlotQueue, WaitingAsk
-from clementineyoke_core.slot_search import PAUSED_LOAD
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import (
     RunnerFault,
@@ -109,7 +108,8 @@
         now_ms = self._timers.now_ms()
         is_last_resort = seen_mean > 0.0
         if not is_last_resort and self._is_paused(runner_id, now_ms):
-            return Failure(SlotRefusal(runner_id, PAUSED_LOAD))
+            in_use = self._ledger.in_use(runner_id)
+            return Failure(SlotRefusal(runner_id, in_use, is_held=True))
         bound = self._bound(runner_id, seen_mean, load_factor)
         result = self._ledger.ask(runner_id, hold, bound=bound, now_ms=now_ms)
         if is_successful(result):
@@ -273,9 +273,11 @@
         result = self.ask(
             runner_id, hold, seen_mean=ask.seen_mean, load_factor=ask.load_factor
         )
-        granted = is_successful(result)
-        answer = result.unwrap() if granted else result.failure()
-        reply = SlotReply(ask.ask_id, granted, answer.in_use)
+        if is_successful(result):
+            reply = SlotReply(ask.ask_id, True, result.unwrap().in_use)
+        else:
+            refusal = result.failure()
+            reply = SlotReply(ask.ask_id, False, refusal.in_use, refusal.is_held)
         self._socket.send(received.peer, reply)
 
     def _queue_remote(
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -30,6 +30,8 @@
     ask_id: int
     granted: bool
     in_use: int
+    is_held: bool = False
+    """Whether the runner is held back for another reason than its load."""
 
 
 class SlotRelease(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -4,7 +4,8 @@
 
 struct SlotAsk { askId @0 :UInt32; runner @1 :UInt64; seenMean @2 :Float32;
   waitMs @3 :UInt16; team @4 :UInt64; priority @5 :UInt8; loadFactor @6 :Float32; }
-struct SlotReply { askId @0 :UInt32; granted @1 :Bool; inUse @2 :UInt16; }
+struct SlotReply { askId @0 :UInt32; granted @1 :Bool; inUse @2 :UInt16;
+  isHeld @3 :Bool; }
 struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; isAnswered @2 :Bool; }
 struct SlotRenewal { runner @0 :UInt64; askIds @1 :List(UInt32); }
 
