--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -170,6 +170,7 @@
             runner_id, reporter=reporter, now_ms=now_ms
         ):
             log_event(Event.RUNNER_UNREACHABLE, runner=runner_id, reporter=reporter)
+            self._expect_cold(runner_id, now_ms)
 
     def record_answer(self, runner_id: str) -> None:
         """Note that a runner answered a call."""
@@ -211,6 +212,16 @@
             return True
         return self._cold_pace.may_grant(runner_id, now_ms=now_ms)
 
+    def _expect_cold(self, runner_id: str, now_ms: float) -> None:
+        """Take a runner that took no connections for one that starts anew.
+
+        It may be back under its id before its entry can say so, and the calls that
+        waited for it would end it again.
+        """
+        entry = self._table.get(runner_id)
+        if entry is not None:
+            self._cold.assume_cold(entry.runner, now_ms=now_ms)
+
     def _note_pace(self, runner_id: str, now_ms: float) -> None:
         calls_per_s = self._cold_calls_per_s(runner_id, now_ms)
         if calls_per_s is not None:
--- a/packages/clementineyoke-node/tests/slots/slot_home.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_home.feature
@@ -44,6 +44,16 @@
     When 2 nodes report that they cannot reach it
     Then an ask for it is refused as paused
 
+  Scenario: A runner that took no connections is back before its entry says so
+    # Symptom: a runner ends a second after each start.
+    # Sequence: it ends and starts anew under its id while the store is away; its calls
+    #   come back to it as soon as one node reaches it.
+    # Cause: it counted as warm until its entry said otherwise.
+    Given a home whose runner has 8 slots and bears 4 calls a second while it is cold
+    When 2 nodes report that they cannot reach it
+    And 1.1 s later 6 nodes ask for it, each when the one before is answered
+    Then 1 of them gets a slot
+
   Scenario: A runner answers between two reports
     Given a home whose runner has its 1 slot free
     When a node reports that it cannot reach it, another is answered, and a third reports
--- a/packages/clementineyoke-node/tests/steps/slot_home_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from clementineyoke_core.cold_runners import ColdLimit, ColdRunners
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.mean_load import MeanLoad
 from clementineyoke_core.runner import Runner, RunnerKind
@@ -12,7 +13,6 @@
 from clementineyoke_core.slot_ledger import SlotHold, SlotLedger
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage, PeerSocket
 from clementineyoke_node.slots.slot_home import SlotHome
-from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_wire.messages import RunnerFault, SlotAsk, SlotRelease, SlotReply
 from clementineyoke_wire.seal import Seal
 
@@ -20,6 +20,16 @@
 PEER = PeerAddress("127.0.0.9", 9)
 
 
+class SteppedTimers:
+    """A clock that goes on only when it is told to."""
+
+    def __init__(self):
+        self.at_ms = 0.0
+
+    def now_ms(self):
+        return self.at_ms
+
+
 class RecordingSocket:
     """Take handlers and keep what is sent."""
 
@@ -37,8 +47,9 @@
         self.handlers[type(message)](PeerMessage(peer, 1, message))
 
 
-def make_home(context, *, live=(), leaving=()):
+def make_home(context, *, live=(), leaving=(), cold=None):
     context.socket = RecordingSocket()
+    context.timers = SteppedTimers()
     table = RunnerTable()
     table.replace_listed(live=live, leaving=leaving, now_ms=0)
     homes = RunnerHomes()
@@ -50,7 +61,8 @@
         homes=homes,
         mean_load=MeanLoad(),
         socket=context.socket,
-        timers=TimerService(),
+        timers=context.timers,
+        cold=cold,
     )
     context.home.rebuild()
 
@@ -99,6 +111,32 @@
     assert ledger.in_use("engine-1") == len(holds)
 
 
+@given(
+    "a home whose runner has {slots:d} slots and bears {calls:d} calls a second "
+    "while it is cold"
+)
+def given_cold_limit(context, slots, calls):
+    cold = ColdRunners()
+    cold.set_limits({"m": ColdLimit(calls, 3_000)})
+    make_home(context, live=[RUNNER._replace(slots=slots)], cold=cold)
+
+
+@when(
+    "{pause:g} s later {count:d} nodes ask for it, each when the one before is answered"
+)
+def ask_later(context, pause, count):
+    context.timers.at_ms += pause * 1_000
+    for ask_id in range(count):
+        ask(context, ask_id)
+        release = SlotRelease(ask_id, hash_text("engine-1"), is_answered=True)
+        context.socket.receive(release)
+
+
+@then("{count:d} of them gets a slot")
+def check_slots(context, count):
+    assert [reply.granted for reply in context.socket.sent].count(True) == count
+
+
 @when("another node asks for a slot on it")
 def ask_slot(context):
     ask(context, 7)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -25,6 +25,8 @@
     length_s: float
     has_crashes: bool = True
     """Whether requests come that end their runners; not in seeds from before."""
+    has_zone_work: bool = True
+    """Whether zones are emptied and runners are cold in every second seed."""
 
 
 def run(
@@ -43,7 +45,12 @@
     if kept:
         entries = json5.loads(KEPT_SEEDS.read_text())
         wanted += [
-            Wanted(entry["seed"], entry["length_s"], entry.get("has_crashes", False))
+            Wanted(
+                entry["seed"],
+                entry["length_s"],
+                entry.get("has_crashes", False),
+                entry.get("has_zone_work", False),
+            )
             for entry in entries
         ]
     reports = [_play(entry, is_timed=timed) for entry in wanted]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -84,8 +84,11 @@
 class EdgeRunner:
     """Own a listening socket; each call takes the script's next act."""
 
-    def __init__(self, *, runner_id: str, usual: Act = Act.OK) -> None:
+    def __init__(
+        self, *, runner_id: str, zone: str = "zone", usual: Act = Act.OK
+    ) -> None:
         self.runner_id = runner_id
+        self.zone = zone
         self.usual = usual
         self.script: list[Act] = []
         self.answers_by_path: dict[str, Act] = {}
@@ -100,6 +103,8 @@
         """Until when it is cold; monotonic."""
         self.cold_calls_per_s = 0.0
         """What it bears while it is cold; 0 for no limit."""
+        self.overruns = 0
+        """How often it ended for more calls than it bore."""
         self.crashes = 0
         self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
         """Called when the runner has ended; whoever owns it may start it again."""
@@ -177,7 +182,10 @@
             return False
         most = COLD_OVERRUN * self.cold_calls_per_s + COLD_SLACK
         lately = sum(call.at_s > now_s - 1.0 for call in self.calls)
-        return lately > most
+        if lately <= most:
+            return False
+        self.overruns += 1
+        return True
 
     def _usual(self, target: str) -> Act:
         for prefix, act in self.answers_by_path.items():
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
 
     from clementineyoke_standins.soak.caller import CallRecord
-    from clementineyoke_standins.soak.operator_state import WithdrawnKey
+    from clementineyoke_standins.soak.operator_state import EmptiedZone, WithdrawnKey
 
 PROMISES = frozenset((408, 421, 429, 503))
 """Statuses that promise that the call has not run and never will."""
@@ -35,6 +35,8 @@
     call_id: str
     at_s: float
     has_run: bool
+    zone: str = ""
+    """Where the runner is."""
 
 
 class Span(NamedTuple):
@@ -54,6 +56,9 @@
     withdrawn: list[WithdrawnKey]
     left: dict[str, float]
     """When the store confirmed a runner's leave."""
+    emptied: list[EmptiedZone]
+    overruns: dict[str, int]
+    """How often a cold runner ended for more calls than it bore."""
     calm: list[Span]
     """Without fault or restart; promises with a time bind in them."""
     planned_only: list[Span]
@@ -75,6 +80,8 @@
         broken += _check_cuts(evidence, runs)
         broken += _check_keys(evidence, runs)
         broken += _check_leaves(evidence)
+        broken += _check_zones(evidence)
+        broken += _check_cold(evidence)
     return broken
 
 
@@ -159,5 +166,27 @@
             yield f"{sight.call_id}: reached {sight.runner_id} {late_s:.1f} s too late"
 
 
+def _check_zones(evidence: Evidence) -> Iterable[str]:
+    """Find calls that reached a runner of an emptied zone after the bound."""
+    for zone, from_s, until_s in evidence.emptied:
+        for sight in evidence.sights:
+            settled_s = sight.at_s - APPLY_S - CLOCK_SLACK_S
+            if sight.zone != zone or not from_s <= settled_s or sight.at_s > until_s:
+                continue
+            if _is_in(evidence.calm, settled_s, sight.at_s):
+                late_s = sight.at_s - from_s
+                yield (
+                    f"{sight.call_id}: reached {sight.runner_id} {late_s:.1f} s after"
+                    f" its zone was emptied"
+                )
+
+
+def _check_cold(evidence: Evidence) -> Iterable[str]:
+    """Find cold runners that ended for more calls than they bore."""
+    for runner_id, times in evidence.overruns.items():
+        if times:
+            yield f"{runner_id}: got more calls than it bore while cold, {times} times"
+
+
 def _is_in(spans: list[Span], from_s: float, until_s: float) -> bool:
     return any(span.from_s <= from_s and until_s <= span.until_s for span in spans)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -12,11 +12,12 @@
 
 from clementineyoke_standins.edge.edge_runner import Act
 from clementineyoke_standins.edge.edge_store import StoreFault
+from clementineyoke_standins.soak.audit import APPLY_S
 from clementineyoke_standins.soak.caller import Caller
 from clementineyoke_standins.soak.fault_proxy import LinkFault
-from clementineyoke_standins.soak.operator_state import RouteKind
+from clementineyoke_standins.soak.operator_state import COLD_CALLS_PER_S, RouteKind
 from clementineyoke_standins.soak.schedule import FaultKind
-from clementineyoke_standins.soak.soak_fleet import CRASHING_BODY
+from clementineyoke_standins.soak.soak_fleet import CRASHING_BODY, zone_name
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -50,6 +51,9 @@
 TORN_SHARE = 0.6
 CRASHING_KINDS = (RouteKind.NON_IDEMPOTENT, RouteKind.STREAM)
 CRASHING_GAP_S = 0.3
+LONG_COLD_MS = 60_000
+"""Longer than a seed: the runner's next word ends it."""
+STORE_POLL_S = 0.05
 
 
 async def send_crashing(
@@ -91,6 +95,8 @@
             FaultKind.KEY_CHANGE: self._change_key,
             FaultKind.STATE_STORM: self._storm,
             FaultKind.CRASHING_REQUEST: self._send_crashing,
+            FaultKind.ZONE_EMPTIED: self._empty_zone,
+            FaultKind.RUNNER_COLD: self._turn_cold,
         }
 
     async def play(self, fault: PlannedFault) -> None:
@@ -194,6 +200,37 @@
         async with self._lock:
             await self._fleet.state.storm(STORM_CHANGES, gap_s=STORM_GAP_S)
 
+    async def _empty_zone(self, fault: PlannedFault) -> None:
+        zone = zone_name(fault.pick)
+        await self._fleet.state.empty_zone(zone, for_s=2 * APPLY_S + fault.for_s)
+
+    async def _turn_cold(self, fault: PlannedFault) -> None:
+        """Let a runner say that it is cold, and end at more calls than it bears.
+
+        The limit binds once its word can be known: nobody hears it while the store is
+        away.
+        """
+        number = fault.pick % len(self._fleet.runners)
+        runner, link = self._fleet.runners[number], self._fleet.runner_links[number]
+        if runner.runner_id in self._fleet.state.left:
+            return
+        await self._fleet.state.enter(runner, link.listen, cold_ms=LONG_COLD_MS)
+        await self._wait_heard()
+        runner.cold_calls_per_s = COLD_CALLS_PER_S
+        runner.cold_until_s = time.monotonic() + fault.for_s
+        await asyncio.sleep(fault.for_s)
+        if runner.runner_id not in self._fleet.state.left:
+            await self._fleet.state.enter(runner, link.listen)
+
+    async def _wait_heard(self) -> None:
+        """Wait until the store has served for as long as its news may take."""
+        store = self._fleet.store
+        served_since_s = time.monotonic()
+        while time.monotonic() < served_since_s + APPLY_S:
+            if store.fault is not None or store.is_deaf:
+                served_since_s = time.monotonic()
+            await asyncio.sleep(STORE_POLL_S)
+
     async def _send_crashing(self, fault: PlannedFault) -> None:
         """Let a request that ends its runners come again and again, at any node."""
         ends_s = time.monotonic() + fault.for_s
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -22,7 +22,8 @@
 HOSTNAME = "shop.example"
 TEAM = "team-one"
 POOL = "pool"
-ZONE = "zone-0"
+COLD_S = 2.0
+COLD_CALLS_PER_S = 10.0
 OVERLAP_S = 1.0
 """How long an old key and its successor are both good, so that callers can change."""
 
@@ -43,6 +44,16 @@
     """When the store confirmed the version without it; monotonic."""
 
 
+class EmptiedZone(NamedTuple):
+    """A zone that was to get nothing new."""
+
+    zone: str
+    from_s: float
+    """When the store confirmed the order; monotonic."""
+    until_s: float
+    """When the operator began to take it back."""
+
+
 class OperatorState:
     """Write desired states and entries into the store, and remember what is owed."""
 
@@ -57,6 +68,7 @@
         self.withdrawn: list[WithdrawnKey] = []
         self.left: dict[str, float] = {}
         """When the store confirmed that a runner leaves or is gone; monotonic."""
+        self.emptied: list[EmptiedZone] = []
 
     async def begin(self) -> None:
         """Write the first desired state."""
@@ -87,10 +99,16 @@
         *,
         state: str = "ready",
         born_ms: int | None = None,
+        cold_ms: int = 0,
     ) -> None:
         """Write a runner's entry; one that has started again says when it was born."""
         spec = runner_spec(
-            pool=POOL, address=str(at), zone=ZONE, state=state, born_ms=born_ms
+            pool=POOL,
+            address=str(at),
+            zone=runner.zone,
+            state=state,
+            born_ms=born_ms,
+            cold_ms=cold_ms,
         )
         await self._store.put(names.RUNNERS_KIND, runner.runner_id, spec)
         if state != "ready":
@@ -101,10 +119,25 @@
         await self._store.remove(names.RUNNERS_KIND, runner.runner_id)
         self.left.setdefault(runner.runner_id, time.monotonic())
 
+    async def empty_zone(self, zone: str, *, for_s: float) -> None:
+        """Order that a zone's runners get nothing new, and take that back."""
+        await self._store.put(names.EVACUATIONS_KIND, zone, {})
+        from_s = time.monotonic()
+        await asyncio.sleep(for_s)
+        self.emptied.append(EmptiedZone(zone, from_s, time.monotonic()))
+        await self._store.remove(names.EVACUATIONS_KIND, zone)
+
     async def _put(self, keys: list[str]) -> None:
         self._version += 1
         routes = [_route(kind) for kind in RouteKind]
-        spec = state_spec(version=self._version, routes=routes, team=TEAM, keys=keys)
+        spec = state_spec(
+            version=self._version,
+            routes=routes,
+            team=TEAM,
+            keys=keys,
+            cold_s=COLD_S,
+            cold_calls_per_s=COLD_CALLS_PER_S,
+        )
         await self._store.put(names.STATE_KIND, names.STATE_NAME, spec)
         for key in keys:
             self.issued.setdefault(key, time.monotonic())
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -42,6 +42,10 @@
     STATE_STORM = "state_storm"
     CRASHING_REQUEST = "crashing_request"
     """A request comes that ends each runner which begins to run it."""
+    ZONE_EMPTIED = "zone_emptied"
+    """The operator wants nothing new for a zone's runners, and takes that back."""
+    RUNNER_COLD = "runner_cold"
+    """A runner bears only some calls a second for a while, and says so."""
 
 
 HARMLESS = frozenset(
@@ -50,6 +54,8 @@
         FaultKind.RUNNER_LEAVES,
         FaultKind.KEY_CHANGE,
         FaultKind.STATE_STORM,
+        FaultKind.ZONE_EMPTIED,
+        FaultKind.RUNNER_COLD,
     )
 )
 """What no promise may suffer under at all."""
@@ -57,6 +63,12 @@
 """Work of operators: it cuts no call."""
 
 
+DRAWN_APART = frozenset(
+    (FaultKind.CRASHING_REQUEST, FaultKind.ZONE_EMPTIED, FaultKind.RUNNER_COLD)
+)
+"""What is planned by itself, so that seeds from before play what they played."""
+
+
 class PlannedFault(NamedTuple):
     """One fault of a seed."""
 
@@ -85,10 +97,26 @@
     ]
 
 
+def plan_zone_work(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return when a zone is emptied and runners are cold; in every second seed."""
+    if seed % 2:
+        return []
+    rng = Random(f"zones of {seed}")
+    return [
+        PlannedFault(
+            rng.uniform(CALM_BEFORE_S, length_s),
+            kind,
+            rng.getrandbits(16),
+            rng.uniform(SHORTEST_S, LONGEST_S),
+        )
+        for kind in (FaultKind.ZONE_EMPTIED, FaultKind.RUNNER_COLD)
+    ]
+
+
 def plan_faults(seed: int, *, length_s: float) -> list[PlannedFault]:
     """Return a seed's faults in order of their beginning."""
     rng = Random(seed)
-    kinds = [kind for kind in FaultKind if kind is not FaultKind.CRASHING_REQUEST]
+    kinds = [kind for kind in FaultKind if kind not in DRAWN_APART]
     planned = []
     at_s = CALM_BEFORE_S
     while at_s < length_s:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -30,6 +30,11 @@
 CRASHING_BODY = b"ends whoever runs it"
 
 
+def zone_name(number: int) -> str:
+    """Return the zone of the node or runner with a number."""
+    return f"zone-{number % ZONES}"
+
+
 class SoakFleet:
     """Own everything of a soak; ends all of it when closed.
 
@@ -46,7 +51,10 @@
         spare = ports[len(NODE_PORTS) + 1 :]
         self.store = EdgeStore()
         self.state = OperatorState(store=self.store)
-        self.runners = [EdgeRunner(runner_id=f"runner-{n}") for n in range(runners)]
+        self.runners = [
+            EdgeRunner(runner_id=f"runner-{n}", zone=zone_name(n))
+            for n in range(runners)
+        ]
         self.runner_links: list[FaultProxy] = []
         self._runner_ports = spare[nodes : nodes + runners]
         self.store_links = [
@@ -100,6 +108,7 @@
 
     async def _start_again(self, runner: EdgeRunner, link: FaultProxy) -> None:
         await asyncio.sleep(BACK_S)
+        runner.cold_until_s = 0.0
         await runner.start()
         await link.come_up()
         if runner.runner_id not in self.state.left:
@@ -118,7 +127,7 @@
             "address": address,
             **at,
             "peer_port": self._node_ports["peer_port"],
-            "availability_zone": f"zone-{number % ZONES}",
+            "availability_zone": zone_name(number),
             "region": "region",
             "store": str(self.store_links[number].listen),
             "seeds": [seed],
@@ -126,6 +135,7 @@
             "heartbeat_ms": 1_200,
             "apply_within_ms": 2_000,
             "drain_within_ms": 2_000,
+            "evacuate_within_ms": 2_000,
             "retry_ratio": 0.2,
             "retry_allowance": 50,
             "retry_window_s": 10,
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -29,6 +29,7 @@
     PlannedFault,
     plan_crashes,
     plan_faults,
+    plan_zone_work,
 )
 from clementineyoke_standins.soak.soak_fleet import GRACE_S, SoakFleet
 
@@ -79,9 +80,11 @@
         folder: Path,
         is_timed: bool,
         has_crashes: bool = True,
+        has_zone_work: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
+        self._has_zone_work = has_zone_work
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -118,6 +121,8 @@
                 planned = plan_faults(self._seed, length_s=self._length_s)
                 if self._has_crashes:
                     planned += plan_crashes(self._seed, length_s=self._length_s)
+                if self._has_zone_work:
+                    planned += plan_zone_work(self._seed, length_s=self._length_s)
                 await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
                 recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
                 await self._change_in_calm()
@@ -159,14 +164,17 @@
         return record.status == STATUS_OK
 
     async def _change_in_calm(self) -> None:
-        """Change key and runners once more, with nothing else going on.
+        """Change key, runners and zones once more, with nothing else going on.
 
         Faults overlap from the first to the last, so that no promise with a time binds
         among them. A node that has been left deaf by them shows it here.
         """
         await asyncio.sleep(CALM_AFTER_S)
-        for kind in (FaultKind.KEY_CHANGE, FaultKind.RUNNER_LEAVES):
-            await self._acts.play(PlannedFault(0.0, kind, self._seed, 0.0))
+        kinds = [FaultKind.KEY_CHANGE, FaultKind.RUNNER_LEAVES]
+        if self._has_zone_work and self._seed % 2 == 0:
+            kinds += [FaultKind.ZONE_EMPTIED, FaultKind.RUNNER_COLD]
+        for kind in kinds:
+            await self._acts.play(PlannedFault(0.0, kind, self._seed, SEEN_S))
         await asyncio.sleep(APPLY_S + SEEN_S)
 
     async def _check_newest(self, session: aiohttp.ClientSession) -> None:
@@ -213,7 +221,9 @@
         calls += self._probe.records
         calls += [call for caller in self._acts.crashing for call in caller.records]
         sights = [
-            RunnerSight(runner.runner_id, call.call_id, call.at_s, call.has_run)
+            RunnerSight(
+                runner.runner_id, call.call_id, call.at_s, call.has_run, runner.zone
+            )
             for runner in self._fleet.runners
             for call in runner.calls
         ]
@@ -223,6 +233,8 @@
             issued=self._fleet.state.issued,
             withdrawn=self._fleet.state.withdrawn,
             left=self._fleet.state.left,
+            emptied=self._fleet.state.emptied,
+            overruns={r.runner_id: r.overruns for r in self._fleet.runners},
             calm=self._spans_without(HARMLESS, began_s),
             planned_only=self._spans_without(PLANNED, began_s),
         )
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -107,6 +107,13 @@
         "return True",
         COLD_CALLS,
     ),
+    Mutation(
+        "a runner that took no connections counts as warm",
+        f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
+        "            self._expect_cold(runner_id, now_ms)\n",
+        "",
+        f"{NODE}/tests/slots/slot_home.feature",
+    ),
     Mutation(
         "a node takes a cold runner without its home",
         f"{NODE}/src/clementineyoke_node/slots/slot_broker.py",
