Let a runner of the soak go on saying when it was born

Ruled out by the nodes' logs: store away (it had been back for 1.7 s), homes moving, grants without a home.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -69,6 +69,7 @@
         self.left: dict[str, float] = {}
         """When the store confirmed that a runner leaves or is gone; monotonic."""
         self.emptied: list[EmptiedZone] = []
+        self._born_ms: dict[str, int] = {}
 
     async def begin(self) -> None:
         """Write the first desired state."""
@@ -101,13 +102,18 @@
         born_ms: int | None = None,
         cold_ms: int = 0,
     ) -> None:
-        """Write a runner's entry; one that has started again says when it was born."""
+        """Write a runner's entry; one that has started again says when it was born.
+
+        It goes on saying so: an entry without it would be the lifetime's before.
+        """
+        if born_ms is not None:
+            self._born_ms[runner.runner_id] = born_ms
         spec = runner_spec(
             pool=POOL,
             address=str(at),
             zone=runner.zone,
             state=state,
-            born_ms=born_ms,
+            born_ms=self._born_ms.get(runner.runner_id),
             cold_ms=cold_ms,
         )
         await self._store.put(names.RUNNERS_KIND, runner.runner_id, spec)
