--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_door.py
@@ -46,6 +46,7 @@
             "node": state.config.node_id,
             "state_revision": io.view.state_revision,
             "runners_revision": io.view.runners_revision,
+            "evacuated_zones": state.table.evacuated_zones(),
             "in_flight": state.in_flight.count,
             "nodes": {
                 node.node_id: members.state(node.node_id).name.lower()
