--- a/packages/clementineyoke-core/src/clementineyoke_core/membership.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/membership.py
@@ -16,7 +16,7 @@
 MISSES_UNTIL_DOWN = 3
 RUMOURS_A_MESSAGE = 12
 """When a zone's nodes die together the news of each has to get round within seconds.
-With few a message it waits for the others'; twelve take 430 bytes."""
+With few a message it waits for the others'; twelve take some 400 bytes."""
 RUMOUR_SPREAD_FACTOR = 3
 
 
