--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -149,6 +149,11 @@
         self.revision = max(self.revision, changes.revision)
         return any(removed) or any(put)
 
+    def lacks(self, record: RunnerRecord) -> bool:
+        """Whether a record is newer than what is known of its runner."""
+        known = self._records.get(record.runner.runner_id)
+        return known is None or known.revision < record.revision
+
     def is_newest(self, record: RunnerRecord) -> bool:
         """Whether a record is the newest that is known of its runner."""
         known = self._records.get(record.runner.runner_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -122,9 +122,10 @@
         self, view: DirectoryView, *, source: str, is_zone_told: bool = False
     ) -> None:
         """Take the whole list of runners as of a revision."""
+        words = self._unheard(view.records)
         if self._directory.replace(view, now_ms=self._timers.now_ms()):
             self._apply(source)
-            self._note_cold(view.records)
+            self._note_cold(words)
             if not is_zone_told:
                 self._on_news(None)
         self._note_ready()
@@ -133,9 +134,10 @@
         self, changes: DirectoryChanges, *, source: str, is_zone_told: bool = False
     ) -> None:
         """Take what changed among the runners."""
+        words = self._unheard(changes.records)
         if self._directory.apply(changes, now_ms=self._timers.now_ms()):
             self._apply(source)
-        self._note_cold(changes.records)
+        self._note_cold(words)
         if not is_zone_told:
             self._on_news(self._with_lapses(changes))
 
@@ -253,8 +255,16 @@
             if record.runner.availability_zone == zone:
                 self._cold.assume_cold(record.runner, now_ms=now_ms)
 
-    def _note_cold(self, records: Iterable[RunnerRecord]) -> None:
-        """Take the runners' words on being cold, unless a newer word is known."""
+    def _unheard(self, records: Iterable[RunnerRecord]) -> list[RunnerRecord]:
+        """Return the entries that are newer than what is known of their runners.
+
+        Lists repeat what runners said long ago: a runner that counts as cold since then
+        would be taken for warm by its old word.
+        """
+        return [record for record in records if self._directory.lacks(record)]
+
+    def _note_cold(self, records: list[RunnerRecord]) -> None:
+        """Take the runners' words on being cold, unless the directory refused them."""
         now_ms = self._timers.now_ms()
         for record in records:
             if self._directory.is_newest(record):
--- a/packages/clementineyoke-node/tests/edge/evacuation.feature
+++ b/packages/clementineyoke-node/tests/edge/evacuation.feature
@@ -65,6 +65,20 @@
     When it is told that no zone is emptied
     Then it is ready
 
+  Scenario: An entry is told again after the zone's return
+    # Symptom: the runners of a zone end as it is taken back, on some days only.
+    # Sequence: the zone returns and its runners count as cold; a second watcher
+    #   tells of a change that is known, in what they said before.
+    # Cause: each repetition was taken for a new word.
+    Given a view of a node that follows the orders
+    When it is told the desired state and a runner in "east"
+    And "east" is emptied and returns
+    Then the runner counts as cold
+    When the same entry is told again
+    Then the runner counts as cold
+    When the runner says that it is warm
+    Then the runner counts as warm
+
   Scenario: The store turns a node away
     # Symptom: one node goes on sending to the emptied zone, all others do not.
     # Sequence: the store turns one node away and serves the others; the zone is emptied.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -107,6 +107,13 @@
         "if False:",
         COLD,
     ),
+    Mutation(
+        "a repeated word makes a runner warm",
+        f"{EDGE}/fleet_view.py",
+        "return [record for record in records if self._directory.lacks(record)]",
+        "return list(records)",
+        EVACUATION,
+    ),
     Mutation(
         "a home grants on cold runners by slots alone",
         f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
