Fetch a prompt from the runner that answered for it last

A runner was told to fetch from the first other one of the prompt's order; after a release that is the new runner, after a zone's return another one that was emptied with it.

Also: an emptied runner that is dark counted as one to fetch from, since it was not seen as quarantined; it is now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
@@ -49,7 +49,7 @@
             if self._table.is_ready(runner_id):
                 found_ready = True
                 yield runner_id
-            elif self._table.is_quarantined(runner_id):
+            elif self._table.may_be_pressed(runner_id):
                 quarantined.append(runner_id)
         if not found_ready:
             yield from quarantined
@@ -57,8 +57,8 @@
     def holders(self, pool: str, key: int) -> Iterator[str]:
         """Yield who may hold what was cached by a key, the most likely first.
 
-        Runners that are leaving still answer for their caches, and before they began
-        to leave they stood in the key's order as now.
+        Runners that are leaving, or whose zone is emptied, still answer for their
+        caches, and before that they stood in the key's order as now.
         """
         ring = self._rings.get(pool)
         if ring is None:
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -103,7 +103,12 @@
         return entry is not None and entry.runner.lifetime == runner.lifetime
 
     def is_quarantined(self, runner_id: str) -> bool:
-        """Tell whether a runner is out for a while after failures only."""
+        """Tell whether a runner is out for a while after failures."""
+        entry = self._entries.get(runner_id)
+        return entry is not None and entry.state is RunnerState.QUARANTINED
+
+    def may_be_pressed(self, runner_id: str) -> bool:
+        """Tell whether a quarantined runner may get calls if no other one can."""
         entry = self._entries.get(runner_id)
         if entry is None or self.is_evacuated(entry.runner):
             return False
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -9,6 +9,7 @@
 from clementineyoke_core.edge.crash_records import CrashRecords
 from clementineyoke_core.edge.displacement import PLAIN_SHARE
 from clementineyoke_core.edge.patience import Patience
+from clementineyoke_core.edge.prompt_holders import PromptHolders
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_watch import RunnerWatch
 from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
@@ -269,6 +270,7 @@
             rings=state.rings,
             table=state.table,
             patience=Patience(),
+            holders=PromptHolders(),
             timers=self.timers,
             decisions=state.decisions,
             membership=state.membership,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_attempts.py
@@ -21,6 +21,7 @@
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.patience import Patience
+    from clementineyoke_core.edge.prompt_holders import PromptHolders
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.pool_rings import PoolRings
     from clementineyoke_core.runner import Runner
@@ -47,6 +48,7 @@
         rings: PoolRings,
         table: RunnerTable,
         patience: Patience,
+        holders: PromptHolders,
         timers: TimerService,
         decisions: DecisionRing,
         membership: Membership,
@@ -56,6 +58,7 @@
         self._rings = rings
         self._table = table
         self._patience = patience
+        self._holders = holders
         self._timers = timers
         self._decisions = decisions
         self._membership = membership
@@ -164,6 +167,7 @@
                     admitted.route, after_ms=self._timers.now_ms() - begun_ms
                 )
                 is_first = False
+                self._note_holder(admitted, runner)
             await stream.feed(chunk)
         if stream.has_part:
             raise AttemptError(
@@ -205,6 +209,9 @@
         """
         if admitted.prompt_key is None:
             return None
+        last = self._last_holder(admitted.prompt_key)
+        if last is not None and last.runner_id != runner.runner_id:
+            return f"{last.address}:{last.port}"
         for holder_id in self._rings.holders(admitted.pool, admitted.prompt_key):
             entry = self._table.get(holder_id)
             if holder_id == runner.runner_id or entry is None:
@@ -212,6 +219,20 @@
             return f"{entry.runner.address}:{entry.runner.port}"
         return None
 
+    def _last_holder(self, prompt_key: int) -> Runner | None:
+        """Return the runner that answered for a prompt last, if it can be asked."""
+        last = self._holders.last(prompt_key, now_ms=self._timers.now_ms())
+        if last is None or not self._table.is_current(last):
+            return None
+        # One that is dark would hold up the runner that fetches from it.
+        return None if self._table.is_quarantined(last.runner_id) else last
+
+    def _note_holder(self, admitted: AdmittedCall, runner: Runner) -> None:
+        if admitted.prompt_key is not None:
+            self._holders.record_answer(
+                admitted.prompt_key, runner, now_ms=self._timers.now_ms()
+            )
+
     def _alarm(self, admitted: AdmittedCall, runner: Runner) -> OverdueAlarm:
         after_ms = self._patience.overdue_ms(
             admitted.route, prompt_tokens=admitted.prompt_tokens
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -107,6 +107,13 @@
         "if False:",
         COLD,
     ),
+    Mutation(
+        "prompts are fetched by the ring's order alone",
+        f"{DECISIONS}/edge/prompt_holders.py",
+        "        return holding.runner\n",
+        "        return None\n",
+        f"{PURE}/prompt_holders.feature",
+    ),
     Mutation(
         "a repeated word makes a runner warm",
         f"{EDGE}/fleet_view.py",
