Bind only those cold runners by their homes' word whose pool has a rate

Cause, found by reading: a runner that says it is cold in a pool without a rate was not taken when its home was silent, though nothing limits it.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -302,7 +302,8 @@
         )
 
     def _is_cold(self, runner: Runner) -> bool:
-        return bool(self._state.cold.left_ms(runner, now_ms=self.timers.now_ms()))
+        now_ms = self.timers.now_ms()
+        return self._state.cold.calls_per_s(runner, now_ms=now_ms) is not None
 
     def _hear_gossip(self, node: Node, gossip: Gossip) -> None:
         self.crashes.take_notes(gossip.crashes)
