--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/prompt_holders.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/prompt_holders.py
@@ -11,7 +11,7 @@
 """How long a runner is taken to hold a prompt that it has read: by then others may have
 taken its place in the cache."""
 MOST_PROMPTS = 4_096
-"""Prompts that are remembered, 0.6 MB; after that all are learned anew."""
+"""Prompts that are remembered, 0.7 MB; after that all are learned anew."""
 
 
 class _Holding(NamedTuple):
--- a/packages/clementineyoke-core/tests/steps/prompt_holders_steps.py
+++ b/packages/clementineyoke-core/tests/steps/prompt_holders_steps.py
@@ -58,8 +58,8 @@
     def call(self, now_ms):
         key = hash_text(f"prompt-{self.rng.randrange(PROMPTS)}")
         order = list(self.ring.order(key))
-        is_open = [name for name in order if name not in self.emptied]
-        chosen = is_open[1] if self.rng.random() < BUSY_SHARE else is_open[0]
+        open_names = [name for name in order if name not in self.emptied]
+        chosen = open_names[1] if self.rng.random() < BUSY_SHARE else open_names[0]
         memory = self.memories[self.rng.randrange(NODES)]
         source = self._source(memory, key, order, chosen, now_ms)
         holders = self.held.setdefault(key, set())
--- a/packages/clementineyoke-node/tests/edge/cold_runners.feature
+++ b/packages/clementineyoke-node/tests/edge/cold_runners.feature
@@ -30,6 +30,11 @@
     When the runner's home falls silent and 40 calls come at the other node
     Then no runner has ended
 
+  Scenario: An operator asks why a chat was sent elsewhere
+    Given a fleet of 1 node and 2 runners, of which 1 have just started
+    When 30 calls come within a second
+    Then the decision on one of them names the cold runner that was passed over
+
   Scenario: A runner turns warm
     Given a fleet of 1 node and 2 runners, of which 2 have just started
     When the runners say that they are warm
--- a/packages/clementineyoke-node/tests/steps/cold_runner_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cold_runner_steps.py
@@ -122,6 +122,18 @@
     assert statuses.count(200) > len(statuses) / 2, statuses
 
 
+@then("the decision on one of them names the cold runner that was passed over")
+def check_explained(context):
+    decisions = context.fleet.nodes[0].state.decisions
+    found = [
+        line["fields"]["passed_over"]
+        for number in range(len(context.answers))
+        for line in decisions.find(f"call-{number}")
+        if line["event"] == "routed"
+    ]
+    assert {context.cold[0].runner_id: "cold"} in found, found
+
+
 @then("those that are refused have not run and are told when to return")
 def check_refusals(context):
     ran = {call.call_id for call in context.fleet.calls()}
