--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEEDS ?= 1-50
 PACKAGES := core wire node cli standins
 
-.PHONY: setup demo test bench capacity model lint events faults soak mutations experiment clean
+.PHONY: setup demo test bench capacity model lint events faults soak mutations experiment profile clean
 
 setup: $(VENV)/.ready
 
@@ -47,6 +47,9 @@
 soak: setup
 	$(BIN)/python -m clementineyoke_standins.console.soak --seeds=$(SEEDS) --kept
 
+profile: setup
+	$(BIN)/python -m clementineyoke_standins.console.profile
+
 mutations: setup
 	$(BIN)/python tools/mutations.py
 
--- /dev/null
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/profile.py
@@ -0,0 +1,173 @@
+"""``make profile``: where a node's processor time goes on the way of a request."""
+
+from __future__ import annotations
+
+import asyncio
+import cProfile
+import pstats
+from collections import defaultdict
+from contextlib import AsyncExitStack
+from typing import Any
+
+import aiohttp
+import fire
+import msgspec
+from aiohttp import web
+
+from clementineyoke_node.config.edge_config import EdgeConfig
+from clementineyoke_node.edge.edge_service import EdgeService
+from clementineyoke_node.platform import names
+from clementineyoke_standins.edge.edge_runner import Act, EdgeRunner
+from clementineyoke_standins.edge.edge_store import EdgeStore
+from clementineyoke_standins.edge.written_specs import (
+    route_spec,
+    runner_spec,
+    state_spec,
+)
+from clementineyoke_standins.soak.loopback import free_ports
+
+LOCAL = "127.0.0.1"
+NODE = "127.0.0.2"
+HOSTNAME = "shop.example"
+POOL = "pool"
+KEY = "key-one"
+TEAM = "team-one"
+RUNNERS = 4
+STREAM_PATH = "/streaming/"
+PLAIN_PATH = "/non_idempotent/"
+PROMPT = "5c1e07a2:512,91bd3f06:10000,e4402b7d:1300"
+OURS = "clementineyoke_"
+SHOWN = 14
+
+
+class ProfiledNode:
+    """Own one node with its stand-ins, all in this process."""
+
+    def __init__(self) -> None:
+        self._stack = AsyncExitStack()
+        *self._node_ports, self._store_port = free_ports(6)
+
+    async def __aenter__(self) -> ProfiledNode:
+        """Start the store, the runners and the node."""
+        store = EdgeStore()
+        server = web.AppRunner(store.application(), shutdown_timeout=0.1)
+        await server.setup()
+        self._stack.push_async_callback(server.cleanup)
+        await web.TCPSite(server, LOCAL, self._store_port).start()
+        await self._fill(store)
+        node = EdgeService(config=self._config())
+        await self._stack.enter_async_context(node)
+        await node.io.view.ready.wait()
+        self._session = await self._stack.enter_async_context(aiohttp.ClientSession())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """End everything."""
+        await self._stack.aclose()
+
+    async def call(self, path: str, number: int) -> None:
+        """Make one call and read its whole answer."""
+        headers = {
+            "Host": HOSTNAME,
+            names.CALL_ID: f"call-{number}",
+            names.TIME_LEFT_MS: "5000",
+            names.AUTHORIZATION: f"{names.KEY_SCHEME}{KEY}",
+        }
+        if path == STREAM_PATH:
+            headers[names.PROMPT_PARTS] = PROMPT
+        url = f"http://{NODE}:{self._node_ports[0]}{path}x"
+        async with self._session.post(url, headers=headers) as response:
+            await response.read()
+
+    async def _fill(self, store: EdgeStore) -> None:
+        routes = [
+            route_spec(
+                hostname=HOSTNAME,
+                kind=path.strip("/"),
+                pool=POOL,
+                most_runners=1,
+                is_resumable=False,
+            )
+            for path in (STREAM_PATH, PLAIN_PATH)
+        ]
+        state = state_spec(version=1, routes=routes, team=TEAM, keys=[KEY])
+        await store.put(names.STATE_KIND, names.STATE_NAME, state)
+        for number in range(RUNNERS):
+            runner = EdgeRunner(runner_id=f"runner-{number}")
+            runner.answers_by_path = {STREAM_PATH: Act.STREAM}
+            await self._stack.enter_async_context(runner)
+            spec = runner_spec(
+                pool=POOL, address=f"{LOCAL}:{runner.port}", zone="zone", state="ready"
+            )
+            await store.put(names.RUNNERS_KIND, runner.runner_id, spec)
+
+    def _config(self) -> EdgeConfig:
+        front, ready, directory, control, peer = self._node_ports
+        document: dict[str, Any] = {
+            "node_id": "node-0",
+            "address": NODE,
+            "front": f"{NODE}:{front}",
+            "ready": f"{NODE}:{ready}",
+            "directory": f"{NODE}:{directory}",
+            "control": f"{NODE}:{control}",
+            "peer_port": peer,
+            "availability_zone": "zone",
+            "region": "region",
+            "store": f"{LOCAL}:{self._store_port}",
+            "seeds": [],
+            "peer_keys": ["profile"],
+            "heartbeat_ms": 1_200,
+            "retry_ratio": 0.2,
+            "retry_allowance": 50,
+            "retry_window_s": 10,
+            "cap_factor": 2,
+            "apply_within_ms": 2_000,
+            "drain_within_ms": 2_000,
+            "evacuate_within_ms": 5_000,
+            "stop_deadline_s": 8,
+            "longest_keep_s": 5,
+        }
+        return msgspec.convert(document, EdgeConfig)
+
+
+def run(calls: int = 500, *, path: str = STREAM_PATH) -> None:
+    """Make calls one after the other and print shares of processor time.
+
+    The stand-ins and the caller run in the same process: what is theirs is shown apart.
+    Shares count; times are longer than without the profiler.
+    """
+    profiler = cProfile.Profile()
+    asyncio.run(_measure(profiler, calls, path))
+    _report(pstats.Stats(profiler), calls)
+
+
+async def _measure(profiler: cProfile.Profile, calls: int, path: str) -> None:
+    async with ProfiledNode() as node:
+        await node.call(path, 0)
+        profiler.enable()
+        for number in range(1, calls + 1):
+            await node.call(path, number)
+        profiler.disable()
+
+
+def _report(stats: pstats.Stats, calls: int) -> None:
+    own_s: dict[str, float] = defaultdict(float)
+    for (file, _, _), (_, _, spent_s, _, _) in stats.stats.items():  # type: ignore[attr-defined]
+        own_s[_part_of(file)] += spent_s
+    total_s = sum(own_s.values())
+    for part, spent_s in sorted(own_s.items(), key=lambda item: -item[1])[:SHOWN]:
+        print(f"{part:50} {spent_s / total_s:6.1%} {1e6 * spent_s / calls:8.0f} us")
+
+
+def _part_of(file: str) -> str:
+    """Return our module, or the library that a file belongs to."""
+    place = file.replace("\\", "/")
+    if OURS in place:
+        return place[place.rindex(OURS) :]
+    if "site-packages/" in place:
+        return place.split("site-packages/")[1].split("/")[0]
+    return "interpreter and standard library"
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
