--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
@@ -29,7 +29,7 @@
 
     With a watch of its own on each node the calls to the store grow with the fleet: on
     59 nodes they cost a sixth of all that was earned, and each change woke every node
-    twice. One node a zone watches instead, and tells the rest of its zone. Whoever
+    twice. One or two nodes a zone watch instead, and tell the rest of it. Whoever
     learns of a change in another way than from its zone tells the zone as well: a zone
     whose watchers are cut off hears of it by gossip once.
     """
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_state.py
@@ -26,10 +26,10 @@
 
     from clementineyoke_node.config.node_place import NodePlace
 
-LEAST_WATCHERS = 2
-"""Of the whole fleet, so that the loss of one leaves nobody without news. One a zone is
-enough beyond that: each change is a call of every watcher, and a zone whose only one is
-cut off hears of changes by gossip, and asks by itself when it does not."""
+WATCHERS_A_ZONE = 2
+MANY_ZONES = 4
+"""From this many zones on, one watcher a zone: each change is a call of every watcher,
+and a zone whose only one is cut off hears of changes by gossip from the others."""
 SNAPSHOT_DUTY = "settings snapshot"
 MS_PER_S = 1000
 
@@ -100,11 +100,11 @@
 
 
 def choose_watchers(nodes: Iterable[Node]) -> set[str]:
-    """Return who watches the store: each zone's strongest host, which tells it."""
+    """Return who watches the store: each zone's strongest hosts, which tell it."""
     zones: dict[str, list[Node]] = {}
     for node in nodes:
         zones.setdefault(node.availability_zone, []).append(node)
-    wanted = 1 if len(zones) >= LEAST_WATCHERS else LEAST_WATCHERS
+    wanted = 1 if len(zones) >= MANY_ZONES else WATCHERS_A_ZONE
     return {
         node.node_id
         for zone_nodes in zones.values()
