Log what answers say of their runners: that they leave, that they want rest

Sight, no decision changes. runner_leaving (221) names an answer that says its runner leaves, runner_resting (222) a refusal that asks for no calls, with its time; both bear the request's id, so explain shows them. The stand-in runner says both.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -23,6 +23,7 @@
 from clementineyoke_node.edge.peer_states import PeerStates
 from clementineyoke_node.edge.runner_attempts import RunnerAttempts
 from clementineyoke_node.edge.runner_link import RunnerLink
+from clementineyoke_node.edge.runner_words import RunnerWords
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.fleet.gossiper import Gossiper
 from clementineyoke_node.fleet.introducer import Introducer
@@ -77,7 +78,8 @@
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
-        self.link = RunnerLink(timers=self.timers)
+        self.words = RunnerWords(decisions=state.decisions)
+        self.link = RunnerLink(timers=self.timers, words=self.words)
         self.watch = RunnerWatch(table=state.table)
         self.socket = PeerSocket(
             seal=state.seal,
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_words.py
@@ -0,0 +1,38 @@
+"""What runners say of themselves in their answers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_wire.events import Event
+
+if TYPE_CHECKING:
+    from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.runner import Runner
+    from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.platform.runner_codec import AnswerHead
+
+
+class RunnerWords:
+    """Hear what the head of each answer says of its runner."""
+
+    def __init__(self, *, decisions: DecisionRing) -> None:
+        self._decisions = decisions
+
+    def hear(self, runner: Runner, call: EdgeCall, head: AnswerHead) -> None:
+        """Take what an answer, a refusal or the beginning of a stream says."""
+        if head.is_leaving:
+            self._decisions.record(
+                Event.RUNNER_LEAVING,
+                request_id=call.call_id,
+                runner=runner.runner_id,
+                status=head.status,
+            )
+        if head.rest_ms:
+            self._decisions.record(
+                Event.RUNNER_RESTING,
+                request_id=call.call_id,
+                runner=runner.runner_id,
+                status=head.status,
+                rest_ms=round(head.rest_ms),
+            )
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -12,7 +12,12 @@
 
     from clementineyoke_core.edge.edge_call import EdgeCall
 
+MS_PER_S = 1000.0
 STATUS_MISDIRECTED = 421
+RESTING_STATUSES = frozenset((429, 503))
+"""Refusals with which a runner may ask for no calls for a while."""
+LONGEST_REST_MS = 3_600_000.0
+"""A longer time is taken for this: no restart takes an hour."""
 EVENT_STREAM = "text/event-stream"
 
 
@@ -37,6 +42,10 @@
     is_refusal: bool
     """Whether the runner says that it did not run the call."""
     has_proof: bool
+    is_leaving: bool
+    """Whether the runner says that it is leaving."""
+    rest_ms: float
+    """For how long the runner wants no calls from this node; 0 if it does not say."""
     is_event_stream: bool
     passed_headers: list[tuple[str, str]]
 
@@ -65,6 +74,26 @@
         call_id=fields.get(names.CALL_ID, ""),
         is_refusal=names.NOT_EXECUTED in fields or status == STATUS_MISDIRECTED,
         has_proof=names.PROOF in fields,
+        is_leaving=_says_leaving(status, fields),
+        rest_ms=_decode_rest_ms(status, fields),
         is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
         passed_headers=end_to_end(list(fields.items())),
     )
+
+
+def _says_leaving(status: int, fields: CIMultiDictProxy[str]) -> bool:
+    # A misdirected call was answered by another runner, which speaks for itself.
+    if status == STATUS_MISDIRECTED:
+        return False
+    return fields.get(names.LEAVING, "").strip() == names.LEAVING_VALUE
+
+
+def _decode_rest_ms(status: int, fields: CIMultiDictProxy[str]) -> float:
+    """Return the time that comes with a refusal; 0 without one that can be read."""
+    if status not in RESTING_STATUSES:
+        return 0.0
+    try:
+        rest_ms = float(fields.get(names.RETRY_AFTER, "")) * MS_PER_S
+    except ValueError:
+        return 0.0
+    return min(rest_ms, LONGEST_REST_MS) if rest_ms > 0.0 else 0.0
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -105,6 +105,10 @@
         """What it bears while it is cold; 0 for no limit."""
         self.overruns = 0
         """How often it ended for more calls than it bore."""
+        self.is_leaving = False
+        """Whether all its answers say that it leaves."""
+        self.rest_s = 0.0
+        """How long its refusals ask for no calls; 0 for refusals without a time."""
         self.crashes = 0
         self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
         """Called when the runner has ended; whoever owns it may start it again."""
@@ -187,6 +191,10 @@
         self.overruns += 1
         return True
 
+    def _words(self) -> dict[str, str]:
+        """Return what every answer says of the runner itself."""
+        return {names.LEAVING: names.LEAVING_VALUE} if self.is_leaving else {}
+
     def _usual(self, target: str) -> Act:
         for prefix, act in self.answers_by_path.items():
             if target.startswith(prefix):
@@ -207,9 +215,11 @@
         if act is Act.CROSSED:
             call_id = "another-call"
         status = STATUSES.get(act, "200 OK")
-        fields = {names.CALL_ID: call_id}
+        fields = {names.CALL_ID: call_id, **self._words()}
         if act is Act.REFUSE:
             fields[names.NOT_EXECUTED] = "1"
+            if self.rest_s:
+                fields[names.RETRY_AFTER] = f"{self.rest_s:g}"
         elif act is not Act.NO_PROOF:
             fields[names.PROOF] = PROOF
         if act in (Act.UNFRAMED, Act.UNFRAMED_RESET):
@@ -250,6 +260,7 @@
         fields = {
             names.CALL_ID: call_id,
             names.PROOF: PROOF,
+            **self._words(),
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
