Send no more calls to a runner whose answers say that it leaves

Callers saw calls reach a runner for up to 11 s after its answers said that it leaves, while the store was away; such a call is lost when the runner exits. Cause: a runner was taken for leaving by its entry in the store alone; nobody read what its answers say. Now the directory takes the word of any answer, refusal or beginning of a stream: that lifetime leaves, whatever its entry says before or after, also over a lapse of its entry. The node tells its zone and the runner's home, with the messages that there were; a node that starts gets it with the runners' list. A 421 is another runner's word and changes nothing. Works because the word is final within a lifetime: merged in any order, views agree. The broker also goes on to the next runner when the one granted has left meanwhile; before, it refused the call. The scenario on what operators are told was one with two answers of one runner, the second of which no longer comes; it is two with the same checks.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.edge.runner_record import (
     RunnerRecord,  # noqa: TC001 - msgspec reads it
 )
 
+if TYPE_CHECKING:
+    from clementineyoke_core.runner import Runner
+
 RETURN_TIME_MS = 2_200.0
 """Entries that lapsed with the store are back about 2 s after its return, which a node
 notices some hundred ms late. A node that was cut off for itself is bound by the store's
@@ -16,6 +19,8 @@
 FIRST_LOOK_MS = 50.0
 """After a node has noticed the store's return: what it is shown within this time may
 have happened in the outage. The first answer is taken in the same turn of the loop."""
+MOST_LEAVING = 1_024
+"""Lifetimes known to leave; beyond a day's restarts the oldest is forgotten."""
 LIVE_END_SHARE = 0.7
 """Longest wait for a runner whose entry was seen to end with the store there, as a
 share of the operator's bound on new work for leaving runners."""
@@ -74,12 +79,17 @@
     A runner may start anew under its id. What the lifetime before it wrote or tells
     late then changes nothing: seen otherwise as a new runner that is taken for a
     leaving one, or that is dropped with its predecessor's entry.
+
+    A lifetime that has said in an answer that it leaves does not stay, whatever its
+    entry says: the entry is written earlier, and later or never if the store is away.
     """
 
     def __init__(self, *, drain_within_ms: float) -> None:
         self._longest_live_wait_ms = LIVE_END_SHARE * drain_within_ms
         self._records: dict[str, RunnerRecord] = {}
         self._lapsed: dict[str, float] = {}
+        self._leaving: dict[str, None] = {}
+        """Lifetimes that have said in an answer that they leave, the oldest first."""
         self._is_store_away = False
         self._outage_ended_ms = -RETURN_TIME_MS
         self.revision = 0
@@ -149,6 +159,18 @@
         self.revision = max(self.revision, changes.revision)
         return any(removed) or any(put)
 
+    def record_leaving(self, runner: Runner) -> DirectoryChanges | None:
+        """Note that a runner has said in an answer that it leaves.
+
+        Returns what to tell other nodes, or None if nothing changed here.
+        """
+        self._note_leaving(runner)
+        known = self._records.get(runner.runner_id)
+        if known is None or not self._mark_leaving(known, runner):
+            return None
+        record = self._records[runner.runner_id]
+        return DirectoryChanges(self.revision, self.revision, (record,), ())
+
     def lacks(self, record: RunnerRecord) -> bool:
         """Whether a record is newer than what is known of its runner."""
         known = self._records.get(record.runner.runner_id)
@@ -194,14 +216,30 @@
         if known is not None:
             if known.revision >= record.revision:
                 # Old news of an entry that may have ended since: no sign of its return.
-                return False
+                # Another node may have heard in an answer that its runner leaves.
+                return record.is_leaving and self._mark_leaving(known, record.runner)
             if record.runner.born_ms < known.runner.born_ms:
                 # A write of the lifetime before, done late by the store.
                 return False
+        if record.runner.lifetime in self._leaving:
+            record = record._replace(is_leaving=True)
         self._lapsed.pop(runner_id, None)
         self._records[runner_id] = record
         return known is None or known[:2] != record[:2]
 
+    def _mark_leaving(self, known: RunnerRecord, runner: Runner) -> bool:
+        """Take a known runner for leaving; return whether that is news."""
+        if known.is_leaving or known.runner.lifetime != runner.lifetime:
+            return False
+        self._note_leaving(runner)
+        self._records[runner.runner_id] = known._replace(is_leaving=True)
+        return True
+
+    def _note_leaving(self, runner: Runner) -> None:
+        self._leaving[runner.lifetime] = None
+        if len(self._leaving) > MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+
     def _end(self, ended: RunnerRemoval, now_ms: float) -> bool:
         record = self._records.get(ended.runner_id)
         if record is None or record.revision > ended.revision:
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -102,6 +102,11 @@
         entry = self._entries.get(runner.runner_id)
         return entry is not None and entry.runner.lifetime == runner.lifetime
 
+    def is_leaving(self, runner_id: str) -> bool:
+        """Tell whether a runner is known to leave, or is gone."""
+        entry = self._entries.get(runner_id)
+        return entry is None or entry.state is RunnerState.DRAINING
+
     def is_quarantined(self, runner_id: str) -> bool:
         """Tell whether a runner is out for a while after failures."""
         entry = self._entries.get(runner_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -78,7 +78,9 @@
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
-        self.words = RunnerWords(decisions=state.decisions)
+        self.words = RunnerWords(
+            decisions=state.decisions, on_leaving=self._hear_leaving
+        )
         self.link = RunnerLink(timers=self.timers, words=self.words)
         self.watch = RunnerWatch(table=state.table)
         self.socket = PeerSocket(
@@ -307,6 +309,20 @@
         now_ms = self.timers.now_ms()
         return self._state.cold.calls_per_s(runner, now_ms=now_ms) is not None
 
+    def _hear_leaving(self, runner: Runner) -> bool:
+        """Take a runner's word that it leaves; return whether it is news.
+
+        Its home refuses it to nodes that no answer has told, also in other zones.
+        """
+        news = self.view.hear_leaving(runner)
+        if news is None:
+            return False
+        home_id = self._state.region_homes.home_of(runner.runner_id)
+        home = None if home_id is None else self._state.membership.node(home_id)
+        if home is not None:
+            self.news.tell_node(home, news)
+        return True
+
     def _hear_gossip(self, node: Node, gossip: Gossip) -> None:
         self.crashes.take_notes(gossip.crashes)
         if gossip.evacuations_version > self.view.evacuations.view.revision:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -28,6 +28,7 @@
     )
     from clementineyoke_core.edge.runner_record import RunnerRecord
     from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
+    from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.timers.timer_service import TimerService
 
@@ -141,6 +142,18 @@
         if not is_zone_told:
             self._on_news(self._with_lapses(changes))
 
+    def hear_leaving(self, runner: Runner) -> DirectoryChanges | None:
+        """Take a runner's word in an answer that it leaves, and tell the zone.
+
+        Returns the news, or None if it was known. The store may hear of it much later,
+        and the runner ends soon after that.
+        """
+        news = self._directory.record_leaving(runner)
+        if news is not None:
+            self._apply("answer")
+            self._on_news(news)
+        return news
+
     def take_evacuations(
         self, view: EvacuationView, *, source: str, is_zone_told: bool = False
     ) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/news_cast.py
@@ -59,6 +59,11 @@
         if peers:
             self._socket.send_all(peers, self._news(changes))
 
+    def tell_node(self, node: Node, changes: DirectoryChanges) -> None:
+        """Tell one node, which passes it on to its zone if that is another one."""
+        if node != self._membership.own:
+            self._socket.send(PeerAddress.of(node), self._news(changes))
+
     def _news(self, changes: DirectoryChanges | None) -> StoreNews:
         ages = self._view.ages()
         known = self._view.runners_revision
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_words.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_words.py
@@ -7,6 +7,8 @@
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
@@ -16,12 +18,16 @@
 class RunnerWords:
     """Hear what the head of each answer says of its runner."""
 
-    def __init__(self, *, decisions: DecisionRing) -> None:
+    def __init__(
+        self, *, decisions: DecisionRing, on_leaving: Callable[[Runner], bool]
+    ) -> None:
+        """Take the parts; ``on_leaving`` tells whether a runner's leaving is news."""
         self._decisions = decisions
+        self._on_leaving = on_leaving
 
     def hear(self, runner: Runner, call: EdgeCall, head: AnswerHead) -> None:
         """Take what an answer, a refusal or the beginning of a stream says."""
-        if head.is_leaving:
+        if head.is_leaving and self._on_leaving(runner):
             self._decisions.record(
                 Event.RUNNER_LEAVING,
                 request_id=call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -91,13 +91,15 @@
                 search.record_silence(attempt)
             elif is_successful(answer):
                 reason = "affinity" if attempt.rank == 0 else "displaced"
-                return self._keep(
+                lease = self._keep(
                     runner,
                     attempt,
                     ask_id,
                     reason=reason,
                     passed_over=self._explain_held(search),
                 )
+                if lease is not None:
+                    return lease
             else:
                 refusal = answer.failure()
                 search.record_refusal(
@@ -308,14 +310,20 @@
         reason: str,
         passed_over: tuple[PassedOver, ...] = (),
     ) -> SlotLease | None:
-        if not self._table.is_current(runner) or self._table.is_evacuated(runner):
-            # It ended, or its zone was emptied, while the home was asked.
+        if not self._takes_calls(runner):
+            # It changed while the home was asked.
             self._give_back(runner, ask_id)
             return None
         lease = SlotLease(runner, ask_id, reason, attempt.rank, passed_over)
         self._leases[ask_id] = lease
         return lease
 
+    def _takes_calls(self, runner: Runner) -> bool:
+        """Whether a runner lives, stays, and is in no emptied zone."""
+        if not self._table.is_current(runner) or self._table.is_evacuated(runner):
+            return False
+        return not self._table.is_leaving(runner.runner_id)
+
     def _release(self, lease: SlotLease) -> None:
         self._leases.pop(lease.ask_id, None)
         is_answered = lease.ask_id in self._answered
--- a/packages/clementineyoke-node/tests/edge/runner_words.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_words.feature
@@ -1,14 +1,35 @@
 Feature: What runners say of themselves in their answers
 
-  Scenario: An operator asks what a call's runner said of itself
+  Scenario Outline: The head of an answer
+    When the head of an answer has status <status> and "<fields>"
+    Then its runner is said to be <leaving> and wants <rest> ms of rest
+
+    Examples:
+      | status | fields                         | leaving | rest    |
+      | 200    | Server-Leaving: 1              | leaving | 0       |
+      | 500    | server-leaving: 1              | leaving | 0       |
+      | 200    | Server-Leaving: 0              | staying | 0       |
+      | 200    | Connection: close              | staying | 0       |
+      | 421    | Server-Leaving: 1              | staying | 0       |
+      | 503    | Retry-After: 3                 | staying | 3000    |
+      | 429    | Retry-After: 0.25              | staying | 250     |
+      | 200    | Retry-After: 3                 | staying | 0       |
+      | 503    | Retry-After: soon              | staying | 0       |
+      | 503    | Retry-After: -1                | staying | 0       |
+      | 503    | Retry-After: nan               | staying | 0       |
+      | 503    | Retry-After: inf               | staying | 3600000 |
+
+  Scenario Outline: An operator asks what a call's runner said of itself
     # Guards against decisions that cannot be explained by what the runner said.
     Given a fleet of 1 node and 1 runner
-    And runner 1 says in its answers that it leaves
-    When a caller makes a "non_idempotent" call with the id "served"
-    Then the decisions on "served" hold "runner_leaving"
-    When runner 1 refuses all calls and asks for 3 s of rest
-    And a caller makes a "non_idempotent" call with the id "refused"
-    Then the decisions on "refused" hold "runner_resting"
+    And runner 1 <says>
+    When a caller makes a "non_idempotent" call with the id "asked-for"
+    Then the decisions on "asked-for" hold "<event>"
+
+    Examples:
+      | says                                         | event          |
+      | says in its answers that it leaves           | runner_leaving |
+      | refuses all calls and asks for 3 s of rest   | runner_resting |
 
   Scenario: A runner leaves while the store is away
     # Guards against new work on a runner whose leaving its answers alone tell.
@@ -20,6 +41,58 @@
     Then none of those reached runner 1
     And all of them are answered
 
+  Scenario Outline: Whatever it answers says that a runner leaves
+    # Guards against an answer whose head is not heard.
+    Given a fleet of 1 node and 2 runners
+    When runner 1 says in its answers that it leaves
+    And runner 1 answers each call as "<act>"
+    And 40 calls come at node 1 until runner 1 has answered
+    And 40 more calls come at node 1
+    Then none of those reached runner 1
+
+    Examples:
+      | act     |
+      | stream  |
+      | fail    |
+      | refuse  |
+      | crossed |
+
+  Scenario: A stream is under way on a leaving runner
+    # Guards against a word of leaving that cuts what runs.
+    Given a fleet of 1 node and 1 runner
+    And the runners stream slowly
+    And runner 1 says in its answers that it leaves
+    When a caller makes a "streaming" call
+    Then the caller gets the events 1 to 6, each once and whole
+
+  Scenario: Other nodes are told
+    # Guards against each node that must meet the leaving runner by itself.
+    Given a fleet of 2 nodes and 2 runners that know of one another
+    When the store goes silent
+    And runner 1 says in its answers that it leaves
+    And 40 calls come at node 1 until runner 1 has answered
+    Then node 2 knows within 1 s that runner 1 leaves
+    When 40 more calls come at node 2
+    Then none of those reached runner 1
+
+  Scenario: The home of a leaving runner is in another zone
+    # Guards against grants by a home that only its zone's news could tell.
+    Given a fleet of 2 nodes in "east" and "west" and 2 runners that know of one another
+    When the store goes silent
+    And runner 1 says in its answers that it leaves
+    And 40 calls come where runner 1 has no home until it has answered
+    Then all nodes know within 1 s that runner 1 leaves
+
+  Scenario: A node starts while the store is away
+    # Guards against a leaving that a node's start forgets.
+    Given a fleet of 1 node and 2 runners
+    When the store goes silent
+    And runner 1 says in its answers that it leaves
+    And 40 calls come at node 1 until runner 1 has answered
+    And node 2 starts
+    And 40 more calls come at node 2
+    Then none of those reached runner 1
+
   Scenario: A runner refuses and asks for rest
     # Guards against calls to a runner within the time for which it wanted none.
     Given a fleet of 1 node and 2 runners
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -48,11 +48,15 @@
 class EdgeFleet:
     """Own a store, runners and nodes."""
 
-    def __init__(self, *, nodes=1, runners=2, zones=("zone",), cold=None):
+    def __init__(
+        self, *, nodes=1, runners=2, zones=("zone",), cold=None, node_zones=("zone",)
+    ):
         self.store = EdgeStore()
         self.runners = [EdgeRunner(runner_id=f"runner-{n}") for n in range(runners)]
         self.zones = zones
         """Where the runners are, in turn."""
+        self.node_zones = node_zones
+        """Where the nodes are, in turn."""
         self.cold = cold or {}
         """What the state says of runners after their start."""
         self.nodes = []
@@ -124,7 +128,7 @@
             "directory": f"{address}:{directory}",
             "control": f"{address}:{control}",
             "peer_port": peer,
-            "availability_zone": "zone",
+            "availability_zone": self.node_zones[number % len(self.node_zones)],
             "region": "region",
             "store": self.store_address,
             "seeds": [f"127.0.0.2:{control}"],
