Leave runners alone for the time that comes with their refusal

Cause: a refusal ended one try; nobody read the time that came with it, and the next call went by its key to the same runner. Now a node that is told keeps the time for that lifetime of the runner, over changes of the list, and sends nothing there until it is over: not as a first or second choice, not for want of another, not after a wait at the home. It binds this node alone; others ask for themselves. When a whole pool rests, calls are refused at once as not run, to return when the first runner may be asked again, spread over 0.4 s. A routed line names who was passed over as resting or leaving; /status lists resting runners.

--- a/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/pool_rings.py
@@ -54,6 +54,20 @@
         if not found_ready:
             yield from quarantined
 
+    def closed_before(
+        self, pool: str, key: int, runner_id: str
+    ) -> Iterator[tuple[str, str]]:
+        """Yield who precedes a runner in a key's order and takes no calls, and why."""
+        ring = self._rings.get(pool)
+        if ring is None:
+            return
+        for other_id in ring.order(key):
+            if other_id == runner_id:
+                return
+            why = self._table.why_closed(other_id)
+            if why is not None:
+                yield other_id, why
+
     def holders(self, pool: str, key: int) -> Iterator[str]:
         """Yield who may hold what was cached by a key, the most likely first.
 
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -42,6 +42,8 @@
     def __init__(self) -> None:
         self._entries: dict[str, RunnerEntry] = {}
         self._evacuated: dict[str, int] = {}
+        self._rests: dict[str, float] = {}
+        """Until when lifetimes want no calls from this node; monotonic."""
 
     def set_evacuated(self, zones: dict[str, int]) -> None:
         """Take the zones whose runners get nothing new, with the orders' revisions."""
@@ -90,7 +92,7 @@
     def is_ready(self, runner_id: str) -> bool:
         """Tell whether a runner may get new work now."""
         entry = self._entries.get(runner_id)
-        if entry is None or self.is_evacuated(entry.runner):
+        if entry is None or not self._is_open(entry.runner):
             return False
         return entry.state is RunnerState.READY
 
@@ -115,10 +117,55 @@
     def may_be_pressed(self, runner_id: str) -> bool:
         """Tell whether a quarantined runner may get calls if no other one can."""
         entry = self._entries.get(runner_id)
-        if entry is None or self.is_evacuated(entry.runner):
+        if entry is None or not self._is_open(entry.runner):
             return False
         return entry.state is RunnerState.QUARANTINED
 
+    def is_resting(self, runner: Runner) -> bool:
+        """Tell whether a runner wants no calls from this node for now."""
+        return runner.lifetime in self._rests
+
+    def why_closed(self, runner_id: str) -> str | None:
+        """Return why a runner takes no calls by its own word; None if it does."""
+        entry = self._entries.get(runner_id)
+        if entry is None:
+            return None
+        if entry.state is RunnerState.DRAINING:
+            return "leaving"
+        return "resting" if self.is_resting(entry.runner) else None
+
+    def rest_left_ms(self, pool: str, *, now_ms: float) -> float:
+        """Return when the first of a pool's resting runners may be asked again.
+
+        0 if none of them rests. Those that leave, or whose zone is emptied, are left
+        out: they take no calls after their rest either.
+        """
+        left_ms = [
+            self._rests[entry.runner.lifetime] - now_ms
+            for entry in self._entries.values()
+            if entry.runner.pool == pool
+            and entry.runner.lifetime in self._rests
+            and entry.state is not RunnerState.DRAINING
+            and not self.is_evacuated(entry.runner)
+        ]
+        return max(0.0, min(left_ms, default=0.0))
+
+    def record_rest(self, runner: Runner, *, rest_ms: float, now_ms: float) -> bool:
+        """Note that a runner wants no calls for a while; return whether that is news.
+
+        A later refusal that names a shorter time does not take the first one back.
+        """
+        until_ms = now_ms + rest_ms
+        if until_ms <= self._rests.get(runner.lifetime, 0.0):
+            return False
+        self._rests[runner.lifetime] = until_ms
+        return True
+
+    def end_due_rests(self, *, now_ms: float) -> None:
+        """Let calls go again to runners whose rest is over."""
+        for lifetime in [name for name, due in self._rests.items() if due <= now_ms]:
+            del self._rests[lifetime]
+
     def record_draining(self, runner_id: str, *, now_ms: float) -> None:
         """Note that the runner itself said that it is leaving."""
         entry = self._entries.get(runner_id)
@@ -182,6 +229,9 @@
             or (entry.state is RunnerState.QUARANTINED and entry.retry_at_ms <= now_ms)
         ]
 
+    def _is_open(self, runner: Runner) -> bool:
+        return not self.is_evacuated(runner) and not self.is_resting(runner)
+
     def _keep_or_add(self, runner: Runner, now_ms: float) -> RunnerEntry:
         known = self._entries.get(runner.runner_id)
         if known is None or known.runner.lifetime != runner.lifetime:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -79,7 +79,10 @@
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
         self.words = RunnerWords(
-            decisions=state.decisions, on_leaving=self._hear_leaving
+            table=state.table,
+            timers=self.timers,
+            decisions=state.decisions,
+            on_leaving=self._hear_leaving,
         )
         self.link = RunnerLink(timers=self.timers, words=self.words)
         self.watch = RunnerWatch(table=state.table)
@@ -342,6 +345,7 @@
         self.apply_hosts()
 
     async def _do_prompt_work(self) -> None:
+        self._state.table.end_due_rests(now_ms=self.timers.now_ms())
         await self.slot_home.serve_all_waiting()
         await self.view.drop_lapsed()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -38,6 +39,9 @@
 CLOSED_RETRY_MS = 1_000
 """When a call that found no runner at all may come back: those of an emptied zone, or
 new ones, take seconds to return."""
+RETURN_SPREAD_MS = 400
+"""Over which callers return that were refused for a pool whose runners rest: all at
+once they would be refused again."""
 BROKEN_RETRY_MS = 200
 ANSWERED_ENDS = frozenset((AttemptEnd.FAILED, AttemptEnd.REFUSED))
 """Ends by which a runner shows that it can be reached."""
@@ -148,9 +152,18 @@
                 if is_open
                 else f"no runner of {admitted.pool!r} takes calls"
             ),
-            retry_after_ms=REFUSED_RETRY_MS if is_open else CLOSED_RETRY_MS,
+            retry_after_ms=self._refused_retry_ms(admitted.pool),
         )
 
+    def _refused_retry_ms(self, pool: str) -> int:
+        """Return when a call that did not run may come back."""
+        if self._broker.has_open(pool):
+            return REFUSED_RETRY_MS
+        rest_ms = self._broker.rest_left_ms(pool, now_ms=self._timers.now_ms())
+        if not rest_ms:
+            return CLOSED_RETRY_MS
+        return math.ceil(rest_ms) + self._random_key() % RETURN_SPREAD_MS
+
     def _may_give_up(
         self, admitted: AdmittedCall, ledger: AttemptLedger, runner: Runner
     ) -> bool:
@@ -196,7 +209,7 @@
         else:
             status = 503
             outcome = Outcome.NOT_RUN
-            retry_after_ms = REFUSED_RETRY_MS
+            retry_after_ms = self._refused_retry_ms(admitted.pool)
         raise RequestError(
             status=status,
             outcome=outcome,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_door.py
@@ -56,6 +56,11 @@
                 entry.runner.runner_id: entry.state.value
                 for entry in state.table.entries()
             },
+            "resting": [
+                entry.runner.runner_id
+                for entry in state.table.entries()
+                if state.table.is_resting(entry.runner)
+            ],
             "homed_slots": io.slot_home.loads(),
         }
         return web.json_response(status)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_words.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_words.py
@@ -11,17 +11,26 @@
 
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.runner import Runner
+    from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.platform.runner_codec import AnswerHead
+    from clementineyoke_node.timers.timer_service import TimerService
 
 
 class RunnerWords:
     """Hear what the head of each answer says of its runner."""
 
     def __init__(
-        self, *, decisions: DecisionRing, on_leaving: Callable[[Runner], bool]
+        self,
+        *,
+        table: RunnerTable,
+        timers: TimerService,
+        decisions: DecisionRing,
+        on_leaving: Callable[[Runner], bool],
     ) -> None:
         """Take the parts; ``on_leaving`` tells whether a runner's leaving is news."""
+        self._table = table
+        self._timers = timers
         self._decisions = decisions
         self._on_leaving = on_leaving
 
@@ -34,7 +43,9 @@
                 runner=runner.runner_id,
                 status=head.status,
             )
-        if head.rest_ms:
+        if head.rest_ms and self._table.record_rest(
+            runner, rest_ms=head.rest_ms, now_ms=self._timers.now_ms()
+        ):
             self._decisions.record(
                 Event.RUNNER_RESTING,
                 request_id=call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -96,7 +96,7 @@
                     attempt,
                     ask_id,
                     reason=reason,
-                    passed_over=self._explain_held(search),
+                    passed_over=self._explain_passed(search, wish, runner),
                 )
                 if lease is not None:
                     return lease
@@ -122,6 +122,10 @@
         """Whether any runner of a pool takes new calls."""
         return self.has_other(pool, set())
 
+    def rest_left_ms(self, pool: str, *, now_ms: float) -> float:
+        """Return when the first resting runner of a pool may be asked again, or 0."""
+        return self._table.rest_left_ms(pool, now_ms=now_ms)
+
     def has_other(self, pool: str, tried: set[str]) -> bool:
         """Whether a pool has a ready runner besides those that were tried."""
         return any(runner_id not in tried for runner_id in self._rings.order(pool, 0))
@@ -293,13 +297,17 @@
         )
         return reply.granted
 
-    def _explain_held(self, search: SlotSearch) -> tuple[PassedOver, ...]:
-        return tuple(
+    def _explain_passed(
+        self, search: SlotSearch, wish: SlotWish, runner: Runner
+    ) -> tuple[PassedOver, ...]:
+        held = tuple(
             PassedOver(
                 runner_id, "paused" if self._may_take_uncounted(runner_id) else "cold"
             )
             for runner_id in search.held_back()
         )
+        closed = self._rings.closed_before(wish.pool, wish.key, runner.runner_id)
+        return held + tuple(PassedOver(*one) for one in closed)
 
     def _keep(
         self,
@@ -319,9 +327,11 @@
         return lease
 
     def _takes_calls(self, runner: Runner) -> bool:
-        """Whether a runner lives, stays, and is in no emptied zone."""
+        """Whether a runner lives, stays, does not rest, and is in no emptied zone."""
         if not self._table.is_current(runner) or self._table.is_evacuated(runner):
             return False
+        if self._table.is_resting(runner):
+            return False
         return not self._table.is_leaving(runner.runner_id)
 
     def _release(self, lease: SlotLease) -> None:
--- a/packages/clementineyoke-node/tests/edge/runner_words.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_words.feature
@@ -101,3 +101,60 @@
     And 40 more calls come at node 1
     Then none of those reached runner 1
     And all of them are answered
+
+  Scenario: A second try after a refusal that asks for rest
+    Given a fleet of 1 node and 2 runners
+    When runner 1 refuses all calls and asks for 20 s of rest
+    And 40 "idempotent" calls come at node 1
+    Then all of them are answered
+    And runner 1 saw 1 call
+
+  Scenario: The rest is over
+    Given a fleet of 1 node and 2 runners
+    When runner 1 refuses all calls and asks for 0.4 s of rest
+    And 40 calls come at node 1 until runner 1 has answered
+    And runner 1 answers each call as "ok" and its rest has passed
+    And 40 more calls come at node 1
+    Then some of those reached runner 1
+
+  Scenario: All runners of a pool want rest
+    # Guards against calls pressed on resting runners, and callers that wait in vain.
+    Given a fleet of 1 node and 2 runners
+    When runner 1 refuses all calls and asks for 20 s of rest
+    And runner 2 refuses all calls and asks for 10 s of rest
+    And 40 calls come at node 1 until runner 1 has answered
+    And 40 calls come at node 1 until runner 2 has answered
+    And 10 more calls come at node 1
+    Then none of those reached runner 1
+    And none of those reached runner 2
+    And each is refused as not run within 0.2 s, to return after 9 s to 11 s
+
+  Scenario: A resting runner's entry ends and returns
+    # Guards against a rest that a change of the list forgets.
+    Given a fleet of 1 node and 2 runners
+    When runner 1 refuses all calls and asks for 20 s of rest
+    And 40 calls come at node 1 until runner 1 has answered
+    And the entry of runner 1 ends and returns
+    And 40 more calls come at node 1
+    Then none of those reached runner 1
+
+  Scenario: A rest binds the node that was asked for it
+    Given a fleet of 2 nodes and 2 runners that know of one another
+    When runner 1 refuses all calls and asks for 20 s of rest
+    And 40 calls come at node 1 until runner 1 has answered
+    And runner 1 answers each call as "ok"
+    And 40 more calls come at node 2
+    Then some of those reached runner 1
+
+  Scenario Outline: An operator asks why a call went elsewhere
+    # Guards against calls that pass over a runner without a word.
+    Given a fleet of 1 node and 2 runners
+    When runner 1 <says>
+    And 40 calls come at node 1 until runner 1 has answered
+    And 20 more calls come at node 1
+    Then the decision on one of those names runner 1 as <why>
+
+    Examples:
+      | says                                        | why     |
+      | says in its answers that it leaves          | leaving |
+      | refuses all calls and asks for 20 s of rest | resting |
--- a/packages/clementineyoke-node/tests/steps/runner_words_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_words_steps.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import asyncio
+import time
+
 from behave import given, then, when
 from edge_fleet import EdgeFleet
 from edge_steps import wait_until
@@ -15,11 +18,9 @@
     return context.fleet.runners[number - 1]
 
 
-async def come(context, name, node):
-    """Let a call come that is its own prompt, so that any runner may be its first."""
-    return await context.fleet.call(
-        "non_idempotent", number=node - 1, call_id=name, json={"name": name}
-    )
+async def come(context, name, node, kind="non_idempotent"):
+    """Let a call without a prompt come: any runner may be its first."""
+    return await context.fleet.call(kind, number=node - 1, call_id=name)
 
 
 @given("runner {number:d} says in its answers that it leaves")
@@ -55,11 +56,75 @@
 @when("{count:d} more calls come at node {node:d}")
 def come_more(context, count, node):
     async def act():
-        return [await come(context, f"later-{n}", node) for n in range(count)]
+        began_s = time.monotonic()
+        answers = [await come(context, f"later-{n}", node) for n in range(count)]
+        context.longest_s = time.monotonic() - began_s
+        return answers
+
+    context.answers = context.run(act())
+
+
+@when('{count:d} "{kind}" calls come at node {node:d}')
+def come_of_kind(context, count, kind, node):
+    async def act():
+        return [await come(context, f"later-{n}", node, kind) for n in range(count)]
 
     context.answers = context.run(act())
 
 
+@then("runner {number:d} saw {count:d} call")
+def check_saw(context, number, count):
+    assert len(runner(context, number).calls) == count, runner(context, number).calls
+
+
+@when('runner {number:d} answers each call as "{act}" and its rest has passed')
+def rest_passes(context, number, act):
+    answer_as(context, number, act)
+    context.run(asyncio.sleep(runner(context, number).rest_s + 0.2))
+
+
+@then("some of those reached runner {number:d}")
+def check_not_spared(context, number):
+    assert [c for c in runner(context, number).calls if "later" in c.call_id]
+
+
+@then(
+    "each is refused as not run within {limit_s:g} s, to return after {least_s:d} s to "
+    "{most_s:d} s"
+)
+def check_refused_at_once(context, limit_s, least_s, most_s):
+    assert context.longest_s < limit_s * len(context.answers), context.longest_s
+    assert {status for status, _, _ in context.answers} == {503}, context.answers
+    for _, headers, _ in context.answers:
+        assert least_s <= float(headers["Retry-After"]) <= most_s, headers
+
+
+@when("the entry of runner {number:d} ends and returns")
+def end_and_return(context, number):
+    fleet, standin = context.fleet, runner(context, number)
+    table = fleet.nodes[0].state.table
+
+    async def act():
+        await fleet.store.remove("servers", standin.runner_id)
+        await wait_until(lambda: table.get(standin.runner_id) is None, 4)
+        await fleet.list_runner(standin)
+        await wait_until(lambda: table.get(standin.runner_id) is not None, 4)
+
+    context.run(act())
+
+
+@then("the decision on one of those names runner {number:d} as {why}")
+def check_named(context, number, why):
+    decisions = context.fleet.nodes[0].state.decisions
+    found = [
+        line["fields"]["passed_over"]
+        for n in range(len(context.answers))
+        for line in decisions.find(f"later-{n}")
+        if line["event"] == "routed"
+    ]
+    assert {runner(context, number).runner_id: why} in found, found
+
+
 @then("none of those reached runner {number:d}")
 def check_spared(context, number):
     late = [c.call_id for c in runner(context, number).calls if "later" in c.call_id]
