--- a/packages/clementineyoke-node/tests/edge/calls.feature
+++ b/packages/clementineyoke-node/tests/edge/calls.feature
@@ -103,3 +103,10 @@
     And the runners forget connections that rest
     When a caller makes 6 "non_idempotent" calls one after another
     Then 5 of them are answered
+
+  Scenario: Runners say how long they keep connections that rest
+    # Guards against a call on a connection that its runner has said it would drop.
+    Given a fleet of 1 node and 1 runner
+    And the runners say that they keep resting connections for 1 s
+    When a caller makes 3 "non_idempotent" calls, 1.2 s after one another
+    Then 3 of them are answered
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -73,6 +73,24 @@
         runner.forgets_idle = True
 
 
+@given("the runners say that they keep resting connections for {kept_s:d} s")
+def given_kept(context, kept_s):
+    for runner in context.fleet.runners:
+        runner.idle_kept_s = kept_s
+
+
+@when('a caller makes {count:d} "{kind}" calls, {pause_s:g} s after one another')
+def make_calls_apart(context, count, kind, pause_s):
+    async def act():
+        answers = []
+        for n in range(count):
+            answers.append(await context.fleet.call(kind, call_id=f"call-{n}"))
+            await asyncio.sleep(pause_s)
+        return answers
+
+    context.answers = context.run(act())
+
+
 @when('a caller makes {count:d} "{kind}" calls one after another')
 def make_calls(context, count, kind):
     async def act():
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -97,6 +97,8 @@
         self.event_pause_s = 0.0
         self.forgets_idle = False
         """Whether what comes on a connection that has rested is reset."""
+        self.idle_kept_s: int | None = None
+        """How long it says that it keeps idle connections; later calls are reset."""
         self.crashing_bodies: set[bytes] = set()
         """Calls with such a body end the runner as soon as it begins to run them."""
         self.cold_until_s = 0.0
@@ -148,9 +150,11 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            while await self._serve_one(reader, writer):
-                if self.forgets_idle:
-                    await reader.readexactly(1)
+            first = b""
+            while await self._serve_one(reader, writer, first):
+                idle_since_s = time.monotonic()
+                first = await reader.readexactly(1)
+                if self._has_forgotten(time.monotonic() - idle_since_s):
                     _reset(writer)
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -161,10 +165,18 @@
             self._writers.discard(writer)
             writer.close()
 
+    def _has_forgotten(self, idle_s: float) -> bool:
+        """Whether a connection that has rested so long is dropped without a word."""
+        is_over = self.idle_kept_s is not None and idle_s > self.idle_kept_s
+        return self.forgets_idle or is_over
+
     async def _serve_one(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        first: bytes,
     ) -> bool:
-        call = await _read_call(reader)
+        call = await _read_call(reader, first)
         act = self.script.pop(0) if self.script else self._usual(call.target)
         seen = call._replace(at_s=time.monotonic(), has_run=act is not Act.REFUSE)
         self.calls.append(seen)
@@ -193,7 +205,10 @@
 
     def _words(self) -> dict[str, str]:
         """Return what every answer says of the runner itself."""
-        return {names.LEAVING: names.LEAVING_VALUE} if self.is_leaving else {}
+        words = {names.LEAVING: names.LEAVING_VALUE} if self.is_leaving else {}
+        if self.idle_kept_s is not None:
+            words["Keep-Alive"] = f"timeout={self.idle_kept_s}"
+        return words
 
     def _usual(self, target: str) -> Act:
         for prefix, act in self.answers_by_path.items():
@@ -282,10 +297,10 @@
         return True
 
 
-async def _read_call(reader: asyncio.StreamReader) -> SeenCall:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode()
-    first, *lines = head.strip().split("\r\n")
-    method, target, _ = first.split(" ")
+async def _read_call(reader: asyncio.StreamReader, first: bytes) -> SeenCall:
+    head = (first + await reader.readuntil(b"\r\n\r\n")).decode()
+    request_line, *lines = head.strip().split("\r\n")
+    method, target, _ = request_line.split(" ")
     fields = {}
     for line in lines:
         name, _, value = line.partition(":")
