Tell the story, the model and the soak of leaving and resting runners

The soak lets a runner refuse and ask for rest, and one leave before the store hears of it, once in each seed apart from kept ones; its audit holds each node to what it was told. One check narrowed on a trace: seed 3 reported two streams as cut by planned work; both had been on a runner that the soak's own last check had ended (connection reset, the next runner refused connections). A call is now passed over there only if the lifetime that ran it had ended before the call did.

--- a/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -56,6 +56,29 @@
         context.files.append(str(file))
 
 
+@given(
+    'the logs of 2 nodes, in which "{first}" and "{second}" heard runners that '
+    '"{last}" passed over'
+)
+def given_words(context, first, second, last):
+    passed_over = {"a": "leaving", "b": "resting"}
+    one = [
+        make_line(1, "runner_leaving", request_id=first, runner="a", status=200),
+        make_line(2, "runner_leaving", request_id="r-4", runner="d", status=200),
+        make_line(30, "runner_resting", request_id="r-4", runner="b", rest_ms=3000),
+    ]
+    two = [
+        make_line(9, "runner_resting", request_id=second, runner="b", rest_ms=3000),
+        make_line(10, "routed", request_id=last, runner="c", passed_over=passed_over),
+        make_line(11, "answered", request_id=last),
+    ]
+    context.files = []
+    for name, lines in (("one", one), ("two", two)):
+        file = context.folder / f"{name}.log"
+        file.write_text("".join(f"{line}\n" for line in lines))
+        context.files.append(str(file))
+
+
 @when('the operator explains the request "{request_id}" by them')
 def explain(context, request_id):
     context.story = context.error = None
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -74,6 +74,12 @@
     """When it came; monotonic."""
     has_run: bool = True
     """Whether the runner began to work on it."""
+    lifetime: int = 0
+    """How often the runner had crashed before."""
+    says_leaving: bool = False
+    """Whether the answer said that the runner leaves."""
+    rest_s: float = 0.0
+    """How long the refusal asked for no calls."""
 
     @property
     def call_id(self) -> str:
@@ -109,9 +115,12 @@
         """How often it ended for more calls than it bore."""
         self.is_leaving = False
         """Whether all its answers say that it leaves."""
+        self.is_shedding = False
+        """Whether it refuses all calls, whatever its script says."""
         self.rest_s = 0.0
         """How long its refusals ask for no calls; 0 for refusals without a time."""
-        self.crashes = 0
+        self.ends_s: list[float] = []
+        """When each of its lifetimes crashed; monotonic."""
         self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
         """Called when the runner has ended; whoever owns it may start it again."""
         self.port = 0
@@ -133,11 +142,16 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    @property
+    def crashes(self) -> int:
+        """How often it has crashed."""
+        return len(self.ends_s)
+
     def crash(self) -> None:
         """End at once: every connection breaks, and no new one is taken."""
         if self._server is None:
             return
-        self.crashes += 1
+        self.ends_s.append(time.monotonic())
         self._server.close()
         self._server = None
         for writer in list(self._writers):
@@ -177,8 +191,15 @@
         first: bytes,
     ) -> bool:
         call = await _read_call(reader, first)
-        act = self.script.pop(0) if self.script else self._usual(call.target)
-        seen = call._replace(at_s=time.monotonic(), has_run=act is not Act.REFUSE)
+        act = self._next_act(call.target)
+        is_refused = act is Act.REFUSE
+        seen = call._replace(
+            at_s=time.monotonic(),
+            has_run=not is_refused,
+            lifetime=self.crashes,
+            says_leaving=self.is_leaving,
+            rest_s=self.rest_s if is_refused else 0.0,
+        )
         self.calls.append(seen)
         if self._is_overrun(seen.at_s):
             self.crash()
@@ -210,6 +231,11 @@
             words["Keep-Alive"] = f"timeout={self.idle_kept_s}"
         return words
 
+    def _next_act(self, target: str) -> Act:
+        if self.is_shedding:
+            return Act.REFUSE
+        return self.script.pop(0) if self.script else self._usual(target)
+
     def _usual(self, target: str) -> Act:
         for prefix, act in self.answers_by_path.items():
             if target.startswith(prefix):
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -14,6 +14,7 @@
     evacuations_spec,
     runner_entries_spec,
     runner_lifetimes_spec,
+    runner_words_spec,
     settings_spec,
 )
 
@@ -30,6 +31,7 @@
     cold_grants_spec,
     crash_records_spec,
     evacuations_spec,
+    runner_words_spec,
 )
 
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -24,6 +24,9 @@
 DENIALS = frozenset((400, 401, 403, 404))
 APPLY_S = 2.0
 """How soon a desired state or a runner's leave is in force at a node in touch."""
+REST_BEGINS_S = 0.5
+"""How soon after a refusal that asks for rest it binds the node that was refused."""
+MOST_IN_REST = 2
 CLOCK_SLACK_S = 0.5
 """For what lies between the store's word and the soak's own clock reading."""
 
@@ -37,6 +40,12 @@
     has_run: bool
     zone: str = ""
     """Where the runner is."""
+    lifetime: int = 0
+    """Which of the runner's lifetimes saw it."""
+    says_leaving: bool = False
+    """Whether its answer said that the runner leaves."""
+    rest_s: float = 0.0
+    """How long its refusal asked for no calls."""
 
 
 class Span(NamedTuple):
@@ -46,6 +55,13 @@
     until_s: float
 
 
+class Restart(NamedTuple):
+    """A node that was restarted or paused; None for all of them."""
+
+    node: int | None
+    span: Span
+
+
 class Evidence(NamedTuple):
     """What the soak saw."""
 
@@ -59,10 +75,15 @@
     emptied: list[EmptiedZone]
     overruns: dict[str, int]
     """How often a cold runner ended for more calls than it bore."""
+    ends: dict[str, list[float]]
+    """When each lifetime of a runner ended, the first one first."""
     calm: list[Span]
     """Without fault or restart; promises with a time bind in them."""
     planned_only: list[Span]
     """With planned work at most: stops in order, changes of state, runners leaving."""
+    restarts: list[Restart]
+    cuts: list[Span]
+    """In which the path to a runner failed."""
 
 
 def audit(evidence: Evidence, *, is_timed: bool) -> list[str]:
@@ -82,6 +103,8 @@
         broken += _check_leaves(evidence)
         broken += _check_zones(evidence)
         broken += _check_cold(evidence)
+        broken += _check_leaving_words(evidence, runs)
+        broken += _check_rests(evidence)
     return broken
 
 
@@ -128,12 +151,21 @@
 ) -> Iterable[str]:
     """Find calls that a runner had begun and that planned work cut."""
     for call in evidence.calls:
-        if call.status is not None or not runs.get(call.call_id):
+        seen = runs.get(call.call_id)
+        if call.status is not None or not seen:
+            continue
+        if any(_has_ended(evidence, sight, call.ended_s) for sight in seen):
             continue
         if _is_in(evidence.planned_only, call.sent_s, call.ended_s):
             yield f"{call.call_id}: ran and was cut by planned work: {call.reason}"
 
 
+def _has_ended(evidence: Evidence, sight: RunnerSight, until_s: float) -> bool:
+    """Whether the lifetime that saw a call ended before the call did."""
+    ends = evidence.ends[sight.runner_id]
+    return sight.lifetime < len(ends) and ends[sight.lifetime] <= until_s
+
+
 def _check_keys(
     evidence: Evidence, runs: dict[str, list[RunnerSight]]
 ) -> Iterable[str]:
@@ -188,5 +220,65 @@
             yield f"{runner_id}: got more calls than it bore while cold, {times} times"
 
 
+def _check_leaving_words(
+    evidence: Evidence, runs: dict[str, list[RunnerSight]]
+) -> Iterable[str]:
+    """Find calls that reached a runner whose leaving their node had passed on."""
+    heard_s: dict[tuple[int, str, int], float] = {}
+    for call in evidence.calls:
+        seen = runs.get(call.call_id, [])
+        if call.status == STATUS_OK and len(seen) == 1 and seen[0].says_leaving:
+            key = (call.node, seen[0].runner_id, seen[0].lifetime)
+            heard_s[key] = min(heard_s.get(key, math.inf), call.ended_s)
+    calls = {call.call_id: call for call in evidence.calls}
+    for sight in evidence.sights:
+        if sight.call_id not in calls:
+            continue  # its caller was gone before the end
+        call = calls[sight.call_id]
+        since_s = heard_s.get((call.node, sight.runner_id, sight.lifetime), math.inf)
+        if call.sent_s <= since_s + APPLY_S:
+            continue
+        if not _has_restarted(evidence, call.node, since_s, sight.at_s):
+            late_s = call.sent_s - since_s
+            yield (
+                f"{call.call_id}: reached {sight.runner_id} {late_s:.1f} s after"
+                f" node-{call.node} had passed on its leaving"
+            )
+
+
+def _check_rests(evidence: Evidence) -> Iterable[str]:
+    """Find calls to a runner that had asked their node for rest."""
+    nodes = {call.call_id: call.node for call in evidence.calls}
+    by_sender: dict[tuple[int, str, int], list[RunnerSight]] = defaultdict(list)
+    for sight in evidence.sights:
+        if sight.call_id in nodes:
+            key = (nodes[sight.call_id], sight.runner_id, sight.lifetime)
+            by_sender[key].append(sight)
+    for (node, runner_id, _), sights in by_sender.items():
+        for refusal in sights:
+            from_s = refusal.at_s + REST_BEGINS_S
+            until_s = refusal.at_s + refusal.rest_s
+            got = sum(from_s < sight.at_s < until_s for sight in sights)
+            is_excused = _has_restarted(
+                evidence, node, refusal.at_s, until_s
+            ) or _overlaps(evidence.cuts, refusal.at_s, until_s)
+            if got > MOST_IN_REST and not is_excused:
+                yield (
+                    f"{runner_id}: got {got} calls from node-{node} in"
+                    f" {refusal.rest_s} s of rest"
+                )
+
+
+def _has_restarted(
+    evidence: Evidence, node: int, from_s: float, until_s: float
+) -> bool:
+    spans = [span for number, span in evidence.restarts if number in (None, node)]
+    return _overlaps(spans, from_s, until_s)
+
+
+def _overlaps(spans: list[Span], from_s: float, until_s: float) -> bool:
+    return any(span.from_s <= until_s and from_s <= span.until_s for span in spans)
+
+
 def _is_in(spans: list[Span], from_s: float, until_s: float) -> bool:
     return any(span.from_s <= from_s and until_s <= span.until_s for span in spans)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -15,6 +15,7 @@
     APPLY_S,
     BLAMED,
     Evidence,
+    Restart,
     RunnerSight,
     Span,
     audit,
@@ -25,10 +26,13 @@
 from clementineyoke_standins.soak.schedule import (
     HARMLESS,
     PLANNED,
+    RESTARTS,
+    RUNNER_WORDS,
     FaultKind,
     PlannedFault,
     plan_crashes,
     plan_faults,
+    plan_runner_words,
     plan_zone_work,
 )
 from clementineyoke_standins.soak.soak_fleet import GRACE_S, SoakFleet
@@ -81,10 +85,12 @@
         is_timed: bool,
         has_crashes: bool = True,
         has_zone_work: bool = True,
+        has_runner_words: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
         self._has_zone_work = has_zone_work
+        self._has_runner_words = has_runner_words
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -106,6 +112,7 @@
             rng=Random(seed),
         )
         self._played: list[tuple[FaultKind, Span]] = []
+        self._restarts: list[Restart] = []
         self._broken: list[str] = []
 
     async def run(self) -> SoakReport:
@@ -123,6 +130,8 @@
                     planned += plan_crashes(self._seed, length_s=self._length_s)
                 if self._has_zone_work:
                     planned += plan_zone_work(self._seed, length_s=self._length_s)
+                if self._has_runner_words:
+                    planned += plan_runner_words(self._seed, length_s=self._length_s)
                 await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
                 recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
                 await self._change_in_calm()
@@ -142,6 +151,8 @@
         await self._acts.play(fault)
         span = Span(from_s, time.monotonic() + CALM_AFTER_S)
         self._played.append((fault.kind, span))
+        if fault.kind in RESTARTS:
+            self._restarts.append(Restart(self._acts.node_of(fault), span))
 
     async def _wait_all_serve(
         self, session: aiohttp.ClientSession, limit_s: float
@@ -173,6 +184,8 @@
         kinds = [FaultKind.KEY_CHANGE, FaultKind.RUNNER_LEAVES]
         if self._has_zone_work and self._seed % 2 == 0:
             kinds += [FaultKind.ZONE_EMPTIED, FaultKind.RUNNER_COLD]
+        if self._has_runner_words:
+            kinds += RUNNER_WORDS
         for kind in kinds:
             await self._acts.play(PlannedFault(0.0, kind, self._seed, SEEN_S))
         await asyncio.sleep(APPLY_S + SEEN_S)
@@ -222,7 +235,14 @@
         calls += [call for caller in self._acts.crashing for call in caller.records]
         sights = [
             RunnerSight(
-                runner.runner_id, call.call_id, call.at_s, call.has_run, runner.zone
+                runner.runner_id,
+                call.call_id,
+                call.at_s,
+                call.has_run,
+                runner.zone,
+                call.lifetime,
+                call.says_leaving,
+                call.rest_s,
             )
             for runner in self._fleet.runners
             for call in runner.calls
@@ -235,8 +255,11 @@
             left=self._fleet.state.left,
             emptied=self._fleet.state.emptied,
             overruns={r.runner_id: r.overruns for r in self._fleet.runners},
+            ends={r.runner_id: r.ends_s for r in self._fleet.runners},
             calm=self._spans_without(HARMLESS, began_s),
             planned_only=self._spans_without(PLANNED, began_s),
+            restarts=self._restarts,
+            cuts=[span for kind, span in self._played if kind is FaultKind.RUNNER_LINK],
         )
         self._broken += audit(evidence, is_timed=self._is_timed)
         return SoakReport(
--- /dev/null
+++ b/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+from behave import given, then, when
+
+from clementineyoke_standins.soak.audit import (
+    Evidence,
+    Restart,
+    RunnerSight,
+    Span,
+    audit,
+)
+from clementineyoke_standins.soak.caller import CallRecord
+from clementineyoke_standins.soak.operator_state import RouteKind
+
+KEY = "key"
+RUNNER = "a"
+
+
+def add_call(context, *, node, at_s, is_refused=False, **said):
+    call_id = f"call-{len(context.calls)}"
+    record = CallRecord(
+        call_id=call_id,
+        kind=RouteKind.IDEMPOTENT,
+        node=node,
+        key=KEY,
+        sent_s=at_s,
+        ended_s=at_s,
+        status=503 if is_refused else 200,
+        body=f"answer to {call_id}",
+        has_proof=not is_refused,
+    )
+    context.calls.append(record)
+    sight = RunnerSight(RUNNER, call_id, at_s, has_run=not is_refused, **said)
+    context.sights.append(sight)
+
+
+@given("an answer that says {word} at {at_s:g} s through node {node:d}")
+def given_answer(context, word, at_s, node):
+    context.calls, context.sights, context.restarts = [], [], []
+    add_call(context, node=node, at_s=at_s, says_leaving=word == "leaving")
+
+
+@given(
+    "a refusal that asks for {rest_s:g} s of rest at {at_s:g} s through node {node:d}"
+)
+def given_refusal(context, rest_s, at_s, node):
+    context.calls, context.sights, context.restarts = [], [], []
+    add_call(context, node=node, at_s=at_s, is_refused=True, rest_s=rest_s)
+
+
+@when("a call that is sent through node {node:d} at {at_s:g} s reaches the runner")
+def reach(context, node, at_s):
+    add_call(context, node=node, at_s=at_s)
+
+
+@when(
+    "{count:d} calls that are sent through node {node:d} from {at_s:g} s on reach the "
+    "runner"
+)
+def reach_often(context, count, node, at_s):
+    for number in range(count):
+        add_call(context, node=node, at_s=at_s + number / 10)
+
+
+@when("node {node:d} was restarted at {at_s:g} s")
+def restart(context, node, at_s):
+    context.restarts.append(Restart(node, Span(at_s, at_s + 1.0)))
+
+
+@then("the audit finds {what}")
+def check_found(context, what):
+    evidence = Evidence(
+        calls=context.calls,
+        sights=context.sights,
+        issued={KEY: 0.0},
+        withdrawn=[],
+        left={},
+        emptied=[],
+        overruns={},
+        ends={RUNNER: []},
+        calm=[Span(0.0, 60.0)],
+        planned_only=[Span(0.0, 60.0)],
+        restarts=context.restarts,
+        cuts=[],
+    )
+    broken = audit(evidence, is_timed=True)
+    assert bool(broken) == (what == "a fault"), broken
