--- a/packages/clementineyoke-cli/src/clementineyoke_cli/log_story.py
+++ b/packages/clementineyoke-cli/src/clementineyoke_cli/log_story.py
@@ -14,8 +14,8 @@
 
 AROUND = timedelta(seconds=3)
 """How far from the request's lines what happened to its runners still matters."""
-RUNNER_WORDS = frozenset(("runner_leaving", "runner_resting"))
-"""What runners said of themselves in answers to any request."""
+RUNNER_SIGNALS = frozenset(("runner_draining", "runner_backoff"))
+"""Signals of runners in answers to any request."""
 
 Line = dict[str, Any]
 
@@ -24,8 +24,8 @@
     """Return the request's lines and what its runners met meanwhile, in order.
 
     A request that was refused for its earlier copies is told with those: their lines
-    bear the same mark, whatever their ids. So is one that passed over a runner for what
-    that had said in the answer to another request.
+    bear the same mark, whatever their ids. So is one that passed over a runner for its
+    signal in the answer to another request.
 
     Raises ``AdminError`` when a file cannot be read or no line names the request.
     """
@@ -38,7 +38,7 @@
             reason=f"no line names {request_id}",
             details=[],
         )
-    story = own + _around(own, lines) + _same(own, lines) + _said(own, lines)
+    story = own + _around(own, lines) + _same(own, lines) + _signals(own, lines)
     return [_render(line) for line in sorted(story, key=lambda line: line["time"])]
 
 
@@ -86,8 +86,8 @@
     ]
 
 
-def _said(own: list[Line], lines: list[Line]) -> list[Line]:
-    """Return what the request's runners had said of themselves in other answers."""
+def _signals(own: list[Line], lines: list[Line]) -> list[Line]:
+    """Return the signals that the request's runners had sent in other answers."""
     runners = {line["runner"] for line in own if line.get("runner")}
     for line in own:
         runners.update(line.get("passed_over") or ())
@@ -95,7 +95,7 @@
     return [
         line
         for line in lines
-        if line["message"] in RUNNER_WORDS
+        if line["message"] in RUNNER_SIGNALS
         and line.get("runner") in runners
         and line not in own
         and _time_of(line) <= last
--- a/packages/clementineyoke-cli/tests/console/explain_logs.feature
+++ b/packages/clementineyoke-cli/tests/console/explain_logs.feature
@@ -20,9 +20,9 @@
     Then the story names in order "runner_failed, runner_failed, request_suspected, request_barred, route_refused"
     And it says nothing of the request "r-4"
 
-  Scenario: A request went elsewhere for what a runner had told another one
+  Scenario: A request went elsewhere for what a runner had signalled to another one
     # Guards against a story that does not say why a runner was passed over.
     Given the logs of 2 nodes, in which "r-1" and "r-2" heard runners that "r-3" passed over
     When the operator explains the request "r-3" by them
-    Then the story names in order "runner_leaving, runner_resting, routed, answered"
+    Then the story names in order "runner_draining, runner_backoff, routed, answered"
     And it says nothing of the request "r-4"
--- a/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -60,15 +60,15 @@
     'the logs of 2 nodes, in which "{first}" and "{second}" heard runners that '
     '"{last}" passed over'
 )
-def given_words(context, first, second, last):
-    passed_over = {"a": "leaving", "b": "resting"}
+def given_signals(context, first, second, last):
+    passed_over = {"a": "draining", "b": "backoff"}
     one = [
-        make_line(1, "runner_leaving", request_id=first, runner="a", status=200),
-        make_line(2, "runner_leaving", request_id="r-4", runner="d", status=200),
-        make_line(30, "runner_resting", request_id="r-4", runner="b", rest_ms=3000),
+        make_line(1, "runner_draining", request_id=first, runner="a", status=200),
+        make_line(2, "runner_draining", request_id="r-4", runner="d", status=200),
+        make_line(30, "runner_backoff", request_id="r-4", runner="b", backoff_ms=3000),
     ]
     two = [
-        make_line(9, "runner_resting", request_id=second, runner="b", rest_ms=3000),
+        make_line(9, "runner_backoff", request_id=second, runner="b", backoff_ms=3000),
         make_line(10, "routed", request_id=last, runner="c", passed_over=passed_over),
         make_line(11, "answered", request_id=last),
     ]
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -19,8 +19,8 @@
 FIRST_LOOK_MS = 50.0
 """After a node has noticed the store's return: what it is shown within this time may
 have happened in the outage. The first answer is taken in the same turn of the loop."""
-MOST_LEAVING = 1_024
-"""Lifetimes known to leave; beyond a day's restarts the oldest is forgotten."""
+MOST_DRAINING = 1_024
+"""Lifetimes known to drain; beyond a day's restarts the oldest is forgotten."""
 LIVE_END_SHARE = 0.7
 """Longest wait for a runner whose entry was seen to end with the store there, as a
 share of the operator's bound on new work for leaving runners."""
@@ -80,16 +80,16 @@
     late then changes nothing: seen otherwise as a new runner that is taken for a
     leaving one, or that is dropped with its predecessor's entry.
 
-    A lifetime that has said in an answer that it leaves does not stay, whatever its
-    entry says: the entry is written earlier, and later or never if the store is away.
+    A lifetime that signals in an answer that it drains stays draining, whatever its
+    entry says: the entry may be older, and is not renewed while the store is away.
     """
 
     def __init__(self, *, drain_within_ms: float) -> None:
         self._longest_live_wait_ms = LIVE_END_SHARE * drain_within_ms
         self._records: dict[str, RunnerRecord] = {}
         self._lapsed: dict[str, float] = {}
-        self._leaving: dict[str, None] = {}
-        """Lifetimes that have said in an answer that they leave, the oldest first."""
+        self._draining: dict[str, None] = {}
+        """Lifetimes that signalled in an answer that they drain, the oldest first."""
         self._is_store_away = False
         self._outage_ended_ms = -RETURN_TIME_MS
         self.revision = 0
@@ -159,14 +159,14 @@
         self.revision = max(self.revision, changes.revision)
         return any(removed) or any(put)
 
-    def record_leaving(self, runner: Runner) -> DirectoryChanges | None:
-        """Note that a runner has said in an answer that it leaves.
+    def record_draining(self, runner: Runner) -> DirectoryChanges | None:
+        """Note that a runner signalled in an answer that it drains.
 
         Returns what to tell other nodes, or None if nothing changed here.
         """
-        self._note_leaving(runner)
+        self._note_draining(runner)
         known = self._records.get(runner.runner_id)
-        if known is None or not self._mark_leaving(known, runner):
+        if known is None or not self._mark_draining(known, runner):
             return None
         record = self._records[runner.runner_id]
         return DirectoryChanges(self.revision, self.revision, (record,), ())
@@ -216,29 +216,29 @@
         if known is not None:
             if known.revision >= record.revision:
                 # Old news of an entry that may have ended since: no sign of its return.
-                # Another node may have heard in an answer that its runner leaves.
-                return record.is_leaving and self._mark_leaving(known, record.runner)
+                # Another node may have learnt from an answer that its runner drains.
+                return record.is_leaving and self._mark_draining(known, record.runner)
             if record.runner.born_ms < known.runner.born_ms:
                 # A write of the lifetime before, done late by the store.
                 return False
-        if record.runner.lifetime in self._leaving:
+        if record.runner.lifetime in self._draining:
             record = record._replace(is_leaving=True)
         self._lapsed.pop(runner_id, None)
         self._records[runner_id] = record
         return known is None or known[:2] != record[:2]
 
-    def _mark_leaving(self, known: RunnerRecord, runner: Runner) -> bool:
-        """Take a known runner for leaving; return whether that is news."""
+    def _mark_draining(self, known: RunnerRecord, runner: Runner) -> bool:
+        """Mark a known runner as draining; return whether that is news."""
         if known.is_leaving or known.runner.lifetime != runner.lifetime:
             return False
-        self._note_leaving(runner)
+        self._note_draining(runner)
         self._records[runner.runner_id] = known._replace(is_leaving=True)
         return True
 
-    def _note_leaving(self, runner: Runner) -> None:
-        self._leaving[runner.lifetime] = None
-        if len(self._leaving) > MOST_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
+    def _note_draining(self, runner: Runner) -> None:
+        self._draining[runner.lifetime] = None
+        if len(self._draining) > MOST_DRAINING:
+            del self._draining[next(iter(self._draining))]
 
     def _end(self, ended: RunnerRemoval, now_ms: float) -> bool:
         record = self._records.get(ended.runner_id)
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -42,8 +42,8 @@
     def __init__(self) -> None:
         self._entries: dict[str, RunnerEntry] = {}
         self._evacuated: dict[str, int] = {}
-        self._rests: dict[str, float] = {}
-        """Until when lifetimes want no calls from this node; monotonic."""
+        self._backoffs: dict[str, float] = {}
+        """Until when this node backs off from which lifetimes; monotonic."""
 
     def set_evacuated(self, zones: dict[str, int]) -> None:
         """Take the zones whose runners get nothing new, with the orders' revisions."""
@@ -104,8 +104,8 @@
         entry = self._entries.get(runner.runner_id)
         return entry is not None and entry.runner.lifetime == runner.lifetime
 
-    def is_leaving(self, runner_id: str) -> bool:
-        """Tell whether a runner is known to leave, or is gone."""
+    def is_draining(self, runner_id: str) -> bool:
+        """Tell whether a runner drains or is gone."""
         entry = self._entries.get(runner_id)
         return entry is None or entry.state is RunnerState.DRAINING
 
@@ -121,50 +121,52 @@
             return False
         return entry.state is RunnerState.QUARANTINED
 
-    def is_resting(self, runner: Runner) -> bool:
-        """Tell whether a runner wants no calls from this node for now."""
-        return runner.lifetime in self._rests
+    def is_backed_off(self, runner: Runner) -> bool:
+        """Tell whether this node backs off from a runner that asked for it."""
+        return runner.lifetime in self._backoffs
 
     def why_closed(self, runner_id: str) -> str | None:
-        """Return why a runner takes no calls by its own word; None if it does."""
+        """Return by which signal of its own a runner takes no calls, or None."""
         entry = self._entries.get(runner_id)
         if entry is None:
             return None
         if entry.state is RunnerState.DRAINING:
-            return "leaving"
-        return "resting" if self.is_resting(entry.runner) else None
+            return "draining"
+        return "backoff" if self.is_backed_off(entry.runner) else None
 
-    def rest_left_ms(self, pool: str, *, now_ms: float) -> float:
-        """Return when the first of a pool's resting runners may be asked again.
+    def backoff_left_ms(self, pool: str, *, now_ms: float) -> float:
+        """Return the shortest time left to back off from a runner of a pool.
 
-        0 if none of them rests. Those that leave, or whose zone is emptied, are left
-        out: they take no calls after their rest either.
+        0 if there is none. Draining runners and those of an emptied zone are left out:
+        they take no calls afterwards either.
         """
         left_ms = [
-            self._rests[entry.runner.lifetime] - now_ms
+            self._backoffs[entry.runner.lifetime] - now_ms
             for entry in self._entries.values()
             if entry.runner.pool == pool
-            and entry.runner.lifetime in self._rests
+            and entry.runner.lifetime in self._backoffs
             and entry.state is not RunnerState.DRAINING
             and not self.is_evacuated(entry.runner)
         ]
         return max(0.0, min(left_ms, default=0.0))
 
-    def record_rest(self, runner: Runner, *, rest_ms: float, now_ms: float) -> bool:
-        """Note that a runner wants no calls for a while; return whether that is news.
+    def record_backoff(
+        self, runner: Runner, *, backoff_ms: float, now_ms: float
+    ) -> bool:
+        """Back off from a runner for a while; return whether that prolongs it.
 
-        A later refusal that names a shorter time does not take the first one back.
+        A later refusal with a shorter time does not end an earlier backoff.
         """
-        until_ms = now_ms + rest_ms
-        if until_ms <= self._rests.get(runner.lifetime, 0.0):
+        until_ms = now_ms + backoff_ms
+        if until_ms <= self._backoffs.get(runner.lifetime, 0.0):
             return False
-        self._rests[runner.lifetime] = until_ms
+        self._backoffs[runner.lifetime] = until_ms
         return True
 
-    def end_due_rests(self, *, now_ms: float) -> None:
-        """Let calls go again to runners whose rest is over."""
-        for lifetime in [name for name, due in self._rests.items() if due <= now_ms]:
-            del self._rests[lifetime]
+    def end_due_backoffs(self, *, now_ms: float) -> None:
+        """Let calls go again to runners whose backoff is over."""
+        for lifetime in [name for name, due in self._backoffs.items() if due <= now_ms]:
+            del self._backoffs[lifetime]
 
     def record_draining(self, runner_id: str, *, now_ms: float) -> None:
         """Note that the runner itself said that it is leaving."""
@@ -230,7 +232,7 @@
         ]
 
     def _is_open(self, runner: Runner) -> bool:
-        return not self.is_evacuated(runner) and not self.is_resting(runner)
+        return not self.is_evacuated(runner) and not self.is_backed_off(runner)
 
     def _keep_or_add(self, runner: Runner, now_ms: float) -> RunnerEntry:
         known = self._entries.get(runner.runner_id)
--- a/packages/clementineyoke-core/tests/steps/leaving_runners_steps.py
+++ b/packages/clementineyoke-core/tests/steps/draining_runners_steps.py
@@ -6,18 +6,18 @@
 from clementineyoke_core.edge.runner_directory import DirectoryView
 
 
-def leaving(directory):
+def draining(directory):
     return {r.runner.runner_id for r in directory.records() if r.is_leaving}
 
 
-@when("an answer of {name} says that it leaves")
-def say_leaving(context, name):
-    context.news = context.directory.record_leaving(make_runner(name))
+@when("an answer of {name} signals that it drains")
+def say_draining(context, name):
+    context.news = context.directory.record_draining(make_runner(name))
 
 
-@when("the lifetime {born:d} of {name} answers that it leaves")
-def say_leaving_born(context, born, name):
-    context.directory.record_leaving(make_runner(name, born_ms=born))
+@when("the lifetime {born:d} of {name} answers that it drains")
+def signal_drain_of(context, born, name):
+    context.directory.record_draining(make_runner(name, born_ms=born))
 
 
 @when("that is told to a new node")
@@ -27,13 +27,13 @@
     assert context.new_directory.apply(context.news, now_ms=0.0)
 
 
-@then("{name} is leaving and {other} is not")
-def check_leaving(context, name, other):
-    assert leaving(context.directory) == {name}, leaving(context.directory)
+@then("{name} is draining and {other} is not")
+def check_draining(context, name, other):
+    assert draining(context.directory) == {name}, draining(context.directory)
     known = {record.runner.runner_id for record in context.directory.records()}
     assert other in known, known
 
 
-@then("the new node knows that {name} is leaving")
+@then("the new node knows that {name} is draining")
 def check_new_node(context, name):
-    assert leaving(context.new_directory) == {name}, leaving(context.new_directory)
+    assert draining(context.new_directory) == {name}, draining(context.new_directory)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -23,7 +23,7 @@
 from clementineyoke_node.edge.peer_states import PeerStates
 from clementineyoke_node.edge.runner_attempts import RunnerAttempts
 from clementineyoke_node.edge.runner_link import RunnerLink
-from clementineyoke_node.edge.runner_words import RunnerWords
+from clementineyoke_node.edge.runner_signals import RunnerSignals
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.fleet.gossiper import Gossiper
 from clementineyoke_node.fleet.introducer import Introducer
@@ -78,13 +78,13 @@
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
-        self.words = RunnerWords(
+        self.signals = RunnerSignals(
             table=state.table,
             timers=self.timers,
             decisions=state.decisions,
-            on_leaving=self._hear_leaving,
+            on_draining=self._learn_draining,
         )
-        self.link = RunnerLink(timers=self.timers, words=self.words)
+        self.link = RunnerLink(timers=self.timers, signals=self.signals)
         self.watch = RunnerWatch(table=state.table)
         self.socket = PeerSocket(
             seal=state.seal,
@@ -312,12 +312,12 @@
         now_ms = self.timers.now_ms()
         return self._state.cold.calls_per_s(runner, now_ms=now_ms) is not None
 
-    def _hear_leaving(self, runner: Runner) -> bool:
-        """Take a runner's word that it leaves; return whether it is news.
+    def _learn_draining(self, runner: Runner) -> bool:
+        """Note that a runner drains; return whether that is news.
 
-        Its home refuses it to nodes that no answer has told, also in other zones.
+        Its home then refuses slots on it to nodes that do not know yet, in any zone.
         """
-        news = self.view.hear_leaving(runner)
+        news = self.view.take_draining(runner)
         if news is None:
             return False
         home_id = self._state.region_homes.home_of(runner.runner_id)
@@ -345,7 +345,7 @@
         self.apply_hosts()
 
     async def _do_prompt_work(self) -> None:
-        self._state.table.end_due_rests(now_ms=self.timers.now_ms())
+        self._state.table.end_due_backoffs(now_ms=self.timers.now_ms())
         await self.slot_home.serve_all_waiting()
         await self.view.drop_lapsed()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -142,13 +142,13 @@
         if not is_zone_told:
             self._on_news(self._with_lapses(changes))
 
-    def hear_leaving(self, runner: Runner) -> DirectoryChanges | None:
-        """Take a runner's word in an answer that it leaves, and tell the zone.
+    def take_draining(self, runner: Runner) -> DirectoryChanges | None:
+        """Take a runner's signal in an answer that it drains, and tell the zone.
 
-        Returns the news, or None if it was known. The store may hear of it much later,
-        and the runner ends soon after that.
+        Returns the news, or None if it was known. The store may learn of it much later,
+        and the runner exits soon after that.
         """
-        news = self._directory.record_leaving(runner)
+        news = self._directory.record_draining(runner)
         if news is not None:
             self._apply("answer")
             self._on_news(news)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -40,8 +40,8 @@
 """When a call that found no runner at all may come back: those of an emptied zone, or
 new ones, take seconds to return."""
 RETURN_SPREAD_MS = 400
-"""Over which callers return that were refused for a pool whose runners rest: all at
-once they would be refused again."""
+"""Spreads the return of callers that were refused while the node backed off from a
+whole pool: all at once they would be refused again."""
 BROKEN_RETRY_MS = 200
 ANSWERED_ENDS = frozenset((AttemptEnd.FAILED, AttemptEnd.REFUSED))
 """Ends by which a runner shows that it can be reached."""
@@ -159,10 +159,10 @@
         """Return when a call that did not run may come back."""
         if self._broker.has_open(pool):
             return REFUSED_RETRY_MS
-        rest_ms = self._broker.rest_left_ms(pool, now_ms=self._timers.now_ms())
-        if not rest_ms:
+        backoff_ms = self._broker.backoff_left_ms(pool, now_ms=self._timers.now_ms())
+        if not backoff_ms:
             return CLOSED_RETRY_MS
-        return math.ceil(rest_ms) + self._random_key() % RETURN_SPREAD_MS
+        return math.ceil(backoff_ms) + self._random_key() % RETURN_SPREAD_MS
 
     def _may_give_up(
         self, admitted: AdmittedCall, ledger: AttemptLedger, runner: Runner
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_door.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_door.py
@@ -56,10 +56,10 @@
                 entry.runner.runner_id: entry.state.value
                 for entry in state.table.entries()
             },
-            "resting": [
+            "backed_off": [
                 entry.runner.runner_id
                 for entry in state.table.entries()
-                if state.table.is_resting(entry.runner)
+                if state.table.is_backed_off(entry.runner)
             ],
             "homed_slots": io.slot_home.loads(),
         }
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_link.py
@@ -29,8 +29,8 @@
 
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.runner import Runner
+    from clementineyoke_node.edge.runner_signals import RunnerSignals
     from clementineyoke_node.edge.runner_wait import RunnerWait
-    from clementineyoke_node.edge.runner_words import RunnerWords
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
@@ -54,9 +54,9 @@
 class RunnerLink:
     """Own the connections to runners."""
 
-    def __init__(self, *, timers: TimerService, words: RunnerWords) -> None:
+    def __init__(self, *, timers: TimerService, signals: RunnerSignals) -> None:
         self._timers = timers
-        self._words = words
+        self._signals = signals
         self._trust = IdleTrust()
         self._tenure = AddressTenure()
         self._stack = AsyncExitStack()
@@ -103,7 +103,7 @@
         is_whole = False
         try:
             head = decode_head(response.status, response.headers)
-            self._words.hear(runner, call, head)
+            self._signals.observe(runner, call, head)
             check_echo(runner, call, head)
             yield OpenAnswer(head, response)
             is_whole = response.content.at_eof()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_words.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_signals.py
@@ -1,4 +1,4 @@
-"""What runners say of themselves in their answers."""
+"""Signals about themselves that runners send in their answers."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
     from clementineyoke_node.timers.timer_service import TimerService
 
 
-class RunnerWords:
-    """Hear what the head of each answer says of its runner."""
+class RunnerSignals:
+    """Apply what the head of each answer signals about its runner."""
 
     def __init__(
         self,
@@ -26,30 +26,30 @@
         table: RunnerTable,
         timers: TimerService,
         decisions: DecisionRing,
-        on_leaving: Callable[[Runner], bool],
+        on_draining: Callable[[Runner], bool],
     ) -> None:
-        """Take the parts; ``on_leaving`` tells whether a runner's leaving is news."""
+        """Take the parts; ``on_draining`` returns whether the drain is news."""
         self._table = table
         self._timers = timers
         self._decisions = decisions
-        self._on_leaving = on_leaving
+        self._on_draining = on_draining
 
-    def hear(self, runner: Runner, call: EdgeCall, head: AnswerHead) -> None:
-        """Take what an answer, a refusal or the beginning of a stream says."""
-        if head.is_leaving and self._on_leaving(runner):
+    def observe(self, runner: Runner, call: EdgeCall, head: AnswerHead) -> None:
+        """Apply the signals of an answer, a refusal or the beginning of a stream."""
+        if head.is_draining and self._on_draining(runner):
             self._decisions.record(
-                Event.RUNNER_LEAVING,
+                Event.RUNNER_DRAINING,
                 request_id=call.call_id,
                 runner=runner.runner_id,
                 status=head.status,
             )
-        if head.rest_ms and self._table.record_rest(
-            runner, rest_ms=head.rest_ms, now_ms=self._timers.now_ms()
+        if head.retry_after_ms and self._table.record_backoff(
+            runner, backoff_ms=head.retry_after_ms, now_ms=self._timers.now_ms()
         ):
             self._decisions.record(
-                Event.RUNNER_RESTING,
+                Event.RUNNER_BACKOFF,
                 request_id=call.call_id,
                 runner=runner.runner_id,
                 status=head.status,
-                rest_ms=round(head.rest_ms),
+                backoff_ms=round(head.retry_after_ms),
             )
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
@@ -25,9 +25,9 @@
 FETCH_FROM = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
 """In seconds, with fractions."""
-LEAVING = "Server-Leaving"
-"""In all answers of a runner that is leaving."""
-LEAVING_VALUE = "1"
+DRAINING = "Server-Leaving"
+"""In all answers of a runner that drains."""
+DRAINING_VALUE = "1"
 
 ONLY_OURS = frozenset(
     name.lower()
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -14,10 +14,10 @@
 
 MS_PER_S = 1000.0
 STATUS_MISDIRECTED = 421
-RESTING_STATUSES = frozenset((429, 503))
-"""Refusals with which a runner may ask for no calls for a while."""
-LONGEST_REST_MS = 3_600_000.0
-"""A longer time is taken for this: no restart takes an hour."""
+BACKOFF_STATUSES = frozenset((429, 503))
+"""Refusals with which a runner may ask a node to back off."""
+LONGEST_BACKOFF_MS = 3_600_000.0
+"""Longer times are cut to this: no restart takes an hour."""
 EVENT_STREAM = "text/event-stream"
 
 
@@ -42,10 +42,10 @@
     is_refusal: bool
     """Whether the runner says that it did not run the call."""
     has_proof: bool
-    is_leaving: bool
-    """Whether the runner says that it is leaving."""
-    rest_ms: float
-    """For how long the runner wants no calls from this node; 0 if it does not say."""
+    is_draining: bool
+    """Whether the runner signals that it drains."""
+    retry_after_ms: float
+    """How long the node is asked to back off; 0 if it is not."""
     is_event_stream: bool
     passed_headers: list[tuple[str, str]]
 
@@ -74,26 +74,26 @@
         call_id=fields.get(names.CALL_ID, ""),
         is_refusal=names.NOT_EXECUTED in fields or status == STATUS_MISDIRECTED,
         has_proof=names.PROOF in fields,
-        is_leaving=_says_leaving(status, fields),
-        rest_ms=_decode_rest_ms(status, fields),
+        is_draining=_says_draining(status, fields),
+        retry_after_ms=_decode_retry_after_ms(status, fields),
         is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
         passed_headers=end_to_end(list(fields.items())),
     )
 
 
-def _says_leaving(status: int, fields: CIMultiDictProxy[str]) -> bool:
+def _says_draining(status: int, fields: CIMultiDictProxy[str]) -> bool:
     # A misdirected call was answered by another runner, which speaks for itself.
     if status == STATUS_MISDIRECTED:
         return False
-    return fields.get(names.LEAVING, "").strip() == names.LEAVING_VALUE
+    return fields.get(names.DRAINING, "").strip() == names.DRAINING_VALUE
 
 
-def _decode_rest_ms(status: int, fields: CIMultiDictProxy[str]) -> float:
-    """Return the time that comes with a refusal; 0 without one that can be read."""
-    if status not in RESTING_STATUSES:
+def _decode_retry_after_ms(status: int, fields: CIMultiDictProxy[str]) -> float:
+    """Return the time of a refusal; 0 if there is none or it cannot be parsed."""
+    if status not in BACKOFF_STATUSES:
         return 0.0
     try:
-        rest_ms = float(fields.get(names.RETRY_AFTER, "")) * MS_PER_S
+        retry_after_ms = float(fields.get(names.RETRY_AFTER, "")) * MS_PER_S
     except ValueError:
         return 0.0
-    return min(rest_ms, LONGEST_REST_MS) if rest_ms > 0.0 else 0.0
+    return min(retry_after_ms, LONGEST_BACKOFF_MS) if retry_after_ms > 0.0 else 0.0
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -122,9 +122,9 @@
         """Whether any runner of a pool takes new calls."""
         return self.has_other(pool, set())
 
-    def rest_left_ms(self, pool: str, *, now_ms: float) -> float:
-        """Return when the first resting runner of a pool may be asked again, or 0."""
-        return self._table.rest_left_ms(pool, now_ms=now_ms)
+    def backoff_left_ms(self, pool: str, *, now_ms: float) -> float:
+        """Return the shortest time left to back off from a runner of a pool, or 0."""
+        return self._table.backoff_left_ms(pool, now_ms=now_ms)
 
     def has_other(self, pool: str, tried: set[str]) -> bool:
         """Whether a pool has a ready runner besides those that were tried."""
@@ -327,12 +327,12 @@
         return lease
 
     def _takes_calls(self, runner: Runner) -> bool:
-        """Whether a runner lives, stays, does not rest, and is in no emptied zone."""
+        """Whether a runner is current, and not draining, backed off or evacuated."""
         if not self._table.is_current(runner) or self._table.is_evacuated(runner):
             return False
-        if self._table.is_resting(runner):
+        if self._table.is_backed_off(runner):
             return False
-        return not self._table.is_leaving(runner.runner_id)
+        return not self._table.is_draining(runner.runner_id)
 
     def _release(self, lease: SlotLease) -> None:
         self._leases.pop(lease.ask_id, None)
--- a/packages/clementineyoke-node/tests/steps/runner_words_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_signals_steps.py
@@ -23,17 +23,17 @@
     return await context.fleet.call(kind, number=node - 1, call_id=name)
 
 
-@given("runner {number:d} says in its answers that it leaves")
-@when("runner {number:d} says in its answers that it leaves")
-def say_leaving(context, number):
-    runner(context, number).is_leaving = True
+@given("runner {number:d} signals in its answers that it drains")
+@when("runner {number:d} signals in its answers that it drains")
+def signal_drain(context, number):
+    runner(context, number).is_draining = True
 
 
-@given("runner {number:d} refuses all calls and asks for {rest_s:g} s of rest")
-@when("runner {number:d} refuses all calls and asks for {rest_s:g} s of rest")
-def ask_for_rest(context, number, rest_s):
+@given("runner {number:d} refuses all calls with a backoff of {backoff_s:g} s")
+@when("runner {number:d} refuses all calls with a backoff of {backoff_s:g} s")
+def ask_to_back_off(context, number, backoff_s):
     runner(context, number).usual = Act.REFUSE
-    runner(context, number).rest_s = rest_s
+    runner(context, number).retry_after_s = backoff_s
 
 
 @when("the store goes silent")
@@ -77,10 +77,10 @@
     assert len(runner(context, number).calls) == count, runner(context, number).calls
 
 
-@when('runner {number:d} answers each call as "{act}" and its rest has passed')
-def rest_passes(context, number, act):
+@when('runner {number:d} answers each call as "{act}" and its backoff has passed')
+def backoff_passes(context, number, act):
     answer_as(context, number, act)
-    context.run(asyncio.sleep(runner(context, number).rest_s + 0.2))
+    context.run(asyncio.sleep(runner(context, number).retry_after_s + 0.2))
 
 
 @then("some of those reached runner {number:d}")
@@ -149,10 +149,10 @@
     context.head = decode_head(status, CIMultiDictProxy(CIMultiDict({name: value})))
 
 
-@then("its runner is said to be {word} and wants {rest_ms:d} ms of rest")
-def check_head(context, word, rest_ms):
-    assert context.head.is_leaving == (word == "leaving"), context.head
-    assert context.head.rest_ms == rest_ms, context.head
+@then("its runner is {state} and asks for {backoff_ms:d} ms of backoff")
+def check_head(context, state, backoff_ms):
+    assert context.head.is_draining == (state == "draining"), context.head
+    assert context.head.retry_after_ms == backoff_ms, context.head
 
 
 @given("a fleet of {nodes:d} nodes and {runners:d} runners that know of one another")
@@ -195,18 +195,18 @@
     come_until_met(context, most, elsewhere, number)
 
 
-def knows_leaving(node, runner_id):
+def knows_draining(node, runner_id):
     return node.state.table.get(runner_id).state is RunnerState.DRAINING
 
 
-@then("node {node:d} knows within {limit_s:d} s that runner {number:d} leaves")
+@then("node {node:d} knows within {limit_s:d} s that runner {number:d} drains")
 def check_told(context, node, limit_s, number):
     runner_id = runner(context, number).runner_id
     told = context.fleet.nodes[node - 1]
-    context.run(wait_until(lambda: knows_leaving(told, runner_id), limit_s))
+    context.run(wait_until(lambda: knows_draining(told, runner_id), limit_s))
 
 
-@then("all nodes know within {limit_s:d} s that runner {number:d} leaves")
+@then("all nodes know within {limit_s:d} s that runner {number:d} drains")
 def check_all_told(context, limit_s, number):
     for node in range(1, len(context.fleet.nodes) + 1):
         check_told(context, node, limit_s, number)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -27,8 +27,8 @@
     """Whether requests come that end their runners; not in seeds from before."""
     has_zone_work: bool = True
     """Whether zones are emptied and runners are cold in every second seed."""
-    has_runner_words: bool = True
-    """Whether runners want rest, and leave before the store hears of it."""
+    has_runner_signals: bool = True
+    """Whether runners shed calls, and drain before their entries say so."""
 
 
 def run(
@@ -52,7 +52,7 @@
                 entry["length_s"],
                 entry.get("has_crashes", False),
                 entry.get("has_zone_work", False),
-                entry.get("has_runner_words", False),
+                entry.get("has_runner_signals", False),
             )
             for entry in entries
         ]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -76,10 +76,10 @@
     """Whether the runner began to work on it."""
     lifetime: int = 0
     """How often the runner had crashed before."""
-    says_leaving: bool = False
-    """Whether the answer said that the runner leaves."""
-    rest_s: float = 0.0
-    """How long the refusal asked for no calls."""
+    says_draining: bool = False
+    """Whether the answer signalled that the runner drains."""
+    retry_after_s: float = 0.0
+    """Time that the refusal bore; 0 for none."""
 
     @property
     def call_id(self) -> str:
@@ -113,12 +113,12 @@
         """What it bears while it is cold; 0 for no limit."""
         self.overruns = 0
         """How often it ended for more calls than it bore."""
-        self.is_leaving = False
-        """Whether all its answers say that it leaves."""
+        self.is_draining = False
+        """Whether all its answers signal that it drains."""
         self.is_shedding = False
         """Whether it refuses all calls, whatever its script says."""
-        self.rest_s = 0.0
-        """How long its refusals ask for no calls; 0 for refusals without a time."""
+        self.retry_after_s = 0.0
+        """Time that its refusals bear; 0 for none."""
         self.ends_s: list[float] = []
         """When each of its lifetimes crashed; monotonic."""
         self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
@@ -197,8 +197,8 @@
             at_s=time.monotonic(),
             has_run=not is_refused,
             lifetime=self.crashes,
-            says_leaving=self.is_leaving,
-            rest_s=self.rest_s if is_refused else 0.0,
+            says_draining=self.is_draining,
+            retry_after_s=self.retry_after_s if is_refused else 0.0,
         )
         self.calls.append(seen)
         if self._is_overrun(seen.at_s):
@@ -224,12 +224,12 @@
         self.overruns += 1
         return True
 
-    def _words(self) -> dict[str, str]:
-        """Return what every answer says of the runner itself."""
-        words = {names.LEAVING: names.LEAVING_VALUE} if self.is_leaving else {}
+    def _signals(self) -> dict[str, str]:
+        """Return the headers by which every answer tells of the runner itself."""
+        fields = {names.DRAINING: names.DRAINING_VALUE} if self.is_draining else {}
         if self.idle_kept_s is not None:
-            words["Keep-Alive"] = f"timeout={self.idle_kept_s}"
-        return words
+            fields["Keep-Alive"] = f"timeout={self.idle_kept_s}"
+        return fields
 
     def _next_act(self, target: str) -> Act:
         if self.is_shedding:
@@ -256,11 +256,11 @@
         if act is Act.CROSSED:
             call_id = "another-call"
         status = STATUSES.get(act, "200 OK")
-        fields = {names.CALL_ID: call_id, **self._words()}
+        fields = {names.CALL_ID: call_id, **self._signals()}
         if act is Act.REFUSE:
             fields[names.NOT_EXECUTED] = "1"
-            if self.rest_s:
-                fields[names.RETRY_AFTER] = f"{self.rest_s:g}"
+            if self.retry_after_s:
+                fields[names.RETRY_AFTER] = f"{self.retry_after_s:g}"
         elif act is not Act.NO_PROOF:
             fields[names.PROOF] = PROOF
         if act in (Act.UNFRAMED, Act.UNFRAMED_RESET):
@@ -301,7 +301,7 @@
         fields = {
             names.CALL_ID: call_id,
             names.PROOF: PROOF,
-            **self._words(),
+            **self._signals(),
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -14,7 +14,7 @@
     evacuations_spec,
     runner_entries_spec,
     runner_lifetimes_spec,
-    runner_words_spec,
+    runner_signals_spec,
     settings_spec,
 )
 
@@ -31,7 +31,7 @@
     cold_grants_spec,
     crash_records_spec,
     evacuations_spec,
-    runner_words_spec,
+    runner_signals_spec,
 )
 
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -24,9 +24,9 @@
 DENIALS = frozenset((400, 401, 403, 404))
 APPLY_S = 2.0
 """How soon a desired state or a runner's leave is in force at a node in touch."""
-REST_BEGINS_S = 0.5
-"""How soon after a refusal that asks for rest it binds the node that was refused."""
-MOST_IN_REST = 2
+BACKOFF_BEGINS_S = 0.5
+"""How soon after a refusal with a time the node that got it must back off."""
+MOST_IN_BACKOFF = 2
 CLOCK_SLACK_S = 0.5
 """For what lies between the store's word and the soak's own clock reading."""
 
@@ -42,10 +42,10 @@
     """Where the runner is."""
     lifetime: int = 0
     """Which of the runner's lifetimes saw it."""
-    says_leaving: bool = False
-    """Whether its answer said that the runner leaves."""
-    rest_s: float = 0.0
-    """How long its refusal asked for no calls."""
+    says_draining: bool = False
+    """Whether its answer signalled that the runner drains."""
+    retry_after_s: float = 0.0
+    """Time that its refusal bore; 0 for none."""
 
 
 class Span(NamedTuple):
@@ -103,8 +103,8 @@
         broken += _check_leaves(evidence)
         broken += _check_zones(evidence)
         broken += _check_cold(evidence)
-        broken += _check_leaving_words(evidence, runs)
-        broken += _check_rests(evidence)
+        broken += _check_draining(evidence, runs)
+        broken += _check_backoffs(evidence)
     return broken
 
 
@@ -220,34 +220,34 @@
             yield f"{runner_id}: got more calls than it bore while cold, {times} times"
 
 
-def _check_leaving_words(
+def _check_draining(
     evidence: Evidence, runs: dict[str, list[RunnerSight]]
 ) -> Iterable[str]:
-    """Find calls that reached a runner whose leaving their node had passed on."""
-    heard_s: dict[tuple[int, str, int], float] = {}
+    """Find calls to a runner whose draining their node had passed on."""
+    told_s: dict[tuple[int, str, int], float] = {}
     for call in evidence.calls:
         seen = runs.get(call.call_id, [])
-        if call.status == STATUS_OK and len(seen) == 1 and seen[0].says_leaving:
+        if call.status == STATUS_OK and len(seen) == 1 and seen[0].says_draining:
             key = (call.node, seen[0].runner_id, seen[0].lifetime)
-            heard_s[key] = min(heard_s.get(key, math.inf), call.ended_s)
+            told_s[key] = min(told_s.get(key, math.inf), call.ended_s)
     calls = {call.call_id: call for call in evidence.calls}
     for sight in evidence.sights:
         if sight.call_id not in calls:
             continue  # its caller was gone before the end
         call = calls[sight.call_id]
-        since_s = heard_s.get((call.node, sight.runner_id, sight.lifetime), math.inf)
+        since_s = told_s.get((call.node, sight.runner_id, sight.lifetime), math.inf)
         if call.sent_s <= since_s + APPLY_S:
             continue
         if not _has_restarted(evidence, call.node, since_s, sight.at_s):
             late_s = call.sent_s - since_s
             yield (
                 f"{call.call_id}: reached {sight.runner_id} {late_s:.1f} s after"
-                f" node-{call.node} had passed on its leaving"
+                f" node-{call.node} had passed on its draining"
             )
 
 
-def _check_rests(evidence: Evidence) -> Iterable[str]:
-    """Find calls to a runner that had asked their node for rest."""
+def _check_backoffs(evidence: Evidence) -> Iterable[str]:
+    """Find calls to a runner that had asked their node to back off."""
     nodes = {call.call_id: call.node for call in evidence.calls}
     by_sender: dict[tuple[int, str, int], list[RunnerSight]] = defaultdict(list)
     for sight in evidence.sights:
@@ -256,16 +256,16 @@
             by_sender[key].append(sight)
     for (node, runner_id, _), sights in by_sender.items():
         for refusal in sights:
-            from_s = refusal.at_s + REST_BEGINS_S
-            until_s = refusal.at_s + refusal.rest_s
+            from_s = refusal.at_s + BACKOFF_BEGINS_S
+            until_s = refusal.at_s + refusal.retry_after_s
             got = sum(from_s < sight.at_s < until_s for sight in sights)
             is_excused = _has_restarted(
                 evidence, node, refusal.at_s, until_s
             ) or _overlaps(evidence.cuts, refusal.at_s, until_s)
-            if got > MOST_IN_REST and not is_excused:
+            if got > MOST_IN_BACKOFF and not is_excused:
                 yield (
                     f"{runner_id}: got {got} calls from node-{node} in"
-                    f" {refusal.rest_s} s of rest"
+                    f" {refusal.retry_after_s} s of backoff"
                 )
 
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -54,7 +54,7 @@
 LONG_COLD_MS = 60_000
 """Longer than a seed: the runner's next word ends it."""
 STORE_POLL_S = 0.05
-REST_S = 2.0
+SHED_RETRY_AFTER_S = 2.0
 
 
 async def send_crashing(
@@ -98,8 +98,8 @@
             FaultKind.CRASHING_REQUEST: self._send_crashing,
             FaultKind.ZONE_EMPTIED: self._empty_zone,
             FaultKind.RUNNER_COLD: self._turn_cold,
-            FaultKind.RUNNER_RESTS: self._rest,
-            FaultKind.RUNNER_LEAVES_UNHEARD: self._leave_unheard,
+            FaultKind.RUNNER_SHEDS: self._shed,
+            FaultKind.RUNNER_DRAINS_UNLISTED: self._drain_unlisted,
         }
 
     async def play(self, fault: PlannedFault) -> None:
@@ -186,18 +186,18 @@
         if number is not None:
             await self._leave_for_good(number, for_s=fault.for_s)
 
-    async def _leave_unheard(self, fault: PlannedFault) -> None:
-        """Let a runner leave, and its entry say so only after a while."""
+    async def _drain_unlisted(self, fault: PlannedFault) -> None:
+        """Let a runner drain, and its entry say so only after a while."""
         number = self._pick_staying(fault)
         if number is None:
             return
-        self._fleet.runners[number].is_leaving = True
+        self._fleet.runners[number].is_draining = True
         await asyncio.sleep(APPLY_S + fault.for_s)
         await self._leave_for_good(number, for_s=fault.for_s)
 
     async def _leave_for_good(self, number: int, *, for_s: float) -> None:
         runner, link = self._fleet.runners[number], self._fleet.runner_links[number]
-        runner.is_leaving = True
+        runner.is_draining = True
         await self._fleet.state.enter(runner, link.listen, state="draining")
         await asyncio.sleep(for_s)
         await self._fleet.state.remove(runner)
@@ -206,16 +206,16 @@
         staying = [
             number
             for number, runner in enumerate(self._fleet.runners)
-            if not runner.is_leaving
+            if not runner.is_draining
         ]
         return None if len(staying) <= 2 else staying[fault.pick % len(staying)]
 
-    async def _rest(self, fault: PlannedFault) -> None:
-        """Let a runner refuse all calls for a while, each time with a time to rest."""
+    async def _shed(self, fault: PlannedFault) -> None:
+        """Let a runner refuse all calls for a while, each with a time to back off."""
         runner = self._fleet.runners[fault.pick % len(self._fleet.runners)]
-        runner.is_shedding, runner.rest_s = True, REST_S
+        runner.is_shedding, runner.retry_after_s = True, SHED_RETRY_AFTER_S
         await asyncio.sleep(fault.for_s)
-        runner.is_shedding, runner.rest_s = False, 0.0
+        runner.is_shedding, runner.retry_after_s = False, 0.0
 
     async def _change_key(self, fault: PlannedFault) -> None:
         async with self._lock:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -46,10 +46,10 @@
     """The operator wants nothing new for a zone's runners, and takes that back."""
     RUNNER_COLD = "runner_cold"
     """A runner bears only some calls a second for a while, and says so."""
-    RUNNER_RESTS = "runner_rests"
-    """A runner refuses all calls for a while and wants none, and says so."""
-    RUNNER_LEAVES_UNHEARD = "runner_leaves_unheard"
-    """A runner leaves and says so in its answers; the store hears of it later."""
+    RUNNER_SHEDS = "runner_sheds"
+    """A runner refuses all calls for a while, each with a time to back off."""
+    RUNNER_DRAINS_UNLISTED = "runner_drains_unlisted"
+    """A runner drains and signals it in its answers; its entry follows later."""
 
 
 HARMLESS = frozenset(
@@ -60,8 +60,8 @@
         FaultKind.STATE_STORM,
         FaultKind.ZONE_EMPTIED,
         FaultKind.RUNNER_COLD,
-        FaultKind.RUNNER_RESTS,
-        FaultKind.RUNNER_LEAVES_UNHEARD,
+        FaultKind.RUNNER_SHEDS,
+        FaultKind.RUNNER_DRAINS_UNLISTED,
     )
 )
 """What no promise may suffer under at all."""
@@ -76,14 +76,14 @@
         FaultKind.ALL_KILL,
     )
 )
-"""After these a node may have forgotten what answers told it."""
-RUNNER_WORDS = (FaultKind.RUNNER_RESTS, FaultKind.RUNNER_LEAVES_UNHEARD)
+"""After these a node may have forgotten the signals of runners."""
+RUNNER_SIGNALS = (FaultKind.RUNNER_SHEDS, FaultKind.RUNNER_DRAINS_UNLISTED)
 DRAWN_APART = frozenset(
     (
         FaultKind.CRASHING_REQUEST,
         FaultKind.ZONE_EMPTIED,
         FaultKind.RUNNER_COLD,
-        *RUNNER_WORDS,
+        *RUNNER_SIGNALS,
     )
 )
 """What is planned by itself, so that seeds from before play what they played."""
@@ -125,9 +125,9 @@
     return _draw_once(kinds, Random(f"zones of {seed}"), length_s)
 
 
-def plan_runner_words(seed: int, *, length_s: float) -> list[PlannedFault]:
-    """Return when runners want rest, and leave before the store hears of it."""
-    return _draw_once(RUNNER_WORDS, Random(f"words of {seed}"), length_s)
+def plan_runner_signals(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return when runners shed calls, and drain before their entries say so."""
+    return _draw_once(RUNNER_SIGNALS, Random(f"signals of {seed}"), length_s)
 
 
 def _draw_once(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -112,7 +112,7 @@
         await runner.start()
         await link.come_up()
         if runner.runner_id not in self.state.left:
-            runner.is_leaving = False
+            runner.is_draining = False
             born_ms = round(time.time() * MS_PER_S)
             await self.state.enter(runner, link.listen, born_ms=born_ms)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -27,12 +27,12 @@
     HARMLESS,
     PLANNED,
     RESTARTS,
-    RUNNER_WORDS,
+    RUNNER_SIGNALS,
     FaultKind,
     PlannedFault,
     plan_crashes,
     plan_faults,
-    plan_runner_words,
+    plan_runner_signals,
     plan_zone_work,
 )
 from clementineyoke_standins.soak.soak_fleet import GRACE_S, SoakFleet
@@ -85,12 +85,12 @@
         is_timed: bool,
         has_crashes: bool = True,
         has_zone_work: bool = True,
-        has_runner_words: bool = True,
+        has_runner_signals: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
         self._has_zone_work = has_zone_work
-        self._has_runner_words = has_runner_words
+        self._has_runner_signals = has_runner_signals
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -130,8 +130,8 @@
                     planned += plan_crashes(self._seed, length_s=self._length_s)
                 if self._has_zone_work:
                     planned += plan_zone_work(self._seed, length_s=self._length_s)
-                if self._has_runner_words:
-                    planned += plan_runner_words(self._seed, length_s=self._length_s)
+                if self._has_runner_signals:
+                    planned += plan_runner_signals(self._seed, length_s=self._length_s)
                 await asyncio.gather(*(self._play(fault, began_s) for fault in planned))
                 recovered_s = await self._wait_all_serve(session, RECOVER_LIMIT_S)
                 await self._change_in_calm()
@@ -184,8 +184,8 @@
         kinds = [FaultKind.KEY_CHANGE, FaultKind.RUNNER_LEAVES]
         if self._has_zone_work and self._seed % 2 == 0:
             kinds += [FaultKind.ZONE_EMPTIED, FaultKind.RUNNER_COLD]
-        if self._has_runner_words:
-            kinds += RUNNER_WORDS
+        if self._has_runner_signals:
+            kinds += RUNNER_SIGNALS
         for kind in kinds:
             await self._acts.play(PlannedFault(0.0, kind, self._seed, SEEN_S))
         await asyncio.sleep(APPLY_S + SEEN_S)
@@ -241,8 +241,8 @@
                 call.has_run,
                 runner.zone,
                 call.lifetime,
-                call.says_leaving,
-                call.rest_s,
+                call.says_draining,
+                call.retry_after_s,
             )
             for runner in self._fleet.runners
             for call in runner.calls
--- a/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
+++ b/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
@@ -34,18 +34,18 @@
     context.sights.append(sight)
 
 
-@given("an answer that says {word} at {at_s:g} s through node {node:d}")
+@given("an answer that signals {word} at {at_s:g} s through node {node:d}")
 def given_answer(context, word, at_s, node):
     context.calls, context.sights, context.restarts = [], [], []
-    add_call(context, node=node, at_s=at_s, says_leaving=word == "leaving")
+    add_call(context, node=node, at_s=at_s, says_draining=word == "draining")
 
 
 @given(
-    "a refusal that asks for {rest_s:g} s of rest at {at_s:g} s through node {node:d}"
+    "a refusal with a backoff of {backoff_s:g} s at {at_s:g} s through node {node:d}"
 )
-def given_refusal(context, rest_s, at_s, node):
+def given_refusal(context, backoff_s, at_s, node):
     context.calls, context.sights, context.restarts = [], [], []
-    add_call(context, node=node, at_s=at_s, is_refused=True, rest_s=rest_s)
+    add_call(context, node=node, at_s=at_s, is_refused=True, retry_after_s=backoff_s)
 
 
 @when("a call that is sent through node {node:d} at {at_s:g} s reaches the runner")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -42,8 +42,10 @@
     REQUEST_BARRED = EventKind(218, "WARNING", "A request goes to no runner for now.")
     REQUEST_CLEARED = EventKind(219, "INFO", "A suspected request was answered.")
     RUNNER_UNSURE = EventKind(220, "INFO", "Whether a runner has ended is not known.")
-    RUNNER_LEAVING = EventKind(221, "INFO", "An answer says that its runner leaves.")
-    RUNNER_RESTING = EventKind(222, "INFO", "A refusal asks for no calls for a while.")
+    RUNNER_DRAINING = EventKind(
+        221, "INFO", "An answer signals that its runner drains."
+    )
+    RUNNER_BACKOFF = EventKind(222, "INFO", "A refusal asks the node to back off.")
     NODE_DOWN = EventKind(300, "WARNING", "A node stopped answering probes.")
     NODE_BACK = EventKind(301, "INFO", "A node believed down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
