--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -40,6 +40,7 @@
 EVACUATION = f"{NODE}/tests/edge/evacuation.feature"
 COLD = f"{CORE}/tests/cold_runners.feature"
 COLD_CALLS = f"{NODE}/tests/edge/cold_runners.feature"
+SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 
 MUTATIONS = (
     Mutation(
@@ -555,6 +556,62 @@
         "key = None",
         CRASHING,
     ),
+    Mutation(
+        "a drain signalled in an answer is ignored",
+        f"{EDGE}/runner_signals.py",
+        "if head.is_draining and self._on_draining(runner):",
+        "if head.is_draining and False:",
+        SIGNALS,
+    ),
+    Mutation(
+        "a refusal's time to back off is ignored",
+        f"{EDGE}/runner_signals.py",
+        "if head.retry_after_ms and self._table.record_backoff(",
+        "if False and self._table.record_backoff(",
+        SIGNALS,
+    ),
+    Mutation(
+        "a later entry takes the signal of a drain back",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if record.runner.lifetime in self._draining:",
+        "if False:",
+        f"{PURE}/draining_runners.feature",
+    ),
+    Mutation(
+        "a peer's news of a drain counts as known",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "return record.is_leaving and self._mark_draining(known, record.runner)",
+        "return False",
+        f"{PURE}/draining_runners.feature",
+    ),
+    Mutation(
+        "the home in another zone is not told of a drain",
+        f"{EDGE}/edge_io.py",
+        "self.news.tell_node(home, news)",
+        "pass",
+        SIGNALS,
+    ),
+    Mutation(
+        "a shorter time ends a backoff",
+        f"{DECISIONS}/runner_table.py",
+        "if until_ms <= self._backoffs.get(runner.lifetime, 0.0):",
+        "if False:",
+        f"{PURE}/backoff.feature",
+    ),
+    Mutation(
+        "calls are pressed on a runner within its backoff",
+        f"{DECISIONS}/runner_table.py",
+        "return not self.is_evacuated(runner) and not self.is_backed_off(runner)",
+        "return not self.is_evacuated(runner)",
+        f"{PURE}/backoff.feature",
+    ),
+    Mutation(
+        "a connection is kept longer than its runner says",
+        f"{EDGE}/runner_protocol.py",
+        "if said is not None:",
+        "if False:",
+        CALLS,
+    ),
 )
 
 
