Log runners that stop taking calls and runners that may return

A call that reached a draining runner 2,201 ms after its end was acknowledged (bound 2,000 ms) could not be traced: hosts_changed gave only counts, and no event recorded that an entry was gone and that the node was waiting for its runner to return, for how long, or on whose information.

hosts_changed now lists the runners that take no new calls from then on, at most 16. The new event 317, runner_lapsed, reports each entry that is gone while its runner may return, with the time to wait, the source of the information and whether the store is considered away.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -90,7 +90,7 @@
         self._lapsed: dict[str, float] = {}
         self._draining: dict[str, None] = {}
         """Lifetimes that signalled in an answer that they drain, the oldest first."""
-        self._is_store_away = False
+        self.is_store_away = False
         self._outage_ended_ms = -RETURN_TIME_MS
         self.revision = 0
 
@@ -113,16 +113,16 @@
             else:
                 held.append(record)
         return DirectoryView(
-            self.revision, tuple(held), tuple(lapsed), self._is_store_away
+            self.revision, tuple(held), tuple(lapsed), self.is_store_away
         )
 
     def record_outage(self) -> None:
         """Note that the store does not answer."""
-        self._is_store_away = True
+        self.is_store_away = True
 
     def record_outage_end(self, *, now_ms: float) -> None:
         """Note that the store answers again after it was away."""
-        self._is_store_away = False
+        self.is_store_away = False
         self._outage_ended_ms = now_ms
         for runner_id in self._lapsed:
             self._lapsed[runner_id] = now_ms + RETURN_TIME_MS
@@ -185,6 +185,10 @@
         """Whether nothing is missing between this directory and the changes."""
         return 0 < self.revision >= changes.base_revision
 
+    def lapsed_ids(self) -> set[str]:
+        """Return the ids of runners that have lost their entries and may yet return."""
+        return set(self._lapsed)
+
     def wait_ms(self, runner_id: str, *, now_ms: float) -> int:
         """Return how much longer a runner may return; 0 for one that is not lapsed."""
         until_ms = self._lapsed.get(runner_id, now_ms)
@@ -264,13 +268,13 @@
 
     def _wait_until_ms(self, now_ms: float, told_wait_ms: int) -> float:
         """Return until when to wait for a runner whose entry is gone."""
-        if self._is_store_away:
+        if self.is_store_away:
             return now_ms + RETURN_TIME_MS
         return max(now_ms + told_wait_ms, self._outage_ended_ms + RETURN_TIME_MS)
 
     def _is_first_look(self, now_ms: float) -> bool:
         """Whether the store is away, or what it shows may have happened meanwhile."""
-        return self._is_store_away or now_ms - self._outage_ended_ms < FIRST_LOOK_MS
+        return self.is_store_away or now_ms - self._outage_ended_ms < FIRST_LOOK_MS
 
     def _remove(self, runner_id: str, now_ms: float, until_ms: float) -> bool:
         """Drop an entry, or wait for its runner; return whether runners changed."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -32,6 +32,9 @@
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.timers.timer_service import TimerService
 
+MOST_LOGGED_IDS = 16
+"""Limits the length of a log line when a whole pool stops taking new calls."""
+
 
 class FleetView:
     """The one writer of these; news from the store and from peers come the same way."""
@@ -56,6 +59,7 @@
         self._on_runners = on_runners
         self._on_news = on_news
         self._directory = RunnerDirectory(drain_within_ms=drain_within_ms)
+        self._live_ids: set[str] = set()
         self.evacuations = Evacuations()
         self.routes: RouteTable | None = None
         self.ready = asyncio.Event()
@@ -124,11 +128,13 @@
     ) -> None:
         """Take the whole list of runners as of a revision."""
         words = self._unheard(view.records)
+        lapsed_before = self._directory.lapsed_ids()
         if self._directory.replace(view, now_ms=self._timers.now_ms()):
             self._apply(source)
             self._note_cold(words)
             if not is_zone_told:
                 self._on_news(None)
+        self._log_lapses(lapsed_before, source)
         self._note_ready()
 
     def take_changes(
@@ -136,9 +142,11 @@
     ) -> None:
         """Take what changed among the runners."""
         words = self._unheard(changes.records)
+        lapsed_before = self._directory.lapsed_ids()
         if self._directory.apply(changes, now_ms=self._timers.now_ms()):
             self._apply(source)
         self._note_cold(words)
+        self._log_lapses(lapsed_before, source)
         if not is_zone_told:
             self._on_news(self._with_lapses(changes))
 
@@ -220,8 +228,12 @@
 
     def _apply(self, source: str) -> None:
         records = self._directory.records()
+        live = [record.runner for record in records if not record.is_leaving]
+        live_ids = {runner.runner_id for runner in live}
+        no_longer_live = self._live_ids - live_ids
+        self._live_ids = live_ids
         self._table.replace_listed(
-            live=[record.runner for record in records if not record.is_leaving],
+            live=live,
             leaving=[record.runner for record in records if record.is_leaving],
             now_ms=self._timers.now_ms(),
         )
@@ -231,9 +243,22 @@
             source=source,
             runners=len(records),
             leaving=sum(record.is_leaving for record in records),
+            no_longer_live=sorted(no_longer_live)[:MOST_LOGGED_IDS],
         )
         self._on_runners()
 
+    def _log_lapses(self, lapsed_before: set[str], source: str) -> None:
+        """Log the runners that have lapsed since the given set was read."""
+        now_ms = self._timers.now_ms()
+        for runner_id in sorted(self._directory.lapsed_ids() - lapsed_before):
+            log_event(
+                Event.RUNNER_LAPSED,
+                runner=runner_id,
+                wait_ms=self._directory.wait_ms(runner_id, now_ms=now_ms),
+                source=source,
+                is_store_away=self._directory.is_store_away,
+            )
+
     def _apply_zones(
         self, change: ZoneChange | None, source: str, *, is_zone_told: bool
     ) -> None:
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -61,6 +61,7 @@
     VIEW_STALE = EventKind(313, "WARNING", "Nobody confirmed the view; asks itself.")
     ZONE_EVACUATED = EventKind(315, "WARNING", "A zone's runners get nothing new.")
     ZONE_RETURNED = EventKind(316, "INFO", "A zone's runners may get calls again.")
+    RUNNER_LAPSED = EventKind(317, "INFO", "An entry is gone; its runner may return.")
     TIMER_FAILED = EventKind(305, "ERROR", "Periodic work failed; it goes on.")
     TASK_FAILED = EventKind(306, "ERROR", "A background task died of a fault.")
     SETTINGS_IN_FORCE = EventKind(400, "INFO", "A settings version came into force.")
