Distinguish one node's lost store connection from a store outage

Impact on callers: for 2.2 s after a runner's entry had ended, nodes that had seen no outage still sent it calls. If the runner has exited by then, the call fails.

Cause: when an entry vanishes, a node whose own calls to the store fail treats the entry as lapsed and waits 2,200 ms for its runner, because entries lapse in an outage although their runners are alive. It did so even when the store answered its peers throughout. It also sent this wait to peers with its list. A node that had never lost the store, but whose zone's two watchers had, adopted it: a wait longer than the operator's bound, based on a report from a node that could not know.

Disconnected nodes also restarted their wait on every report of the end, for up to 4.4 s.

At nodes that know of no outage themselves, cap a wait reported by a peer at 0.7 of the operator's bound. Also record at each node the latest time at which any node is known to have had an answer from the store, using the ages that news and gossip already carry. A node whose own calls fail while the store answers its peers for 2.2 s now treats the failure as local, and an entry that vanishes then has ended; after a real outage its own calls would have succeeded by then.

Rejected: treating one heartbeat without an answer as an outage. Two existing scenarios of entries that lapse in a short outage failed with it.

Six new scenarios: three fail on the code before this change, three cover behaviour that must be kept in an outage.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.edge.runner_record import (
@@ -76,6 +77,10 @@
     fleet that refuses everything for seconds after each outage. An entry that vanished
     in an outage is therefore kept until its runner has had time to return.
 
+    Entries lapse only in an outage that affects the whole fleet. While the store still
+    answers peers, runners renew their entries even if this node's own calls fail, so an
+    entry that vanishes then has ended.
+
     A runner may start anew under its id. What the lifetime before it wrote or tells
     late then changes nothing: seen otherwise as a new runner that is taken for a
     leaving one, or that is dropped with its predecessor's entry.
@@ -90,7 +95,14 @@
         self._lapsed: dict[str, float] = {}
         self._draining: dict[str, None] = {}
         """Lifetimes that signalled in an answer that they drain, the oldest first."""
-        self.is_store_away = False
+        self._is_store_unreachable = False
+        """Whether this node's calls to the store fail."""
+        self._was_failure_local = False
+        """Whether this node's latest failed calls were not due to a store outage."""
+        self._last_store_answer_ms = -math.inf
+        """Time of the latest known answer from the store to any node."""
+        self._answering_since_ms: float | None = None
+        """Start of the current run of store answers; None once calls start to fail."""
         self._outage_ended_ms = -RETURN_TIME_MS
         self.revision = 0
 
@@ -113,16 +125,50 @@
             else:
                 held.append(record)
         return DirectoryView(
-            self.revision, tuple(held), tuple(lapsed), self.is_store_away
+            self.revision, tuple(held), tuple(lapsed), self.in_outage(now_ms=now_ms)
+        )
+
+    def in_outage(self, *, now_ms: float) -> bool:
+        """Whether this node's calls to the store fail because of a store outage.
+
+        False once the store has answered peers for the return time: after an outage
+        this node's own calls would have succeeded by then.
+        """
+        if not self._is_store_unreachable:
+            return False
+        if now_ms - self._last_store_answer_ms > RETURN_TIME_MS:
+            return True
+        since_ms = self._answering_since_ms
+        return since_ms is None or (
+            self._last_store_answer_ms - since_ms < RETURN_TIME_MS
         )
 
     def record_outage(self) -> None:
-        """Note that the store does not answer."""
-        self.is_store_away = True
+        """Note that the store does not answer this node."""
+        if not self._is_store_unreachable:
+            self._answering_since_ms = None
+        self._is_store_unreachable = True
+
+    def record_store_answer(self, *, at_ms: float) -> None:
+        """Note that the store answered this node or a peer."""
+        if at_ms <= self._last_store_answer_ms:
+            return
+        is_after_gap = at_ms - self._last_store_answer_ms > RETURN_TIME_MS
+        if is_after_gap or self._answering_since_ms is None:
+            self._answering_since_ms = at_ms
+        self._last_store_answer_ms = at_ms
 
     def record_outage_end(self, *, now_ms: float) -> None:
-        """Note that the store answers again after it was away."""
-        self.is_store_away = False
+        """Note that the store answers this node again.
+
+        Several kinds of calls report their recovery. All of them use the cause found
+        at the first one, as later ones no longer see the failure.
+        """
+        if self._is_store_unreachable:
+            self._was_failure_local = not self.in_outage(now_ms=now_ms)
+        self._is_store_unreachable = False
+        if self._was_failure_local:
+            return
         self._outage_ended_ms = now_ms
         for runner_id in self._lapsed:
             self._lapsed[runner_id] = now_ms + RETURN_TIME_MS
@@ -267,14 +313,21 @@
         return self._remove(ended.runner_id, now_ms, until_ms)
 
     def _wait_until_ms(self, now_ms: float, told_wait_ms: int) -> float:
-        """Return until when to wait for a runner whose entry is gone."""
-        if self.is_store_away:
+        """Return until when to wait for a runner whose entry is gone.
+
+        A peer may mistake its own lost connection to the store for an outage. The wait
+        that it reports is capped so that calls to a leaving runner stop within the
+        operator's bound.
+        """
+        if self.in_outage(now_ms=now_ms):
             return now_ms + RETURN_TIME_MS
-        return max(now_ms + told_wait_ms, self._outage_ended_ms + RETURN_TIME_MS)
+        told_until_ms = now_ms + min(told_wait_ms, self._longest_live_wait_ms)
+        return max(told_until_ms, self._outage_ended_ms + RETURN_TIME_MS)
 
     def _is_first_look(self, now_ms: float) -> bool:
         """Whether the store is away, or what it shows may have happened meanwhile."""
-        return self.is_store_away or now_ms - self._outage_ended_ms < FIRST_LOOK_MS
+        since_return_ms = now_ms - self._outage_ended_ms
+        return self.in_outage(now_ms=now_ms) or since_return_ms < FIRST_LOOK_MS
 
     def _remove(self, runner_id: str, now_ms: float, until_ms: float) -> bool:
         """Drop an entry, or wait for its runner; return whether runners changed."""
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -197,3 +197,67 @@
     When the entry of a ends at 60000 ms
     And a peer tells at 60100 ms of the entry of a as it was at the start
     Then the runners in force are b
+
+  Scenario: A peer that cannot reach the store hands over its waits for runners
+    # Guards against sending calls to a leaving runner for the whole wait of a peer.
+    Given a directory with the runners a, b
+    When a peer that waits for a hands over a newer list with b at 60000 ms
+    And lapsed entries are dropped at 61400 ms
+    Then the runners in force are b
+
+  Scenario: Only one node cannot reach the store when an entry ends
+    # Guards against treating one node's lost connection as a store outage.
+    Given a directory with the runners a, b
+    And the store is away
+    And the store answered a peer at 57000 ms
+    And the store answered a peer at 58400 ms
+    And the store answered a peer at 59500 ms
+    When the entry of a ends at 60000 ms
+    Then the runners in force are b
+
+  Scenario: The store answers no peer when an entry ends
+    # Guards against dropping runners whose entries lapsed in an outage.
+    Given a directory with the runners a, b
+    And the store answered a peer at 59500 ms
+    And the store is away
+    When the entry of a ends at 60000 ms
+    Then the runners in force are a, b
+
+  Scenario: An outage begins while only one node cannot reach the store
+    # Guards against dropping lapsed entries after the store stops answering peers.
+    Given a directory with the runners a, b
+    And the store is away
+    And the store answered a peer at 52000 ms
+    And the store answered a peer at 53400 ms
+    And the store answered a peer at 54800 ms
+    When the entry of a ends at 60000 ms
+    Then the runners in force are a, b
+    When the store answers a peer at 60000 ms
+    And the entry of b ends at 60100 ms
+    Then the runners in force are a, b
+
+  Scenario: The store answers a peer first after an outage
+    # Guards against dropping lapsed entries at a node whose own calls still fail.
+    Given a directory with the runners a, b
+    And the store answered a peer at 55000 ms
+    And the store is away
+    When the store answers a peer at 60000 ms
+    And the entry of a ends at 60500 ms
+    Then the runners in force are a, b
+    When the store returns at 60600 ms
+    And lapsed entries are dropped at 62799 ms
+    Then the runners in force are a, b
+    When lapsed entries are dropped at 62800 ms
+    Then the runners in force are b
+
+  Scenario: Two kinds of calls succeed again after only one node lost the store
+    # Guards against waiting for a runner when there was no store outage.
+    Given a directory with the runners a, b
+    And the store is away
+    And the store answered a peer at 57000 ms
+    And the store answered a peer at 58400 ms
+    And the store answered a peer at 59500 ms
+    When the store returns at 60000 ms
+    And the store returns at 60300 ms
+    And the entry of a ends at 60310 ms
+    Then the runners in force are b
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -278,6 +278,12 @@
     assert not context.directory.records()
 
 
+@given("the store answered a peer at {answered:d} ms")
+@when("the store answers a peer at {answered:d} ms")
+def store_answers_peer(context, answered):
+    context.directory.record_store_answer(at_ms=answered)
+
+
 @given("the store is away")
 def given_away(context):
     context.directory.record_outage()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -181,7 +181,9 @@
 
     def confirm(self, followed: Followed) -> None:
         """Note that the store itself has just been heard on a part of this view."""
-        self._freshness.confirm(followed, now_ms=self._timers.now_ms())
+        now_ms = self._timers.now_ms()
+        self._freshness.confirm(followed, now_ms=now_ms)
+        self._directory.record_store_answer(at_ms=now_ms)
 
     def is_stale(self, followed: Followed) -> bool:
         """Whether nobody has confirmed a part of this view for too long."""
@@ -201,6 +203,7 @@
     ) -> None:
         """Take over a peer's confirmation of revisions that are known here too."""
         now_ms = self._timers.now_ms()
+        self._directory.record_store_answer(at_ms=now_ms - min(ages))
         if self.state_revision >= state_revision > 0:
             self._freshness.confirm(Followed.STATE, now_ms=now_ms, age_ms=ages.state_ms)
         if self.runners_revision >= runners_revision > 0:
@@ -213,7 +216,7 @@
             )
 
     def record_store_away(self) -> None:
-        """Note that the store does not answer."""
+        """Note that the store does not answer this node."""
         self._directory.record_outage()
 
     def record_store_back(self) -> None:
@@ -256,7 +259,7 @@
                 runner=runner_id,
                 wait_ms=self._directory.wait_ms(runner_id, now_ms=now_ms),
                 source=source,
-                is_store_away=self._directory.is_store_away,
+                is_store_away=self._directory.in_outage(now_ms=now_ms),
             )
 
     def _apply_zones(
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -363,8 +363,29 @@
     Mutation(
         "a peer's wait begins anew",
         f"{DECISIONS}/edge/runner_directory.py",
-        "return max(now_ms + told_wait_ms,",
-        "return max(now_ms + RETURN_TIME_MS * (told_wait_ms > 0),",
+        "now_ms + min(told_wait_ms, self._longest_live_wait_ms)",
+        "now_ms + RETURN_TIME_MS * (told_wait_ms > 0)",
+        PURE,
+    ),
+    Mutation(
+        "a node's own lost connection counts as a store outage",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "return since_ms is None or (",
+        "return True or (",
+        PURE,
+    ),
+    Mutation(
+        "a wait reported by a peer is not capped",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "min(told_wait_ms, self._longest_live_wait_ms)",
+        "told_wait_ms",
+        PURE,
+    ),
+    Mutation(
+        "the recovery of a second kind of call starts a wait after a local failure",
+        f"{DECISIONS}/edge/runner_directory.py",
+        "if self._was_failure_local:",
+        "if False:",
         PURE,
     ),
     Mutation(
