Ask grant rules one by one at a runner's home

SlotHome mixed the ledger, queues, breakers, the pace of cold runners and the load bound. Rules that refuse slots are now separate classes behind the GrantRule protocol, so that further ones need no branch in the home. Requests for slots can describe the call, replies carry the reason of a refusal, and renewals carry the memory of each call.

--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/__init__.py
@@ -0,0 +1,1 @@
+"""Rules by which a home node grants slots on its runners."""
--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/cold_pace_rule.py
@@ -0,0 +1,49 @@
+"""Rule that limits the rate of calls to runners that have recently started."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.cold_runner_pacer import ColdRunnerPacer
+from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.refusal_reason import RefusalReason
+
+if TYPE_CHECKING:
+    from clementineyoke_core.cold_runners import ColdRunners
+    from clementineyoke_core.grants.grant_rule import GrantRequest
+    from clementineyoke_core.runner_table import RunnerTable
+
+
+class ColdPaceRule(StatelessGrantRule):
+    """Spaces the grants on a cold runner by the operator's limit."""
+
+    def __init__(self, *, cold_runners: ColdRunners, table: RunnerTable) -> None:
+        self._cold_runners = cold_runners
+        self._table = table
+        self._pacer = ColdRunnerPacer()
+
+    def check(self, request: GrantRequest) -> RefusalReason | None:
+        """Refuse a slot on a cold runner that cannot accept another call now."""
+        if self._calls_per_s(request) is None:
+            return None
+        if self._pacer.may_grant(request.runner_id, now_ms=request.now_ms):
+            return None
+        return RefusalReason.COLD
+
+    def record_grant(self, request: GrantRequest) -> None:
+        """Record a grant, from which the next one keeps its distance."""
+        calls_per_s = self._calls_per_s(request)
+        if calls_per_s is not None:
+            self._pacer.record_grant(
+                request.runner_id, calls_per_s=calls_per_s, now_ms=request.now_ms
+            )
+
+    def remove_runner(self, runner_id: str) -> None:
+        """Remove the pace of a runner."""
+        self._pacer.remove_runner(runner_id)
+
+    def _calls_per_s(self, request: GrantRequest) -> float | None:
+        entry = self._table.get(request.runner_id)
+        if entry is None:
+            return None
+        return self._cold_runners.calls_per_s(entry.runner, now_ms=request.now_ms)
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
@@ -6,6 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
+from clementineyoke_core.grants.refusal_reason import RefusalReason
+
 GRANT_LEASE_MS = 15_000
 
 
@@ -22,8 +24,12 @@
 
     runner_id: str
     in_use: int
-    is_held: bool = False
-    """Whether the runner is held back for another reason than its load."""
+    reason: RefusalReason = RefusalReason.LOAD
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether the runner is held back for another reason than its load."""
+        return self.reason.is_held
 
 
 class SlotHolder(NamedTuple):
@@ -53,11 +59,15 @@
 
         A repeated request of a holder renews its grant.
         """
-        grants = self._expires_at_ms.setdefault(runner_id, {})
-        if holder not in grants and len(grants) >= bound:
-            return Failure(SlotRefusal(runner_id, len(grants)))
-        grants[holder] = now_ms + self._lease_ms
-        return Success(SlotGrant(runner_id, len(grants)))
+        if not self.has_room(runner_id, holder, bound=bound):
+            return Failure(SlotRefusal(runner_id, self.in_use(runner_id)))
+        self.renew(runner_id, holder, now_ms=now_ms)
+        return Success(SlotGrant(runner_id, self.in_use(runner_id)))
+
+    def has_room(self, runner_id: str, holder: SlotHolder, *, bound: int) -> bool:
+        """Return whether a holder has a slot or the runner is below the bound."""
+        grants = self._expires_at_ms.get(runner_id, {})
+        return holder in grants or len(grants) < bound
 
     def renew(self, runner_id: str, holder: SlotHolder, *, now_ms: float) -> None:
         """Extend a grant's lease; add the grant if another home gave it."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_queue.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_queue.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.grants.call_profile import UNDESCRIBED, CallProfile
+
 if TYPE_CHECKING:
     from clementineyoke_core.slot_ledger import SlotHolder
 
@@ -21,6 +23,7 @@
     """0 is served first."""
     expires_at_ms: float
     """Monotonic time at which the requesting node stops waiting."""
+    profile: CallProfile = UNDESCRIBED
 
 
 class SlotQueue:
@@ -64,14 +67,18 @@
         self._queued = [request for request in self._queued if request.holder != holder]
         return len(self._queued) < old_length
 
-    def pop_next(self, *, now_ms: float) -> QueuedRequest | None:
-        """Remove and return the request to serve next, dropping expired ones."""
+    def peek_next(self, *, now_ms: float) -> QueuedRequest | None:
+        """Return the request to serve next, dropping expired ones."""
         self._queued = [
             request for request in self._queued if request.expires_at_ms > now_ms
         ]
-        if not self._queued:
+        return min(self._queued, key=self._rank, default=None)
+
+    def pop_next(self, *, now_ms: float) -> QueuedRequest | None:
+        """Remove and return the request to serve next, dropping expired ones."""
+        chosen = self.peek_next(now_ms=now_ms)
+        if chosen is None:
             return None
-        chosen = min(self._queued, key=self._rank)
         self._queued.remove(chosen)
         self._served_counts[chosen.team] = self._served_counts.get(chosen.team, 0) + 1
         return chosen
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/dispatcher.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.grants.call_profile import CallProfile
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
@@ -119,8 +120,7 @@
         slot_request = SlotRequest(
             pool=call.pool,
             key=call.key,
-            team=hash_text(call.caller.team_path),
-            priority=call.caller.priority,
+            profile=CallProfile(hash_text(call.caller.team_path), call.caller.priority),
             wait_ms=max(0, min(call.caller.queue_ms, int(remaining_ms))),
             tried=tried,
             preferred=call.preferred,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -10,6 +10,7 @@
 
 from clementineyoke_core.edge.attempt_ledger import AttemptLedger, AttemptOutcome
 from clementineyoke_core.edge.load_cap_share import load_cap_share
+from clementineyoke_core.grants.call_profile import CallProfile
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
@@ -144,8 +145,7 @@
         slot_request = SlotRequest(
             pool=admitted.pool,
             key=self._random_key() if key is None else key,
-            team=hash_text(admitted.team or ""),
-            priority=admitted.priority,
+            profile=CallProfile(hash_text(admitted.team or ""), admitted.priority),
             wait_ms=int(max(0.0, min(MAX_QUEUE_MS, left_ms))),
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHolder, SlotRefusal
 from clementineyoke_core.slot_search import SlotAttempt, SlotSearch
 from clementineyoke_node.peers.peer_socket import PeerAddress
@@ -25,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from clementineyoke_core.grants.call_profile import CallProfile
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.node import Node
     from clementineyoke_core.pool_rings import PoolRings
@@ -41,6 +43,9 @@
 """Fits the ``wait_ms`` field of ``SlotAsk``; settings allow no longer wait."""
 
 
+_KNOWN_REASONS = frozenset(int(reason) for reason in RefusalReason)
+
+
 class SlotBroker:
     """Acquires, renews and releases the slot leases of this node's requests."""
 
@@ -89,9 +94,7 @@
                 search.record_timeout(attempt)
                 continue
             ask_id = self._socket.next_ask_id()
-            result = await self._request_slot(
-                runner, attempt, ask_id, request.load_factor
-            )
+            result = await self._request_slot(runner, attempt, ask_id, request)
             if result is None:
                 search.record_timeout(attempt)
             elif is_successful(result):
@@ -102,6 +105,7 @@
                     ask_id,
                     reason=reason,
                     passed_over=self._list_skipped(search, request, runner),
+                    tokens=request.profile.prompt.total_tokens,
                 )
                 if lease is not None:
                     return lease
@@ -116,7 +120,13 @@
             if runner is None:
                 return None
             ask_id = self._socket.next_ask_id()
-            return self._create_lease(runner, fallback, ask_id, reason="home_silent")
+            return self._create_lease(
+                runner,
+                fallback,
+                ask_id,
+                reason="home_silent",
+                tokens=request.profile.prompt.total_tokens,
+            )
         if first_attempt is None or request.wait_ms <= 0:
             return None
         return await self._wait_for_slot(first_attempt, request)
@@ -141,7 +151,7 @@
         ask_id = self._socket.next_ask_id()
         lease = SlotLease(runner, ask_id, "resume", 0)
         self._leases[ask_id] = lease
-        self._renew_at_home(runner, [ask_id])
+        self._renew_at_home(runner, [lease])
         return lease
 
     @contextmanager
@@ -185,26 +195,36 @@
 
     async def renew(self) -> None:
         """Renew all leases with one message per runner."""
-        by_runner: dict[Runner, list[int]] = {}
+        by_runner: dict[Runner, list[SlotLease]] = {}
         for lease in self._leases.values():
-            by_runner.setdefault(lease.runner, []).append(lease.ask_id)
-        for runner, ask_ids in by_runner.items():
-            self._renew_at_home(runner, ask_ids)
+            by_runner.setdefault(lease.runner, []).append(lease)
+        for runner, leases in by_runner.items():
+            self._renew_at_home(runner, leases)
 
-    def _renew_at_home(self, runner: Runner, ask_ids: list[int]) -> None:
+    def _renew_at_home(self, runner: Runner, leases: list[SlotLease]) -> None:
         home = self._home_of(runner.runner_id)
         if home is None or not self._table.is_current(runner):
             # Requests sent to a previous lifetime of the runner no longer run.
             return
         if home.node_id == self._own_id:
-            for ask_id in ask_ids:
-                self._slot_home.renew(runner.runner_id, self._own_holder(ask_id))
+            for lease in leases:
+                holder = self._own_holder(lease.ask_id)
+                self._slot_home.renew(runner.runner_id, holder, tokens=lease.tokens)
             return
-        renewal = SlotRenewal(runner.lifetime_hash, ask_ids)
+        tokens = [lease.tokens for lease in leases]
+        renewal = SlotRenewal(
+            runner.lifetime_hash,
+            [lease.ask_id for lease in leases],
+            tokens if any(tokens) else [],
+        )
         self._socket.send(PeerAddress.of(home), renewal)
 
     async def _request_slot(
-        self, runner: Runner, attempt: SlotAttempt, ask_id: int, load_factor: float
+        self,
+        runner: Runner,
+        attempt: SlotAttempt,
+        ask_id: int,
+        request: SlotRequest,
     ) -> Result[SlotGrant, SlotRefusal] | None:
         """Return the home's result, or None if the home did not reply in time."""
         runner_id = runner.runner_id
@@ -216,10 +236,17 @@
                 runner_id,
                 self._own_holder(ask_id),
                 seen_mean=attempt.seen_mean,
-                load_factor=load_factor,
+                load_factor=request.load_factor,
+                profile=request.profile,
             )
-        ask = SlotAsk(
-            ask_id, runner.lifetime_hash, attempt.seen_mean, load_factor=load_factor
+        ask = _describe(
+            SlotAsk(
+                ask_id,
+                runner.lifetime_hash,
+                attempt.seen_mean,
+                load_factor=request.load_factor,
+            ),
+            request.profile,
         )
         try:
             reply = await self._socket.request(
@@ -238,7 +265,7 @@
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
             return Success(SlotGrant(runner_id, reply.in_use))
-        return Failure(SlotRefusal(runner_id, reply.in_use, reply.is_held))
+        return Failure(SlotRefusal(runner_id, reply.in_use, _to_reason(reply)))
 
     def _make_search(self, request: SlotRequest) -> SlotSearch:
         order = (
@@ -275,7 +302,13 @@
             return None
         if not granted:
             return None
-        return self._create_lease(runner, attempt, ask_id, reason="waited")
+        return self._create_lease(
+            runner,
+            attempt,
+            ask_id,
+            reason="waited",
+            tokens=request.profile.prompt.total_tokens,
+        )
 
     async def _wait_locally(
         self, runner_id: str, ask_id: int, request: SlotRequest
@@ -290,8 +323,7 @@
         self._slot_home.enqueue(
             runner_id,
             self._own_holder(ask_id),
-            team=request.team,
-            priority=request.priority,
+            profile=request.profile,
             wait_ms=request.wait_ms,
             on_result=resolve,
         )
@@ -300,13 +332,17 @@
     async def _wait_remotely(
         self, home: Node, runner: Runner, ask_id: int, request: SlotRequest
     ) -> bool:
-        ask = SlotAsk(
-            ask_id,
-            runner.lifetime_hash,
-            0.0,
-            wait_ms=min(request.wait_ms, MAX_WAIT_MS),
-            team=request.team,
-            priority=request.priority,
+        profile = request.profile
+        ask = _describe(
+            SlotAsk(
+                ask_id,
+                runner.lifetime_hash,
+                0.0,
+                wait_ms=min(request.wait_ms, MAX_WAIT_MS),
+                team=profile.team,
+                priority=profile.priority,
+            ),
+            profile,
         )
         reply = await self._socket.request(
             home, ask, reply_type=SlotReply, timeout_ms=ask.wait_ms
@@ -337,12 +373,13 @@
         *,
         reason: str,
         passed_over: tuple[SkippedRunner, ...] = (),
+        tokens: int = 0,
     ) -> SlotLease | None:
         if not self._accepts_calls(runner):
             # The runner's state changed while the request to the home was pending.
             self._release_at_home(runner, ask_id)
             return None
-        lease = SlotLease(runner, ask_id, reason, attempt.rank, passed_over)
+        lease = SlotLease(runner, ask_id, reason, attempt.rank, passed_over, tokens)
         self._leases[ask_id] = lease
         return lease
 
@@ -393,3 +430,26 @@
 
     def _own_holder(self, ask_id: int) -> SlotHolder:
         return SlotHolder(self._own_id, ask_id)
+
+
+def _describe(ask: SlotAsk, profile: CallProfile) -> SlotAsk:
+    """Add the description of a call to a request, if the call has one."""
+    if not profile.is_described:
+        return ask
+    prompt = profile.prompt
+    return ask._replace(
+        team=profile.team,
+        priority=profile.priority,
+        objective_ms=min(profile.objective_ms, MAX_WAIT_MS),
+        prompt_key=prompt.key,
+        shared_tokens=prompt.shared_tokens,
+        own_tokens=prompt.own_tokens,
+        output_tokens=prompt.output_tokens,
+    )
+
+
+def _to_reason(reply: SlotReply) -> RefusalReason:
+    """Return the reason of a refusal; a later release may send unknown ones."""
+    if reply.reason in _KNOWN_REASONS:
+        return RefusalReason(reply.reason)
+    return RefusalReason.PAUSED if reply.is_held else RefusalReason.LOAD
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -2,15 +2,24 @@
 
 from __future__ import annotations
 
+from itertools import zip_longest
 from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
-from returns.result import Failure
+from returns.result import Failure, Success
 
-from clementineyoke_core.cold_runner_pacer import ColdRunnerPacer
 from clementineyoke_core.cold_runners import ColdRunners
 from clementineyoke_core.fault_rate_breaker import FaultRateBreaker
-from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound, compute_home_bound
+from clementineyoke_core.grants.breaker_rule import BreakerRule
+from clementineyoke_core.grants.call_profile import (
+    UNDESCRIBED,
+    CallProfile,
+    PromptCost,
+)
+from clementineyoke_core.grants.cold_pace_rule import ColdPaceRule
+from clementineyoke_core.grants.grant_rule import GrantRequest
+from clementineyoke_core.grants.load_bound_rule import LoadBoundRule
+from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound
 from clementineyoke_core.reachability_breaker import ReachabilityBreaker
 from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHolder, SlotRefusal
@@ -25,10 +34,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from returns.result import Result
 
+    from clementineyoke_core.grants.grant_rule import GrantRule
+    from clementineyoke_core.grants.refusal_reason import RefusalReason
     from clementineyoke_core.mean_load import MeanLoadEstimator
     from clementineyoke_core.runner_homes import RunnerHomes
     from clementineyoke_core.runner_table import RunnerTable
@@ -45,7 +56,7 @@
     """Grants and refuses slots requested by peers and by this node.
 
     Each runner has one home node, which keeps the authoritative count of the runner's
-    slots in use.
+    slots in use. A slot is granted if none of the home's rules refuses it.
     """
 
     def __init__(
@@ -60,12 +71,23 @@
         timers: TimerService,
         cold_runners: ColdRunners | None = None,
         load_bound: LoadBound = DEFAULT_BOUND,
+        extra_rules: Sequence[GrantRule] = (),
     ) -> None:
+        """Create a home; ``extra_rules`` are asked after the rules of every home."""
         self._fault_breaker = FaultRateBreaker()
         self._reachability_breaker = ReachabilityBreaker()
         self._cold_runners = cold_runners or ColdRunners()
-        self._cold_pacer = ColdRunnerPacer()
-        self._load_bound = load_bound
+        self._rules: tuple[GrantRule, ...] = (
+            BreakerRule(
+                fault_breaker=self._fault_breaker,
+                reachability=self._reachability_breaker,
+            ),
+            ColdPaceRule(cold_runners=self._cold_runners, table=table),
+            LoadBoundRule(
+                ledger=ledger, table=table, mean_load=mean_load, load_bound=load_bound
+            ),
+            *extra_rules,
+        )
         self._own_id = own_id
         self._ledger = ledger
         self._table = table
@@ -112,6 +134,7 @@
         *,
         seen_mean: float,
         load_factor: float = 0.0,
+        profile: CallProfile = UNDESCRIBED,
     ) -> Result[SlotGrant, SlotRefusal]:
         """Grant or refuse a slot immediately.
 
@@ -120,27 +143,27 @@
         ``load_factor`` is the multiple of the mean load up to which the call may go,
         or 0 for this home's default.
         """
-        now_ms = self._timers.now_ms()
-        is_last_resort = seen_mean > 0.0
-        is_paused = not is_last_resort and self._is_paused(runner_id, now_ms)
-        if is_paused or not self._may_grant_cold(runner_id, now_ms):
+        request = GrantRequest(
+            runner_id,
+            holder,
+            self._timers.now_ms(),
+            seen_mean=seen_mean,
+            load_factor=load_factor,
+            profile=profile,
+        )
+        reason = self._check(request)
+        if reason is not None:
             in_use = self._ledger.in_use(runner_id)
-            return Failure(SlotRefusal(runner_id, in_use, is_held=True))
-        bound = self._compute_bound(runner_id, seen_mean, load_factor)
-        result = self._ledger.acquire(runner_id, holder, bound=bound, now_ms=now_ms)
-        if is_successful(result):
-            self._fault_breaker.record_call(runner_id, now_ms=now_ms)
-            self._record_cold_grant(runner_id, now_ms)
-        self._update_pool_load(runner_id)
-        return result
+            return Failure(SlotRefusal(runner_id, in_use, reason))
+        self._grant(request)
+        return Success(SlotGrant(runner_id, self._ledger.in_use(runner_id)))
 
     def enqueue(
         self,
         runner_id: str,
         holder: SlotHolder,
         *,
-        team: int,
-        priority: int,
+        profile: CallProfile,
         wait_ms: int,
         on_result: Callable[[bool], None],
     ) -> None:
@@ -150,7 +173,9 @@
         not called if the request is released before or expires in the queue.
         """
         expires_at_ms = self._timers.now_ms() + wait_ms
-        queued = QueuedRequest(holder, team, priority, expires_at_ms)
+        queued = QueuedRequest(
+            holder, profile.team, profile.priority, expires_at_ms, profile
+        )
         queue = self._queues.setdefault(runner_id, SlotQueue())
         self._callbacks[queued.holder] = on_result
         rejected = queue.add(queued)
@@ -164,12 +189,19 @@
         if queue is not None and queue.remove(holder):
             self._callbacks.pop(holder, None)
         self._ledger.release(runner_id, holder)
+        for rule in self._rules:
+            rule.record_release(runner_id, holder)
         self._update_pool_load(runner_id)
         self._serve_queue(runner_id)
 
-    def renew(self, runner_id: str, holder: SlotHolder) -> None:
-        """Extend a grant; an unknown one is adopted from a previous home."""
+    def renew(self, runner_id: str, holder: SlotHolder, *, tokens: int = 0) -> None:
+        """Extend a grant; an unknown one is adopted from a previous home.
+
+        ``tokens`` is the memory that the call takes on the runner, or 0 if unknown.
+        """
         self._ledger.renew(runner_id, holder, now_ms=self._timers.now_ms())
+        for rule in self._rules:
+            rule.record_renewal(runner_id, holder, tokens=tokens)
         self._update_pool_load(runner_id)
 
     def record_fault(self, runner_id: str) -> None:
@@ -211,24 +243,29 @@
         """Drop the grants whose lease has expired."""
         for runner_id, holder in self._ledger.expire(now_ms=self._timers.now_ms()):
             log_event(Event.SLOT_LAPSED, runner=runner_id, holder=holder.requester)
+            for rule in self._rules:
+                rule.record_release(runner_id, holder)
             self._update_pool_load(runner_id)
 
-    def _is_paused(self, runner_id: str, now_ms: float) -> bool:
-        return self._fault_breaker.is_paused(
-            runner_id, now_ms=now_ms
-        ) or self._reachability_breaker.is_paused(runner_id, now_ms=now_ms)
+    def _check(self, request: GrantRequest) -> RefusalReason | None:
+        """Return the first reason for which a rule refuses a slot, or None."""
+        for rule in self._rules:
+            reason = rule.check(request)
+            if reason is not None:
+                return reason
+        return None
+
+    def _grant(self, request: GrantRequest) -> None:
+        runner_id = request.runner_id
+        self._ledger.renew(runner_id, request.holder, now_ms=request.now_ms)
+        for rule in self._rules:
+            rule.record_grant(request)
+        self._update_pool_load(runner_id)
 
     def _remove_runner(self, runner_id: str) -> None:
         self._ledger.remove_runner(runner_id)
-        self._fault_breaker.remove_runner(runner_id)
-        self._reachability_breaker.remove_runner(runner_id)
-        self._cold_pacer.remove_runner(runner_id)
-
-    def _may_grant_cold(self, runner_id: str, now_ms: float) -> bool:
-        """Return whether a runner, if it is cold, can accept another call now."""
-        if self._cold_calls_per_s(runner_id, now_ms) is None:
-            return True
-        return self._cold_pacer.may_grant(runner_id, now_ms=now_ms)
+        for rule in self._rules:
+            rule.remove_runner(runner_id)
 
     def _assume_cold(self, runner_id: str, now_ms: float) -> None:
         """Treat a runner that refused connections as restarting.
@@ -240,68 +277,32 @@
         if entry is not None:
             self._cold_runners.assume_cold(entry.runner, now_ms=now_ms)
 
-    def _record_cold_grant(self, runner_id: str, now_ms: float) -> None:
-        calls_per_s = self._cold_calls_per_s(runner_id, now_ms)
-        if calls_per_s is not None:
-            self._cold_pacer.record_grant(
-                runner_id, calls_per_s=calls_per_s, now_ms=now_ms
-            )
-
-    def _cold_calls_per_s(self, runner_id: str, now_ms: float) -> float | None:
-        entry = self._table.get(runner_id)
-        if entry is None:
-            return None
-        return self._cold_runners.calls_per_s(entry.runner, now_ms=now_ms)
-
     def _serve_queue(self, runner_id: str) -> None:
         queue = self._queues.get(runner_id)
         if queue is None:
             return
-        while len(queue) and self._has_capacity(runner_id):
-            now_ms = self._timers.now_ms()
-            queued = queue.pop_next(now_ms=now_ms)
-            if queued is None:
+        now_ms = self._timers.now_ms()
+        while (queued := queue.peek_next(now_ms=now_ms)) is not None:
+            request = GrantRequest(
+                runner_id,
+                queued.holder,
+                now_ms,
+                is_queued=True,
+                profile=queued.profile,
+            )
+            if self._check(request) is not None:
                 break
-            self._record_cold_grant(runner_id, now_ms)
-            self.renew(runner_id, queued.holder)
-            self._resolve(queued.holder, granted=True)
+            queue.pop_next(now_ms=now_ms)
+            self._grant(request)
+            self._resolve(request.holder, granted=True)
         if not len(queue):
             del self._queues[runner_id]
 
-    def _has_capacity(self, runner_id: str) -> bool:
-        if not self._may_grant_cold(runner_id, self._timers.now_ms()):
-            return False
-        return self._ledger.in_use(runner_id) < self._compute_bound(runner_id)
-
     def _resolve(self, holder: SlotHolder, *, granted: bool) -> None:
         callback = self._callbacks.pop(holder, None)
         if callback is not None:
             callback(granted)
 
-    def _compute_bound(
-        self, runner_id: str, seen_mean: float = 0.0, load_factor: float = 0.0
-    ) -> int:
-        entry = self._table.get(runner_id)
-        if entry is None or entry.state is RunnerState.DRAINING:
-            # The requester may have been suspended and hold an outdated view. With this
-            # check a call is misrouted only if both views are outdated.
-            return 0
-        if self._table.is_evacuated(entry.runner):
-            # Likewise, the requester may not know of the evacuation order yet.
-            return 0
-        load_bound = self._load_bound
-        if load_factor > 0.0:
-            # A last-resort request may use any capacity up to the default factor, even
-            # for a call with a lower load factor.
-            min_factor = load_bound.factor if seen_mean > 0.0 else 0.0
-            load_bound = load_bound._replace(factor=max(min_factor, load_factor))
-        return compute_home_bound(
-            estimated_mean=self._mean_load.mean(entry.runner.pool),
-            seen_mean=seen_mean,
-            slots=entry.runner.slots,
-            load_bound=load_bound,
-        )
-
     def _remove_rehomed(self, homed_ids: set[str]) -> None:
         for runner_id in self._ledger.runner_ids():
             if runner_id not in homed_ids:
@@ -339,13 +340,23 @@
             self._enqueue_remote(received.peer, runner_id, holder, ask)
             return
         result = self.acquire(
-            runner_id, holder, seen_mean=ask.seen_mean, load_factor=ask.load_factor
+            runner_id,
+            holder,
+            seen_mean=ask.seen_mean,
+            load_factor=ask.load_factor,
+            profile=_to_profile(ask),
         )
         if is_successful(result):
             reply = SlotReply(ask.ask_id, True, result.unwrap().in_use)
         else:
             refusal = result.failure()
-            reply = SlotReply(ask.ask_id, False, refusal.in_use, refusal.is_held)
+            reply = SlotReply(
+                ask.ask_id,
+                False,
+                refusal.in_use,
+                refusal.is_held,
+                int(refusal.reason),
+            )
         self._socket.send(received.peer, reply)
 
     def _enqueue_remote(
@@ -358,8 +369,7 @@
         self.enqueue(
             runner_id,
             holder,
-            team=ask.team,
-            priority=ask.priority,
+            profile=_to_profile(ask),
             wait_ms=ask.wait_ms,
             on_result=send_reply,
         )
@@ -388,5 +398,16 @@
         runner_id = self._runner_ids_by_hash.get(renewal.runner)
         if runner_id is None:
             return
-        for ask_id in renewal.ask_ids:
-            self.renew(runner_id, SlotHolder(str(received.peer), ask_id))
+        # Nodes of an earlier release send no tokens.
+        for ask_id, tokens in zip_longest(
+            renewal.ask_ids, renewal.token_counts[: len(renewal.ask_ids)], fillvalue=0
+        ):
+            holder = SlotHolder(str(received.peer), ask_id)
+            self.renew(runner_id, holder, tokens=tokens)
+
+
+def _to_profile(ask: SlotAsk) -> CallProfile:
+    prompt = PromptCost(
+        ask.prompt_key, ask.shared_tokens, ask.own_tokens, ask.output_tokens
+    )
+    return CallProfile(ask.team, ask.priority, ask.objective_ms, prompt)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
@@ -26,3 +26,5 @@
     rank of the first request to its runner."""
     passed_over: tuple[SkippedRunner, ...] = ()
     """Preceding runners that were skipped for a reason other than their load."""
+    tokens: int = 0
+    """Memory that the request takes on its runner, in tokens; 0 if unknown."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_request.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_request.py
@@ -7,16 +7,17 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from clementineyoke_core.grants.call_profile import CallProfile
+
 
 class SlotRequest(NamedTuple):
     """A request for a slot on one of a pool's runners, ordered by a key."""
 
     pool: str
     key: int
-    team: int
-    """Hash of the team's path; queues are served round-robin over teams."""
-    priority: int
+    profile: CallProfile
     wait_ms: int
+    """How long the call may queue for a slot; 0 for not at all."""
     tried: Collection[str] = ()
     """Ids of runners that must not be tried again."""
     load_factor: float = 0.0
--- a/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from slot_home_steps import RUNNER
 
+from clementineyoke_core.grants.call_profile import CallProfile
 from clementineyoke_core.membership import Membership
 from clementineyoke_core.node import Node
 from clementineyoke_core.pool_rings import PoolRings
@@ -16,7 +17,7 @@
 from clementineyoke_node.slots.slot_request import SlotRequest
 from clementineyoke_wire.messages import SlotRelease
 
-REQUEST = SlotRequest("m", key=1, team=1, priority=5, wait_ms=0)
+REQUEST = SlotRequest("m", key=1, profile=CallProfile(1, 5), wait_ms=0)
 
 
 class SilentSocket:
--- a/packages/clementineyoke-node/tests/steps/slot_home_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from clementineyoke_core.cold_runners import ColdRunnerLimit, ColdRunners
+from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.mean_load import MeanLoadEstimator
 from clementineyoke_core.runner import Runner, RunnerKind
@@ -191,7 +192,9 @@
 @then("a request for it is refused as paused")
 def check_paused(context):
     request_slot(context, 1)
-    assert context.socket.sent[-1] == SlotReply(1, False, 0, is_held=True)
+    assert context.socket.sent[-1] == SlotReply(
+        1, False, 0, is_held=True, reason=RefusalReason.PAUSED
+    )
 
 
 @then("the last request of a search is granted")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -22,7 +22,8 @@
     wait_ms: int = 0
     """How long the request may be queued; 0 for an immediate reply."""
     team: int = 0
-    """Hash of the team's path; only set if the request may be queued."""
+    """Hash of the team's path; only set if the request may be queued or is described.
+    """
     priority: int = 0
     load_factor: float = 0.0
     """Maximum load as a multiple of the mean; 0 for the home node's default.
@@ -30,6 +31,14 @@
     A last-resort request uses the default if that is higher, a request that may be
     queued always uses it.
     """
+    objective_ms: int = 0
+    """The call's latency objective; 0 if the request does not describe the call."""
+    prompt_key: int = 0
+    """Hash of the prompt's shared parts; 0 for a call without a prompt."""
+    shared_tokens: int = 0
+    own_tokens: int = 0
+    output_tokens: int = 0
+    """Expected length of the output."""
 
 
 class SlotReply(NamedTuple):
@@ -41,6 +50,8 @@
     """Slots in use on the runner."""
     is_held: bool = False
     """Whether the slot was refused for a reason other than the runner's load."""
+    reason: int = 0
+    """Reason of a refusal; home nodes of an earlier release do not send it."""
 
 
 class SlotRelease(NamedTuple):
@@ -68,6 +79,8 @@
 
     runner: int
     ask_ids: list[int]
+    token_counts: list[int] = []
+    """Memory that each call takes on the runner, in tokens; empty if unknown."""
 
 
 class PoolLoad(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -3,11 +3,14 @@
 # of different versions can read each other's messages.
 
 struct SlotAsk { askId @0 :UInt32; runner @1 :UInt64; seenMean @2 :Float32;
-  waitMs @3 :UInt16; team @4 :UInt64; priority @5 :UInt8; loadFactor @6 :Float32; }
+  waitMs @3 :UInt16; team @4 :UInt64; priority @5 :UInt8; loadFactor @6 :Float32;
+  objectiveMs @7 :UInt16; promptKey @8 :UInt64; sharedTokens @9 :UInt32;
+  ownTokens @10 :UInt32; outputTokens @11 :UInt32; }
 struct SlotReply { askId @0 :UInt32; granted @1 :Bool; inUse @2 :UInt16;
-  isHeld @3 :Bool; }
+  isHeld @3 :Bool; reason @4 :UInt8; }
 struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; isAnswered @2 :Bool; }
-struct SlotRenewal { runner @0 :UInt64; askIds @1 :List(UInt32); }
+struct SlotRenewal { runner @0 :UInt64; askIds @1 :List(UInt32);
+  tokenCounts @2 :List(UInt32); }
 
 struct PoolLoad { pool @0 :UInt64; load @1 :Float32; runners @2 :Float32; }
 struct RumourNote { nodeId @0 :Text; incarnation @1 :UInt32; state @2 :UInt8; }
--- a/packages/clementineyoke-wire/tests/steps/codec_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/codec_steps.py
@@ -25,6 +25,7 @@
 FIELD_BITS = {
     "runner": 64,
     "pool": 64,
+    "prompt_key": 64,
     "team": 64,
     "settings_version": 64,
     "runners_version": 64,
@@ -46,6 +47,8 @@
     "tokens": 16,
     "wait_ms": 16,
     "verdict": 8,
+    "objective_ms": 16,
+    "reason": 8,
     "priority": 8,
     "state": 8,
 }
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -127,9 +127,9 @@
     ),
     Mutation(
         "a home node does not limit the rate of calls to cold runners",
-        f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
-        "return self._cold_pacer.may_grant(runner_id, now_ms=now_ms)",
-        "return True",
+        f"{CORE_SOURCE}/grants/cold_pace_rule.py",
+        "return RefusalReason.COLD",
+        "return None",
         NODE_COLD_RUNNERS,
     ),
     Mutation(
