--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -6,6 +6,7 @@
 
 from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_core.edge.request_digest import request_digest
+from clementineyoke_core.grants.call_profile import NO_PROMPT, PromptCost
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 
@@ -48,6 +49,22 @@
         """Return the length of the call's prompt; 0 for a call without a prompt."""
         return sum(part.tokens for part in self.call.prompt_parts)
 
+    @property
+    def prompt_cost(self) -> PromptCost:
+        """Return the size of the call's work on a model engine.
+
+        The last part of a prompt belongs to the call or its chat alone.
+        """
+        parts = self.call.prompt_parts
+        if self.prompt_key is None or not parts:
+            return NO_PROMPT
+        return PromptCost(
+            key=self.prompt_key,
+            shared_tokens=sum(part.tokens for part in parts[:-1]),
+            own_tokens=parts[-1].tokens,
+            output_tokens=self.call.max_output_tokens,
+        )
+
     @property
     def digest(self) -> bytes:
         """Return the digest by which a repeated request is recognized."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
@@ -33,6 +33,8 @@
     """How long a runner is cold after its start."""
     cold_calls_per_s: float
     """Maximum rate of calls to a cold runner; 0 for no limit."""
+    memory_tokens: int = 0
+    """Memory of each runner for prompts and outputs; 0 if the pool has no engines."""
 
 
 class DesiredState(NamedTuple):
@@ -48,3 +50,11 @@
     """Whether callers must send an API key, because the state lists teams."""
     limits: CallerLimits
     pools: tuple[PoolLimits, ...] = ()
+
+    def pool_priorities(self) -> dict[str, tuple[int, ...]]:
+        """Return the distinct priorities of the routes to each pool, in order."""
+        priorities: dict[str, set[int]] = {}
+        for route in self.routes:
+            for entry in route.pools:
+                priorities.setdefault(entry.pool, set()).add(route.priority)
+        return {pool: tuple(sorted(found)) for pool, found in priorities.items()}
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/edge_call.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/edge_call.py
@@ -30,3 +30,5 @@
     prompt_parts: tuple[PromptPart, ...]
     last_event: int | None
     """Id of the last event the caller received, if it resumes a broken stream."""
+    max_output_tokens: int = 0
+    """Maximum length of the output; 0 if the caller does not state it."""
--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions for pools whose callers need more than the runners can serve."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from clementineyoke_core.edge.node_capacity import capacity_calls_per_s
+from clementineyoke_core.overload.overload_features import OverloadFeatures
 from clementineyoke_node.config.config_error import ConfigError
 from clementineyoke_node.config.json_file import read_json
+from clementineyoke_node.platform.feature_decoder import decode_features
 
 
 class EdgeConfig(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -63,6 +65,18 @@
     linger_ms: int = 2_600
     """How long a draining node still accepts calls from callers that have cached its
     address. Some callers cache addresses with a lifetime of one second for three."""
+    contracts: list[str] = []
+    """Names of the platform's rule sets in force; they select the default of each
+    overload setting that is None."""
+    priority_admission: bool | None = None
+    """Whether pools with routes of different priorities reject less urgent calls
+    first."""
+    return_schedule: bool | None = None
+    """Whether rejected calls are told to return when the pool has room for them."""
+    token_reservations: bool | None = None
+    """Whether slots on engines depend on the tokens that a call adds to its runner."""
+    speed_weighting: bool | None = None
+    """Whether runners that are slow at the moment get fewer calls."""
     log_level: str = "INFO"
     slot_timeout_ms: int = 25
     """How long to wait for a home node's response to a slot request before the
@@ -85,6 +99,17 @@
             cpu_cores=cpu_cores, link_mbps=self.link_mbps or 0.0
         )
 
+    @property
+    def overload_features(self) -> OverloadFeatures:
+        """The overload features in force: set explicitly, or by the contracts."""
+        defaults = decode_features(self.contracts)
+        chosen = {
+            name: getattr(self, name)
+            for name in OverloadFeatures._fields
+            if getattr(self, name) is not None
+        }
+        return defaults._replace(**chosen)
+
     @property
     def control_port(self) -> int:
         """TCP port for peers and operators, the same on every node."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -306,8 +306,12 @@
             count_nodes=lambda: len(state.membership.alive()),
             random_key=lambda: state.rng.getrandbits(RANDOM_KEY_BITS),
             cap_factor=config.cap_factor,
+            describes_calls=self._describes_calls,
         )
 
+    def _describes_calls(self, pool: str) -> bool:
+        return self._config.overload_features.priority_admission and bool(pool)
+
     def _is_watcher(self) -> bool:
         return self.registration.registered.is_set() and self._state.is_watcher()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -67,12 +67,14 @@
         count_nodes: Callable[[], int],
         random_key: Callable[[], int],
         cap_factor: float,
+        describes_calls: Callable[[str], bool] = lambda _: False,
     ) -> None:
         """Create a forwarder.
 
         ``cap_factor`` is the operator's limit on a runner's load, as a multiple of the
         mean load. ``count_nodes`` returns the number of nodes that share the retry
-        budget of a pool.
+        budget of a pool. ``describes_calls`` returns whether the homes of a pool's
+        runners need the objective and the size of calls.
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
@@ -84,6 +86,7 @@
         self._count_nodes = count_nodes
         self._random_key = random_key
         self._cap_factor = cap_factor
+        self._describes_calls = describes_calls
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -145,7 +148,7 @@
         slot_request = SlotRequest(
             pool=admitted.pool,
             key=self._random_key() if key is None else key,
-            profile=CallProfile(hash_text(admitted.team or ""), admitted.priority),
+            profile=self._profile(admitted),
             wait_ms=int(max(0.0, min(MAX_QUEUE_MS, left_ms))),
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried,
@@ -166,11 +169,24 @@
                 if has_runner
                 else f"no runner of {admitted.pool!r} takes calls"
             ),
-            retry_after_ms=self._not_run_retry_ms(admitted.pool),
+            retry_after_ms=self._not_run_retry_ms(admitted),
         )
 
-    def _not_run_retry_ms(self, pool: str) -> int:
+    def _profile(self, admitted: AdmittedCall) -> CallProfile:
+        """Return what the runner's home is told of a call."""
+        team = hash_text(admitted.team or "")
+        if not self._describes_calls(admitted.pool):
+            return CallProfile(team, admitted.priority)
+        return CallProfile(
+            team,
+            admitted.priority,
+            max(1, round(admitted.route.objective_ms)),
+            admitted.prompt_cost,
+        )
+
+    def _not_run_retry_ms(self, admitted: AdmittedCall) -> int:
         """Return the Retry-After, in milliseconds, of a call that did not run."""
+        pool = admitted.pool
         if self._broker.has_available_runner(pool):
             return REFUSED_RETRY_MS
         backoff_ms = self._broker.backoff_remaining_ms(
@@ -230,7 +246,7 @@
         else:
             status = 503
             outcome = Outcome.NOT_RUN
-            retry_after_ms = self._not_run_retry_ms(admitted.pool)
+            retry_after_ms = self._not_run_retry_ms(admitted)
         raise RequestError(
             status=status,
             outcome=outcome,
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/call_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/call_decoder.py
@@ -73,6 +73,7 @@
         model=fields.get(names.MODEL, ""),
         prompt_parts=tuple(_decode_parts(fields.get(names.PROMPT_PARTS, ""))),
         last_event=int(last_event) if last_event.isdigit() else None,
+        max_output_tokens=_decode_output_tokens(fields.get(names.TOKEN_COUNTS, "")),
     )
 
 
@@ -132,6 +133,12 @@
         ) from error
 
 
+def _decode_output_tokens(text: str) -> int:
+    """Return the maximum length of the output; 0 if it is missing or malformed."""
+    tokens = text.partition(",")[2].strip()
+    return int(tokens) if tokens.isascii() and tokens.isdigit() else 0
+
+
 def _decode_parts(text: str) -> list[PromptPart]:
     parts = []
     for entry in text.split(","):
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
@@ -19,6 +19,8 @@
 MODEL = "X-Model"
 PROMPT_PARTS = "X-Prompt-Prefix"
 """All parts of the prompt, not only the shared prefix: the last part is the call's."""
+TOKEN_COUNTS = "X-Token-Counts"
+"""Prompt tokens and the maximum number of output tokens, separated by a comma."""
 LAST_EVENT = "Last-Event-Id"
 URGENCY = "X-Request-Urgency"
 """From 0, the most urgent, to 9."""
@@ -48,6 +50,9 @@
 )
 """Headers that only the router sets; those of a caller are not forwarded to runners."""
 
+PRESSURE_CONTRACT = "pressure"
+"""Rule set for callers that compete for too few runners."""
+
 RESOLVE_PATH = "/v1/resolve"
 READY_PATH = "/v1/readyz"
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
@@ -73,6 +73,7 @@
         pool=_require_text(service["name"]),
         cold_ms=MS_PER_S * float(service.get("coldStartS") or 0),
         cold_calls_per_s=float(service.get("coldPerS") or 0),
+        memory_tokens=int((service.get("engine") or {}).get("kvCapacityTokens") or 0),
     )
 
 
