Rank a runner's queue in one pass

Each arrival and release ranked the whole queue with a walk of the queue per request: 0.4 ms with 64 requests, on hosts where a full queue is ranked some fifty times a second during a surge. One pass gives the same order: the old and the new queue agree on 300 random sequences of 200 steps.

--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_queue.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_queue.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.grants.call_profile import UNDESCRIBED, CallProfile
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from clementineyoke_core.slot_ledger import SlotHolder
 
 MAX_QUEUED = 64
@@ -50,16 +53,16 @@
         """
         if not self._queued:
             self._served_counts.clear()
+        if request.team not in self._served_counts:
+            # A team that joins late starts at the lowest count of the teams in the
+            # queue: starting at zero, it would be served alone until it caught up.
+            counts = (self._served_counts.get(q.team, 0) for q in self._queued)
+            self._served_counts[request.team] = min(counts, default=0)
         self._queued.append(request)
-        # A team that joins late starts at the lowest count of the teams in the queue:
-        # starting at zero, it would be served alone until it caught up with them.
-        counts = [self._served_counts.get(other.team, 0) for other in self._queued[:-1]]
-        self._served_counts.setdefault(request.team, min(counts, default=0))
         if len(self._queued) <= self._max_queued:
             return None
-        last = max(self._queued, key=self._rank)
-        self._queued.remove(last)
-        return last
+        position = max(self._ranks())[-1]
+        return self._queued.pop(position)
 
     def remove(self, holder: SlotHolder) -> bool:
         """Remove a holder's request; return whether it was queued."""
@@ -72,7 +75,9 @@
         self._queued = [
             request for request in self._queued if request.expires_at_ms > now_ms
         ]
-        return min(self._queued, key=self._rank, default=None)
+        if not self._queued:
+            return None
+        return self._queued[min(self._ranks())[-1]]
 
     def pop_next(self, *, now_ms: float) -> QueuedRequest | None:
         """Remove and return the request to serve next, dropping expired ones."""
@@ -83,15 +88,15 @@
         self._served_counts[chosen.team] = self._served_counts.get(chosen.team, 0) + 1
         return chosen
 
-    def _rank(self, request: QueuedRequest) -> tuple[int, int, int]:
-        position = self._queued.index(request)
-        ahead = sum(
-            1
-            for other in self._queued[:position]
-            if other.team == request.team and other.priority == request.priority
-        )
-        return (
-            request.priority,
-            self._served_counts.get(request.team, 0) + ahead,
-            position,
-        )
+    def _ranks(self) -> Iterator[tuple[int, int, int]]:
+        """Yield the rank of each request; the last element is its position.
+
+        One pass: a full queue is ranked at each arrival and release, and a rank that
+        walked the queue for each request took 0.4 ms with 64 of them.
+        """
+        ahead: Counter[tuple[int, int]] = Counter()
+        for position, request in enumerate(self._queued):
+            turn = (request.team, request.priority)
+            served = self._served_counts.get(request.team, 0)
+            yield request.priority, served + ahead[turn], position
+            ahead[turn] += 1
