Do not bypass a busy home while its pool is short of capacity

While a pool is short, a home that has replied within the last second is not bypassed, and a search asks three runners instead of eight. Nothing sets a pool short yet, so nothing changes.

--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -10,10 +10,12 @@
 from returns.result import Failure, Result, Success
 
 from clementineyoke_core.grants.refusal_reason import RefusalReason
+from clementineyoke_core.overload.home_liveness import HomeLiveness
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHolder, SlotRefusal
-from clementineyoke_core.slot_search import SlotAttempt, SlotSearch
+from clementineyoke_core.slot_search import MAX_REQUESTS, SlotAttempt, SlotSearch
 from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_node.slots.slot_lease import SkippedRunner, SlotLease
+from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import (
     RunnerFault,
@@ -43,6 +45,12 @@
 """Fits the ``wait_ms`` field of ``SlotAsk``; settings allow no longer wait."""
 
 
+MAX_REQUESTS_IN_SHORTAGE = 3
+"""Runners tried while a pool is short of capacity, before the last-resort requests.
+
+All runners are near their bound then. With eight requests per call a surge costs the
+homes so much processor time that they reply late, also to the calls that they grant.
+"""
 _KNOWN_REASONS = frozenset(int(reason) for reason in RefusalReason)
 
 
@@ -60,10 +68,14 @@
         socket: PeerSocket,
         timeout_ms: float,
         is_cold: Callable[[Runner], bool] = lambda _: False,
+        is_short: Callable[[str], bool] = lambda _: False,
+        now_ms: Callable[[], float] = TimerService.now_ms,
     ) -> None:
         """Create a broker.
 
-        ``is_cold`` returns whether a runner handles only a limited call rate for now.
+        ``is_cold`` returns whether a runner handles only a limited call rate for now,
+        ``is_short`` whether a pool has more calls than its runners can serve, and
+        ``now_ms`` the monotonic time.
         """
         self._membership = membership
         self._own_id = membership.local_node.node_id
@@ -74,6 +86,9 @@
         self._socket = socket
         self._timeout_ms = timeout_ms
         self._is_cold = is_cold
+        self._is_short = is_short
+        self._now_ms = now_ms
+        self._home_liveness = HomeLiveness()
         self._leases: dict[int, SlotLease] = {}
         self._last_in_use: dict[str, int] = {}
         self._answered: set[int] = set()
@@ -114,7 +129,10 @@
                 search.record_refusal(
                     attempt, in_use=refusal.in_use, is_held=refusal.is_held
                 )
-        fallback = search.fallback(self._last_in_use, is_eligible=self._may_bypass_home)
+        may_bypass = self._may_bypass_home
+        if self._is_short(request.pool):
+            may_bypass = self._may_bypass_in_shortage
+        fallback = search.fallback(self._last_in_use, is_eligible=may_bypass)
         if fallback is not None:
             runner = self._runner_of(fallback)
             if runner is None:
@@ -262,6 +280,7 @@
             # The home may have granted the slot and only the reply was lost.
             self._release_at_home(runner, ask_id)
             return None
+        self._home_liveness.record_reply(home.node_id, now_ms=self._now_ms())
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
             return Success(SlotGrant(runner_id, reply.in_use))
@@ -278,7 +297,10 @@
             request.pool, preferred
         ):
             preferred = None
-        return SlotSearch(order=order, preferred=preferred)
+        max_requests = MAX_REQUESTS
+        if self._is_short(request.pool):
+            max_requests = MAX_REQUESTS_IN_SHORTAGE
+        return SlotSearch(order=order, preferred=preferred, max_requests=max_requests)
 
     async def _wait_for_slot(
         self, attempt: SlotAttempt, request: SlotRequest
@@ -420,6 +442,19 @@
         entry = self._table.get(runner_id)
         return entry is not None and not self._is_cold(entry.runner)
 
+    def _may_bypass_in_shortage(self, runner_id: str) -> bool:
+        """Return whether a call may bypass a home while its pool is short of capacity.
+
+        A home that has replied recently is only busy and will grant or refuse the call
+        from its queue.
+        """
+        home = self._home_of(runner_id)
+        if home is not None and self._home_liveness.is_busy(
+            home.node_id, now_ms=self._now_ms()
+        ):
+            return False
+        return self._may_bypass_home(runner_id)
+
     def _runner_of(self, attempt: SlotAttempt) -> Runner | None:
         entry = self._table.get(attempt.runner_id)
         return None if entry is None else entry.runner
--- a/packages/clementineyoke-node/tests/slots/slot_broker.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_broker.feature
@@ -12,3 +12,26 @@
     When the home does not reply to the request
     Then the slot that may have been granted is released
     And the request falls back to the runner without a grant from its home
+
+  Scenario: A busy home replies late while its pool is short of capacity
+    # In a surge busy homes replied late, and their runners were overloaded by calls that
+    # went to them without a grant.
+    Given a broker whose runner's home is another node
+    And the pool is short of capacity and the home has replied 0.9 s ago
+    When the home does not reply to the request
+    Then the slot that may have been granted is released
+    And the request gets no slot
+
+  Scenario: A home fails while its pool is short of capacity
+    # Calls to the runners of a failed home must not wait until the fleet detects it.
+    Given a broker whose runner's home is another node
+    And the pool is short of capacity and the home has replied 1.1 s ago
+    When the home does not reply to the request
+    Then the request falls back to the runner without a grant from its home
+
+  Scenario: A busy home replies late while its pool has capacity
+    # Outside of a shortage the fallback is as before.
+    Given a broker whose runner's home is another node
+    And the pool has capacity and the home has replied 0.9 s ago
+    When the home does not reply to the request
+    Then the request falls back to the runner without a grant from its home
--- a/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
@@ -15,7 +15,7 @@
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_node.slots.slot_broker import SlotBroker
 from clementineyoke_node.slots.slot_request import SlotRequest
-from clementineyoke_wire.messages import SlotRelease
+from clementineyoke_wire.messages import SlotRelease, SlotReply
 
 REQUEST = SlotRequest("m", key=1, profile=CallProfile(1, 5), wait_ms=0)
 
@@ -26,6 +26,7 @@
     def __init__(self):
         self.requests = []
         self.sent = []
+        self.is_silent = True
 
     def next_ask_id(self):
         return len(self.requests) + 1
@@ -35,8 +36,10 @@
 
     async def request(self, node, message, *, reply_type, timeout_ms):
         self.requests.append(message)
+        if not self.is_silent:
+            return SlotReply(message.ask_id, False, 1)
         async with asyncio.timeout(timeout_ms / 1000):
-            await asyncio.Event().wait()
+            return await asyncio.Event().wait()
 
 
 @given("a broker whose runner's home is another node")
@@ -51,6 +54,8 @@
     homes = RunnerHomes()
     homes.reassign(nodes=["n2"], pools={"m": ["engine-1"]})
     context.socket = SilentSocket()
+    context.now_ms = 0.0
+    context.is_short = False
     context.broker = SlotBroker(
         membership=membership,
         table=table,
@@ -59,9 +64,26 @@
         slot_home=None,
         socket=context.socket,
         timeout_ms=30,
+        is_short=lambda _: context.is_short,
+        now_ms=lambda: context.now_ms,
     )
 
 
+@given("the pool {state} capacity and the home has replied {age_s:g} s ago")
+def given_reply(context, state, age_s):
+    context.socket.is_silent = False
+    context.run(context.broker.acquire(REQUEST))
+    context.socket.is_silent = True
+    context.socket.requests.clear()
+    context.is_short = state == "is short of"
+    context.now_ms = age_s * 1_000
+
+
+@then("the request gets no slot")
+def check_no_slot(context):
+    assert context.lease is None
+
+
 @when("the caller disconnects while the home is being asked")
 def cancel(context):
     async def run():
