Add the command that prints the pressure of the pools

Cause: an operator who asks why calls were rejected needs pressure and level. Change: clementineyoke pressure reads /status of a node's control port. Result: the features of the cli package pass.

--- a/packages/clementineyoke-cli/src/clementineyoke_cli/console/commands.py
+++ b/packages/clementineyoke-cli/src/clementineyoke_cli/console/commands.py
@@ -88,6 +88,15 @@
         result = self._client.call("get", "/admin/status")
         print_result(result, as_json=self._json)
 
+    def pressure(self) -> None:
+        """Show pressure and admission level by pool, as a node on the platform knows.
+
+        ``--node`` is the node's control port. A pool is listed if calls of less urgent
+        priorities may be rejected there.
+        """
+        result = self._client.call("get", "/status")
+        print_result(result.get("pressure", {}), as_json=self._json)
+
     def explain(self, request_or_chat: str, logs: str | tuple[str, ...] = ()) -> None:
         """Show how a request or chat was routed, and why.
 
--- a/packages/clementineyoke-cli/tests/console/commands.feature
+++ b/packages/clementineyoke-cli/tests/console/commands.feature
@@ -34,3 +34,9 @@
   Scenario: The node is not listening
     When the operator runs "status --node=http://127.0.0.1:9"
     Then it exits 1 and prints the step /admin/status
+
+  Scenario: The pressure of the pools is read through a node on the platform
+    Given a node on the platform whose pool has a pressure of 1.5
+    When the operator runs "pressure"
+    Then it exits 0 and prints "engines.pressure: 1.5"
+    And it prints "engines.level: 1.25"
--- a/packages/clementineyoke-cli/tests/steps/commands_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/commands_steps.py
@@ -58,7 +58,11 @@
         is_ready=lambda: True,
         begin_drain=lambda: None,
     )
-    app_runner = web.AppRunner(api.application())
+    await serve_app(context, api.application())
+
+
+async def serve_app(context, app):
+    app_runner = web.AppRunner(app)
     await app_runner.setup()
     context.add_cleanup(lambda: context.async_runner.run(app_runner.cleanup()))
     site = web.TCPSite(app_runner, "127.0.0.1", 0)
@@ -67,6 +71,17 @@
     context.env["CLEMENTINEYOKE_NODE"] = f"http://127.0.0.1:{port}"
 
 
+@given("a node on the platform whose pool has a pressure of {pressure:g}")
+def given_platform_node(context, pressure):
+    async def status(request):
+        pool = {"pressure": pressure, "level": 1.25, "is_shared": True}
+        return web.json_response({"node": "n", "pressure": {"engines": pool}})
+
+    app = web.Application()
+    app.router.add_get("/status", status)
+    context.async_runner.run(serve_app(context, app))
+
+
 def run(context, command, key):
     arguments = command.replace("FILE", str(getattr(context, "file", ""))).split()
     env = {**os.environ, "CLEMENTINEYOKE_KEY": key, "PAGER": "cat", **context.env}
