Test admission by priority on nodes

Cause: the wiring of the level, its log line, status and metrics had no test. Change: a feature with fleets of one and two nodes, with and without the feature; the demand that a home counts; the same seeded messages to a home with the rule and one without, in a pool with one priority.

--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
@@ -0,0 +1,44 @@
+Feature: Admission by priority on a node
+
+  Scenario: The demand for a pool is twice its slots
+    # A call that the level rejects must not reach a runner, and its log line must say why.
+    Given a fleet of 1 node and 2 runners with admission by priority
+    And the runners' homes count a demand of 2 times the slots
+    When 20 "idempotent" calls of the priority 0 and 20 "non_idempotent" ones of the priority 1 arrive
+    Then all "idempotent" calls are answered
+    And some "non_idempotent" calls are rejected at the step admission, with a time to return
+    And the runners received the answered calls only
+    And the log of a rejected call gives the level, the pressure, its age and the time to return
+    And the status of each node gives a pressure of 2.0 and a level of 1.0
+    And the metrics count the admitted and the rejected calls of the priority 1
+
+  Scenario: The demand falls again
+    Given a fleet of 1 node and 2 runners with admission by priority
+    And the runners' homes count a demand of 2 times the slots
+    When the demand falls to 0.5 times the slots
+    And 1 "idempotent" calls of the priority 0 and 20 "non_idempotent" ones of the priority 1 arrive
+    Then all "idempotent" calls are answered
+    And all "non_idempotent" calls are answered
+
+  Scenario: A node that is home of no runner
+    # The level is decided where callers arrive, which may be any node.
+    Given a fleet of 2 nodes and 1 runner with admission by priority
+    And the runners' homes count a demand of 2 times the slots
+    Then the status of each node gives a pressure of 2.0 and a level of 1.0
+
+  Scenario: The operator gives all routes one priority
+    Given a fleet of 1 node and 2 runners with admission by priority
+    And the runners' homes count a demand of 2 times the slots
+    When a desired state gives all routes the priority 1
+    Then the status gives no pressure
+    When 20 "idempotent" calls of the priority 1 and 20 "non_idempotent" ones of the priority 1 arrive
+    Then all "non_idempotent" calls are answered
+
+  Scenario: A deployment without admission by priority
+    # Deployments that did not ask for the feature must be served as before.
+    Given a fleet of 1 node and 2 runners without admission by priority
+    And the runners' homes count a demand of 2 times the slots
+    When 20 "idempotent" calls of the priority 0 and 20 "non_idempotent" ones of the priority 1 arrive
+    Then all "idempotent" calls are answered
+    And all "non_idempotent" calls are answered
+    And the status gives no pressure
--- a/packages/clementineyoke-node/tests/slots/slot_home.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_home.feature
@@ -51,3 +51,23 @@
     Given a home whose runner has its 1 slot free
     When a node reports a failed connection, another is answered, and a third reports one
     Then a request for it is granted
+
+  Scenario: The demand for a runner
+    # The pressure of a pool counts waiting calls, and no slots of runners that take none.
+    Given a home whose runner has its 1 slot in use
+    When another node queues for a slot on it
+    Then the home counts 1 call in use and 1 queued for its 1 slot
+    When 3 nodes report a failure of it
+    Then the home counts no runner that accepts calls
+
+  Scenario Outline: A pool that does not call for admission by priority
+    # A pool whose routes have one priority must get the same grants as before.
+    Given the same 600 requests, renewals, releases and queued calls, seed <seed>
+    When a home with the rule of admission by priority and one without it receive them
+    Then both homes reply the same
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/packages/clementineyoke-node/tests/steps/slot_home_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_home_steps.py
@@ -48,22 +48,24 @@
         self.handlers[type(message)](PeerMessage(peer, 1, message))
 
 
-def make_home(context, *, live=(), leaving=(), cold_runners=None):
+def make_home(context, *, live=(), leaving=(), cold_runners=None, make_rules=None):
     context.socket = RecordingSocket()
     context.timers = ManualTimers()
     table = RunnerTable()
     table.apply_host_list(live=live, leaving=leaving, now_ms=0)
     homes = RunnerHomes()
     homes.reassign(nodes=["node-1"], pools={"m": ["engine-1"]})
+    ledger = SlotLedger()
     context.home = SlotHome(
         own_id="node-1",
-        ledger=SlotLedger(),
+        ledger=ledger,
         table=table,
         homes=homes,
         mean_load=MeanLoadEstimator(),
         socket=context.socket,
         timers=context.timers,
         cold_runners=cold_runners,
+        extra_rules=() if make_rules is None else make_rules(ledger, table),
     )
     context.home.rebuild()
 
