Bound the pools whose pressure is gossiped, and test the log

Cause: each pool with ranks costs 256 bytes a second of control traffic, and a level that reached its maximum by many small steps was not logged. Change: eight pools share their pressure; keys of removed pools are forgotten; changes are compared with a tolerance for rounding.

--- a/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
@@ -49,6 +49,11 @@
             share.load + load - old.load, share.runners + runners - old.runners
         )
 
+    def remove(self, pool: str) -> None:
+        """Forget a pool that no node needs any more; its share is not sent again."""
+        for table in (self._local, self._shares, self._estimates):
+            table.pop(pool, None)
+
     def mean(self, pool: str) -> float:
         """Return the estimated load of an average runner of the pool."""
         return self._estimates.get(pool, 0.0)
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/pressure_meter.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/pressure_meter.py
@@ -25,6 +25,10 @@
 failed call is no overload."""
 URGENT_WEIGHT = 1.0
 """Weight of the share of failed urgent calls next to the occupancy."""
+MAX_SHARED_POOLS = 8
+"""Pools whose pressure is gossiped, the first ones by name. Two keys of a pool cost 256
+bytes a second, of the 5 KB/s that control traffic may take. For further pools each node
+uses the pressure of its own runners."""
 MAX_PRESSURE = 4.0
 """Upper limit; quotients of nearly empty gossip shares may be arbitrarily large."""
 
@@ -81,6 +85,7 @@
     def __init__(self, *, mean_load: MeanLoadEstimator) -> None:
         self._mean_load = mean_load
         self._pools: set[str] = set()
+        self._shared_pools: set[str] = set()
         self._urgent: dict[str, _UrgentCounts] = {}
         self._readings: dict[str, PressureReading] = {}
         self._updated_ms: float | None = None
@@ -91,13 +96,16 @@
         for pool in self._pools - pools:
             self._urgent.pop(pool, None)
             self._readings.pop(pool, None)
+        shared = set(sorted(pools)[:MAX_SHARED_POOLS])
+        for pool in self._shared_pools - shared:
             for key in _keys(pool):
-                self._mean_load.set_local(key, load=0.0, runners=0.0)
+                self._mean_load.remove(key)
         self._pools = set(pools)
+        self._shared_pools = shared
 
     def gossip_keys(self) -> set[str]:
         """Return the keys of this meter's values in gossip."""
-        return {key for pool in self._pools for key in _keys(pool)}
+        return {key for pool in self._shared_pools for key in _keys(pool)}
 
     def record_exchange(self, *, now_ms: float) -> None:
         """Record that another node of the region has sent its shares."""
@@ -128,7 +136,8 @@
                 totals[demand.pool] = (calls, slots + demand.slots)
         is_shared = self.is_shared(now_ms=now_ms)
         for pool, (calls, slots) in totals.items():
-            self._publish(pool, calls=calls, slots=slots)
+            if pool in self._shared_pools:
+                self._publish(pool, calls=calls, slots=slots)
             own = _clamp(calls / slots if slots else 0.0)
             self._readings[pool] = self._read(pool, own, is_shared=is_shared)
 
@@ -146,6 +155,7 @@
         own_urgent = self._urgent.get(pool, _UrgentCounts()).own_share
         pressure_key, urgent_key = _keys(pool)
         fleet = self._mean_load.mean(pressure_key)
+        is_shared = is_shared and pool in self._shared_pools
         if not is_shared or fleet <= 0.0:
             # Without a mean, the first exchange that has this pool is still to come.
             return PressureReading(own, own_urgent)
--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -67,3 +67,9 @@
     When 20 urgent calls get no slot
     And 10 s pass without calls
     Then its pressure is less than 0.01
+
+  Scenario: Many pools with priorities
+    # Control traffic is limited to 5 KB/s per node, whatever the operator configures.
+    Given a node that measures 20 pools
+    Then 16 keys are gossiped
+    And every pool has the pressure of the node's own runners
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -232,3 +232,26 @@
 def pass_time(context, seconds):
     context.now_ms += seconds * 1_000
     update(context)
+
+
+@given("a node that measures {count:d} pools")
+def given_many_pools(context, count):
+    make_meter(context)
+    context.pools = [f"pool-{n}" for n in range(count)]
+    context.meter.set_pools(set(context.pools))
+    context.demands = [RunnerDemand(pool, 9, 0, SLOTS) for pool in context.pools]
+    update(context)
+
+
+@then("{count:d} keys are gossiped")
+def check_keys(context, count):
+    assert len(context.meter.gossip_keys()) == count
+    assert context.mean_load.shares().keys() == context.meter.gossip_keys()
+
+
+@then("every pool has the pressure of the node's own runners")
+def check_own_pressures(context):
+    context.meter.record_exchange(now_ms=context.now_ms)
+    update(context)
+    pressures = {context.meter.reading(pool).pressure for pool in context.pools}
+    assert pressures == {0.9}, pressures
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
@@ -23,6 +23,8 @@
 
 LOGGED_CHANGE = 0.5
 """Change of a level, in ranks, that is logged."""
+ROUNDING_ERROR = 1e-6
+"""Levels are sums of many small steps."""
 LATE_SHARE = 0.5
 """Share of a call's objective from which a search for a slot counts as failed. Calls
 that reached a runner later than that were answered late."""
@@ -186,7 +188,8 @@
 
     def _log_level(self, pool: str, value: float, now_ms: float) -> None:
         logged = self._logged_levels.get(pool, 0.0)
-        if abs(value - logged) < LOGGED_CHANGE and not (value == 0.0 < logged):
+        change = abs(value - logged) + ROUNDING_ERROR
+        if change < LOGGED_CHANGE and not (value == 0.0 < logged):
             return
         self._logged_levels[pool] = value
         log_event(
--- a/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
+++ b/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
@@ -42,3 +42,9 @@
     Then all "idempotent" calls are answered
     And all "non_idempotent" calls are answered
     And the status gives no pressure
+
+  Scenario: The log of the levels
+    Given the admission control of a node in a pool with the priorities 0 and 1
+    When the pressure is 2 for 1 s and 0.9 for 8 s, with gossip during the first 3 s
+    Then the log has the levels 0.5, 1.0, 0.5 and 0.0, each with the pressure and its age
+    And the log says once that the pressure is the fleet's, and once that it is not
--- a/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
+++ b/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
@@ -6,14 +6,21 @@
 from behave import given, then, when
 from edge_fleet import POOL, EdgeFleet, make_route
 from edge_steps import wait_until
+from loguru import logger
 from slot_home_steps import PEER, RUNNER, make_home
 
 from clementineyoke_core.hashing import hash_text
+from clementineyoke_core.mean_load import MeanLoadEstimator
 from clementineyoke_core.overload.pressure_meter import PressureReading, RunnerDemand
 from clementineyoke_core.overload.priority_ranks import PriorityRanks
 from clementineyoke_core.overload.priority_reserve_rule import PriorityReserveRule
+from clementineyoke_core.runner_table import RunnerTable
+from clementineyoke_core.slot_ledger import SlotLedger
+from clementineyoke_node.edge.admission_control import AdmissionControl
+from clementineyoke_node.metrics import Metrics
 from clementineyoke_node.platform.state_decoder import decode_state
 from clementineyoke_standins.edge.written_specs import state_spec
+from clementineyoke_wire.events import Event
 from clementineyoke_wire.messages import SlotAsk, SlotRelease, SlotRenewal
 
 SLOTS = 8
@@ -260,3 +267,60 @@
     first, second = context.replies
     assert first == second
     assert {reply.granted for reply in first} == {True, False}
+
+
+@given("the admission control of a node in a pool with the priorities 0 and 1")
+def given_control(context):
+    routes = make_routes(0)
+    state = state_spec(version=1, routes=list(routes), team="team", keys=["key"])
+    decoded = decode_state(json.dumps(state).encode(), revision=1)
+    context.control = AdmissionControl(
+        ledger=SlotLedger(),
+        table=RunnerTable(),
+        mean_load=MeanLoadEstimator(),
+        metrics=Metrics(),
+        rng=Random(1),
+        read_state=lambda: decoded,
+        queue_share=1.0,
+    )
+    context.control.update_pools()
+    context.lines = []
+    sink = logger.add(
+        lambda message: context.lines.append(message.record), level="INFO"
+    )
+    context.add_cleanup(logger.remove, sink)
+
+
+@when(
+    "the pressure is 2 for 1 s and 0.9 for 8 s, with gossip during the first "
+    "{gossip_s:d} s"
+)
+def play_pressures(context, gossip_s):
+    for now_ms in range(0, 9_001, 100):
+        if now_ms < gossip_s * 1_000:
+            context.control.record_exchange(now_ms=now_ms)
+        calls = 20 if now_ms <= 1_000 else 9
+        demand = RunnerDemand(POOL, calls, 0, 10)
+        context.control.update([demand], now_ms=now_ms)
+
+
+def logged(context, event):
+    number = event.value.number
+    extras = [line["extra"] for line in context.lines]
+    return [extra for extra in extras if extra.get("event") == number]
+
+
+@then(
+    "the log has the levels 0.5, 1.0, 0.5 and 0.0, each with the pressure and its age"
+)
+def check_logged_levels(context):
+    lines = logged(context, Event.ADMISSION_LEVEL)
+    assert [line["level"] for line in lines] == [0.5, 1.0, 0.5, 0.0], lines
+    assert [line["pressure"] for line in lines] == [2.0, 2.0, 0.9, 0.9], lines
+    assert all(line["pool"] == POOL and "age_ms" in line for line in lines)
+
+
+@then("the log says once that the pressure is the fleet's, and once that it is not")
+def check_logged_sources(context):
+    for event in (Event.PRESSURE_SHARED, Event.PRESSURE_LOCAL):
+        assert [line["pools"] for line in logged(context, event)] == [[POOL]]
