Serve a minimum of the calls of a rank that starves

Cause: while more urgent calls fill the runners, the reserves leave nothing to the last rank, although the level admits 0.3 of its calls: at four times the capacity it got 0.04 of the share that all calls got. Change: each node counts the calls of each rank that get a slot in time; a call of a rank below 0.4 of the overall share asks for its slot with priority 0.

--- a/packages/clementineyoke-core/tests/overload/admission_load.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_load.feature
@@ -10,6 +10,7 @@
     When the load is 0.5, 1, 2, 4, 2 and 0.5 times the capacity, for 6 s each
     Then at least 95 in 100 calls of the most urgent rank meet their objective in each step
     And no rank is served less often than a less urgent one in any step
+    And no rank gets less than a quarter of the share that all calls get in any step
     And the useful work of each step is at least 95 in 100 of that without the part
     And the useful work of all steps is not lower than without the part
     And in the second half of each step the level in force moves by at most 0.6 ranks
--- a/packages/clementineyoke-core/tests/steps/admission_fleet.py
+++ b/packages/clementineyoke-core/tests/steps/admission_fleet.py
@@ -15,6 +15,7 @@
 from clementineyoke_core.overload.pressure_meter import PressureMeter, RunnerDemand
 from clementineyoke_core.overload.priority_ranks import PriorityRanks
 from clementineyoke_core.overload.priority_reserve_rule import PriorityReserveRule
+from clementineyoke_core.overload.served_shares import ServedShares
 from clementineyoke_core.runner import Runner, RunnerKind
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_core.slot_ledger import SlotHolder, SlotLedger
@@ -69,6 +70,7 @@
         self.meter = PressureMeter(mean_load=self.mean_load)
         self.meter.set_pools(self.ranks.pools())
         self.level = AdmissionLevel(ranks=self.ranks.count(POOL))
+        self.shares = ServedShares()
         self.queues = {}
         self.is_on = is_on
         self.rule = PriorityReserveRule(
@@ -81,7 +83,7 @@
 
     def grant(self, runner, call, now_ms):
         """Grant a slot below twice the slots, if the rule does not refuse it."""
-        profile = CallProfile(0, call.rank, OBJECTIVE_MS)
+        profile = CallProfile(0, call.asked_rank, OBJECTIVE_MS)
         request = GrantRequest(runner.runner_id, call.holder, now_ms, profile=profile)
         bound = 2 * runner.slots
         if not self.ledger.has_room(runner.runner_id, call.holder, bound=bound):
@@ -108,6 +110,7 @@
     def __init__(self, number, rank, node, now_ms):
         self.holder = SlotHolder("peer", number)
         self.rank = rank
+        self.asked_rank = 0 if node.shares.is_starving(rank) else rank
         self.node = node
         self.arrived_ms = now_ms
         self.left_ms = WORK_MS
@@ -159,6 +162,7 @@
         self.counts["asked", rank] += 1
         if self.is_on and not node.level.admits(rank, draw=self.rng.random()):
             self.counts["level", rank] += 1
+            node.shares.record(rank, is_served=False, now_ms=self.now_ms)
             return
         tried = self.rng.sample(self.runners, min(MAX_TRIES, len(self.runners)))
         for runner in tried:
@@ -169,7 +173,7 @@
 
     def _enqueue(self, runner, call):
         self.waiting[call.holder] = call
-        queued = QueuedRequest(call.holder, 0, call.rank, self.now_ms + QUEUE_MS)
+        queued = QueuedRequest(call.holder, 0, call.asked_rank, self.now_ms + QUEUE_MS)
         rejected = self.homes[runner].queues[runner].add(queued)
         if rejected is not None:
             self._fail(rejected.holder)
@@ -177,14 +181,16 @@
     def _fail(self, holder):
         call = self.waiting.pop(holder)
         self.counts["no slot", call.rank] += 1
+        call.node.shares.record(call.rank, is_served=False, now_ms=self.now_ms)
         if call.rank == 0:
             call.node.meter.record_urgent_call(POOL, is_failed=True)
 
     def _start(self, runner, call):
         self.running[runner].append(call)
         self.counts["granted", call.rank] += 1
+        is_late = self.now_ms - call.arrived_ms > OBJECTIVE_MS / 2
+        call.node.shares.record(call.rank, is_served=not is_late, now_ms=self.now_ms)
         if call.rank == 0:
-            is_late = self.now_ms - call.arrived_ms > OBJECTIVE_MS / 2
             call.node.meter.record_urgent_call(POOL, is_failed=is_late)
 
     def _advance(self):
--- a/packages/clementineyoke-core/tests/steps/admission_load_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_load_steps.py
@@ -58,6 +58,15 @@
             assert urgent >= less_urgent - TOLERANCE, shares
 
 
+@then("no rank gets less than a quarter of the share that all calls get in any step")
+def check_starvation(context):
+    for _, counts, _ in context.steps:
+        asked = sum(counts["asked", rank] for rank in RANKS)
+        limit = 0.25 * useful_work(counts) / asked
+        shares = [served_share(counts, rank) for rank in RANKS]
+        assert min(shares) >= limit, (shares, limit)
+
+
 @then(
     "the useful work of each step is at least {percent:d} in 100 of that without "
     "the part"
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
@@ -8,6 +8,7 @@
 from clementineyoke_core.overload.pressure_meter import PressureMeter
 from clementineyoke_core.overload.priority_ranks import PriorityRanks
 from clementineyoke_core.overload.priority_reserve_rule import PriorityReserveRule
+from clementineyoke_core.overload.served_shares import ServedShares
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -66,6 +67,7 @@
         self._ranks = PriorityRanks(read_state=read_state)
         self._meter = PressureMeter(mean_load=mean_load)
         self._levels: dict[str, AdmissionLevel] = {}
+        self._shares: dict[str, ServedShares] = {}
         self._logged_levels: dict[str, float] = {}
         self._was_shared = False
         self.rule = PriorityReserveRule(
@@ -81,10 +83,12 @@
         pools = self._ranks.pools()
         for pool in pools:
             level = self._levels.setdefault(pool, AdmissionLevel(ranks=0))
-            level.set_ranks(self._ranks.count(pool))
+            if level.max_value != self._ranks.count(pool) - 1:
+                level.set_ranks(self._ranks.count(pool))
+                self._shares[pool] = ServedShares()
         gone = self._levels.keys() - pools
         for pool in gone:
-            del self._levels[pool]
+            del self._levels[pool], self._shares[pool]
             self._logged_levels.pop(pool, None)
             self._metrics.pool_pressure.set({"pool": pool}, 0.0)
             self._metrics.admission_level.set({"pool": pool}, 0.0)
@@ -123,6 +127,7 @@
             self._metrics.calls_admitted.inc({"pool": pool, "priority": str(priority)})
             return None
         self._count_rejection(pool, priority, LEVEL_REASON)
+        self._shares[pool].record(rank, is_served=False, now_ms=now_ms)
         reading = self._meter.reading(pool)
         source = "the fleet" if reading.is_shared else "this node's runners"
         return (
@@ -132,6 +137,18 @@
             f"{reading.urgent_share:.2f}), {self._age_ms(now_ms)} ms old"
         )
 
+    def asked_priority(self, pool: str, priority: int) -> int:
+        """Return the priority with which a call asks for a slot.
+
+        A call of a rank that starves asks like one of the most urgent rank.
+        """
+        if pool not in self._levels:
+            return priority
+        if not self._shares[pool].is_starving(self._ranks.rank(pool, priority)):
+            return priority
+        self._metrics.calls_promoted.inc({"pool": pool, "priority": str(priority)})
+        return 0
+
     def record_search(
         self,
         pool: str,
@@ -140,15 +157,19 @@
         is_granted: bool,
         took_ms: float,
         objective_ms: float,
+        now_ms: float,
     ) -> None:
         """Record how the search for a call's slot ended, and its duration."""
         if pool not in self._levels:
             return
         if not is_granted:
             self._count_rejection(pool, priority, NO_SLOT_REASON)
-        if self._ranks.rank(pool, priority) == 0:
-            is_late = 0.0 < LATE_SHARE * objective_ms < took_ms
-            self._meter.record_urgent_call(pool, is_failed=is_late or not is_granted)
+        rank = self._ranks.rank(pool, priority)
+        is_late = 0.0 < LATE_SHARE * objective_ms < took_ms
+        is_served = is_granted and not is_late
+        self._shares[pool].record(rank, is_served=is_served, now_ms=now_ms)
+        if rank == 0:
+            self._meter.record_urgent_call(pool, is_failed=not is_served)
 
     def status(self, *, now_ms: float) -> dict[str, PoolStatus]:
         """Return the pressure and the level of each pool that has ranks."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -199,23 +199,29 @@
     def _record_search(
         self, admitted: AdmittedCall, lease: SlotLease | None, *, started_ms: float
     ) -> None:
-        if self._admission is not None:
-            self._admission.record_search(
-                admitted.pool,
-                admitted.priority,
-                is_granted=lease is not None,
-                took_ms=self._timers.now_ms() - started_ms,
-                objective_ms=admitted.route.objective_ms,
-            )
+        if self._admission is None:
+            return
+        now_ms = self._timers.now_ms()
+        self._admission.record_search(
+            admitted.pool,
+            admitted.priority,
+            is_granted=lease is not None,
+            took_ms=now_ms - started_ms,
+            objective_ms=admitted.route.objective_ms,
+            now_ms=now_ms,
+        )
 
     def _profile(self, admitted: AdmittedCall) -> CallProfile:
         """Return what the runner's home is told of a call."""
         team = hash_text(admitted.team or "")
         if not self._describes_calls(admitted.pool):
             return CallProfile(team, admitted.priority)
+        priority = admitted.priority
+        if self._admission is not None:
+            priority = self._admission.asked_priority(admitted.pool, priority)
         return CallProfile(
             team,
-            admitted.priority,
+            priority,
             max(1, round(admitted.route.objective_ms)),
             admitted.prompt_cost,
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -69,6 +69,11 @@
             "Calls that passed the admission level, by pool and priority.",
             registry=self.registry,
         )
+        self.calls_promoted = Counter(
+            "clementineyoke_calls_promoted_total",
+            "Calls that asked for a slot like urgent ones because their rank starved.",
+            registry=self.registry,
+        )
         self.calls_rejected = Counter(
             "clementineyoke_calls_rejected_total",
             "Calls rejected by the level or without a slot; pool, priority, reason.",
--- a/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
+++ b/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
@@ -48,3 +48,12 @@
     When the pressure is 2 for 1 s and 0.9 for 8 s, with gossip during the first 3 s
     Then the log has the levels 0.5, 1.0, 0.5 and 0.0, each with the pressure and its age
     And the log says once that the pressure is the fleet's, and once that it is not
+
+  Scenario: Calls of a rank that starves
+    # The operators do not accept that a kind of call gets nothing while others are served.
+    Given the admission control of a node in a pool with the priorities 0 and 1
+    When 20 calls of the priority 0 are served and 20 of the priority 1 are not
+    Then a call of the priority 1 asks for its slot with the priority 0
+    But a call of the priority 1 to another pool asks with the priority 1
+    When 10 calls of the priority 1 are served
+    Then a call of the priority 1 asks for its slot with the priority 1
--- a/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
+++ b/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
@@ -324,3 +324,39 @@
 def check_logged_sources(context):
     for event in (Event.PRESSURE_SHARED, Event.PRESSURE_LOCAL):
         assert [line["pools"] for line in logged(context, event)] == [[POOL]]
+
+
+def record_searches(context, priority, count, *, is_granted):
+    for _ in range(count):
+        context.control.record_search(
+            POOL,
+            priority,
+            is_granted=is_granted,
+            took_ms=1.0,
+            objective_ms=500.0,
+            now_ms=0.0,
+        )
+
+
+@when(
+    "{count:d} calls of the priority 0 are served and {other:d} of the priority 1 "
+    "are not"
+)
+def serve_one_priority(context, count, other):
+    record_searches(context, 0, count, is_granted=True)
+    record_searches(context, 1, other, is_granted=False)
+
+
+@when("{count:d} calls of the priority 1 are served")
+def serve_starving(context, count):
+    record_searches(context, 1, count, is_granted=True)
+
+
+@then("a call of the priority 1 asks for its slot with the priority {priority:d}")
+def check_asked_priority(context, priority):
+    assert context.control.asked_priority(POOL, 1) == priority
+
+
+@then("a call of the priority 1 to another pool asks with the priority 1")
+def check_other_pool(context):
+    assert context.control.asked_priority("other", 1) == 1
