Add mutations of admission by priority

Cause: a test that passes with its mechanism disabled guards nothing. Change: 14 mutations of the rule, the level, the meter, the starving ranks and the wiring, in tools/mutations.py.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -37,6 +37,7 @@
 NEWS = f"{NODE}/tests/edge/news.feature"
 CRASHING_REQUESTS = f"{NODE}/tests/edge/crashing_requests.feature"
 CORE_EDGE_TESTS = f"{CORE}/tests/edge"
+CORE_OVERLOAD_TESTS = f"{CORE}/tests/overload"
 
 CORE_EVACUATIONS = f"{CORE_EDGE_TESTS}/evacuations.feature"
 NODE_EVACUATION = f"{NODE}/tests/edge/evacuation.feature"
@@ -132,6 +133,104 @@
         "return None",
         NODE_COLD_RUNNERS,
     ),
+    Mutation(
+        "admission: the reserve ignores the runner's own count",
+        f"{CORE_SOURCE}/overload/priority_reserve_rule.py",
+        "            ramp(occupancy, start, start + RESERVE_RANGE),\n",
+        "            0.0,\n",
+        f"{CORE_OVERLOAD_TESTS}/priority_reserve_rule.feature",
+    ),
+    Mutation(
+        "admission: the reserve ignores urgent calls without a slot",
+        f"{CORE_SOURCE}/overload/priority_reserve_rule.py",
+        "min(1.0, reading.urgent_share / URGENT_FULL_SHARE)",
+        "0.0",
+        f"{CORE_OVERLOAD_TESTS}/priority_reserve_rule.feature",
+    ),
+    Mutation(
+        "admission: the reserve rule refuses calls that are not described",
+        f"{CORE_SOURCE}/overload/priority_reserve_rule.py",
+        "if entry is None or not request.profile.is_described:",
+        "if entry is None:",
+        f"{CORE_OVERLOAD_TESTS}/priority_reserve_rule.feature",
+    ),
+    Mutation(
+        "admission: an unknown priority takes the rank of the next more urgent one",
+        f"{CORE_SOURCE}/overload/priority_ranks.py",
+        "min(bisect_left(priorities, priority), len(priorities) - 1)",
+        "max(0, bisect_left(priorities, priority + 1) - 1)",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "admission: ranks do not follow a newer desired state",
+        f"{CORE_SOURCE}/overload/priority_ranks.py",
+        "state.revision != self._revision",
+        "self._revision < 0",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "admission: an old mean of the fleet stays in use",
+        f"{CORE_SOURCE}/overload/pressure_meter.py",
+        "now_ms - exchanged_ms < MAX_GOSSIP_AGE_MS",
+        "True",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "admission: the level falls as fast as it rises",
+        f"{CORE_SOURCE}/overload/admission_level.py",
+        "elapsed_ms / FALL_MS",
+        "elapsed_ms / RISE_MS",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "admission: a level rejects calls while the pool has free slots",
+        f"{CORE_SOURCE}/overload/admission_level.py",
+        "self._level * (1.0 - self._relief)",
+        "self._level",
+        f"{CORE_OVERLOAD_TESTS}/admission_load.feature",
+    ),
+    Mutation(
+        "admission: no minimum share is admitted",
+        f"{CORE_SOURCE}/overload/admission_level.py",
+        "return max(MIN_ADMITTED_SHARE, 1.0 - rejected)",
+        "return 1.0 - rejected",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "admission: a starving rank gets no minimum",
+        f"{CORE_SOURCE}/overload/served_shares.py",
+        "return share < minimum and share < self._share(rank - 1)",
+        "return False",
+        f"{CORE_OVERLOAD_TESTS}/admission_load.feature",
+    ),
+    Mutation(
+        "admission: the home counts no queued calls",
+        f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
+        "queued=0 if queue is None else len(queue)",
+        "queued=0",
+        f"{NODE}/tests/slots/slot_home.feature",
+    ),
+    Mutation(
+        "admission: the home counts the slots of paused runners",
+        f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
+        "            and not self._fault_breaker.is_paused(runner_id, now_ms=now_ms)\n",
+        "",
+        f"{NODE}/tests/slots/slot_home.feature",
+    ),
+    Mutation(
+        "admission: the pressure is not gossiped",
+        f"{NODE_EDGE_SOURCE}/edge_io.py",
+        "            keys |= self.admission.gossip_keys()\n",
+        "",
+        f"{NODE}/tests/edge/admission_by_priority.feature",
+    ),
+    Mutation(
+        "admission: the level is not asked",
+        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        "        self._check_level(admitted)\n",
+        "",
+        f"{NODE}/tests/edge/admission_by_priority.feature",
+    ),
     Mutation(
         "an unreachable runner is not assumed cold",
         f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
