Admit calls of a rank that the admission level does not know yet

Cause: ranks follow a new desired state at once, the level up to 250 ms later. A rank beyond the level's last one counted as rejected in full: at level 0, 70 in 100 calls of a new last rank were rejected although the pool was idle. Change: such a rank is treated like the last one that the level knows. Result: the new scenario of admission_level.feature fails without the change and passes with it.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/admission_level.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/admission_level.py
@@ -72,8 +72,12 @@
         self._level = max(self._level - fall, min(self._level + rise, target))
 
     def admitted_share(self, rank: int) -> float:
-        """Return the share of a rank's calls that is admitted."""
-        less_urgent = self.max_value - rank
+        """Return the share of a rank's calls that is admitted.
+
+        A newer desired state may give more ranks before ``set_ranks`` is called; such
+        ranks are treated like the last one known.
+        """
+        less_urgent = max(0, self.max_value - rank)
         rejected = max(0.0, min(1.0, self.in_force - less_urgent))
         return max(MIN_ADMITTED_SHARE, 1.0 - rejected)
 
--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -25,6 +25,14 @@
     When the pressure is 0.5 for 8 s
     Then the level is 0 and all calls are admitted
 
+  Scenario: A rank that the level does not know yet
+    # A newer desired state gives calls their ranks before the level is told of it. At level
+    # 0, such calls were rejected down to the minimum share although the pool was idle.
+    Given an admission level of 2 ranks
+    Then all calls are admitted
+    When the pressure is 4 for 1 s
+    Then the level is 1 and 30 in 100 calls of the ranks 1 and 2 are admitted
+
   Scenario: A more urgent rank is never rejected more often
     Then for any pressures and any draw, a level that admits a rank admits the more urgent
 
