Keep a removed pool out of the shares when a late reply arrives

Cause: a pool that was removed between a push and its reply got a share and an estimate again; no one updated or removed them, and the share was sent in each later message. Pools that come and go would add up. Change: MeanLoadEstimator ignores the reply for a pool that it no longer holds. Result: the new scenario of mean_load.feature fails without the change and passes with it.

--- a/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
@@ -90,6 +90,9 @@
         # Adds half the difference of the exchanged shares instead of assigning the
         # average, which would lose local changes made while the reply was in transit.
         for pool in local.keys() | remote.keys():
+            if pool in local and pool not in self._shares:
+                # Removed while the reply was in transit.
+                continue
             share = self._shares.get(pool, ZERO_SHARE)
             sent = local.get(pool, ZERO_SHARE)
             received = remote.get(pool, ZERO_SHARE)
--- a/packages/clementineyoke-core/tests/mean_load.feature
+++ b/packages/clementineyoke-core/tests/mean_load.feature
@@ -20,3 +20,11 @@
     When 12 rounds of exchanges have passed
     And one home grants 20 slots in a burst
     Then that home's estimate is unchanged
+
+  Scenario: A pool is removed while a reply is in transit
+    # The reply must not create the pool's share again: it would be sent in every later
+    # message, and pools that come and go would add up.
+    Given 2 nodes with loads from 0 to 16 and one runner each
+    When a node removes the pool between its push and the reply
+    Then that node holds no share and no estimate of the pool
+    But the other node still holds its share
--- a/packages/clementineyoke-core/tests/steps/mean_load_steps.py
+++ b/packages/clementineyoke-core/tests/steps/mean_load_steps.py
@@ -58,3 +58,23 @@
         abs(estimator.mean(POOL) - true_mean) for estimator in context.estimators
     )
     assert max_error <= true_mean * percent / 100, (max_error, true_mean)
+
+
+@when("a node removes the pool between its push and the reply")
+def remove_pool(context):
+    first, second = context.estimators
+    pushed = first.begin_round()
+    replied = second.merge(pushed)
+    first.remove(POOL)
+    first.finish_round(pushed=pushed, replied=replied)
+
+
+@then("that node holds no share and no estimate of the pool")
+def check_removed(context):
+    assert context.estimators[0].shares() == {}
+    assert context.estimators[0].mean(POOL) == 0.0
+
+
+@then("the other node still holds its share")
+def check_kept(context):
+    assert POOL in context.estimators[1].shares()
