Give the age of the pressure that a pool uses

Cause: a pool whose pressure is not gossiped uses the node's own counts, but its log lines and /status gave the age of the last gossip while there was any. Change: the age follows the source of the pool's reading. Result: the new scenario of admission_level.feature fails without the change and passes with it.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/pressure_meter.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/pressure_meter.py
@@ -145,9 +145,12 @@
         """Return the pressure of a pool as of the last update."""
         return self._readings.get(pool, NO_PRESSURE)
 
-    def age_ms(self, *, now_ms: float) -> float:
-        """Return the age of the newest input: an exchange, else this node's counts."""
-        if self.is_shared(now_ms=now_ms):
+    def age_ms(self, pool: str, *, now_ms: float) -> float:
+        """Return the age of a reading's newest input.
+
+        That is an exchange if the reading is shared, else this node's own counts.
+        """
+        if self.reading(pool).is_shared:
             return now_ms - (self._exchanged_ms or 0.0)
         return 0.0 if self._updated_ms is None else now_ms - self._updated_ms
 
--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -45,6 +45,14 @@
     Then its pressure is 0.9, from its own runners
     And its level has fallen to 0 within 8 s
 
+  Scenario: The age of a pressure
+    # A pool beyond the limit for gossip uses the node's own counts; its log lines gave the
+    # age of the last gossip, which has no part in them.
+    Given a node that measures 20 pools
+    When the last gossip is 700 ms old, and the node's own counts are 30 ms old
+    Then the pressure of the pool "pool-0" is from the fleet and 700 ms old
+    And the pressure of the pool "pool-9" is from its own runners and 30 ms old
+
   Scenario: A node without gossip whose urgent calls get no slot
     Given a node that shares a pressure of 0.9 with the fleet, and whose runners have 0.9
     When the last gossip is 2.1 s old
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -255,3 +255,22 @@
     update(context)
     pressures = {context.meter.reading(pool).pressure for pool in context.pools}
     assert pressures == {0.9}, pressures
+
+
+@when(
+    "the last gossip is {gossip_ms:d} ms old, and the node's own counts are "
+    "{counts_ms:d} ms old"
+)
+def age_inputs(context, gossip_ms, counts_ms):
+    exchange(context, 1.5)
+    exchanged_ms = context.now_ms
+    context.now_ms = exchanged_ms + gossip_ms - counts_ms
+    update(context)
+    context.now_ms = exchanged_ms + gossip_ms
+
+
+@then('the pressure of the pool "{pool}" is from {source} and {age_ms:d} ms old')
+def check_age(context, pool, source, age_ms):
+    reading = context.meter.reading(pool)
+    assert reading.is_shared is (source == "the fleet"), reading
+    assert context.meter.age_ms(pool, now_ms=context.now_ms) == age_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
@@ -134,7 +134,7 @@
             f"the admission level {level.in_force:.2f} of {level.max_value} rejects "
             f"calls of rank {rank} to {pool!r}: pressure {reading.pressure:.2f} of "
             f"{source} (occupancy {reading.occupancy:.2f}, urgent calls without a slot "
-            f"{reading.urgent_share:.2f}), {self._age_ms(now_ms)} ms old"
+            f"{reading.urgent_share:.2f}), {self._age_ms(pool, now_ms)} ms old"
         )
 
     def asked_priority(self, pool: str, priority: int) -> int:
@@ -190,11 +190,11 @@
             level_in_force=round(level.in_force, 3),
             max_level=level.max_value,
             is_shared=reading.is_shared,
-            age_ms=self._age_ms(now_ms),
+            age_ms=self._age_ms(pool, now_ms),
         )
 
-    def _age_ms(self, now_ms: float) -> int:
-        return round(self._meter.age_ms(now_ms=now_ms))
+    def _age_ms(self, pool: str, now_ms: float) -> int:
+        return round(self._meter.age_ms(pool, now_ms=now_ms))
 
     def _count_rejection(self, pool: str, priority: int, reason: str) -> None:
         labels = {"pool": pool, "priority": str(priority), "reason": reason}
@@ -218,6 +218,6 @@
             pool=pool,
             admission_level=round(value, 2),
             before=round(logged, 2),
-            age_ms=self._age_ms(now_ms),
+            age_ms=self._age_ms(pool, now_ms),
             **self._meter.reading(pool).log_fields(),
         )
