Name a scenario of the pressure after what it checks

Cause: the scenario on runners that accept no calls has no such runner; it checks that calls queued at a home count. Runners that accept none are covered by 'The demand for a runner' in slot_home.feature. Change: the name and the comment of the scenario; its steps are unchanged.

--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -72,8 +72,8 @@
     Then the node ranks the priorities 0, 1 and 2 as 0, 1 and 1
     And after the newer state arrives, as 0, 1 and 2
 
-  Scenario: Runners that accept no calls
-    # Slots on dead runners would hide the pressure on the others.
+  Scenario: Calls that wait at a home
+    # Calls in use alone never exceed the bound of a runner, however many wait for a slot.
     Given a node that measures a pool
     When its runners with 10 slots have 8 calls in use and 4 queued
     Then its pressure is 1.2, from its own runners
