Use the fleet's failed urgent calls where it has no occupancy

Cause: a mean occupancy of 0 was read as 'no exchange yet', and the fleet's share of failed urgent calls was ignored with it. That share is meant for this case: when no runner accepts calls, the occupancy is 0, and a node that gets few urgent calls of its own saw no pressure. Change: the fleet's share counts whenever gossip is recent. Result: the new scenario of admission_level.feature fails without the change and passes with it.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/pressure_meter.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/pressure_meter.py
@@ -158,12 +158,15 @@
         own_urgent = self._urgent.get(pool, _UrgentCounts()).own_share
         pressure_key, urgent_key = _keys(pool)
         fleet = self._mean_load.mean(pressure_key)
-        is_shared = is_shared and pool in self._shared_pools
-        if not is_shared or fleet <= 0.0:
-            # Without a mean, the first exchange that has this pool is still to come.
+        if not is_shared or pool not in self._shared_pools:
             return PressureReading(own, own_urgent)
-        urgent = min(1.0, self._mean_load.mean(urgent_key))
-        return PressureReading(_clamp(fleet), max(urgent, own_urgent), True)
+        urgent = max(own_urgent, min(1.0, self._mean_load.mean(urgent_key)))
+        if fleet <= 0.0:
+            # The first exchange that has this pool is still to come, or there is no
+            # occupancy: no runner has accepted calls yet, or none is in use. A lack of
+            # reachable runners shows in the urgent calls alone.
+            return PressureReading(own, urgent)
+        return PressureReading(_clamp(fleet), urgent, True)
 
     def _publish(self, pool: str, *, calls: int, slots: int) -> None:
         pressure_key, urgent_key = _keys(pool)
--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -78,6 +78,12 @@
     When its runners with 10 slots have 8 calls in use and 4 queued
     Then its pressure is 1.2, from its own runners
 
+  Scenario: No runner of a pool accepts calls
+    # There is no mean occupancy then, and most nodes have few urgent calls of their own.
+    Given a node that measures a pool
+    When it exchanges shares with a fleet without slots, where 60 in 100 urgent calls fail
+    Then its pressure is 0.6, from its own runners
+
   Scenario: Urgent calls cease after they have failed
     Given a node that measures a pool
     When 20 urgent calls get no slot
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -28,12 +28,13 @@
     context.level.update(pressure, now_ms=context.now_ms)
 
 
-def exchange(context, pressure):
+def exchange(context, pressure, *, slots=1000, urgent_share=0.0):
     """Exchange shares with a node of a fleet with a pressure."""
     peer = MeanLoadEstimator()
     for key in context.meter.gossip_keys():
-        load = 0.0 if "urgent" in key else 1000 * pressure
-        peer.set_local(key, load=load, runners=1000)
+        is_urgent = "urgent" in key
+        share, total = (urgent_share, 1000) if is_urgent else (pressure, slots)
+        peer.set_local(key, load=share * total, runners=total)
     pushed = context.mean_load.begin_round()
     context.mean_load.finish_round(pushed=pushed, replied=peer.merge(pushed))
     context.meter.record_exchange(now_ms=context.now_ms)
@@ -274,3 +275,12 @@
     reading = context.meter.reading(pool)
     assert reading.is_shared is (source == "the fleet"), reading
     assert context.meter.age_ms(pool, now_ms=context.now_ms) == age_ms
+
+
+@when(
+    "it exchanges shares with a fleet without slots, where {percent:d} in 100 urgent "
+    "calls fail"
+)
+def exchange_without_slots(context, percent):
+    exchange(context, 0.0, slots=0, urgent_share=percent / 100)
+    update(context)
