Count calls whose caller disconnects late in the search for a slot

Cause: a disconnect cancels the search, and the call was counted neither as served nor as failed. Callers with timeouts shorter than the wait left no trace in the pressure or in the shares of the ranks, although they waited longest. Result: the new scenario of admission_by_priority.feature fails without the change and passes with it.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
@@ -164,12 +164,25 @@
             return
         if not is_granted:
             self._count_rejection(pool, priority, NO_SLOT_REASON)
-        rank = self._ranks.rank(pool, priority)
-        is_late = 0.0 < LATE_SHARE * objective_ms < took_ms
-        is_served = is_granted and not is_late
-        self._shares[pool].record(rank, is_served=is_served, now_ms=now_ms)
-        if rank == 0:
-            self._meter.record_urgent_call(pool, is_failed=not is_served)
+        is_served = is_granted and not _is_late(took_ms, objective_ms)
+        self._count_search(pool, priority, is_served=is_served, now_ms=now_ms)
+
+    def record_abandoned_search(
+        self,
+        pool: str,
+        priority: int,
+        *,
+        took_ms: float,
+        objective_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Record that a caller disconnected during the search, and its duration.
+
+        The search counts as failed if it was late already. An earlier disconnect says
+        nothing about the pool.
+        """
+        if pool in self._levels and _is_late(took_ms, objective_ms):
+            self._count_search(pool, priority, is_served=False, now_ms=now_ms)
 
     def status(self, *, now_ms: float) -> dict[str, PoolStatus]:
         """Return the pressure and the level of each pool that has ranks."""
@@ -196,6 +209,14 @@
     def _age_ms(self, pool: str, now_ms: float) -> int:
         return round(self._meter.age_ms(pool, now_ms=now_ms))
 
+    def _count_search(
+        self, pool: str, priority: int, *, is_served: bool, now_ms: float
+    ) -> None:
+        rank = self._ranks.rank(pool, priority)
+        self._shares[pool].record(rank, is_served=is_served, now_ms=now_ms)
+        if rank == 0:
+            self._meter.record_urgent_call(pool, is_failed=not is_served)
+
     def _count_rejection(self, pool: str, priority: int, reason: str) -> None:
         labels = {"pool": pool, "priority": str(priority), "reason": reason}
         self._metrics.calls_rejected.inc(labels)
@@ -221,3 +242,7 @@
             age_ms=self._age_ms(pool, now_ms),
             **self._meter.reading(pool).log_fields(),
         )
+
+
+def _is_late(took_ms: float, objective_ms: float) -> bool:
+    return 0.0 < LATE_SHARE * objective_ms < took_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from functools import partial
 from typing import TYPE_CHECKING
@@ -159,7 +160,13 @@
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried,
         )
-        lease = await self._broker.acquire(slot_request)
+        try:
+            lease = await self._broker.acquire(slot_request)
+        except asyncio.CancelledError:
+            # The caller disconnected while it waited for a slot.
+            if not ledger.tried:
+                self._record_abandoned_search(admitted, started_ms=started_ms)
+            raise
         if not ledger.tried:
             self._record_search(admitted, lease, started_ms=started_ms)
         if lease is not None:
@@ -211,6 +218,20 @@
             now_ms=now_ms,
         )
 
+    def _record_abandoned_search(
+        self, admitted: AdmittedCall, *, started_ms: float
+    ) -> None:
+        if self._admission is None:
+            return
+        now_ms = self._timers.now_ms()
+        self._admission.record_abandoned_search(
+            admitted.pool,
+            admitted.priority,
+            took_ms=now_ms - started_ms,
+            objective_ms=admitted.route.objective_ms,
+            now_ms=now_ms,
+        )
+
     def _profile(self, admitted: AdmittedCall) -> CallProfile:
         """Return what the runner's home is told of a call."""
         team = hash_text(admitted.team or "")
--- a/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
+++ b/packages/clementineyoke-node/tests/edge/admission_by_priority.feature
@@ -43,6 +43,19 @@
     And all "non_idempotent" calls are answered
     And the status gives no pressure
 
+  Scenario Outline: Urgent callers disconnect while they wait for a slot
+    # Callers with short timeouts leave before the search ends. Without them, the calls that
+    # waited longest would not raise the pressure.
+    Given a fleet of 1 node and 2 runners with admission by priority
+    And urgent calls with an objective of 400 ms, and no slot for any call
+    When 4 urgent callers disconnect after <wait_ms> ms
+    Then <failed> urgent calls have failed
+
+    Examples:
+      | wait_ms | failed |
+      | 500     | some   |
+      | 50      | no     |
+
   Scenario: The log of the levels
     Given the admission control of a node in a pool with the priorities 0 and 1
     When the pressure is 2 for 1 s and 0.9 for 8 s, with gossip during the first 3 s
--- a/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
+++ b/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import json
 from random import Random
 
@@ -269,6 +270,58 @@
     assert {reply.granted for reply in first} == {True, False}
 
 
+@given(
+    "urgent calls with an objective of {objective_ms:d} ms, and no slot for any call"
+)
+def given_no_slot(context, objective_ms):
+    idempotent, other = make_routes(0)
+    urgent = {**idempotent, "targetLatencyMs": objective_ms}
+    context.run(context.fleet.put_state(urgent, other))
+    context.run(wait_until(lambda: knows_version(context.fleet), 3))
+    # Calls are counted once the housekeeping has adopted the pool.
+    admission = context.fleet.nodes[0].io.admission
+    context.run(wait_until(lambda: POOL in admission.status(now_ms=0), 3))
+    ended = context.ended_searches = []
+
+    async def wait_for_slot(request):
+        try:
+            await asyncio.sleep(10)
+        finally:
+            ended.append(request)
+
+    context.fleet.nodes[0].io.broker.acquire = wait_for_slot
+
+
+@when("{count:d} urgent callers disconnect after {wait_ms:d} ms")
+def disconnect(context, count, wait_ms):
+    async def call(number):
+        coroutine = context.fleet.call(
+            "idempotent",
+            call_id=f"call-{number}",
+            session=context.fleet.concurrent_session,
+        )
+        try:
+            await asyncio.wait_for(coroutine, wait_ms / 1_000)
+        except TimeoutError:
+            return
+        raise AssertionError
+
+    async def act():
+        await asyncio.gather(*(call(number) for number in range(count)))
+        await wait_until(lambda: len(context.ended_searches) == count, 3)
+        # The pressure is updated every 100 ms.
+        await asyncio.sleep(0.15)
+
+    context.run(act())
+
+
+@then("{some_or_no} urgent calls have failed")
+def check_failed_calls(context, some_or_no):
+    status = context.fleet.nodes[0].io.admission.status(now_ms=0)
+    has_failed = status[POOL]["urgent_share"] > 0.1
+    assert has_failed is (some_or_no == "some"), status
+
+
 @given("the admission control of a node in a pool with the priorities 0 and 1")
 def given_control(context):
     routes = make_routes(0)
