--- a/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
@@ -49,6 +49,11 @@
             share.load + load - old.load, share.runners + runners - old.runners
         )
 
+    def remove(self, pool: str) -> None:
+        """Forget a pool that no node needs any more; its share is not sent again."""
+        for table in (self._local, self._shares, self._estimates):
+            table.pop(pool, None)
+
     def mean(self, pool: str) -> float:
         """Return the estimated load of an average runner of the pool."""
         return self._estimates.get(pool, 0.0)
@@ -85,6 +90,9 @@
         # Adds half the difference of the exchanged shares instead of assigning the
         # average, which would lose local changes made while the reply was in transit.
         for pool in local.keys() | remote.keys():
+            if pool in local and pool not in self._shares:
+                # Removed while the reply was in transit.
+                continue
             share = self._shares.get(pool, ZERO_SHARE)
             sent = local.get(pool, ZERO_SHARE)
             received = remote.get(pool, ZERO_SHARE)
