Account for calls to engines in tokens

Change: the home of an engine asks both rules in pools with token_reservations, priority_admission and engine memory. The grant says how many prompt tokens the runner has to process (SlotReply.prefill_tokens), from which nodes learn the prefill rate. A call larger than an engine's memory is rejected with 413. route_refused lists the reasons of the refusals and the size of the call; events 230 to 232 and three gauges are new.

--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
@@ -17,6 +17,9 @@
     runner_id: str
     in_use: int
     """Slots in use, including this one."""
+    prefill_tokens: int = 0
+    """Prompt tokens that the runner has to process by its home's record; 0 if unknown.
+    """
 
 
 class SlotRefusal(NamedTuple):
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -30,6 +30,7 @@
     from clementineyoke_node.edge.caller_stream import CallerStream
     from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
+    from clementineyoke_node.edge.token_accounting import TokenAccounting
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.timers.timer_service import TimerService
 
@@ -52,6 +53,7 @@
         timers: TimerService,
         decisions: DecisionRing,
         membership: Membership,
+        token_accounting: TokenAccounting,
     ) -> None:
         self._broker = broker
         self._connection_pool = connection_pool
@@ -62,6 +64,7 @@
         self._timers = timers
         self._decisions = decisions
         self._membership = membership
+        self._token_accounting = token_accounting
 
     async def execute(
         self,
@@ -69,11 +72,14 @@
         runner: Runner,
         stream: CallerStream,
         may_retry: Callable[[], bool],
+        *,
+        prefill_tokens: int = 0,
     ) -> CompleteResponse | None:
         """Return the runner's complete response, or None when its stream was relayed.
 
         ``may_retry`` returns whether the call may go to another runner if this one is
-        silent. Raises ``AttemptError`` when the attempt gave no valid response.
+        silent. ``prefill_tokens`` are the prompt tokens that the runner has to process,
+        0 if unknown. Raises ``AttemptError`` when the attempt gave no valid response.
         """
         now_ms = self._timers.now_ms()
         left_ms = admitted.deadline_ms - now_ms
@@ -110,6 +116,7 @@
                         overdue_timer,
                         may_retry,
                         started_ms=now_ms,
+                        prefill_tokens=prefill_tokens,
                     )
                     return None
                 complete = await self._read_response(admitted, runner, response)
@@ -148,6 +155,7 @@
         may_retry: Callable[[], bool],
         *,
         started_ms: float,
+        prefill_tokens: int,
     ) -> None:
         if not response.head.has_signature:
             raise AttemptError(
@@ -163,8 +171,10 @@
         ):
             overdue_timer.stop()
             if is_first:
-                self._timeouts.record_first_event(
-                    admitted.route, latency_ms=self._timers.now_ms() - started_ms
+                latency_ms = self._timers.now_ms() - started_ms
+                self._timeouts.record_first_event(admitted.route, latency_ms=latency_ms)
+                self._token_accounting.record_first_event(
+                    admitted, prefill_tokens=prefill_tokens, latency_ms=latency_ms
                 )
                 is_first = False
                 self._record_holder(admitted, runner)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -153,7 +153,9 @@
             peer=error.peer,
             outcome=error.outcome.value,
             reason=error.reason,
+            retry_after_ms=error.retry_after_ms,
             after_ms=round(self._timers.now_ms() - arrived_ms),
+            **error.details,
         )
         return web.Response(
             status=error.status,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -17,6 +17,7 @@
 from clementineyoke_node.edge.attempt_executor import AttemptExecutor
 from clementineyoke_node.edge.crash_archive import CrashArchive
 from clementineyoke_node.edge.crash_tracker import CrashTracker
+from clementineyoke_node.edge.engine_view import EngineView, PoolMemory
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.node_registration import NodeRegistration
@@ -24,6 +25,7 @@
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
 from clementineyoke_node.edge.store_watcher import StoreWatcher
+from clementineyoke_node.edge.token_accounting import TokenAccounting
 from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
 from clementineyoke_node.fleet.gossiper import Gossiper
 from clementineyoke_node.fleet.introducer import Introducer
@@ -74,6 +76,7 @@
 
     def __init__(self, *, config: EdgeConfig, state: NodeState) -> None:
         self._config = config
+        self._features = config.overload_features
         self._state = state
         self._stack = AsyncExitStack()
         self._is_apply_scheduled = False
@@ -125,6 +128,7 @@
             timers=self.timers,
             is_watcher=self._is_watcher,
         )
+        self.token_accounting = self._make_token_accounting()
         self._create_slot_components()
         self._create_fleet_components()
         self.forwarder = self._make_forwarder()
@@ -216,6 +220,8 @@
                 slack_slots=SLACK_SLOTS,
                 queue_share=QUEUE_SHARE,
             ),
+            extra_rules=self.token_accounting.rules,
+            prefill_tokens=self.token_accounting.prefill_tokens,
         )
         self.broker = SlotBroker(
             membership=state.membership,
@@ -290,6 +296,7 @@
             timers=self.timers,
             decisions=state.decisions,
             membership=state.membership,
+            token_accounting=self.token_accounting,
         )
         return Forwarder(
             broker=self.broker,
@@ -306,11 +313,37 @@
             count_nodes=lambda: len(state.membership.alive()),
             random_key=lambda: state.rng.getrandbits(RANDOM_KEY_BITS),
             cap_factor=config.cap_factor,
+            token_accounting=self.token_accounting,
             describes_calls=self._describes_calls,
         )
 
+    def _make_token_accounting(self) -> TokenAccounting:
+        self._pool_memory = PoolMemory(
+            state=lambda: None if self.view.routes is None else self.view.routes.state
+        )
+        engines = EngineView(
+            table=self._state.table,
+            rings=self._state.rings,
+            memory=self._pool_memory,
+            is_active=self._accounts_tokens,
+        )
+        return TokenAccounting(
+            engines=engines, timers=self.timers, decisions=self._state.decisions
+        )
+
+    def _accounts_tokens(self, pool: str) -> bool:
+        """Return whether slots of a pool depend on the tokens of its calls."""
+        features = self._features
+        return (
+            features.token_reservations
+            and self._pool_memory.tokens(pool) > 0
+            and features.priority_admission
+        )
+
     def _describes_calls(self, pool: str) -> bool:
-        return self._config.overload_features.priority_admission and bool(pool)
+        if not pool:
+            return False
+        return self._features.priority_admission or self._accounts_tokens(pool)
 
     def _is_watcher(self) -> bool:
         return self.registration.registered.is_set() and self._state.is_watcher()
@@ -368,6 +401,7 @@
         self._state.mean_load.set_local(NODE_CALLS_KEY, load=rate_per_s, runners=1)
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
+        self.token_accounting.update(self.slot_home.loads())
 
     def _start_timers(self) -> None:
         gossip_ms = self._config.gossip_interval_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -25,11 +26,13 @@
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.retry_window import RetryWindow
     from clementineyoke_core.edge.runner_health import RunnerHealth
+    from clementineyoke_core.grants.refusal_reason import RefusalReason
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.attempt_executor import AttemptExecutor
     from clementineyoke_node.edge.crash_tracker import CrashTracker
     from clementineyoke_node.edge.runner_response import CompleteResponse
+    from clementineyoke_node.edge.token_accounting import TokenAccounting
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
@@ -67,6 +70,7 @@
         count_nodes: Callable[[], int],
         random_key: Callable[[], int],
         cap_factor: float,
+        token_accounting: TokenAccounting,
         describes_calls: Callable[[str], bool] = lambda _: False,
     ) -> None:
         """Create a forwarder.
@@ -87,6 +91,7 @@
         self._random_key = random_key
         self._cap_factor = cap_factor
         self._describes_calls = describes_calls
+        self._token_accounting = token_accounting
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -96,6 +101,7 @@
         Raises ``RequestError`` when no runner gave a response that can be returned.
         """
         self._crash_tracker.check(admitted)
+        self._token_accounting.check_size(admitted)
         self._retry_window.record_call(admitted.pool, now_ms=self._timers.now_ms())
         stream = CallerStream(request=request, last_event_id=admitted.call.last_event)
         ledger = AttemptLedger(
@@ -117,6 +123,7 @@
                         runner,
                         stream,
                         partial(self._may_abandon, admitted, ledger, runner),
+                        prefill_tokens=lease.prefill_tokens,
                     )
                 except AttemptError as error:
                     self._record_failure(
@@ -127,6 +134,10 @@
                     self._health.record_success(runner, now_ms=self._timers.now_ms())
                     self._crash_tracker.record_answer(admitted)
                     self._broker.record_answer(lease)
+                    if response is None:
+                        self._token_accounting.record_answer(
+                            admitted, events=stream.sent_event_count
+                        )
                     return self._complete(
                         admitted,
                         stream.response if response is None else _to_response(response),
@@ -144,7 +155,9 @@
         key = self._crash_tracker.isolation_key(admitted)
         if key is None:
             key = admitted.prompt_key
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        started_ms = self._timers.now_ms()
+        left_ms = admitted.deadline_ms - started_ms
+        refusals: dict[str, RefusalReason] = {}
         slot_request = SlotRequest(
             pool=admitted.pool,
             key=self._random_key() if key is None else key,
@@ -152,6 +165,7 @@
             wait_ms=int(max(0.0, min(MAX_QUEUE_MS, left_ms))),
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried,
+            refusals=refusals,
         )
         lease = await self._broker.acquire(slot_request)
         if lease is not None:
@@ -170,6 +184,11 @@
                 else f"no runner of {admitted.pool!r} takes calls"
             ),
             retry_after_ms=self._not_run_retry_ms(admitted),
+            details={
+                "refusals": Counter(reason.label for reason in refusals.values()),
+                "refusals_age_ms": round(self._timers.now_ms() - started_ms),
+                **self._token_accounting.describe_refusal(admitted),
+            },
         )
 
     def _profile(self, admitted: AdmittedCall) -> CallProfile:
@@ -181,7 +200,7 @@
             team,
             admitted.priority,
             max(1, round(admitted.route.objective_ms)),
-            admitted.prompt_cost,
+            self._token_accounting.describe(admitted),
         )
 
     def _not_run_retry_ms(self, admitted: AdmittedCall) -> int:
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -53,6 +53,21 @@
             "Slots in use on each runner that this node is home of.",
             registry=self.registry,
         )
+        self.runner_reserved_tokens = Gauge(
+            "clementineyoke_runner_reserved_tokens",
+            "Memory reserved on each engine that this node is home of, in tokens.",
+            registry=self.registry,
+        )
+        self.runner_prefill_backlog = Gauge(
+            "clementineyoke_runner_prefill_backlog_tokens",
+            "Prompt tokens that wait on each engine that this node is home of.",
+            registry=self.registry,
+        )
+        self.pool_prefill_rate = Gauge(
+            "clementineyoke_pool_prefill_tokens_per_ms",
+            "Prefill rate of each pool that this node has learned.",
+            registry=self.registry,
+        )
 
     def record_outcome(self, outcome: str, elapsed_ms: float) -> None:
         """Record a completed request."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -86,6 +86,7 @@
         the home of the first runner.
         """
         search = self._make_search(request)
+        refusals = {} if request.refusals is None else request.refusals
         first_attempt: SlotAttempt | None = None
         while (attempt := search.next_attempt()) is not None:
             first_attempt = first_attempt or attempt
@@ -104,13 +105,16 @@
                     attempt,
                     ask_id,
                     reason=reason,
-                    passed_over=self._list_skipped(search, request, runner),
+                    passed_over=self._list_skipped(search, request, runner)
+                    + _list_refused(refusals, runner),
                     tokens=request.profile.prompt.total_tokens,
+                    prefill_tokens=result.unwrap().prefill_tokens,
                 )
                 if lease is not None:
                     return lease
             else:
                 refusal = result.failure()
+                refusals[runner.runner_id] = refusal.reason
                 search.record_refusal(
                     attempt, in_use=refusal.in_use, is_held=refusal.is_held
                 )
@@ -264,7 +268,7 @@
             return None
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
-            return Success(SlotGrant(runner_id, reply.in_use))
+            return Success(SlotGrant(runner_id, reply.in_use, reply.prefill_tokens))
         return Failure(SlotRefusal(runner_id, reply.in_use, _to_reason(reply)))
 
     def _make_search(self, request: SlotRequest) -> SlotSearch:
@@ -374,12 +378,21 @@
         reason: str,
         passed_over: tuple[SkippedRunner, ...] = (),
         tokens: int = 0,
+        prefill_tokens: int = 0,
     ) -> SlotLease | None:
         if not self._accepts_calls(runner):
             # The runner's state changed while the request to the home was pending.
             self._release_at_home(runner, ask_id)
             return None
-        lease = SlotLease(runner, ask_id, reason, attempt.rank, passed_over, tokens)
+        lease = SlotLease(
+            runner,
+            ask_id,
+            reason,
+            attempt.rank,
+            passed_over,
+            tokens,
+            prefill_tokens,
+        )
         self._leases[ask_id] = lease
         return lease
 
@@ -432,6 +445,19 @@
         return SlotHolder(self._own_id, ask_id)
 
 
+def _list_refused(
+    refusals: dict[str, RefusalReason], chosen: Runner
+) -> tuple[SkippedRunner, ...]:
+    """Return the runners that were refused for the work that the call adds."""
+    return tuple(
+        SkippedRunner(runner_id, reason.label)
+        for runner_id, reason in refusals.items()
+        if runner_id != chosen.runner_id
+        and reason is not RefusalReason.LOAD
+        and not reason.is_held
+    )
+
+
 def _describe(ask: SlotAsk, profile: CallProfile) -> SlotAsk:
     """Add the description of a call to a request, if the call has one."""
     if not profile.is_described:
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -72,8 +72,14 @@
         cold_runners: ColdRunners | None = None,
         load_bound: LoadBound = DEFAULT_BOUND,
         extra_rules: Sequence[GrantRule] = (),
+        prefill_tokens: Callable[[GrantRequest], int] = lambda _: 0,
     ) -> None:
-        """Create a home; ``extra_rules`` are asked after the rules of every home."""
+        """Create a home; ``extra_rules`` are asked after the rules of every home.
+
+        ``prefill_tokens`` returns how many prompt tokens a call adds on its runner, or
+        0 if that is unknown. Requesters learn from it how fast runners process prompts.
+        """
+        self._prefill_tokens = prefill_tokens
         self._fault_breaker = FaultRateBreaker()
         self._reachability_breaker = ReachabilityBreaker()
         self._cold_runners = cold_runners or ColdRunners()
@@ -155,8 +161,10 @@
         if reason is not None:
             in_use = self._ledger.in_use(runner_id)
             return Failure(SlotRefusal(runner_id, in_use, reason))
+        prefill_tokens = self._prefill_tokens(request)
         self._grant(request)
-        return Success(SlotGrant(runner_id, self._ledger.in_use(runner_id)))
+        in_use = self._ledger.in_use(runner_id)
+        return Success(SlotGrant(runner_id, in_use, prefill_tokens))
 
     def enqueue(
         self,
@@ -347,7 +355,10 @@
             profile=_to_profile(ask),
         )
         if is_successful(result):
-            reply = SlotReply(ask.ask_id, True, result.unwrap().in_use)
+            grant = result.unwrap()
+            reply = SlotReply(
+                ask.ask_id, True, grant.in_use, prefill_tokens=grant.prefill_tokens
+            )
         else:
             refusal = result.failure()
             reply = SlotReply(
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
@@ -28,3 +28,5 @@
     """Preceding runners that were skipped for a reason other than their load."""
     tokens: int = 0
     """Memory that the request takes on its runner, in tokens; 0 if unknown."""
+    prefill_tokens: int = 0
+    """Prompt tokens that the runner has to process; 0 if unknown."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_request.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_request.py
@@ -8,6 +8,7 @@
     from collections.abc import Collection
 
     from clementineyoke_core.grants.call_profile import CallProfile
+    from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 
 class SlotRequest(NamedTuple):
@@ -25,3 +26,5 @@
     last-resort request uses the default if that is higher; a queued one always does."""
     preferred: str | None = None
     """Id of the runner that the placement token names."""
+    refusals: dict[str, RefusalReason] | None = None
+    """Receives the last reason for which each runner was refused; None if unused."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -52,6 +52,15 @@
     RUNNER_BACKOFF = EventKind(
         222, "INFO", "A runner refused a call and asked for backoff."
     )
+    CALL_TOO_LARGE = EventKind(
+        230, "WARNING", "A call is larger than the memory of its pool's runners."
+    )
+    RUNNER_MEMORY_FULL = EventKind(
+        231, "INFO", "A runner's memory is almost reserved, or is free again."
+    )
+    PREFILL_RATE_LEARNED = EventKind(
+        232, "INFO", "The prefill rate of a pool was learned or has changed."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -52,6 +52,9 @@
     """Whether the slot was refused for a reason other than the runner's load."""
     reason: int = 0
     """Reason of a refusal; home nodes of an earlier release do not send it."""
+    prefill_tokens: int = 0
+    """Prompt tokens that the runner has to process for a granted call; 0 if unknown.
+    """
 
 
 class SlotRelease(NamedTuple):
