--- /dev/null
+++ b/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
@@ -0,0 +1,99 @@
+from __future__ import annotations
+
+import math
+
+from behave import then, when
+from capacity_engines import POOL
+from hypothesis import given as given_any, settings, strategies as st
+
+from clementineyoke_core.capacity.expected_outputs import ExpectedOutputs
+from clementineyoke_core.capacity.prefill_rates import PrefillRates
+
+
+def rates_of(context):
+    if not hasattr(context, "prefill_rates"):
+        context.prefill_rates = PrefillRates()
+    return context.prefill_rates
+
+
+def outputs_of(context):
+    if not hasattr(context, "outputs"):
+        context.outputs = ExpectedOutputs()
+    return context.outputs
+
+
+@when(
+    "{count:d} calls with {tokens:d} tokens to process get their first event after "
+    "{latency:d} ms"
+)
+def record_first_events(context, count, tokens, latency):
+    for _ in range(count):
+        rates_of(context).record_first_event(
+            POOL, prefill_tokens=tokens, latency_ms=latency, now_ms=0.0
+        )
+
+
+@then("the prefill rate is unknown")
+def check_unknown(context):
+    assert rates_of(context).get(POOL) is None
+
+
+@then("the prefill rate is {rate:g} tokens per ms")
+def check_rate(context, rate):
+    assert rates_of(context).get(POOL).tokens_per_ms == rate
+
+
+@when(
+    '{count:d} calls of "{route}" with a maximum of {tokens:d} tokens are answered '
+    "with {events:d} events"
+)
+def record_answers(context, count, route, tokens, events):
+    for _ in range(count):
+        outputs_of(context).record_answer(
+            POOL, route, events=events, max_output_tokens=tokens
+        )
+
+
+@when(
+    '{count:d} calls of "{route}" without a maximum are answered with {events:d} events'
+)
+def record_unbounded(context, count, route, events):
+    record_answers(context, count, route, 0, events)
+
+
+@then(
+    'a call of "{route}" with a maximum of {tokens:d} tokens is expected to produce '
+    "{expected:d}"
+)
+def check_expected(context, route, tokens, expected):
+    found = outputs_of(context).expected_tokens(POOL, route, max_output_tokens=tokens)
+    assert found == expected, found
+
+
+@then('a call of "{route}" without a maximum is expected to produce {expected:d}')
+def check_expected_unbounded(context, route, expected):
+    check_expected(context, route, 0, expected)
+
+
+@then("the expectation is no less than the mean for any tokens per event and outputs")
+def check_conservative(context):
+    @settings(derandomize=True, database=None, deadline=None)
+    @given_any(
+        tokens_per_event=st.integers(1, 20),
+        max_tokens=st.integers(1, 400),
+        shares=st.lists(st.floats(0.0, 1.0), min_size=20, max_size=60),
+    )
+    def check(tokens_per_event, max_tokens, shares):
+        outputs = ExpectedOutputs()
+        lengths = [max(1, round(share * max_tokens)) for share in shares]
+        for length in lengths:
+            outputs.record_answer(
+                POOL,
+                "route",
+                events=math.ceil(length / tokens_per_event),
+                max_output_tokens=max_tokens,
+            )
+        expected = outputs.expected_tokens(POOL, "route", max_output_tokens=max_tokens)
+        assert expected >= math.floor(sum(lengths) / len(lengths))
+
+    check()
