--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -49,7 +49,14 @@
     """Run a store, runners and nodes on loopback addresses."""
 
     def __init__(
-        self, *, nodes=1, runners=2, zones=("zone",), cold=None, node_zones=("zone",)
+        self,
+        *,
+        nodes=1,
+        runners=2,
+        zones=("zone",),
+        cold=None,
+        node_zones=("zone",),
+        settings=None,
     ):
         self.store = EdgeStore()
         self.runners = [EdgeRunner(runner_id=f"runner-{n}") for n in range(runners)]
@@ -58,7 +65,9 @@
         self.node_zones = node_zones
         """Zones to which the nodes are assigned in turn."""
         self.cold = cold or {}
-        """Fields of the desired state that limit calls to cold runners."""
+        """Fields of the desired state for the memory or the cold time of runners."""
+        self.settings = settings or {}
+        """Settings of the nodes in addition to the usual ones."""
         self.nodes = []
         self.stop_tasks = []
         self._count = nodes
@@ -144,6 +153,7 @@
             "stop_deadline_s": 3,
             "longest_keep_s": 5,
             "linger_ms": 100,
+            **self.settings,
         }
         return msgspec.convert(document, EdgeConfig)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
@@ -18,11 +18,14 @@
     keys: list[str],
     cold_s: float = 0.0,
     cold_calls_per_s: float = 0.0,
+    memory_tokens: int = 0,
 ) -> dict[str, Any]:
     """Return a desired state with one team.
 
-    Runners are cold for ``cold_s`` seconds after their start; 0 means never.
+    Runners are cold for ``cold_s`` seconds after their start; 0 means never. They are
+    engines if ``memory_tokens`` is above 0.
     """
+    engine = {"engine": {"kvCapacityTokens": memory_tokens}} if memory_tokens else {}
     pools = sorted({route["service"] for route in routes})
     return {
         "version": version,
@@ -33,6 +36,7 @@
                 "healthCheck": "/healthz",
                 "coldStartS": cold_s,
                 "coldPerS": cold_calls_per_s,
+                **engine,
             }
             for pool in pools
         ],
