Average the learned prefill rates over the fleet

Cause: a node needs 20 calls with 3,000 tokens to process before the backlog is bounded. Such calls are rare, so a node alone learns the rate in minutes.

Change: FleetPrefillRates gossips each node's rate, weighted by its calls, under a key of its own per pool, and uses the mean until the node knows 20 calls. The quantile of few calls is rounded up to the faster one.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/prefill_rates.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/prefill_rates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -24,12 +25,24 @@
     """Monotonic time of the newest call that it was learned from."""
 
 
+class RateQuantile(NamedTuple):
+    """The high quantile of the known calls, however few they are."""
+
+    tokens_per_ms: float
+    calls: int
+    """Number of calls that it was computed from."""
+
+
+NO_CALLS = RateQuantile(0.0, 0)
+
+
 class PrefillRates:
     """Learn the prefill rate of each pool as a high quantile over recent calls."""
 
     def __init__(self) -> None:
         self._samples: dict[str, deque[float]] = {}
-        self._rates: dict[str, PrefillRate] = {}
+        self._quantiles: dict[str, RateQuantile] = {}
+        self._recorded_ms: dict[str, float] = {}
 
     def record_first_event(
         self, pool: str, *, prefill_tokens: int, latency_ms: float, now_ms: float
@@ -39,22 +52,30 @@
             return
         if pool not in self._samples and len(self._samples) >= MAX_POOLS:
             self._samples.clear()
-            self._rates.clear()
+            self._quantiles.clear()
+            self._recorded_ms.clear()
         samples = self._samples.setdefault(pool, deque(maxlen=MAX_CALLS))
         samples.append(prefill_tokens / latency_ms)
-        if len(samples) >= MIN_CALLS:
-            tokens_per_ms = sorted(samples)[int(QUANTILE * (len(samples) - 1))]
-            self._rates[pool] = PrefillRate(tokens_per_ms, now_ms)
+        index = math.ceil(QUANTILE * (len(samples) - 1))
+        self._quantiles[pool] = RateQuantile(sorted(samples)[index], len(samples))
+        self._recorded_ms[pool] = now_ms
 
     def get(self, pool: str) -> PrefillRate | None:
         """Return the rate of a pool; None until enough calls are known."""
-        return self._rates.get(pool)
+        quantile = self.quantile(pool)
+        if quantile.calls < MIN_CALLS:
+            return None
+        return PrefillRate(quantile.tokens_per_ms, self._recorded_ms[pool])
+
+    def quantile(self, pool: str) -> RateQuantile:
+        """Return what is known of a pool, also from few calls."""
+        return self._quantiles.get(pool, NO_CALLS)
 
     def tokens_per_ms(self, pool: str) -> float | None:
         """Return the prompt tokens that an engine of a pool processes in a ms."""
-        rate = self._rates.get(pool)
+        rate = self.get(pool)
         return None if rate is None else rate.tokens_per_ms
 
     def pools(self) -> list[str]:
         """Return the pools whose rate is known."""
-        return list(self._rates)
+        return [pool for pool in self._quantiles if self.get(pool) is not None]
--- a/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
+++ b/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
@@ -11,6 +11,20 @@
     When 30 calls with 2999 tokens to process get their first event after 40 ms
     Then the prefill rate is unknown
 
+  Scenario: Nodes learn the prefill rate together
+    # A node alone forwards 20 long prompts that are not cached in minutes.
+    Given 10 nodes that gossip
+    When each has 1 call with 4000 tokens to process and its first event after 80 ms
+    Then they do not know the prefill rate
+    When each has 3 calls with 4000 tokens to process and its first event after 80 ms
+    Then all know a prefill rate of 50 tokens per ms
+
+  Scenario: A node's own calls count more than the mean of the fleet
+    Given 10 nodes that gossip
+    When each has 9 calls with 4000 tokens to process and its first event after 80 ms
+    And the first node has 60 calls with 4000 tokens and its first event after 40 ms
+    Then the first node knows a prefill rate of 100 tokens per ms
+
   Scenario: The caller's maximum counts until the output of a route is known
     # A reservation that is too small lets an engine run out of memory.
     When 19 calls of "advice" with a maximum of 100 tokens are answered with 3 events
--- a/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
+++ b/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
@@ -1,13 +1,16 @@
 from __future__ import annotations
 
 import math
+from random import Random
 
-from behave import then, when
+from behave import given, then, when
 from capacity_engines import POOL
 from hypothesis import given as given_any, settings, strategies as st
 
 from clementineyoke_core.capacity.expected_outputs import ExpectedOutputs
+from clementineyoke_core.capacity.fleet_prefill_rates import FleetPrefillRates
 from clementineyoke_core.capacity.prefill_rates import PrefillRates
+from clementineyoke_core.mean_load import MeanLoadEstimator
 
 
 def rates_of(context):
@@ -43,6 +46,80 @@
     assert rates_of(context).get(POOL).tokens_per_ms == rate
 
 
+class GossipingNode:
+    """The learners of one node of a fleet."""
+
+    def __init__(self, count):
+        self.rates = PrefillRates()
+        self.mean_load = MeanLoadEstimator()
+        self.fleet_rates = FleetPrefillRates(
+            rates=self.rates, mean_load=self.mean_load, count_nodes=lambda: count
+        )
+
+
+@given("{count:d} nodes that gossip")
+def given_nodes(context, count):
+    context.nodes = [GossipingNode(count) for _ in range(count)]
+
+
+@when(
+    "each has {count:d} call with {tokens:d} tokens to process and its first event "
+    "after {latency:d} ms"
+)
+@when(
+    "each has {count:d} calls with {tokens:d} tokens to process and its first event "
+    "after {latency:d} ms"
+)
+def record_at_each(context, count, tokens, latency):
+    for node in context.nodes:
+        record_at(node, count, tokens, latency)
+    run_gossip(context)
+
+
+@when(
+    "the first node has {count:d} calls with {tokens:d} tokens and its first event "
+    "after {latency:d} ms"
+)
+def record_at_first(context, count, tokens, latency):
+    record_at(context.nodes[0], count, tokens, latency)
+    run_gossip(context)
+
+
+def record_at(node, count, tokens, latency):
+    for _ in range(count):
+        node.rates.record_first_event(
+            POOL, prefill_tokens=tokens, latency_ms=latency, now_ms=0.0
+        )
+
+
+def run_gossip(context):
+    rng = Random(1)
+    for node in context.nodes * 20:
+        node.fleet_rates.update([POOL])
+        peer = rng.choice([other for other in context.nodes if other is not node])
+        pushed = node.mean_load.begin_round()
+        node.mean_load.finish_round(pushed=pushed, replied=peer.mean_load.merge(pushed))
+
+
+@then("they do not know the prefill rate")
+def check_none_knows(context):
+    for node in context.nodes:
+        assert node.fleet_rates.tokens_per_ms(POOL) is None
+
+
+@then("all know a prefill rate of {rate:d} tokens per ms")
+def check_all_know(context, rate):
+    for node in context.nodes:
+        found = node.fleet_rates.tokens_per_ms(POOL)
+        assert round(found, 6) == rate, found
+
+
+@then("the first node knows a prefill rate of {rate:d} tokens per ms")
+def check_first_knows(context, rate):
+    found = context.nodes[0].fleet_rates.tokens_per_ms(POOL)
+    assert found == rate, found
+
+
 @when(
     '{count:d} calls of "{route}" with a maximum of {tokens:d} tokens are answered '
     "with {events:d} events"
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -164,7 +164,8 @@
         self.slot_home.rebuild()
         entries = self._state.table.entries()
         pools = {entry.runner.pool for entry in entries}
-        self.gossiper.set_pools({*pools, NODE_CALLS_KEY})
+        prefill_keys = self.token_accounting.gossip_keys(pools)
+        self.gossiper.set_pools({*pools, NODE_CALLS_KEY, *prefill_keys})
         lifetimes = {entry.runner.lifetime for entry in entries}
         self.runner_health.retain(lifetimes)
         self._state.cold_runners.retain(lifetimes)
@@ -192,8 +193,7 @@
 
     def fleet_calls_per_s(self) -> float:
         """Return the calls per second of the region's nodes, from their gossip."""
-        nodes = self._state.membership.confirmed_alive(region=self._config.region)
-        return self._state.mean_load.mean(NODE_CALLS_KEY) * len(nodes)
+        return self._state.mean_load.mean(NODE_CALLS_KEY) * self._count_region_nodes()
 
     def contact_seeds(self, seeds: list[str]) -> None:
         """Send a hello to each configured seed node, and fetch newer state from it."""
@@ -328,9 +328,17 @@
             is_active=self._accounts_tokens,
         )
         return TokenAccounting(
-            engines=engines, timers=self.timers, decisions=self._state.decisions
+            engines=engines,
+            timers=self.timers,
+            decisions=self._state.decisions,
+            mean_load=self._state.mean_load,
+            count_nodes=self._count_region_nodes,
         )
 
+    def _count_region_nodes(self) -> int:
+        region = self._config.region
+        return len(self._state.membership.confirmed_alive(region=region))
+
     def _accounts_tokens(self, pool: str) -> bool:
         """Return whether slots of a pool depend on the tokens of its calls."""
         features = self._features
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/engine_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/engine_view.py
@@ -24,13 +24,18 @@
 
     def tokens(self, pool: str) -> int:
         """Return the memory of each engine of a pool; 0 if the pool has none."""
+        return self._current().get(pool, 0)
+
+    def pools(self) -> list[str]:
+        """Return the pools of engines."""
+        return [pool for pool, tokens in self._current().items() if tokens > 0]
+
+    def _current(self) -> dict[str, int]:
         state = self._state()
-        if state is None:
-            return 0
-        if state.revision != self._revision:
+        if state is not None and state.revision != self._revision:
             self._revision = state.revision
             self._tokens = {limits.pool: limits.memory_tokens for limits in state.pools}
-        return self._tokens.get(pool, 0)
+        return self._tokens
 
 
 class EngineView:
@@ -54,6 +59,10 @@
         """Return the memory of a pool's engines; 0 if it does not account in tokens."""
         return self._memory.tokens(pool) if self._is_active(pool) else 0
 
+    def pools(self) -> list[str]:
+        """Return the pools that account in tokens."""
+        return [pool for pool in self._memory.pools() if self._is_active(pool)]
+
     def find(self, runner_id: str) -> Engine | None:
         """Return an engine, or None if its pool does not account in tokens."""
         entry = self._table.get(runner_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
@@ -5,8 +5,12 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.capacity.expected_outputs import ExpectedOutputs
+from clementineyoke_core.capacity.fleet_prefill_rates import (
+    FleetPrefillRates,
+    gossip_key,
+)
 from clementineyoke_core.capacity.prefill_backlog import PrefillBacklog
-from clementineyoke_core.capacity.prefill_rates import PrefillRates
+from clementineyoke_core.capacity.prefill_rates import MAX_POOLS, PrefillRates
 from clementineyoke_core.capacity.token_reservations import (
     USABLE_SHARE,
     TokenReservations,
@@ -16,11 +20,12 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection, Iterable
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.grants.call_profile import PromptCost
     from clementineyoke_core.grants.grant_rule import GrantRequest, GrantRule
+    from clementineyoke_core.mean_load import MeanLoadEstimator
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.engine_view import EngineView
     from clementineyoke_node.metrics import Metrics
@@ -38,16 +43,30 @@
     """Owns the grant rules on tokens and the learners that feed them."""
 
     def __init__(
-        self, *, engines: EngineView, timers: TimerService, decisions: DecisionRing
+        self,
+        *,
+        engines: EngineView,
+        timers: TimerService,
+        decisions: DecisionRing,
+        mean_load: MeanLoadEstimator,
+        count_nodes: Callable[[], int],
     ) -> None:
+        """Create the rules and learners.
+
+        ``mean_load`` averages the learned rates over the fleet. ``count_nodes`` returns
+        the number of nodes that gossip with this one.
+        """
         self._engines = engines
         self._timers = timers
         self._decisions = decisions
         self._rates = PrefillRates()
+        self._fleet_rates = FleetPrefillRates(
+            rates=self._rates, mean_load=mean_load, count_nodes=count_nodes
+        )
         self._outputs = ExpectedOutputs()
         self._reservations = TokenReservations(engines=engines)
         self._backlog = PrefillBacklog(
-            engines=engines, tokens_per_ms=self._rates.tokens_per_ms
+            engines=engines, tokens_per_ms=self._fleet_rates.tokens_per_ms
         )
         self._full_runner_ids: set[str] = set()
         self._logged_rates: dict[str, float] = {}
@@ -58,6 +77,11 @@
         """The rules that a home asks after its own ones."""
         return (self._reservations, self._backlog)
 
+    @staticmethod
+    def gossip_keys(pools: Iterable[str]) -> set[str]:
+        """Return the keys under which the rates of pools are averaged."""
+        return {gossip_key(pool) for pool in pools}
+
     def prefill_tokens(self, request: GrantRequest) -> int:
         """Return the prompt tokens that a call adds on a runner; 0 if unknown."""
         if not request.profile.is_described:
@@ -147,11 +171,14 @@
             "shared_tokens": cost.shared_tokens,
             "expected_output_tokens": cost.output_tokens,
         }
-        rate = self._rates.get(admitted.pool)
-        if rate is not None:
-            fields["prefill_tokens_per_ms"] = round(rate.tokens_per_ms, 1)
+        tokens_per_ms = self._fleet_rates.tokens_per_ms(admitted.pool)
+        if tokens_per_ms is not None:
+            fields["prefill_tokens_per_ms"] = round(tokens_per_ms, 1)
+        own_rate = self._rates.get(admitted.pool)
+        if own_rate is not None:
+            # The mean of the fleet has no age: each exchange renews it.
             fields["prefill_rate_age_ms"] = round(
-                self._timers.now_ms() - rate.recorded_ms
+                self._timers.now_ms() - own_rate.recorded_ms
             )
         return fields
 
@@ -165,7 +192,8 @@
         for runner_id, engine in engines.items():
             if engine is not None:
                 self._report_memory(runner_id, engine.memory_tokens)
-        for pool in self._rates.pools():
+        self._fleet_rates.update(self._engines.pools())
+        for pool in self._fleet_rates.pools():
             self._report_rate(pool)
 
     def set_gauges(self, metrics: Metrics, runner_ids: Collection[str]) -> None:
@@ -184,9 +212,9 @@
             metrics.runner_reserved_tokens.set(labels, reserved if is_homed else 0)
             metrics.runner_prefill_backlog.set(labels, backlog if is_homed else 0)
         self._shown_runner_ids = homed_ids
-        for pool in self._rates.pools():
+        for pool in self._fleet_rates.pools():
             metrics.pool_prefill_rate.set(
-                {"pool": pool}, self._rates.tokens_per_ms(pool) or 0.0
+                {"pool": pool}, self._fleet_rates.tokens_per_ms(pool) or 0.0
             )
 
     def _learned_tokens(self, admitted: AdmittedCall) -> int:
@@ -214,11 +242,11 @@
         )
 
     def _report_rate(self, pool: str) -> None:
-        tokens_per_ms = self._rates.tokens_per_ms(pool) or 0.0
+        tokens_per_ms = self._fleet_rates.tokens_per_ms(pool) or 0.0
         logged = self._logged_rates.get(pool, 0.0)
         if logged / RATE_CHANGE_FACTOR <= tokens_per_ms <= logged * RATE_CHANGE_FACTOR:
             return
-        if len(self._logged_rates) > len(self._rates.pools()):
+        if len(self._logged_rates) >= MAX_POOLS:
             self._logged_rates.clear()
         self._logged_rates[pool] = tokens_per_ms
         log_event(
--- a/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
+++ b/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
@@ -56,6 +56,8 @@
             ),
             timers=self.timers,
             decisions=None,
+            mean_load=MeanLoadEstimator(),
+            count_nodes=lambda: 1,
         )
         rules = {
             "extra_rules": self.accounting.rules,
