Test the reports on full engines and the limits of messages

Cause: the event for a full engine, the gauge of a runner that moved and callers' maximums beyond 32 bits had no test.

Change: three scenarios in token_accounting.feature.

--- a/packages/clementineyoke-node/tests/slots/token_accounting.feature
+++ b/packages/clementineyoke-node/tests/slots/token_accounting.feature
@@ -70,3 +70,20 @@
     Given a broker of a pool whose homes are of an earlier release
     When it looks for a slot
     Then the lease has no tokens to process
+
+  Scenario: A full engine is reported once, and so is a free one
+    # A line for each grant on a full engine would hide everything else in the log.
+    Given a home of an engine with 1000 tokens of memory
+    When slots for 860 and 30 tokens are granted, the first is released, and each is reported
+    Then the log says that the engine is full with 860 tokens, and free again with 30
+
+  Scenario: A runner moves to another home
+    # A gauge that keeps its last value shows the reservation at two homes.
+    Given a home of an engine with 1000 tokens of memory
+    And node A has a slot there for 800 tokens
+    Then the gauge of its reserved tokens is 800, and 0 once another node is its home
+
+  Scenario: The caller's maximum does not fit in a message
+    # Token counts are 32-bit numbers on the wire; the call must not fail for its header.
+    Given a home of an engine with 1000 tokens of memory
+    Then a call of 10 prompt tokens with a maximum of 5000000000 is described with 990
--- a/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
+++ b/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
@@ -5,13 +5,19 @@
 
 from behave import given, then, when
 from hypothesis import given as given_any, settings, strategies as st
+from loguru import logger
 from slot_home_steps import PEER, RUNNER, ManualTimers, RecordingSocket
 
+from clementineyoke_core.edge.admission import AdmittedCall
+from clementineyoke_core.edge.call_kind import CallKind
 from clementineyoke_core.edge.desired_state import (
     CallerLimits,
     DesiredState,
     PoolLimits,
 )
+from clementineyoke_core.edge.edge_call import EdgeCall
+from clementineyoke_core.edge.prompt_key import PromptPart
+from clementineyoke_core.edge.route import Route
 from clementineyoke_core.grants.call_profile import CallProfile, PromptCost
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.load_bound import LoadBound
@@ -24,9 +30,11 @@
 from clementineyoke_core.slot_ledger import SlotLedger
 from clementineyoke_node.edge.engine_view import EngineView, PoolMemory
 from clementineyoke_node.edge.token_accounting import TokenAccounting
+from clementineyoke_node.metrics import Metrics
 from clementineyoke_node.slots.slot_broker import SlotBroker
 from clementineyoke_node.slots.slot_home import SlotHome
 from clementineyoke_node.slots.slot_request import SlotRequest
+from clementineyoke_wire.events import Event
 from clementineyoke_wire.messages import SlotAsk, SlotRelease, SlotRenewal, SlotReply
 
 ENGINE = RUNNER._replace(slots=64)
@@ -317,3 +325,79 @@
 @then("the lease has no tokens to process")
 def check_no_tokens(context):
     assert context.lease.prefill_tokens == 0
+
+
+@when(
+    "slots for 860 and 30 tokens are granted, the first is released, and each is "
+    "reported"
+)
+def fill_and_free(context):
+    context.lines = []
+    sink = logger.add(lambda line: context.lines.append(line.record), level="INFO")
+    context.add_cleanup(lambda: logger.remove(sink))
+    home = context.token_home
+
+    def update():
+        home.accounting.update(home.home.loads())
+
+    home.ask("A", 1, own=860)
+    update()
+    home.ask("A", 2, own=30)
+    update()
+    home.release("A", 1)
+    update()
+    update()
+
+
+@then(
+    "the log says that the engine is full with {full:d} tokens, and free again with "
+    "{free:d}"
+)
+def check_reported(context, full, free):
+    found = [
+        (line["extra"]["is_full"], line["extra"]["reserved_tokens"])
+        for line in context.lines
+        if line["extra"]["event"] == Event.RUNNER_MEMORY_FULL.value.number
+    ]
+    assert found == [(True, full), (False, free)], found
+
+
+@then(
+    "the gauge of its reserved tokens is {tokens:d}, and 0 once another node is its "
+    "home"
+)
+def check_gauge(context, tokens):
+    accounting, metrics = context.token_home.accounting, Metrics()
+    labels = {"runner": ENGINE.runner_id}
+    for homed, expected in (([ENGINE.runner_id], tokens), ([], 0)):
+        accounting.set_gauges(metrics, homed)
+        assert metrics.runner_reserved_tokens.get(labels) == expected
+
+
+@then(
+    "a call of {prompt:d} prompt tokens with a maximum of {output:d} is described with "
+    "{described:d}"
+)
+def check_described(context, prompt, output, described):
+    call = EdgeCall(
+        call_id="call",
+        method="POST",
+        target="/",
+        path="/",
+        hostname="host",
+        forwarded_headers=(),
+        head_bytes=0,
+        body=b"",
+        key=None,
+        budget_ms=None,
+        model="m",
+        prompt_parts=(PromptPart("part", prompt),),
+        last_event=None,
+        max_output_tokens=output,
+    )
+    route = Route(
+        "r", "host", "/", CallKind.STREAM, (), 1, 1, 0, 0, 1, False, False, True
+    )
+    admitted = AdmittedCall(call, route, "m", None, 0, 0.0, 1.0, 1, prompt_key=1)
+    cost = context.token_home.accounting.describe(admitted)
+    assert cost.output_tokens == described, cost
