Limit token counts to what a message can hold

Cause: a caller's header may state 5,000,000,000 tokens. In a pool whose calls are described, the slot request could not be encoded, and the caller got 500.

Change: the broker limits token counts in requests and leases to 32 bits.

Result: the new scenario in slot_broker.feature passes.

--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -41,7 +41,8 @@
 MS_PER_S = 1000.0
 MAX_WAIT_MS = 60_000
 """Fits the ``wait_ms`` field of ``SlotAsk``; settings allow no longer wait."""
-
+MAX_TOKENS = 2**32 - 1
+"""Largest token count in a message; callers may state larger ones."""
 
 _KNOWN_REASONS = frozenset(int(reason) for reason in RefusalReason)
 
@@ -390,7 +391,7 @@
             reason,
             attempt.rank,
             passed_over,
-            tokens,
+            min(tokens, MAX_TOKENS),
             prefill_tokens,
         )
         self._leases[ask_id] = lease
@@ -468,9 +469,9 @@
         priority=profile.priority,
         objective_ms=min(profile.objective_ms, MAX_WAIT_MS),
         prompt_key=prompt.key,
-        shared_tokens=prompt.shared_tokens,
-        own_tokens=prompt.own_tokens,
-        output_tokens=prompt.output_tokens,
+        shared_tokens=min(prompt.shared_tokens, MAX_TOKENS),
+        own_tokens=min(prompt.own_tokens, MAX_TOKENS),
+        output_tokens=min(prompt.output_tokens, MAX_TOKENS),
     )
 
 
--- a/packages/clementineyoke-node/tests/slots/slot_broker.feature
+++ b/packages/clementineyoke-node/tests/slots/slot_broker.feature
@@ -12,3 +12,9 @@
     When the home does not reply to the request
     Then the slot that may have been granted is released
     And the request falls back to the runner without a grant from its home
+
+  Scenario: A caller states more tokens than a message can hold
+    # The message could not be encoded, and the caller got status 500 for a header.
+    Given a broker whose runner's home is another node
+    When a call of 5000000000 shared, own and output tokens asks for a slot
+    Then its request and the renewal of its slot can be encoded
--- a/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from slot_home_steps import RUNNER
 
-from clementineyoke_core.grants.call_profile import CallProfile
+from clementineyoke_core.grants.call_profile import CallProfile, PromptCost
 from clementineyoke_core.membership import Membership
 from clementineyoke_core.node import Node
 from clementineyoke_core.pool_rings import PoolRings
@@ -15,7 +15,8 @@
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_node.slots.slot_broker import SlotBroker
 from clementineyoke_node.slots.slot_request import SlotRequest
-from clementineyoke_wire.messages import SlotRelease
+from clementineyoke_wire.codec import encode
+from clementineyoke_wire.messages import SlotRelease, SlotRenewal
 
 REQUEST = SlotRequest("m", key=1, profile=CallProfile(1, 5), wait_ms=0)
 
@@ -89,3 +90,19 @@
 @then("the request falls back to the runner without a grant from its home")
 def check_fallback(context):
     assert (context.lease.runner, context.lease.reason) == (RUNNER, "home_silent")
+
+
+@when("a call of {tokens:d} shared, own and output tokens asks for a slot")
+def ask_for_many_tokens(context, tokens):
+    profile = CallProfile(1, 5, 400, PromptCost(1, tokens, tokens, tokens))
+    context.run(context.broker.acquire(REQUEST._replace(profile=profile)))
+    context.run(context.broker.renew())
+
+
+@then("its request and the renewal of its slot can be encoded")
+def check_encoded(context):
+    ask = context.socket.requests[0]
+    (renewal,) = (m for m in context.socket.sent if isinstance(m, SlotRenewal))
+    for message in (ask, renewal):
+        assert encode(message, incarnation=1)
+    assert renewal.token_counts[0] > 0
