Keep the learned outputs of a full table while its routes stay the same

Cause: the table was cleared at every answer once it held MAX_ROUTES routes, also at answers of a route that it already knew.

Change: only a further route clears the table, as in PrefillRates.

Result: the new scenario in learned_tokens.feature fails before and passes now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/expected_outputs.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/expected_outputs.py
@@ -61,16 +61,11 @@
         """Record a completely answered stream; one without a maximum shows nothing."""
         if events < 1 or max_output_tokens <= 0:
             return
-        if self._route_count >= MAX_ROUTES:
-            self._routes.clear()
-            self._route_count = 0
-        routes = self._routes.setdefault(pool, {})
-        if route not in routes:
-            routes[route] = _RouteOutputs()
-            self._route_count += 1
+        if route not in self._routes.get(pool, {}):
+            self._add_route(pool, route)
         # A stream of one event may hold its whole maximum in it.
         tokens_per_event = max_output_tokens / max(1, events - 1)
-        routes[route].record(_Answer(events, tokens_per_event))
+        self._routes[pool][route].record(_Answer(events, tokens_per_event))
 
     def learned_tokens(self, pool: str, route: str) -> int | None:
         """Return the mean output of a route's calls, or None if it is not known."""
@@ -94,3 +89,10 @@
         if max_output_tokens <= 0:
             return learned_tokens
         return min(max_output_tokens, learned_tokens)
+
+    def _add_route(self, pool: str, route: str) -> None:
+        if self._route_count >= MAX_ROUTES:
+            self._routes.clear()
+            self._route_count = 0
+        self._routes.setdefault(pool, {})[route] = _RouteOutputs()
+        self._route_count += 1
--- a/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
+++ b/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
@@ -46,3 +46,9 @@
   Scenario: Streams without a maximum show nothing
     When 40 calls of "advice" without a maximum are answered with 38 events
     Then a call of "advice" with a maximum of 100 tokens is expected to produce 100
+
+  Scenario: A full table keeps what it has learned while the routes stay the same
+    # A table that is cleared at each answer of a known route never learns any output.
+    Given a table of outputs that is full with known routes
+    When a known route is answered once more
+    Then the outputs of all routes in the table are still known
--- a/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
+++ b/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
@@ -7,7 +7,11 @@
 from capacity_engines import POOL
 from hypothesis import given as given_any, settings, strategies as st
 
-from clementineyoke_core.capacity.expected_outputs import ExpectedOutputs
+from clementineyoke_core.capacity.expected_outputs import (
+    MAX_ROUTES,
+    MIN_CALLS,
+    ExpectedOutputs,
+)
 from clementineyoke_core.capacity.fleet_prefill_rates import FleetPrefillRates
 from clementineyoke_core.capacity.prefill_rates import PrefillRates
 from clementineyoke_core.mean_load import MeanLoadEstimator
@@ -174,3 +178,26 @@
         assert expected >= math.floor(sum(lengths) / len(lengths))
 
     check()
+
+
+@given("a table of outputs that is full with known routes")
+def given_full_outputs(context):
+    for number in range(MAX_ROUTES):
+        for _ in range(MIN_CALLS):
+            outputs_of(context).record_answer(
+                POOL, f"route-{number}", events=3, max_output_tokens=20
+            )
+
+
+@when("a known route is answered once more")
+def answer_known_route(context):
+    outputs_of(context).record_answer(POOL, "route-0", events=3, max_output_tokens=20)
+
+
+@then("the outputs of all routes in the table are still known")
+def check_known_outputs(context):
+    learned_tokens = {
+        outputs_of(context).learned_tokens(POOL, f"route-{number}")
+        for number in (0, 1, MAX_ROUTES - 1)
+    }
+    assert learned_tokens == {30}, learned_tokens
