Bound the callers' maximum from which outputs are learned

Cause: a maximum of 400 digits passes the decoder of the header, and dividing it raised OverflowError when the stream had been answered.

Change: ExpectedOutputs counts a maximum of at most 32 bits, as messages do.

Result: the new scenario in learned_tokens.feature fails before and passes now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/expected_outputs.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/expected_outputs.py
@@ -11,6 +11,9 @@
 QUANTILE = 0.1
 """A low quantile rather than the minimum: one stream that an engine sends in smaller
 pieces than usual must not lower the expectation of all."""
+MAX_OUTPUT_TOKENS = 2**32 - 1
+"""Largest maximum that counts, as in messages between nodes. Callers may state
+integers that no float can hold."""
 MAX_ROUTES = 4_096
 """Routes with learned outputs, 10 MB in all; a full table is cleared."""
 
@@ -64,7 +67,8 @@
         if route not in self._routes.get(pool, {}):
             self._add_route(pool, route)
         # A stream of one event may hold its whole maximum in it.
-        tokens_per_event = max_output_tokens / max(1, events - 1)
+        bounded_tokens = min(max_output_tokens, MAX_OUTPUT_TOKENS)
+        tokens_per_event = bounded_tokens / max(1, events - 1)
         self._routes[pool][route].record(_Answer(events, tokens_per_event))
 
     def learned_tokens(self, pool: str, route: str) -> int | None:
--- a/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
+++ b/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
@@ -47,6 +47,11 @@
     When 40 calls of "advice" without a maximum are answered with 38 events
     Then a call of "advice" with a maximum of 100 tokens is expected to produce 100
 
+  Scenario: A caller states a maximum that no float can hold
+    # The division raised OverflowError at the end of a stream that was answered.
+    When 40 calls of "advice" with a maximum of 400 digits are answered with 2 events
+    Then a call of "advice" with a maximum of 100 tokens is expected to produce 100
+
   Scenario: A full table keeps what it has learned while the routes stay the same
     # A table that is cleared at each answer of a known route never learns any output.
     Given a table of outputs that is full with known routes
--- a/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
+++ b/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
@@ -142,6 +142,14 @@
     record_answers(context, count, route, 0, events)
 
 
+@when(
+    '{count:d} calls of "{route}" with a maximum of {digits:d} digits are answered '
+    "with {events:d} events"
+)
+def record_huge_maximum(context, count, route, digits, events):
+    record_answers(context, count, route, 10 ** (digits - 1), events)
+
+
 @then(
     'a call of "{route}" with a maximum of {tokens:d} tokens is expected to produce '
     "{expected:d}"
