Send no last-resort request to engines that refused for memory

Cause: the last-resort request goes to the runner with the fewest slots in use that refused. An engine full of long calls has the fewest, refuses again, and the call gets 503 though another engine that refused for its load would take it.

Change: the search skips runners whose refusal holds for last-resort requests.

Result: the new scenario in token_accounting.feature fails before and passes now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/refusal_reason.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/refusal_reason.py
@@ -28,6 +28,11 @@
         """Return whether the runner is held back for another reason than its load."""
         return self in (RefusalReason.PAUSED, RefusalReason.COLD)
 
+    @property
+    def allows_last_resort(self) -> bool:
+        """Return whether a last-resort request may be granted after this refusal."""
+        return self is not RefusalReason.MEMORY
+
     @property
     def label(self) -> str:
         """Return the name used in logs and metrics."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
@@ -37,6 +37,7 @@
     in_use: int
     rank: int
     runner_id: str
+    allows_last_resort: bool = True
 
 
 class SlotSearch:
@@ -53,6 +54,10 @@
     last-resort request then raises the bound of the few others, up to four times the
     mean load. A runner that is held back gets a last-resort request only after every
     other one has refused: a runner that fails part of its calls is better than none.
+
+    A runner whose refusal applies to last-resort requests too gets none. Engines
+    without free memory often have the fewest slots in use, and the request would be
+    refused there while another runner could take the call.
     """
 
     def __init__(
@@ -84,12 +89,23 @@
         return self._next_last_resort()
 
     def record_refusal(
-        self, attempt: SlotAttempt, *, in_use: int, is_held: bool = False
+        self,
+        attempt: SlotAttempt,
+        *,
+        in_use: int,
+        is_held: bool = False,
+        allows_last_resort: bool = True,
     ) -> None:
-        """Record a refusal with the exact load that the home reported."""
+        """Record a refusal with the exact load that the home reported.
+
+        ``allows_last_resort`` is false if the home would refuse a last-resort request
+        for the same reason.
+        """
         if attempt.seen_mean > 0.0:
             return  # The refusal of the runner's first request is already recorded.
-        refusal = _Refusal(is_held, in_use, attempt.rank, attempt.runner_id)
+        refusal = _Refusal(
+            is_held, in_use, attempt.rank, attempt.runner_id, allows_last_resort
+        )
         self._refusals.append(refusal)
 
     def record_timeout(self, attempt: SlotAttempt) -> None:
@@ -132,7 +148,7 @@
         candidates = [
             refusal
             for refusal in self._refusals
-            if refusal.is_held not in self._last_resorts
+            if refusal.allows_last_resort and refusal.is_held not in self._last_resorts
         ]
         if not candidates:
             return None
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -117,7 +117,10 @@
                 refusal = result.failure()
                 refusals[runner.runner_id] = refusal.reason
                 search.record_refusal(
-                    attempt, in_use=refusal.in_use, is_held=refusal.is_held
+                    attempt,
+                    in_use=refusal.in_use,
+                    is_held=refusal.is_held,
+                    allows_last_resort=refusal.reason.allows_last_resort,
                 )
         fallback = search.fallback(self._last_in_use, is_eligible=self._may_bypass_home)
         if fallback is not None:
--- a/packages/clementineyoke-node/tests/slots/token_accounting.feature
+++ b/packages/clementineyoke-node/tests/slots/token_accounting.feature
@@ -64,6 +64,13 @@
     Then the lease names the runners passed over for memory and prefill
     And it has the 900 tokens that the third home said are to process
 
+  Scenario: A last-resort request does not go to an engine without free memory
+    # Engines full of long calls have the fewest slots in use. A last-resort request to one
+    # is refused again, and the call gets 503 though another engine has room for it.
+    Given a broker of a pool whose homes refuse for memory with 3 slots in use and for load with 9
+    When it looks for a slot
+    Then its last-resort request gets a slot on a runner that refused for load
+
   Scenario: The home is a node of an earlier release
     # It does not say how many tokens are to process; a learner that took its grants as
     # measurements would learn a wrong rate.
--- a/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
+++ b/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
@@ -291,6 +291,28 @@
     )
 
 
+@given(
+    "a broker of a pool whose homes refuse for memory with {few:d} slots in use and "
+    "for load with {many:d}"
+)
+def given_full_memory(context, few, many):
+    make_broker(
+        context,
+        [
+            SlotReply(1, False, few, reason=RefusalReason.MEMORY),
+            SlotReply(2, False, many, reason=RefusalReason.LOAD),
+            SlotReply(3, False, many, reason=RefusalReason.LOAD),
+            SlotReply(4, True, many),
+        ],
+    )
+
+
+@then("its last-resort request gets a slot on a runner that refused for load")
+def check_last_resort(context):
+    assert context.lease is not None
+    assert context.lease.runner.runner_id == context.order[1]
+
+
 @given("a broker of a pool whose homes are of an earlier release")
 def given_earlier_homes(context):
     make_broker(context, [SlotReply(1, True, 5)])
