Look up expected outputs in a time that does not depend on the routes

Change: the lowest bound of a pool is kept, and computed again only when the route that had it shows a higher one.

The new scenario in learned_tokens.feature compares the bound with one computed from all answers.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/expected_outputs.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/expected_outputs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -42,6 +43,31 @@
     def is_known(self) -> bool:
         return len(self._answers) >= MIN_CALLS
 
+    @property
+    def known_tokens_per_event(self) -> float:
+        """The bound of the route; infinite until enough calls are known."""
+        return self.max_tokens_per_event if self.is_known else math.inf
+
+
+class _PoolOutputs:
+    """The routes of one pool, and the lowest bound on the tokens of an event."""
+
+    def __init__(self) -> None:
+        self.routes: dict[str, _RouteOutputs] = {}
+        self.tokens_per_event = math.inf
+
+    def record(self, route: str, answer: _Answer) -> None:
+        outputs = self.routes[route]
+        old_tokens_per_event = outputs.known_tokens_per_event
+        outputs.record(answer)
+        new_tokens_per_event = outputs.known_tokens_per_event
+        if new_tokens_per_event <= self.tokens_per_event:
+            self.tokens_per_event = new_tokens_per_event
+        elif old_tokens_per_event == self.tokens_per_event:
+            self.tokens_per_event = min(
+                known.known_tokens_per_event for known in self.routes.values()
+            )
+
 
 class ExpectedOutputs:
     """Learn the mean output of each route, in tokens.
@@ -55,7 +81,7 @@
     """
 
     def __init__(self) -> None:
-        self._routes: dict[str, dict[str, _RouteOutputs]] = {}
+        self._pools: dict[str, _PoolOutputs] = {}
         self._route_count = 0
 
     def record_answer(
@@ -64,23 +90,20 @@
         """Record a completely answered stream; one without a maximum shows nothing."""
         if events < 1 or max_output_tokens <= 0:
             return
-        if route not in self._routes.get(pool, {}):
+        if pool not in self._pools or route not in self._pools[pool].routes:
             self._add_route(pool, route)
         # A stream of one event may hold its whole maximum in it.
         bounded_tokens = min(max_output_tokens, MAX_OUTPUT_TOKENS)
         tokens_per_event = bounded_tokens / max(1, events - 1)
-        self._routes[pool][route].record(_Answer(events, tokens_per_event))
+        self._pools[pool].record(route, _Answer(events, tokens_per_event))
 
     def learned_tokens(self, pool: str, route: str) -> int | None:
         """Return the mean output of a route's calls, or None if it is not known."""
-        routes = self._routes.get(pool, {})
-        outputs = routes.get(route)
-        if outputs is None or not outputs.is_known:
+        known = self._pools.get(pool)
+        outputs = None if known is None else known.routes.get(route)
+        if known is None or outputs is None or not outputs.is_known:
             return None
-        tokens_per_event = min(
-            other.max_tokens_per_event for other in routes.values() if other.is_known
-        )
-        return round(outputs.mean_events * tokens_per_event)
+        return round(outputs.mean_events * known.tokens_per_event)
 
     def expected_tokens(self, pool: str, route: str, *, max_output_tokens: int) -> int:
         """Return the expected output of a call, at most the caller's maximum.
@@ -96,7 +119,7 @@
 
     def _add_route(self, pool: str, route: str) -> None:
         if self._route_count >= MAX_ROUTES:
-            self._routes.clear()
+            self._pools.clear()
             self._route_count = 0
-        self._routes.setdefault(pool, {})[route] = _RouteOutputs()
+        self._pools.setdefault(pool, _PoolOutputs()).routes[route] = _RouteOutputs()
         self._route_count += 1
--- a/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
+++ b/packages/clementineyoke-core/tests/capacity/learned_tokens.feature
@@ -43,6 +43,10 @@
     # Outputs below the expectation waste memory, outputs above it overfill the engine.
     Then the expectation is no less than the mean for any tokens per event and outputs
 
+  Scenario: The tokens of an event are the lowest bound of the routes known now
+    # A bound that outlives the calls that showed it makes every reservation too small.
+    Then the expectation uses the lowest bound among the routes after any answers
+
   Scenario: Streams without a maximum show nothing
     When 40 calls of "advice" without a maximum are answered with 38 events
     Then a call of "advice" with a maximum of 100 tokens is expected to produce 100
--- a/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
+++ b/packages/clementineyoke-core/tests/steps/learned_tokens_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from random import Random
 
 from behave import given, then, when
@@ -8,8 +9,10 @@
 from hypothesis import given as given_any, settings, strategies as st
 
 from clementineyoke_core.capacity.expected_outputs import (
+    MAX_CALLS,
     MAX_ROUTES,
     MIN_CALLS,
+    QUANTILE,
     ExpectedOutputs,
 )
 from clementineyoke_core.capacity.fleet_prefill_rates import FleetPrefillRates
@@ -209,3 +212,33 @@
         for number in (0, 1, MAX_ROUTES - 1)
     }
     assert learned_tokens == {30}, learned_tokens
+
+
+@then("the expectation uses the lowest bound among the routes after any answers")
+def check_lowest_bound(context):
+    @settings(derandomize=True, database=None, deadline=None)
+    @given_any(
+        batches=st.lists(
+            st.tuples(
+                st.sampled_from("abc"), st.integers(1, 9), st.sampled_from([1, 19, 64])
+            ),
+            max_size=12,
+        )
+    )
+    def check(batches):
+        outputs = ExpectedOutputs()
+        bounds = {route: deque(maxlen=MAX_CALLS) for route in "abc"}
+        for route, tokens, count in batches:
+            for _ in range(count):
+                outputs.record_answer(POOL, route, events=2, max_output_tokens=tokens)
+            bounds[route].extend([tokens] * count)
+        known = {
+            route: sorted(tokens)[int(QUANTILE * (len(tokens) - 1))]
+            for route, tokens in bounds.items()
+            if len(tokens) >= MIN_CALLS
+        }
+        for route in bounds:
+            expected = 2 * min(known.values()) if route in known else None
+            assert outputs.learned_tokens(POOL, route) == expected
+
+    check()
