Learn no prefill rate from prompts that a new home may take for absent

Cause: for 20 s, a home that took over a runner takes unknown prompts as absent, except on the first runner of their order. It told requesters that all tokens were to process; a cached prompt then shows several times the rate, and the high quantile keeps it for up to 64 calls.

Change: the home says 0 (unknown) for such a call. What the rule itself assumes about the cache stays the same.

Result: the new scenario in token_accounting.feature fails before and passes now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/prefill_backlog.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/prefill_backlog.py
@@ -184,6 +184,21 @@
             return prompt.own_tokens
         return prompt.prompt_tokens
 
+    def measurable_tokens(self, request: GrantRequest) -> int:
+        """Return the prompt tokens that a call adds; 0 if its prompt may be cached.
+
+        A new home takes unknown prompts as absent on all runners but the first. A
+        runner that has such a prompt would show several times its prefill rate.
+        """
+        prompt = request.profile.prompt
+        added_tokens = self.added_tokens(request)
+        is_taken_as_absent = added_tokens > prompt.own_tokens
+        if is_taken_as_absent and not self._knows_cache(
+            request.runner_id, request.now_ms
+        ):
+            return 0
+        return added_tokens
+
     def backlog_tokens(self, runner_id: str, *, now_ms: float) -> int:
         """Return the prompt tokens that wait on a runner; 0 if unknown."""
         engine = self._engines.find(runner_id)
@@ -208,10 +223,15 @@
         backlog = self._runners.get(runner_id)
         if backlog is not None and prompt.key in backlog.prompts:
             return True
-        if backlog is not None and now_ms >= backlog.cache_known_at_ms:
+        if self._knows_cache(runner_id, now_ms):
             return False
         return self._engines.is_first(runner_id, prompt.key)
 
+    def _knows_cache(self, runner_id: str, now_ms: float) -> bool:
+        """Return whether a prompt that is not recorded is not cached."""
+        backlog = self._runners.get(runner_id)
+        return backlog is not None and now_ms >= backlog.cache_known_at_ms
+
     def _backlog(self, runner_id: str, engine: Engine, now_ms: float) -> _RunnerBacklog:
         backlog = self._runners.get(runner_id)
         if backlog is None:
--- a/packages/clementineyoke-core/tests/capacity/prefill_backlog.feature
+++ b/packages/clementineyoke-core/tests/capacity/prefill_backlog.feature
@@ -84,9 +84,12 @@
     Given the home has just taken over the engine, which is <place> in the order of a prompt
     When a call with 3000 shared tokens and 500 own ones asks for a slot <later> ms later
     Then the call adds <added> tokens
+    # A prompt that is cached although it is taken as absent shows several times the rate.
+    And the rate may be learned from <measurable> tokens
 
     Examples:
-      | place  | later | added |
-      | first  | 0     | 500   |
-      | second | 0     | 3500  |
-      | first  | 21000 | 3500  |
+      | place  | later | added | measurable |
+      | first  | 0     | 500   | 500        |
+      | second | 0     | 3500  | 0          |
+      | first  | 21000 | 3500  | 3500       |
+      | second | 21000 | 3500  | 3500       |
--- a/packages/clementineyoke-core/tests/steps/prefill_backlog_steps.py
+++ b/packages/clementineyoke-core/tests/steps/prefill_backlog_steps.py
@@ -166,6 +166,12 @@
 def ask_later(context, shared, own, later):
     request = make_request(ASKING, shared_tokens(7, shared, own), now_ms=NOW_MS + later)
     context.added = context.rule.added_tokens(request)
+    context.measurable = context.rule.measurable_tokens(request)
+
+
+@then("the rate may be learned from {tokens:d} tokens")
+def check_measurable(context, tokens):
+    assert context.measurable == tokens, context.measurable
 
 
 @then("the call adds {tokens:d} tokens")
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
@@ -86,7 +86,7 @@
         """Return the prompt tokens that a call adds on a runner; 0 if unknown."""
         if not request.profile.is_described:
             return 0
-        return self._backlog.added_tokens(request)
+        return self._backlog.measurable_tokens(request)
 
     def check_size(self, admitted: AdmittedCall) -> None:
         """Reject a call that no engine of its pool can hold.
--- a/packages/clementineyoke-node/tests/slots/token_accounting.feature
+++ b/packages/clementineyoke-node/tests/slots/token_accounting.feature
@@ -46,6 +46,12 @@
     Given a home of an engine with 1000 tokens of memory
     Then node B is granted 300 shared and 500 own tokens and told that 500 are to process
 
+  Scenario: A home that took over the engine may take a cached prompt as absent
+    # A node that learned from such a prompt would take the engines as several times faster.
+    Given a home of an engine with 1000 tokens of memory
+    And the engine is not the first of the order of prompts
+    Then node B is granted 300 shared and 500 own tokens and told that 0 are to process
+
   Scenario: A node of an earlier release asks for slots
     # It describes no calls; refusing them would starve its callers.
     Given a home of an engine with 1000 tokens of memory
--- a/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
+++ b/packages/clementineyoke-node/tests/steps/token_accounting_steps.py
@@ -118,6 +118,15 @@
     context.token_home = TokenHome()
 
 
+@given("the engine is not the first of the order of prompts")
+def given_other_first(context):
+    home = context.token_home
+    others = [ENGINE._replace(runner_id=f"other-{n}") for n in range(8)]
+    home.table.apply_host_list(live=[ENGINE, *others], leaving=[], now_ms=0)
+    home.rings.rebuild()
+    assert next(home.rings.order("m", PROMPT_KEY)) != ENGINE.runner_id
+
+
 @given("node A has a slot there for {own:d} tokens")
 def given_slot(context, own):
     assert context.token_home.ask("A", 1, own=own).granted
