Learn no prefill rate from streams that a caller resumes

Cause: the first event of a resumed stream needs no prefill on a runner that still has the work, but was recorded as if it did.

Change: record_first_event skips calls that state a last event.

Result: the new scenario in large_calls.feature fails before and passes now.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
@@ -141,6 +141,8 @@
         """Record the time from the start of an attempt to its first event."""
         if self._engines.memory_tokens(admitted.pool) <= 0:
             return
+        if admitted.call.last_event is not None:
+            return  # The runner may still have the prompt and the work of the stream.
         self._rates.record_first_event(
             admitted.pool,
             prefill_tokens=prefill_tokens,
--- a/packages/clementineyoke-node/tests/edge/large_calls.feature
+++ b/packages/clementineyoke-node/tests/edge/large_calls.feature
@@ -35,3 +35,10 @@
     Then the metrics show the prefill rate of the pool
     # The streams have six events: five full ones hold at most 40 tokens, so six at most 48.
     And a further call is expected to produce 48 output tokens of at most 900
+
+  Scenario: A node learns no prefill rate from streams that go on
+    # A runner that still has the work sends the next event without a prefill, and the rate
+    # learned from it would be many times too high.
+    Given a fleet with engines of 100000 tokens and priority_admission on
+    When a caller resumes 20 streams with prompts of 3000 tokens after their first event
+    Then the metrics show no prefill rate
--- a/packages/clementineyoke-node/tests/steps/large_calls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/large_calls_steps.py
@@ -26,8 +26,9 @@
         runner.fallback_response = ScriptedResponse.STREAM
 
 
-async def stream(context, call_id, prompt, output):
+async def stream(context, call_id, prompt, output, **headers):
     fields = {
+        **headers,
         names.PROMPT_PARTS: f"part-{call_id}:{prompt}",
         names.TOKEN_COUNTS: f"{prompt},{output}",
     }
@@ -120,6 +121,25 @@
         assert status == 200, (status, body)
 
 
+@when(
+    "a caller resumes {count:d} streams with prompts of {prompt:d} tokens after their "
+    "first event"
+)
+def resume_several(context, count, prompt):
+    resumed = {names.LAST_EVENT: "1"}
+    for number in range(count):
+        status, _, body = context.run(
+            stream(context, f"call-{number}", prompt, 40, **resumed)
+        )
+        assert status == 200, (status, body)
+
+
+@then("the metrics show no prefill rate")
+def check_no_rate(context):
+    page = context.run(fetch_metrics(context))
+    assert 'clementineyoke_pool_prefill_tokens_per_ms{pool="pool"}' not in page, page
+
+
 @then("the metrics show the prefill rate of the pool")
 def check_rate(context):
     page = context.run(fetch_metrics(context))
