--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -155,6 +155,7 @@
             reason=error.reason,
             retry_after_ms=error.retry_after_ms,
             after_ms=round(self._timers.now_ms() - arrived_ms),
+            **error.details,
         )
         return web.Response(
             status=error.status,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -18,6 +18,7 @@
 from clementineyoke_node.edge.attempt_executor import AttemptExecutor
 from clementineyoke_node.edge.crash_archive import CrashArchive
 from clementineyoke_node.edge.crash_tracker import CrashTracker
+from clementineyoke_node.edge.engine_view import EngineView, PoolMemory
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.node_registration import NodeRegistration
@@ -25,6 +26,7 @@
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
 from clementineyoke_node.edge.store_watcher import StoreWatcher
+from clementineyoke_node.edge.token_accounting import TokenAccounting
 from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
 from clementineyoke_node.fleet.gossiper import Gossiper
 from clementineyoke_node.fleet.introducer import Introducer
@@ -37,6 +39,7 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.edge.desired_state import DesiredState
+    from clementineyoke_core.grants.grant_rule import GrantRule
     from clementineyoke_core.node import Node
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.config.edge_config import EdgeConfig
@@ -79,6 +82,7 @@
 
     def __init__(self, *, config: EdgeConfig, state: NodeState) -> None:
         self._config = config
+        self._features = config.overload_features
         self._state = state
         self._stack = AsyncExitStack()
         self._is_apply_scheduled = False
@@ -131,6 +135,7 @@
             is_watcher=self._is_watcher,
         )
         self.admission = self._make_admission()
+        self.token_accounting = self._make_token_accounting()
         self._create_slot_components()
         self._create_fleet_components()
         self.forwarder = self._make_forwarder()
@@ -193,8 +198,7 @@
 
     def fleet_calls_per_s(self) -> float:
         """Return the calls per second of the region's nodes, from their gossip."""
-        nodes = self._state.membership.confirmed_alive(region=self._config.region)
-        return self._state.mean_load.mean(NODE_CALLS_KEY) * len(nodes)
+        return self._state.mean_load.mean(NODE_CALLS_KEY) * self._count_region_nodes()
 
     def contact_seeds(self, seeds: list[str]) -> None:
         """Send a hello to each configured seed node, and fetch newer state from it."""
@@ -238,7 +242,8 @@
                 slack_slots=SLACK_SLOTS,
                 queue_share=QUEUE_SHARE,
             ),
-            extra_rules=() if self.admission is None else (self.admission.rule,),
+            extra_rules=self._extra_rules(),
+            prefill_tokens=self.token_accounting.prefill_tokens,
         )
         self.broker = SlotBroker(
             membership=state.membership,
@@ -251,6 +256,12 @@
             is_cold=self._is_cold,
         )
 
+    def _extra_rules(self) -> list[GrantRule]:
+        rules: list[GrantRule] = []
+        if self.admission is not None:
+            rules.append(self.admission.rule)
+        return [*rules, *self.token_accounting.rules]
+
     def _create_fleet_components(self) -> None:
         state = self._state
         self.peers = PeerStateExchange(
@@ -313,6 +324,7 @@
             timers=self.timers,
             decisions=state.decisions,
             membership=state.membership,
+            token_accounting=self.token_accounting,
         )
         return Forwarder(
             broker=self.broker,
@@ -329,12 +341,46 @@
             count_nodes=lambda: len(state.membership.alive()),
             random_key=lambda: state.rng.getrandbits(RANDOM_KEY_BITS),
             cap_factor=config.cap_factor,
+            token_accounting=self.token_accounting,
             describes_calls=self._describes_calls,
             admission=self.admission,
         )
 
+    def _make_token_accounting(self) -> TokenAccounting:
+        self._pool_memory = PoolMemory(
+            state=lambda: None if self.view.routes is None else self.view.routes.state
+        )
+        engines = EngineView(
+            table=self._state.table,
+            rings=self._state.rings,
+            memory=self._pool_memory,
+            is_active=self._accounts_tokens,
+        )
+        return TokenAccounting(
+            engines=engines,
+            timers=self.timers,
+            decisions=self._state.decisions,
+            mean_load=self._state.mean_load,
+            count_nodes=self._count_region_nodes,
+        )
+
+    def _count_region_nodes(self) -> int:
+        region = self._config.region
+        return len(self._state.membership.confirmed_alive(region=region))
+
+    def _accounts_tokens(self, pool: str) -> bool:
+        """Return whether slots of a pool depend on the tokens of its calls."""
+        features = self._features
+        return (
+            features.token_reservations
+            and self._pool_memory.tokens(pool) > 0
+            and features.priority_admission
+        )
+
     def _describes_calls(self, pool: str) -> bool:
-        return self._config.overload_features.priority_admission and bool(pool)
+        if not pool:
+            return False
+        return self._features.priority_admission or self._accounts_tokens(pool)
 
     def _is_watcher(self) -> bool:
         return self.registration.registered.is_set() and self._state.is_watcher()
@@ -366,6 +412,7 @@
 
     def _set_gossip_keys(self) -> None:
         keys = {entry.runner.pool for entry in self._state.table.entries()}
+        keys |= self.token_accounting.gossip_keys(keys)
         if self.admission is not None:
             self.admission.update_pools()
             keys |= self.admission.gossip_keys()
@@ -408,6 +455,7 @@
         self._state.mean_load.set_local(NODE_CALLS_KEY, load=rate_per_s, runners=1)
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
+        self.token_accounting.update(self.slot_home.loads())
 
     def _start_timers(self) -> None:
         gossip_ms = self._config.gossip_interval_ms
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -65,9 +65,9 @@
         self.node_zones = node_zones
         """Zones to which the nodes are assigned in turn."""
         self.cold = cold or {}
-        """Fields of the desired state that limit calls to cold runners."""
+        """Fields of the desired state for the memory or the cold time of runners."""
         self.settings = settings or {}
-        """Fields that replace those of the nodes' settings."""
+        """Settings of the nodes in addition to the usual ones."""
         self.nodes = []
         self.stop_tasks = []
         self._count = nodes
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -61,6 +61,15 @@
     PRESSURE_SHARED = EventKind(
         225, "INFO", "Admission follows the fleet's mean pressure."
     )
+    CALL_TOO_LARGE = EventKind(
+        230, "WARNING", "A call is larger than the memory of its pool's runners."
+    )
+    RUNNER_MEMORY_FULL = EventKind(
+        231, "INFO", "A runner's memory is almost reserved, or is free again."
+    )
+    PREFILL_RATE_LEARNED = EventKind(
+        232, "INFO", "The prefill rate of a pool was learned or has changed."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
