Decode the speed that a runner reports, and add messages for it

Cause: a runner's load header was read by nobody, so a node could not tell that a runner is slow at the moment. Change: decode four-value load headers in runner_codec; add the message RunnerSpeed and the field SlotRelease.time_percent. Nothing sends them yet.

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
@@ -30,6 +30,9 @@
 DRAINING = "Server-Leaving"
 """Set in every response of a draining runner."""
 DRAINING_VALUE = "1"
+SERVER_LOAD = "X-Server-Load"
+"""Running calls, waiting calls, slots and, in some deployments, how long work takes now
+in percent of the usual time; separated by commas."""
 
 RESERVED_HEADERS = frozenset(
     name.lower()
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.capacity.speed_report import SpeedReport
 from clementineyoke_node.platform import names
 from clementineyoke_node.platform.call_decoder import remove_hop_by_hop
 
@@ -19,6 +21,12 @@
 MAX_BACKOFF_MS = 3_600_000.0
 """Longer times are reduced to this: no restart takes an hour."""
 EVENT_STREAM = "text/event-stream"
+SPEED_FIELDS = 4
+"""Fields of a load header that reports the runner's speed; others have three."""
+MAX_LOAD_VALUE = 65_535
+"""Larger values are reduced to this, which fits the fields of ``RunnerSpeed``."""
+_LOAD_VALUE = re.compile(r"[0-9]{1,18}(?:\.[0-9]{1,18})?")
+"""A non-negative number in ASCII digits; ``float`` also accepts ``nan`` and ``1_0``."""
 
 
 class RoutingHeaders(NamedTuple):
@@ -47,6 +55,10 @@
     retry_after_ms: float
     """Time for which the runner asks for backoff; 0 if it does not."""
     is_event_stream: bool
+    speed: SpeedReport | None
+    """The runner's report of its speed; None without a valid one."""
+    has_malformed_load: bool
+    """Whether the head has a report of speed that cannot be parsed."""
     forwarded_headers: list[tuple[str, str]]
 
 
@@ -71,6 +83,8 @@
 
 def decode_response_head(status: int, fields: CIMultiDictProxy[str]) -> ResponseHead:
     """Decode the head of a runner's response."""
+    load_fields = _split_load(status, fields)
+    speed = _decode_speed(load_fields)
     return ResponseHead(
         status=status,
         call_id=fields.get(names.CALL_ID, ""),
@@ -79,6 +93,8 @@
         is_draining=_is_draining(status, fields),
         retry_after_ms=_decode_retry_after_ms(status, fields),
         is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
+        speed=speed,
+        has_malformed_load=speed is None and len(load_fields) >= SPEED_FIELDS,
         forwarded_headers=remove_hop_by_hop(list(fields.items())),
     )
 
@@ -90,6 +106,26 @@
     return fields.get(names.DRAINING, "").strip() == names.DRAINING_VALUE
 
 
+def _split_load(status: int, fields: CIMultiDictProxy[str]) -> list[str]:
+    # Status 421 comes from another runner at the address, which reports its own load.
+    if status == STATUS_MISDIRECTED:
+        return []
+    return fields.get(names.SERVER_LOAD, "").split(",")
+
+
+def _decode_speed(load_fields: list[str]) -> SpeedReport | None:
+    """Return the report of a load header, or None if it has none or is malformed."""
+    if len(load_fields) != SPEED_FIELDS:
+        return None
+    texts = [text.strip() for text in load_fields]
+    if not all(_LOAD_VALUE.fullmatch(text) for text in texts):
+        return None
+    running, waiting, slots, slowdown = (
+        min(MAX_LOAD_VALUE, round(float(text))) for text in texts
+    )
+    return SpeedReport(running, waiting, slots, slowdown)
+
+
 def _decode_retry_after_ms(status: int, fields: CIMultiDictProxy[str]) -> float:
     """Return the backoff time of a response; 0 if it is missing or cannot be parsed."""
     if status not in BACKOFF_STATUSES:
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -61,6 +61,26 @@
     runner: int
     is_answered: bool = False
     """Whether the runner responded to the call."""
+    time_percent: int = 0
+    """How long the answer took, in percent of the mean of its route's answers.
+
+    0 if it was not measured. For a stream this compares the time per event.
+    """
+
+
+class RunnerSpeed(NamedTuple):
+    """A runner's report of its load and speed, forwarded to the runner's home node."""
+
+    runner: int
+    running: int
+    """Calls that the runner executes."""
+    waiting: int
+    """Calls that wait in the runner."""
+    slots: int
+    slowdown_percent: int
+    """How long work takes now; 100 means as usual."""
+    age_ms: int
+    """Time since the sender received the report."""
 
 
 class RunnerFault(NamedTuple):
@@ -280,5 +300,6 @@
     | StoreNews
     | CrashReport
     | CrashNews
+    | RunnerSpeed
 )
 """Any message that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -8,7 +8,8 @@
   ownTokens @10 :UInt32; outputTokens @11 :UInt32; }
 struct SlotReply { askId @0 :UInt32; granted @1 :Bool; inUse @2 :UInt16;
   isHeld @3 :Bool; reason @4 :UInt8; }
-struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; isAnswered @2 :Bool; }
+struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; isAnswered @2 :Bool;
+  timePercent @3 :UInt16; }
 struct SlotRenewal { runner @0 :UInt64; askIds @1 :List(UInt32);
   tokenCounts @2 :List(UInt32); }
 
@@ -96,6 +97,8 @@
 struct ShareAsk { askId @0 :UInt32; team @1 :Text; tokens @2 :UInt16; }
 struct ShareReply { askId @0 :UInt32; tokens @1 :Float32; waitMs @2 :UInt32; }
 
+struct RunnerSpeed { runner @0 :UInt64; running @1 :UInt16; waiting @2 :UInt16;
+  slots @3 :UInt16; slowdownPercent @4 :UInt16; ageMs @5 :UInt32; }
 struct RunnerFault { runner @0 :UInt64; isUnreachable @1 :Bool; }
 struct NodeHello {
   isReply @0 :Bool;
@@ -126,5 +129,6 @@
     storeNews @13 :StoreNews;
     crashReport @14 :CrashReport;
     crashNews @15 :CrashNews;
+    runnerSpeed @16 :RunnerSpeed;
   }
 }
