Steer calls away from runners that are slow

Cause: a home granted calls on a runner that reports to be slow, or is lastingly slower than its pool, as on any other. Change: nodes forward speed reports and response times to the runner's home; the home estimates current and lasting slowdown, refuses sensitive calls on a runner that is slow now (SPEED), and weights its load bound. Pools without reports are unchanged.

--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/load_bound_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/load_bound_rule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.grants.grant_rule import StatelessGrantRule
@@ -10,6 +11,8 @@
 from clementineyoke_core.runner_state import RunnerState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementineyoke_core.grants.grant_rule import GrantRequest
     from clementineyoke_core.mean_load import MeanLoadEstimator
     from clementineyoke_core.runner_table import RunnerTable
@@ -26,11 +29,18 @@
         table: RunnerTable,
         mean_load: MeanLoadEstimator,
         load_bound: LoadBound = DEFAULT_BOUND,
+        load_weight: Callable[[GrantRequest], float] = lambda _: 1.0,
     ) -> None:
+        """Create the rule.
+
+        ``load_weight`` returns the share of its bound that a runner may use, above 0
+        and at most 1.
+        """
         self._ledger = ledger
         self._table = table
         self._mean_load = mean_load
         self._load_bound = load_bound
+        self._load_weight = load_weight
 
     def check(self, request: GrantRequest) -> RefusalReason | None:
         """Refuse a slot at the bound, except to a holder that has one already."""
@@ -55,9 +65,11 @@
             min_factor = load_bound.factor if request.is_last_resort else 0.0
             factor = max(min_factor, request.load_factor)
             load_bound = load_bound._replace(factor=factor)
-        return compute_home_bound(
+        bound = compute_home_bound(
             estimated_mean=self._mean_load.mean(entry.runner.pool),
             seen_mean=request.seen_mean,
             slots=entry.runner.slots,
             load_bound=load_bound,
         )
+        # Rounded up, as noise in the weight must not cost a slot of a small bound.
+        return math.ceil(self._load_weight(request) * bound)
--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/refusal_reason.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/refusal_reason.py
@@ -26,7 +26,11 @@
     @property
     def is_held(self) -> bool:
         """Return whether the runner is held back for another reason than its load."""
-        return self in (RefusalReason.PAUSED, RefusalReason.COLD)
+        return self in (
+            RefusalReason.PAUSED,
+            RefusalReason.COLD,
+            RefusalReason.SPEED,
+        )
 
     @property
     def label(self) -> str:
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.grants.refusal_reason import RefusalReason
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -37,6 +39,7 @@
     in_use: int
     rank: int
     runner_id: str
+    reason: RefusalReason
 
 
 class SlotSearch:
@@ -84,21 +87,30 @@
         return self._next_last_resort()
 
     def record_refusal(
-        self, attempt: SlotAttempt, *, in_use: int, is_held: bool = False
+        self,
+        attempt: SlotAttempt,
+        *,
+        in_use: int,
+        is_held: bool = False,
+        reason: RefusalReason = RefusalReason.LOAD,
     ) -> None:
         """Record a refusal with the exact load that the home reported."""
         if attempt.seen_mean > 0.0:
             return  # The refusal of the runner's first request is already recorded.
-        refusal = _Refusal(is_held, in_use, attempt.rank, attempt.runner_id)
+        refusal = _Refusal(is_held, in_use, attempt.rank, attempt.runner_id, reason)
         self._refusals.append(refusal)
 
     def record_timeout(self, attempt: SlotAttempt) -> None:
         """Record that a home did not reply in time."""
         self._timeouts.append((attempt.rank, attempt.runner_id))
 
-    def held_runner_ids(self) -> list[str]:
+    def held_runners(self) -> list[tuple[str, RefusalReason]]:
         """Return the runners that were refused for another reason than their load."""
-        return [refusal.runner_id for refusal in self._refusals if refusal.is_held]
+        return [
+            (refusal.runner_id, refusal.reason)
+            for refusal in self._refusals
+            if refusal.is_held
+        ]
 
     def fallback(
         self,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -168,7 +168,11 @@
                 )
                 is_first = False
                 self._record_holder(admitted, runner)
-            await stream.write_chunk(chunk)
+            received_ms = self._timers.now_ms()
+            events = await stream.write_chunk(chunk)
+            stream.pace.record(
+                events, received_ms=received_ms, written_ms=self._timers.now_ms()
+            )
         if stream.has_partial_event:
             raise AttemptError(
                 outcome=AttemptOutcome.LOST,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from clementineyoke_core.capacity.event_pace import EventPace
 from clementineyoke_core.edge.event_splitter import EventSplitter
 
 if TYPE_CHECKING:
@@ -23,6 +24,8 @@
         self.last_event_id = last_event_id
         """The id of the last event that the caller has."""
         self.sent_event_count = 0
+        self.pace = EventPace()
+        """Pace of the runner that sends the stream at present."""
 
     @property
     def has_started(self) -> bool:
@@ -37,6 +40,7 @@
     async def start(self, head: ResponseHead, *, is_leaving: bool) -> None:
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
+        self.pace = EventPace()
         if self._response is not None:
             return
         response = web.StreamResponse(status=head.status)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -23,6 +23,7 @@
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
+from clementineyoke_node.edge.speed_exchange import SpeedExchange
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
 from clementineyoke_node.fleet.gossiper import Gossiper
@@ -80,22 +81,24 @@
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
+        self.socket = PeerSocket(
+            signer=state.signer,
+            address=PeerAddress(config.address, config.peer_port),
+            incarnation=state.membership.incarnation,
+            rng=state.rng,
+        )
+        self.speed_exchange = self._make_speed_exchange()
         self.signals = RunnerSignals(
             table=state.table,
             timers=self.timers,
             decisions=state.decisions,
             on_draining=self._record_draining,
+            on_head=self.speed_exchange.record_head,
         )
         self.connection_pool = RunnerConnectionPool(
             timers=self.timers, signals=self.signals
         )
         self.runner_health = RunnerHealth(table=state.table)
-        self.socket = PeerSocket(
-            signer=state.signer,
-            address=PeerAddress(config.address, config.peer_port),
-            incarnation=state.membership.incarnation,
-            rng=state.rng,
-        )
         self.view = FleetView(
             table=state.table,
             cold_runners=state.cold_runners,
@@ -158,9 +161,9 @@
         """Apply a changed set of nodes or runners to all components."""
         moved = self._state.rebuild_homes()
         self.slot_home.rebuild()
+        self.speed_exchange.rebuild()
+        self._set_gossip_keys()
         entries = self._state.table.entries()
-        pools = {entry.runner.pool for entry in entries}
-        self.gossiper.set_pools({*pools, NODE_CALLS_KEY})
         lifetimes = {entry.runner.lifetime for entry in entries}
         self.runner_health.retain(lifetimes)
         self._state.cold_runners.retain(lifetimes)
@@ -200,6 +203,26 @@
             self.introducer.send_hello(PeerAddress(address, self._config.peer_port))
             self.peers.fetch(seed)
 
+    def _make_speed_exchange(self) -> SpeedExchange:
+        state = self._state
+        return SpeedExchange(
+            is_enabled=self._config.overload_features.speed_weighting,
+            membership=state.membership,
+            table=state.table,
+            homes=state.region_homes,
+            mean_load=state.mean_load,
+            socket=self.socket,
+            timers=self.timers,
+            metrics=state.metrics,
+            on_reporting_pools=self._set_gossip_keys,
+        )
+
+    def _set_gossip_keys(self) -> None:
+        pools = {entry.runner.pool for entry in self._state.table.entries()}
+        self.gossiper.set_pools(
+            {*pools, NODE_CALLS_KEY, *self.speed_exchange.gossip_keys()}
+        )
+
     def _create_slot_components(self) -> None:
         state = self._state
         self.slot_home = SlotHome(
@@ -216,6 +239,9 @@
                 slack_slots=SLACK_SLOTS,
                 queue_share=QUEUE_SHARE,
             ),
+            extra_rules=self.speed_exchange.rules,
+            load_weight=self.speed_exchange.load_weight,
+            on_response_time=self.speed_exchange.record_response_time,
         )
         self.broker = SlotBroker(
             membership=state.membership,
@@ -307,9 +333,12 @@
             random_key=lambda: state.rng.getrandbits(RANDOM_KEY_BITS),
             cap_factor=config.cap_factor,
             describes_calls=self._describes_calls,
+            compare_time=self.speed_exchange.compare_time,
         )
 
     def _describes_calls(self, pool: str) -> bool:
+        if self.speed_exchange.has_reports(pool):
+            return True
         return self._config.overload_features.priority_admission and bool(pool)
 
     def _is_watcher(self) -> bool:
@@ -342,6 +371,7 @@
 
     def _handle_gossip(self, node: Node, gossip: Gossip) -> None:
         self.crash_tracker.merge_notes(gossip.crashes)
+        self.speed_exchange.record_gossip(gossip)
         if gossip.evacuations_version > self.view.evacuations.view.revision:
             self._fetch_newer(node)
         self.view.adopt_ages(
@@ -360,6 +390,7 @@
 
     async def _run_frequent_work(self) -> None:
         self._state.table.end_expired_backoffs(now_ms=self.timers.now_ms())
+        self.speed_exchange.refresh()
         await self.slot_home.serve_queues()
         await self.view.drop_lapsed()
 
@@ -368,6 +399,7 @@
         self._state.mean_load.set_local(NODE_CALLS_KEY, load=rate_per_s, runners=1)
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
+        self.speed_exchange.run_housekeeping()
 
     def _start_timers(self) -> None:
         gossip_ms = self._config.gossip_interval_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from clementineyoke_core.capacity.response_times import AnswerKind
 from clementineyoke_core.edge.attempt_ledger import AttemptLedger, AttemptOutcome
 from clementineyoke_core.edge.load_cap_share import load_cap_share
 from clementineyoke_core.grants.call_profile import CallProfile
@@ -16,6 +17,7 @@
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.caller_stream import CallerStream
+from clementineyoke_node.edge.response_checks import MIN_REDIRECT_STATUS
 from clementineyoke_node.slots.slot_request import SlotRequest
 from clementineyoke_wire.events import Event
 
@@ -68,13 +70,15 @@
         random_key: Callable[[], int],
         cap_factor: float,
         describes_calls: Callable[[str], bool] = lambda _: False,
+        compare_time: Callable[[AnswerKind, float], int] = lambda _, __: 0,
     ) -> None:
         """Create a forwarder.
 
         ``cap_factor`` is the operator's limit on a runner's load, as a multiple of the
         mean load. ``count_nodes`` returns the number of nodes that share the retry
         budget of a pool. ``describes_calls`` returns whether the homes of a pool's
-        runners need the objective and the size of calls.
+        runners need the objective and the size of calls. ``compare_time`` returns the
+        time of an answer, in ms, as percent of the usual one, or 0 if unknown.
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
@@ -87,6 +91,7 @@
         self._random_key = random_key
         self._cap_factor = cap_factor
         self._describes_calls = describes_calls
+        self._compare_time = compare_time
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -126,7 +131,12 @@
                 else:
                     self._health.record_success(runner, now_ms=self._timers.now_ms())
                     self._crash_tracker.record_answer(admitted)
-                    self._broker.record_answer(lease)
+                    self._broker.record_answer(
+                        lease,
+                        time_percent=self._measure_time(
+                            admitted, stream, response, started_ms=started_ms
+                        ),
+                    )
                     return self._complete(
                         admitted,
                         stream.response if response is None else _to_response(response),
@@ -196,6 +206,27 @@
             return NO_RUNNER_RETRY_MS
         return math.ceil(backoff_ms) + self._random_key() % RETRY_JITTER_MS
 
+    def _measure_time(
+        self,
+        admitted: AdmittedCall,
+        stream: CallerStream,
+        response: CompleteResponse | None,
+        *,
+        started_ms: float,
+    ) -> int:
+        """Return the time of an answer in percent of the usual one, or 0 if unknown.
+
+        Only successes count: a fast error says nothing about a runner's speed.
+        """
+        if response is None:
+            time_ms = stream.pace.event_ms()
+        elif response.head.status < MIN_REDIRECT_STATUS:
+            time_ms = self._timers.now_ms() - started_ms
+        else:
+            return 0
+        kind = AnswerKind(admitted.pool, admitted.route.name, response is None)
+        return self._compare_time(kind, time_ms) if time_ms > 0.0 else 0
+
     def _may_abandon(
         self, admitted: AdmittedCall, ledger: AttemptLedger, runner: Runner
     ) -> bool:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
@@ -37,6 +37,7 @@
             metrics.control_sent_bytes.set({"kind": kind}, sent)
         for runner_id, in_use in io.slot_home.loads().items():
             metrics.runner_slots.set({"runner": runner_id}, in_use)
+        io.speed_exchange.update_metrics(metrics)
         return metrics_response(request, metrics)
 
     async def _status(self, request: web.Request) -> web.Response:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_signals.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_signals.py
@@ -27,15 +27,22 @@
         timers: TimerService,
         decisions: DecisionRing,
         on_draining: Callable[[Runner], bool],
+        on_head: Callable[[Runner, ResponseHead], None] = lambda _, __: None,
     ) -> None:
-        """Create the handler; ``on_draining`` returns whether the drain was unknown."""
+        """Create the handler.
+
+        ``on_draining`` returns whether the drain was unknown. ``on_head`` is called
+        with each head.
+        """
         self._table = table
         self._timers = timers
         self._decisions = decisions
         self._on_draining = on_draining
+        self._on_head = on_head
 
     def apply(self, runner: Runner, call: EdgeCall, head: ResponseHead) -> None:
         """Apply the signals in the head of a response, refusal or stream."""
+        self._on_head(runner, head)
         if head.is_draining and self._on_draining(runner):
             self._decisions.record(
                 Event.RUNNER_DRAINING,
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -53,6 +53,16 @@
             "Slots in use on each runner that this node is home of.",
             registry=self.registry,
         )
+        self.runner_slowdown = Gauge(
+            "clementineyoke_runner_slowdown",
+            "Slowdown of each runner that this node is home of; 1 is the usual speed.",
+            registry=self.registry,
+        )
+        self.malformed_load_headers = Counter(
+            "clementineyoke_malformed_load_headers_total",
+            "Reports of speed by runners that could not be parsed.",
+            registry=self.registry,
+        )
 
     def record_outcome(self, outcome: str, elapsed_ms: float) -> None:
         """Record a completed request."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -76,7 +76,8 @@
         self._is_cold = is_cold
         self._leases: dict[int, SlotLease] = {}
         self._last_in_use: dict[str, int] = {}
-        self._answered: set[int] = set()
+        self._answered: dict[int, int] = {}
+        """Time of the answer in percent of the usual time, or 0, by ask id."""
 
     async def acquire(self, request: SlotRequest) -> SlotLease | None:
         """Return a lease on the first runner that grants one, or None.
@@ -112,7 +113,10 @@
             else:
                 refusal = result.failure()
                 search.record_refusal(
-                    attempt, in_use=refusal.in_use, is_held=refusal.is_held
+                    attempt,
+                    in_use=refusal.in_use,
+                    is_held=refusal.is_held,
+                    reason=refusal.reason,
                 )
         fallback = search.fallback(self._last_in_use, is_eligible=self._may_bypass_home)
         if fallback is not None:
@@ -162,12 +166,13 @@
         finally:
             self._end_lease(lease)
 
-    def record_answer(self, lease: SlotLease) -> None:
+    def record_answer(self, lease: SlotLease, *, time_percent: int = 0) -> None:
         """Record that the runner answered.
 
-        The runner's home learns of it with the release of the slot.
+        The runner's home learns of it with the release of the slot. ``time_percent`` is
+        the time of the answer in percent of its route's mean, or 0 if unknown.
         """
-        self._answered.add(lease.ask_id)
+        self._answered[lease.ask_id] = time_percent
 
     def report_fault(self, runner: Runner, *, is_unreachable: bool = False) -> None:
         """Report to a runner's home that a call to the runner failed or is overdue."""
@@ -352,19 +357,22 @@
     def _list_skipped(
         self, search: SlotSearch, request: SlotRequest, runner: Runner
     ) -> tuple[SkippedRunner, ...]:
-        # Of the runners that were held back, only the cold ones may not bypass their
-        # home; the others are paused.
         held = tuple(
-            SkippedRunner(
-                runner_id, "paused" if self._may_bypass_home(runner_id) else "cold"
-            )
-            for runner_id in search.held_runner_ids()
+            SkippedRunner(runner_id, self._held_label(runner_id, reason))
+            for runner_id, reason in search.held_runners()
         )
         unavailable = self._rings.unavailable_before(
             request.pool, request.key, runner.runner_id
         )
         return held + tuple(SkippedRunner(*entry) for entry in unavailable)
 
+    def _held_label(self, runner_id: str, reason: RefusalReason) -> str:
+        if reason is RefusalReason.SPEED:
+            return reason.label
+        # Homes of an earlier release do not tell "paused" from "cold". Of such runners,
+        # only the cold ones may not bypass their home.
+        return "paused" if self._may_bypass_home(runner_id) else "cold"
+
     def _create_lease(
         self,
         runner: Runner,
@@ -393,22 +401,33 @@
 
     def _end_lease(self, lease: SlotLease) -> None:
         self._leases.pop(lease.ask_id, None)
-        is_answered = lease.ask_id in self._answered
-        self._answered.discard(lease.ask_id)
-        self._release_at_home(lease.runner, lease.ask_id, is_answered=is_answered)
+        time_percent = self._answered.pop(lease.ask_id, None)
+        self._release_at_home(
+            lease.runner,
+            lease.ask_id,
+            is_answered=time_percent is not None,
+            time_percent=time_percent or 0,
+        )
 
     def _release_at_home(
-        self, runner: Runner, ask_id: int, *, is_answered: bool = False
+        self,
+        runner: Runner,
+        ask_id: int,
+        *,
+        is_answered: bool = False,
+        time_percent: int = 0,
     ) -> None:
         home = self._home_of(runner.runner_id)
         if home is None:
             return
         if home.node_id == self._own_id:
             if is_answered:
-                self._slot_home.record_answer(runner.runner_id)
+                self._slot_home.record_answer(
+                    runner.runner_id, time_percent=time_percent
+                )
             self._slot_home.release(runner.runner_id, self._own_holder(ask_id))
             return
-        release = SlotRelease(ask_id, runner.lifetime_hash, is_answered)
+        release = SlotRelease(ask_id, runner.lifetime_hash, is_answered, time_percent)
         self._socket.send(PeerAddress.of(home), release)
 
     def _may_bypass_home(self, runner_id: str) -> bool:
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -72,8 +72,14 @@
         cold_runners: ColdRunners | None = None,
         load_bound: LoadBound = DEFAULT_BOUND,
         extra_rules: Sequence[GrantRule] = (),
+        load_weight: Callable[[GrantRequest], float] = lambda _: 1.0,
+        on_response_time: Callable[[str, int], None] = lambda _, __: None,
     ) -> None:
-        """Create a home; ``extra_rules`` are asked after the rules of every home."""
+        """Create a home; ``extra_rules`` are asked after the rules of every home.
+
+        ``load_weight`` is described at ``LoadBoundRule``. ``on_response_time`` is
+        called with a runner and the time of its answer in percent of the usual time.
+        """
         self._fault_breaker = FaultRateBreaker()
         self._reachability_breaker = ReachabilityBreaker()
         self._cold_runners = cold_runners or ColdRunners()
@@ -84,10 +90,15 @@
             ),
             ColdPaceRule(cold_runners=self._cold_runners, table=table),
             LoadBoundRule(
-                ledger=ledger, table=table, mean_load=mean_load, load_bound=load_bound
+                ledger=ledger,
+                table=table,
+                mean_load=mean_load,
+                load_bound=load_bound,
+                load_weight=load_weight,
             ),
             *extra_rules,
         )
+        self._on_response_time = on_response_time
         self._own_id = own_id
         self._ledger = ledger
         self._table = table
@@ -218,9 +229,14 @@
             log_event(Event.RUNNER_UNREACHABLE, runner=runner_id, reporter=reporter)
             self._assume_cold(runner_id, now_ms)
 
-    def record_answer(self, runner_id: str) -> None:
-        """Record that a runner answered a call."""
+    def record_answer(self, runner_id: str, *, time_percent: int = 0) -> None:
+        """Record that a runner answered a call.
+
+        ``time_percent`` is the time of the answer in percent of the usual time, or 0.
+        """
         self._reachability_breaker.record_answer(runner_id)
+        if time_percent:
+            self._on_response_time(runner_id, time_percent)
 
     def loads(self) -> dict[str, int]:
         """Return the number of slots in use on each runner homed on this node."""
@@ -380,7 +396,7 @@
         if runner_id is None:
             return
         if release.is_answered:
-            self.record_answer(runner_id)
+            self.record_answer(runner_id, time_percent=release.time_percent)
         self.release(runner_id, SlotHolder(str(received.peer), release.ask_id))
 
     def _receive_fault(self, received: PeerMessage) -> None:
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -52,6 +52,15 @@
     RUNNER_BACKOFF = EventKind(
         222, "INFO", "A runner refused a call and asked for backoff."
     )
+    RUNNER_SLOW = EventKind(
+        233, "INFO", "A runner is slower than its pool; its load bound is lowered."
+    )
+    RUNNER_SPEED_USUAL = EventKind(
+        234, "INFO", "A slow runner is about as fast as its pool again."
+    )
+    RUNNER_SPEED_DOUBTED = EventKind(
+        235, "WARNING", "A runner reports to be slow but answers as fast as others."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
