Test the cost of moving a call from a slow runner, and the use of gossip

Cause: two trial mutations (no cost of moving; no gossip) passed all scenarios. Change: five scenarios that decide by them.

--- a/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
+++ b/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
@@ -26,6 +26,30 @@
     Then a call with 10512 shared and 1300 own tokens is granted on runner 1
     And a call with 0 shared and 11812 own tokens is refused on runner 1 as speed
 
+  Scenario Outline: An urgent call whose prompt is cached on a slow runner
+    # Calls that move although their prompt is cached load the other runners with prefill.
+    When 30 s pass with a call each second and the same reports
+    And a call with <shared> shared and 360 own tokens runs on runner 1
+    And every runner reports 100, but runner 1 reports 250
+    Then an urgent call with <shared> shared and 360 own tokens is <result> on runner 1
+
+    Examples:
+      | shared | result           |
+      | 2041   | refused as speed |
+      | 10512  | granted          |
+
+  Scenario Outline: A long prompt is cached on a lastingly slow runner
+    # A lowered bound must not move a call to a runner that serves it even later.
+    When 30 s pass with a call each second and the same reports
+    And for 20 s every runner reports 100, and runner 1 takes 130 percent of the time
+    And a call with <shared> shared and 360 own tokens runs on runner 1
+    Then its load weight on runner 1 is <low> to <high>
+
+    Examples:
+      | shared | low  | high |
+      | 300    | 0.75 | 0.9  |
+      | 10512  | 1    | 1    |
+
   Scenario: A home that does not know what its runners have cached
     # A home that has just taken over a runner must not move prompts that are cached.
     When every runner reports 100, but runner 1 reports 250
@@ -67,9 +91,15 @@
 
   Scenario: A slow pool is known only from the gossip of other homes
     When the gossip of the pool has a mean slowdown of 2.5
-    And runner 1 alone reports 250
+    And every runner reports 100, but runner 1 reports 250
     Then a call with an objective of 300 ms is granted on runner 1
 
+  Scenario: The usual speed of a pool is known only from the gossip of other homes
+    # In a large fleet a home has one runner of a pool, and few calls to the others.
+    When the gossip of the pool has a mean slowdown of 1.2
+    And runner 1 alone reports 250
+    Then a call with an objective of 300 ms is refused on runner 1 as speed
+
   Scenario: Nothing to compare a report with
     When runner 1 alone reports 250
     Then a call with an objective of 300 ms is granted on runner 1
--- a/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
@@ -110,7 +110,8 @@
 
 @when("a call with {shared:d} shared and {own:d} own tokens runs on runner 1")
 def run_long(context, shared, own):
-    context.rule.record_grant(request(context, "runner-1", long_prompt(shared, own)))
+    context.profile = long_prompt(shared, own)
+    context.rule.record_grant(request(context, "runner-1", context.profile))
 
 
 def pass_with_answers(context, duration_s, percents, times):
@@ -237,6 +238,20 @@
     check(context, long_prompt(shared, own), "granted")
 
 
+@then(
+    "an urgent call with {shared:d} shared and {own:d} own tokens is {result} on "
+    "runner 1"
+)
+def check_urgent(context, shared, own, result):
+    check(context, long_prompt(shared, own)._replace(objective_ms=272), result)
+
+
+@then("its load weight on runner 1 is {low:g} to {high:g}")
+def check_call_weight(context, low, high):
+    asked = request(context, "runner-1", context.profile)
+    check_between(context.rule.load_weight(asked), low, high)
+
+
 def check_between(value, low, high):
     assert low <= value <= high, value
 
