Compare reports of speed as they were sent with the pool's

Cause: the gossiped mean was of decayed reports. In a slow pool with few calls a new report of 250 was compared with about 145, and calls were refused on every runner. Change: homes gossip the newest reports undecayed, and the rule compares a runner's newest report with that mean; the decay still ends a refusal.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/runner_speeds.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/runner_speeds.py
@@ -73,7 +73,7 @@
     """What the runners of a pool are compared with; None if unknown."""
 
     current: float | None = None
-    """Current slowdown, the larger of two estimates of the usual runner's."""
+    """Newest reported slowdown of the usual runner, the larger of two estimates."""
     reported: float = MIN_SLOWDOWN
     """Mean of the lasting reported slowdowns."""
     lasting: float | None = None
@@ -83,8 +83,11 @@
 class SpeedEstimate(NamedTuple):
     """Estimated speed of a runner."""
 
+    reported: float
+    """Slowdown in the newest report, after trust in the runner's reports; 1 is the
+    usual speed."""
     current: float
-    """Current slowdown, after trust in the runner's reports; 1 is the usual speed."""
+    """The same, decayed with the age of the report."""
     lasting: float
     """Lasting slowdown relative to the calls' usual times."""
     trust: float
@@ -93,7 +96,7 @@
     """Weight of the runner's load bound, from 0.5 to 1."""
 
 
-USUAL_ESTIMATE = SpeedEstimate(MIN_SLOWDOWN, MIN_SLOWDOWN, 1.0, 1.0)
+USUAL_ESTIMATE = SpeedEstimate(MIN_SLOWDOWN, MIN_SLOWDOWN, MIN_SLOWDOWN, 1.0, 1.0)
 
 
 def current_key(pool: str) -> str:
@@ -159,14 +162,20 @@
         reference = self._references.get(state.pool, _PoolReference())
         lasting = _lasting(state, now_ms)
         trust = _compute_trust(state, reference, now_ms)
+        reported = MIN_SLOWDOWN + trust * (_reported(state, now_ms) - MIN_SLOWDOWN)
         current = MIN_SLOWDOWN + trust * (_decayed(state, now_ms) - MIN_SLOWDOWN)
         weight = 1.0
         if reference.lasting is not None:
             weight = max(MIN_LOAD_WEIGHT, min(1.0, reference.lasting / lasting))
-        return SpeedEstimate(current, lasting, trust, weight)
+        return SpeedEstimate(reported, current, lasting, trust, weight)
 
     def pool_slowdown(self, pool: str) -> float | None:
-        """Return the current slowdown of the pool's usual runner; None if unknown."""
+        """Return the reported slowdown of the pool's usual runner; None if unknown.
+
+        To be compared with a runner's ``reported``, not with its decayed ``current``:
+        where calls are rare, the mean of decayed reports is far below a new report, and
+        each runner of a slow pool would look exceptional.
+        """
         return self._references.get(pool, _PoolReference()).current
 
     def runner_ids(self) -> list[str]:
@@ -197,7 +206,7 @@
         self, pool: str, runner_ids: list[str], elapsed_ms: float, now_ms: float
     ) -> None:
         current = [
-            _decayed(self._states[runner_id], now_ms)
+            self._states[runner_id].reported
             for runner_id in runner_ids
             if now_ms - self._states[runner_id].reported_ms <= MAX_REPORT_AGE_MS
         ]
@@ -267,12 +276,17 @@
     return max(MIN_SLOWDOWN, min(MAX_SLOWDOWN, slowdown))
 
 
+def _reported(state: _State, now_ms: float) -> float:
+    """Return the newest reported slowdown, or the usual one if it is too old."""
+    if now_ms - state.reported_ms > MAX_REPORT_AGE_MS:
+        return MIN_SLOWDOWN
+    return state.reported
+
+
 def _decayed(state: _State, now_ms: float) -> float:
     """Return the reported slowdown, decayed toward the usual speed with its age."""
     age_ms = max(0.0, now_ms - state.reported_ms)
-    if age_ms > MAX_REPORT_AGE_MS:
-        return MIN_SLOWDOWN
-    excess = state.reported - MIN_SLOWDOWN
+    excess = _reported(state, now_ms) - MIN_SLOWDOWN
     return MIN_SLOWDOWN + excess * math.exp(-age_ms / CURRENT_TIME_CONSTANT_MS)
 
 
--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/speed_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/speed_rule.py
@@ -104,7 +104,7 @@
         pool = self._pool_of(request.runner_id)
         usual = None if pool is None else self._speeds.pool_slowdown(pool)
         # Without a pool to compare with, the whole pool may be as slow.
-        return 1.0 if usual is None else estimate.current / usual
+        return 1.0 if usual is None else estimate.reported / usual
 
 
 def _is_sensitive(profile: CallProfile, *, is_cached: bool) -> bool:
--- a/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
+++ b/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
@@ -100,6 +100,12 @@
     And runner 1 alone reports 250
     Then a call with an objective of 300 ms is refused on runner 1 as speed
 
+  Scenario: A slow pool whose runners report seldom
+    # A mean of decayed reports would make each new report of a slow pool exceptional.
+    When every runner reports 250
+    And 900 ms pass without reports
+    Then the mean slowdown that the home gossips is 2.5
+
   Scenario: Nothing to compare a report with
     When runner 1 alone reports 250
     Then a call with an objective of 300 ms is granted on runner 1
--- a/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
@@ -252,6 +252,12 @@
     check_between(context.rule.load_weight(asked), low, high)
 
 
+@then("the mean slowdown that the home gossips is {mean:g}")
+def check_gossiped(context, mean):
+    share = context.mean_load.shares()[current_key(POOL)]
+    assert share.runners and share.load / share.runners == mean, share
+
+
 def check_between(value, low, high):
     assert low <= value <= high, value
 
