Assume unknown prompts cached after calls without a description

Cause: a home counted the time in which calls were not described, before a pool reported speeds or from nodes of an earlier release, as time in which it knew all prompts. Change: such a call restarts that time.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/cached_prompts.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/cached_prompts.py
@@ -12,6 +12,7 @@
 
 class _Prompts(NamedTuple):
     known_since_ms: float
+    """Time from which the prompts of all calls are known."""
     used_ms: dict[int, float]
     """Time of the last grant by prompt key, in the order of that time."""
 
@@ -34,11 +35,17 @@
         if len(prompts.used_ms) > MAX_PROMPTS:
             del prompts.used_ms[next(iter(prompts.used_ms))]
 
+    def record_unknown(self, runner_id: str, *, now_ms: float) -> None:
+        """Record that a call was granted whose prompt is not known."""
+        prompts = self._prompts.get(runner_id)
+        used_ms = {} if prompts is None else prompts.used_ms
+        self._prompts[runner_id] = _Prompts(now_ms, used_ms)
+
     def may_have(self, runner_id: str, key: int, *, now_ms: float) -> bool:
         """Return whether a runner may have the shared parts of a prompt.
 
-        A home that has granted calls on the runner only for a short time does not know
-        the prompts granted before, and assumes that each is cached.
+        A home that has known all calls on the runner only for a short time does not
+        know the prompts granted before, and assumes that each is cached.
         """
         prompts = self._prompts.get(runner_id)
         if prompts is None or now_ms - prompts.known_since_ms < CACHED_MS:
--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/speed_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/speed_rule.py
@@ -87,9 +87,13 @@
 
     def record_grant(self, request: GrantRequest) -> None:
         """Remember the prompt, which is cached on the runner from now on."""
-        self._cached_prompts.record(
-            request.runner_id, request.profile.prompt.key, now_ms=request.now_ms
-        )
+        runner_id, profile = request.runner_id, request.profile
+        if profile.is_described:
+            self._cached_prompts.record(
+                runner_id, profile.prompt.key, now_ms=request.now_ms
+            )
+        else:
+            self._cached_prompts.record_unknown(runner_id, now_ms=request.now_ms)
 
     def remove_runner(self, runner_id: str) -> None:
         """Remove the speed and the prompts of a runner."""
--- a/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
+++ b/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
@@ -55,6 +55,13 @@
     When every runner reports 100, but runner 1 reports 250
     Then a call with 10512 shared and 1300 own tokens is granted on runner 1
 
+  Scenario: Calls without a description ran on a slow runner
+    # Nodes of an earlier release do not tell which prompts their calls leave in the cache.
+    When 30 s pass with a call each second and the same reports
+    And a call without a description runs on runner 1
+    And every runner reports 100, but runner 1 reports 250
+    Then a call with 10512 shared and 1300 own tokens is granted on runner 1
+
   Scenario: The end of an interference is not reported
     # A lost report, or a runner without calls, must not stay avoided.
     When every runner reports 100, but runner 1 reports 250
--- a/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
@@ -114,6 +114,11 @@
     context.rule.record_grant(request(context, "runner-1", context.profile))
 
 
+@when("a call without a description runs on runner 1")
+def run_undescribed(context):
+    context.rule.record_grant(request(context, "runner-1", UNDESCRIBED))
+
+
 def pass_with_answers(context, duration_s, percents, times):
     for _ in range(duration_s * 1_000 // REPORT_INTERVAL_MS):
         context.now_ms += REPORT_INTERVAL_MS
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/speed_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/speed_exchange.py
@@ -45,7 +45,7 @@
 class SpeedExchange:
     """Own a node's knowledge of runner speeds, as home and as caller of runners.
 
-    Without reports in a pool it keeps no state for the pool and sends nothing.
+    Without reports in a pool it sends nothing about the pool and lowers no bound.
     """
 
     def __init__(
