--- a/packages/clementineyoke-core/tests/capacity/speed_measurement.feature
+++ b/packages/clementineyoke-core/tests/capacity/speed_measurement.feature
@@ -44,6 +44,12 @@
     Then 20 reports are sent at once, 5 of them of 250
     And after 2000 ms nothing is left to send
 
+  Scenario: A pool ceases to report
+    # Calls would be described, and means gossiped, for a pool that no longer needs it.
+    Given a pool that reports its speed
+    Then it counts as reporting after 60000 ms
+    And it does not count as reporting after 60001 ms
+
   Scenario: Prompts of a runner are remembered up to a bound
     Given a runner that has been given calls for 20000 ms
     When 300 prompts are granted on it
--- a/packages/clementineyoke-core/tests/steps/speed_measurement_steps.py
+++ b/packages/clementineyoke-core/tests/steps/speed_measurement_steps.py
@@ -4,6 +4,7 @@
 
 from clementineyoke_core.capacity.cached_prompts import CachedPrompts
 from clementineyoke_core.capacity.event_pace import EventPace
+from clementineyoke_core.capacity.reporting_pools import ReportingPools
 from clementineyoke_core.capacity.response_times import AnswerKind, ResponseTimes
 from clementineyoke_core.capacity.speed_report import SpeedReport
 from clementineyoke_core.capacity.speed_report_queue import SpeedReportQueue
@@ -121,6 +122,26 @@
     assert not context.queue._sent
 
 
+@given("a pool that reports its speed")
+def given_reporting_pool(context):
+    context.pools = ReportingPools()
+    assert context.pools.record("m", now_ms=0.0)
+    assert not context.pools.record("m", now_ms=0.0)
+
+
+@then("it counts as reporting after {pause_ms:d} ms")
+def check_reporting(context, pause_ms):
+    context.pools.expire(now_ms=float(pause_ms))
+    assert context.pools.has_reports("m")
+
+
+@then("it does not count as reporting after {pause_ms:d} ms")
+def check_not_reporting(context, pause_ms):
+    context.pools.expire(now_ms=float(pause_ms))
+    assert not context.pools.has_reports("m")
+    assert context.pools.pools() == set()
+
+
 @given("a runner that has been given calls for {duration_ms:d} ms")
 def given_known_runner(context, duration_ms):
     context.prompts = CachedPrompts()
--- a/packages/clementineyoke-node/tests/edge/runner_speeds.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_speeds.feature
@@ -14,6 +14,13 @@
       | streaming  | stream |
       | idempotent | refuse |
 
+  Scenario: A node without calls learns that a pool reports its speed
+    # Its first calls would not be described, and so be granted on slow runners.
+    Given a fleet of 3 nodes and 1 runner that know each other
+    When all runners report the load "1,0,8,250" and respond as "ok"
+    And 3 "idempotent" calls reach a node that is not the home of runner 1
+    Then all nodes describe the calls of the pool
+
   Scenario Outline: Runners that do not report their speed
     # A pool whose runners send three values is served as before.
     Given a fleet of 2 nodes and 2 runners that know each other
--- a/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
@@ -41,12 +41,12 @@
 
 
 def homes_of_first(context):
-    """Return the home of runner 1 and the number of the other node."""
+    """Return the home of runner 1 and the number of another node."""
     nodes = context.fleet.nodes
     runner_id = runner(context, 1).runner_id
     home_id = nodes[0].state.region_homes.home_of(runner_id)
     (home,) = (n for n in nodes if n.state.config.node_id == home_id)
-    (other,) = (number for number, n in enumerate(nodes, start=1) if n is not home)
+    other = next(number for number, n in enumerate(nodes, start=1) if n is not home)
     return home, other
 
 
