Let a pool cease to count as reporting its speed in a fleet

A home kept its silent runners in the gossiped lasting slowdown. Each peer took them for reporting ones, so that the pool never ceased to count as reporting.

--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/runner_speeds.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/runner_speeds.py
@@ -23,6 +23,9 @@
 """Interference lasts a fraction of a second, and a runner that gets no calls sends no
 report of its end."""
 LASTING_TIME_CONSTANT_MS = 10_000.0
+MAX_SILENT_MS = 60_000.0
+"""Time since the last report after which a runner no longer counts in the gossiped
+means. Otherwise the gossip would show a pool as reporting for good."""
 PRIOR_ANSWERS = 4.0
 """Weight, in answers, of the assumption that a runner is as fast as the others."""
 MIN_ANSWERS = 5.0
@@ -211,7 +214,9 @@
             if now_ms - self._states[runner_id].reported_ms <= MAX_REPORT_AGE_MS
         ]
         lasting = [
-            _lasting(self._states[runner_id], now_ms) for runner_id in runner_ids
+            _lasting(self._states[runner_id], now_ms)
+            for runner_id in runner_ids
+            if now_ms - self._states[runner_id].reported_ms <= MAX_SILENT_MS
         ]
         self._mean_load.set_local(
             current_key(pool), load=sum(current), runners=len(current)
--- a/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
+++ b/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
@@ -164,6 +164,18 @@
     And 60000 ms pass without reports
     Then the load weight of runner 1 is 0.95 to 1
 
+  Scenario Outline: The gossip of a pool whose runners cease to report
+    # Peers take each runner in the gossiped mean for a reporting one, so that the pool
+    # would count as reporting for good.
+    When for 20 s runner 1 reports 250 and takes 250 percent of the time
+    And <pause> ms pass without reports
+    Then the home gossips the lasting slowdown of <count> runners
+
+    Examples:
+      | pause | count |
+      | 60000 | 6     |
+      | 60001 | 0     |
+
   Scenario: A pool without reports
     # A deployment whose runners do not report must be served as before.
     Then any requests for runners without reports get the same grants as without the rule
--- a/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
@@ -8,7 +8,11 @@
 )
 from uneven_pool import UnevenPool
 
-from clementineyoke_core.capacity.runner_speeds import RunnerSpeeds, current_key
+from clementineyoke_core.capacity.runner_speeds import (
+    RunnerSpeeds,
+    current_key,
+    lasting_key,
+)
 from clementineyoke_core.capacity.speed_report import SpeedReport
 from clementineyoke_core.capacity.speed_rule import SpeedRule
 from clementineyoke_core.grants.call_profile import (
@@ -263,6 +267,12 @@
     assert share.runners and share.load / share.runners == mean, share
 
 
+@then("the home gossips the lasting slowdown of {count:d} runners")
+def check_gossiped_runners(context, count):
+    share = context.mean_load.shares()[lasting_key(POOL)]
+    assert share.runners == count, share
+
+
 def check_between(value, low, high):
     assert low <= value <= high, value
 
