Drop response times that arrive at a former home of a runner

A late release made the former home keep an estimate of the runner, which then counted twice in the pool's lasting slowdown until the next change of the fleet.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/speed_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/speed_exchange.py
@@ -151,7 +151,13 @@
         )
 
     def record_response_time(self, runner_id: str, time_percent: int) -> None:
-        """Record the time of an answer by a runner whose home is this node."""
+        """Record the time of an answer, unless the runner has another home.
+
+        A release may arrive at a former home, whose estimates would count twice in the
+        pool's means.
+        """
+        if self._homes.home_of(runner_id) != self._own_id:
+            return
         pool = self._pool_of(runner_id)
         if pool is not None and self.has_reports(pool):
             self._speeds.record_response_time(
--- a/packages/clementineyoke-node/tests/edge/runner_speeds.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_speeds.feature
@@ -68,3 +68,11 @@
     Given a fleet of 2 nodes and 1 runner that know each other
     When a report of runner 1 arrives at a node that is not its home
     Then that node keeps no speed of runner 1
+
+  Scenario: A response time for a home that has moved
+    # A former home that keeps the time counts the runner twice in the pool's means.
+    Given a fleet of 2 nodes and 1 runner that know each other
+    When all runners report the load "1,0,8,100" and respond as "ok"
+    And 1 "idempotent" calls reach a node that is not the home of runner 1
+    And a response time of runner 1 arrives at a node that is not its home
+    Then that node keeps no speed of runner 1
--- a/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
@@ -8,7 +8,7 @@
 
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
 from clementineyoke_standins.edge.edge_runner import ScriptedResponse
-from clementineyoke_wire.messages import RunnerSpeed
+from clementineyoke_wire.messages import RunnerSpeed, SlotRelease
 
 PEER = PeerAddress("127.0.0.99", 1)
 
@@ -192,6 +192,17 @@
     context.other.io.socket._dispatch(PeerMessage(PEER, 1, message))
 
 
+@when("a response time of runner 1 arrives at a node that is not its home")
+def release_at_former_home(context):
+    _, other = homes_of_first(context)
+    context.other = context.fleet.nodes[other - 1]
+    # Times are dropped for a pool without reports, which would hide the fault.
+    assert context.other.io.speed_exchange.has_reports(POOL)
+    entry = context.other.state.table.get(runner(context, 1).runner_id)
+    message = SlotRelease(1, entry.runner.lifetime_hash, True, 250)
+    context.other.io.socket._dispatch(PeerMessage(PEER, 1, message))
+
+
 @then("that node keeps no speed of runner 1")
 def check_no_state(context):
     assert known_runners(context.other) == []
