--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/runner_speeds.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/runner_speeds.py
@@ -131,9 +131,14 @@
     def record_sample(
         self, runner_id: str, pool: str, report: SpeedReport, *, now_ms: float
     ) -> None:
-        """Record a report for the pool's median, whoever is the runner's home."""
+        """Record a report for the pool's median, whoever is the runner's home.
+
+        A report older than the known one of the runner is ignored.
+        """
         samples = self._samples.setdefault(pool, {})
-        samples[runner_id] = _Sample(_to_slowdown(report), now_ms)
+        known = samples.get(runner_id)
+        if known is None or known.reported_ms <= now_ms:
+            samples[runner_id] = _Sample(_to_slowdown(report), now_ms)
 
     def record_report(
         self,
--- a/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
+++ b/packages/clementineyoke-core/tests/capacity/runner_speeds.feature
@@ -79,6 +79,13 @@
     And a report of 250 by runner 1 arrives that is 200 ms old
     Then a call with an objective of 300 ms is granted on runner 1
 
+  Scenario: Late reports of other runners
+    # Outdated reports in the pool's median would make a slow pool look usual.
+    When every runner reports 250
+    And reports of 100 by all runners arrive that are 200 ms old
+    Then a call with an objective of 300 ms is granted on all runners
+    And the pool's usual slowdown is 2.5
+
   Scenario: A report older than a second
     When every runner reports 100 and runner 1 does not report
     And a report of 400 by runner 1 arrives that is 1001 ms old
--- a/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-core/tests/steps/runner_speeds_steps.py
@@ -85,6 +85,11 @@
     receive(context, {"runner-1": percent}, age_ms=age_ms)
 
 
+@when("reports of {percent:d} by all runners arrive that are {age_ms:d} ms old")
+def report_all_late(context, percent, age_ms):
+    receive(context, all_report(context, percent), age_ms=age_ms)
+
+
 @when("{pause_ms:d} ms pass without reports")
 def pause(context, pause_ms):
     context.now_ms += pause_ms
@@ -267,6 +272,12 @@
     assert share.runners and share.load / share.runners == mean, share
 
 
+@then("the pool's usual slowdown is {slowdown:g}")
+def check_usual(context, slowdown):
+    found = context.speeds.pool_slowdown(POOL)
+    assert found == slowdown, found
+
+
 @then("the home gossips the lasting slowdown of {count:d} runners")
 def check_gossiped_runners(context, count):
     share = context.mean_load.shares()[lasting_key(POOL)]
