Test that speeds are dropped when a runner restarts or its home moves

The steps of the scenario without a network call the rule directly, so that neither the rebuild at a node nor reports of an earlier lifetime were tested.

--- a/packages/clementineyoke-node/tests/edge/runner_speeds.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_speeds.feature
@@ -76,3 +76,23 @@
     And 1 "idempotent" calls reach a node that is not the home of runner 1
     And a response time of runner 1 arrives at a node that is not its home
     Then that node keeps no speed of runner 1
+
+  Scenario: A runner restarts under the same id
+    # Estimates of the previous lifetime would keep calls off a runner that is fast again.
+    Given a fleet of 2 nodes and 1 runner that know each other
+    When all runners report the load "1,0,8,250" and respond as "ok"
+    And 3 "idempotent" calls reach a node that is not the home of runner 1
+    Then the home of runner 1 learns its slowdown
+    When the home of runner 1 learns that it has restarted
+    Then that node keeps no speed of runner 1
+    When a report of the previous lifetime of runner 1 arrives at its home
+    Then that node keeps no speed of runner 1
+
+  Scenario: The home of a runner moves away
+    # The former home would gossip an outdated estimate next to that of the new home.
+    Given a fleet of 2 nodes and 1 runner that know each other
+    When all runners report the load "1,0,8,250" and respond as "ok"
+    And 3 "idempotent" calls reach a node that is not the home of runner 1
+    Then the home of runner 1 learns its slowdown
+    When the home of runner 1 moves to the other node
+    Then that node keeps no speed of runner 1
--- a/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
@@ -203,6 +203,38 @@
     context.other.io.socket._dispatch(PeerMessage(PEER, 1, message))
 
 
+@when("the home of runner 1 learns that it has restarted")
+def restart_first(context):
+    context.other, _ = homes_of_first(context)
+    table = context.other.state.table
+    context.previous = table.get(runner(context, 1).runner_id).runner
+    restarted = context.previous._replace(born_ms=context.previous.born_ms + 1)
+    table.apply_host_list(live=[restarted], leaving=[], now_ms=0)
+    context.run(apply_hosts(context.other))
+
+
+async def apply_hosts(node):
+    node.io.apply_hosts()
+
+
+@when("a report of the previous lifetime of runner 1 arrives at its home")
+def report_previous_lifetime(context):
+    message = RunnerSpeed(context.previous.lifetime_hash, 1, 0, 8, 250, 0)
+    context.other.io.socket._dispatch(PeerMessage(PEER, 1, message))
+
+
+@when("the home of runner 1 moves to the other node")
+def move_home_away(context):
+    context.other, number = homes_of_first(context)
+    runner_id = runner(context, 1).runner_id
+    homes = context.other.state.region_homes
+    homes.reassign(
+        nodes=[context.fleet.nodes[number - 1].state.config.node_id],
+        pools={POOL: [runner_id]},
+    )
+    context.other.io.speed_exchange.rebuild()
+
+
 @then("that node keeps no speed of runner 1")
 def check_no_state(context):
     assert known_runners(context.other) == []
