--- a/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_speeds_steps.py
@@ -6,6 +6,7 @@
 from edge_steps import wait_until
 from runner_signals_steps import make_call, runner, start_connected
 
+from clementineyoke_core.capacity.runner_speeds import current_key, lasting_key
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
 from clementineyoke_standins.edge.edge_runner import ScriptedResponse
 from clementineyoke_wire.messages import RunnerSpeed, SlotRelease
@@ -121,7 +122,10 @@
         assert not known_runners(node)
         assert not node.io._describes_calls(POOL)
         assert node.io.speed_exchange.gossip_keys() == set()
-        assert not [key for key in node.state.mean_load.shares() if "slow" in key]
+        assert (
+            not {current_key(POOL), lasting_key(POOL)}
+            & node.state.mean_load.shares().keys()
+        )
 
 
 @then("node {number:d} has counted {count:d} malformed load headers")
