--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.grants.refusal_reason import RefusalReason
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -37,7 +39,7 @@
     in_use: int
     rank: int
     runner_id: str
-    allows_last_resort: bool = True
+    reason: RefusalReason
 
 
 class SlotSearch:
@@ -94,27 +96,25 @@
         *,
         in_use: int,
         is_held: bool = False,
-        allows_last_resort: bool = True,
+        reason: RefusalReason = RefusalReason.LOAD,
     ) -> None:
-        """Record a refusal with the exact load that the home reported.
-
-        ``allows_last_resort`` is false if the home would refuse a last-resort request
-        for the same reason.
-        """
+        """Record a refusal with the exact load that the home reported."""
         if attempt.seen_mean > 0.0:
             return  # The refusal of the runner's first request is already recorded.
-        refusal = _Refusal(
-            is_held, in_use, attempt.rank, attempt.runner_id, allows_last_resort
-        )
+        refusal = _Refusal(is_held, in_use, attempt.rank, attempt.runner_id, reason)
         self._refusals.append(refusal)
 
     def record_timeout(self, attempt: SlotAttempt) -> None:
         """Record that a home did not reply in time."""
         self._timeouts.append((attempt.rank, attempt.runner_id))
 
-    def held_runner_ids(self) -> list[str]:
+    def held_runners(self) -> list[tuple[str, RefusalReason]]:
         """Return the runners that were refused for another reason than their load."""
-        return [refusal.runner_id for refusal in self._refusals if refusal.is_held]
+        return [
+            (refusal.runner_id, refusal.reason)
+            for refusal in self._refusals
+            if refusal.is_held
+        ]
 
     def fallback(
         self,
@@ -148,7 +148,8 @@
         candidates = [
             refusal
             for refusal in self._refusals
-            if refusal.allows_last_resort and refusal.is_held not in self._last_resorts
+            if refusal.reason.allows_last_resort
+            and refusal.is_held not in self._last_resorts
         ]
         if not candidates:
             return None
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -25,6 +25,7 @@
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
+from clementineyoke_node.edge.speed_exchange import SpeedExchange
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.edge.token_accounting import TokenAccounting
 from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
@@ -89,22 +90,24 @@
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
         self.store = StoreClient(address=config.store)
+        self.socket = PeerSocket(
+            signer=state.signer,
+            address=PeerAddress(config.address, config.peer_port),
+            incarnation=state.membership.incarnation,
+            rng=state.rng,
+        )
+        self.speed_exchange = self._make_speed_exchange()
         self.signals = RunnerSignals(
             table=state.table,
             timers=self.timers,
             decisions=state.decisions,
             on_draining=self._record_draining,
+            on_head=self.speed_exchange.record_head,
         )
         self.connection_pool = RunnerConnectionPool(
             timers=self.timers, signals=self.signals
         )
         self.runner_health = RunnerHealth(table=state.table)
-        self.socket = PeerSocket(
-            signer=state.signer,
-            address=PeerAddress(config.address, config.peer_port),
-            incarnation=state.membership.incarnation,
-            rng=state.rng,
-        )
         self.view = FleetView(
             table=state.table,
             cold_runners=state.cold_runners,
@@ -169,8 +172,9 @@
         """Apply a changed set of nodes or runners to all components."""
         moved = self._state.rebuild_homes()
         self.slot_home.rebuild()
-        entries = self._state.table.entries()
+        self.speed_exchange.rebuild()
         self._set_gossip_keys()
+        entries = self._state.table.entries()
         lifetimes = {entry.runner.lifetime for entry in entries}
         self.runner_health.retain(lifetimes)
         self._state.cold_runners.retain(lifetimes)
@@ -226,6 +230,20 @@
     def _read_desired_state(self) -> DesiredState | None:
         return None if self.view.routes is None else self.view.routes.state
 
+    def _make_speed_exchange(self) -> SpeedExchange:
+        state = self._state
+        return SpeedExchange(
+            is_enabled=self._config.overload_features.speed_weighting,
+            membership=state.membership,
+            table=state.table,
+            homes=state.region_homes,
+            mean_load=state.mean_load,
+            socket=self.socket,
+            timers=self.timers,
+            metrics=state.metrics,
+            on_reporting_pools=self._set_gossip_keys,
+        )
+
     def _create_slot_components(self) -> None:
         state = self._state
         self.slot_home = SlotHome(
@@ -244,6 +262,8 @@
             ),
             extra_rules=self._extra_rules(),
             prefill_tokens=self.token_accounting.prefill_tokens,
+            load_weight=self.speed_exchange.load_weight,
+            on_response_time=self.speed_exchange.record_response_time,
         )
         self.broker = SlotBroker(
             membership=state.membership,
@@ -260,7 +280,7 @@
         rules: list[GrantRule] = []
         if self.admission is not None:
             rules.append(self.admission.rule)
-        return [*rules, *self.token_accounting.rules]
+        return [*rules, *self.token_accounting.rules, *self.speed_exchange.rules]
 
     def _create_fleet_components(self) -> None:
         state = self._state
@@ -344,6 +364,7 @@
             token_accounting=self.token_accounting,
             describes_calls=self._describes_calls,
             admission=self.admission,
+            compare_time=self.speed_exchange.compare_time,
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
@@ -374,13 +395,17 @@
         return (
             features.token_reservations
             and self._pool_memory.tokens(pool) > 0
-            and features.priority_admission
+            and (features.priority_admission or self.speed_exchange.has_reports(pool))
         )
 
     def _describes_calls(self, pool: str) -> bool:
         if not pool:
             return False
-        return self._features.priority_admission or self._accounts_tokens(pool)
+        return (
+            self._features.priority_admission
+            or self.speed_exchange.has_reports(pool)
+            or self._accounts_tokens(pool)
+        )
 
     def _is_watcher(self) -> bool:
         return self.registration.registered.is_set() and self._state.is_watcher()
@@ -413,6 +438,7 @@
     def _set_gossip_keys(self) -> None:
         keys = {entry.runner.pool for entry in self._state.table.entries()}
         keys |= self.token_accounting.gossip_keys(keys)
+        keys.update(self.speed_exchange.gossip_keys())
         if self.admission is not None:
             self.admission.update_pools()
             keys |= self.admission.gossip_keys()
@@ -422,6 +448,7 @@
         if self.admission is not None and node.region == self._config.region:
             self.admission.record_exchange(now_ms=self.timers.now_ms())
         self.crash_tracker.merge_notes(gossip.crashes)
+        self.speed_exchange.record_gossip(gossip)
         if gossip.evacuations_version > self.view.evacuations.view.revision:
             self._fetch_newer(node)
         self.view.adopt_ages(
@@ -440,6 +467,7 @@
 
     async def _run_frequent_work(self) -> None:
         self._state.table.end_expired_backoffs(now_ms=self.timers.now_ms())
+        self.speed_exchange.refresh()
         await self.slot_home.serve_queues()
         await self.view.drop_lapsed()
 
@@ -456,6 +484,7 @@
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
         self.token_accounting.update(self.slot_home.loads())
+        self.speed_exchange.run_housekeeping()
 
     def _start_timers(self) -> None:
         gossip_ms = self._config.gossip_interval_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
@@ -38,6 +38,7 @@
         for runner_id, in_use in io.slot_home.loads().items():
             metrics.runner_slots.set({"runner": runner_id}, in_use)
         io.token_accounting.set_gauges(metrics, io.slot_home.loads())
+        io.speed_exchange.update_metrics(metrics)
         return metrics_response(request, metrics)
 
     async def _status(self, request: web.Request) -> web.Response:
