Schedule the returns of rejected calls by the rate of grants

Cause: the Retry-After of a call that got no slot is 100 ms, whatever the number of waiting calls, and the queue time is 400 ms, whatever the objective. Change: with return_schedule, homes meter their grants per pool, gossip averages the rates, and each node plans the returns of its rejected calls at its share of the rate, urgent ones first. Calls that cannot be answered in their remaining time are rejected before any search. Queue time is half of the objective.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/call_rate.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/call_rate.py
@@ -13,7 +13,9 @@
 class CallRate:
     """Estimate the rate of calls with exponentially decaying weights."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, decay_ms: float = DECAY_MS) -> None:
+        """Create a rate; ``decay_ms`` is the time constant of the average."""
+        self._decay_ms = decay_ms
         self._weight = 0.0
         self._updated_ms = 0.0
 
@@ -25,9 +27,9 @@
     def per_s(self, *, now_ms: float) -> float:
         """Return the rate in calls per second."""
         self._decay(now_ms)
-        return self._weight * MS_PER_S / DECAY_MS
+        return self._weight * MS_PER_S / self._decay_ms
 
     def _decay(self, now_ms: float) -> None:
         elapsed_ms = max(0.0, now_ms - self._updated_ms)
-        self._weight *= math.exp(-elapsed_ms / DECAY_MS)
+        self._weight *= math.exp(-elapsed_ms / self._decay_ms)
         self._updated_ms = now_ms
--- a/packages/clementineyoke-core/src/clementineyoke_core/request_error.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/request_error.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from clementineyoke_core.outcome import Outcome
 
 
@@ -21,6 +23,7 @@
         peer: str = "",
         retry_after_ms: int | None = None,
         chat_id: str = "",
+        details: Mapping[str, object] | None = None,
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.status = status
@@ -31,3 +34,5 @@
         self.retry_after_ms = retry_after_ms
         self.chat_id = chat_id
         """For operators only; not sent to callers."""
+        self.details = dict(details or {})
+        """Inputs of the decision, for the log line; not sent to callers."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -154,6 +154,8 @@
             outcome=error.outcome.value,
             reason=error.reason,
             after_ms=round(self._timers.now_ms() - arrived_ms),
+            retry_after_ms=error.retry_after_ms,
+            **error.details,
         )
         return web.Response(
             status=error.status,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -23,6 +23,7 @@
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
+from clementineyoke_node.edge.scheduled_returns import make_return_policy
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
 from clementineyoke_node.fleet.gossiper import Gossiper
@@ -125,6 +126,12 @@
             timers=self.timers,
             is_watcher=self._is_watcher,
         )
+        self.returns = make_return_policy(
+            features=config.overload_features,
+            state=state,
+            timers=self.timers,
+            fleet_calls_per_s=self.fleet_calls_per_s,
+        )
         self._create_slot_components()
         self._create_fleet_components()
         self.forwarder = self._make_forwarder()
@@ -160,7 +167,9 @@
         self.slot_home.rebuild()
         entries = self._state.table.entries()
         pools = {entry.runner.pool for entry in entries}
-        self.gossiper.set_pools({*pools, NODE_CALLS_KEY})
+        self.gossiper.set_pools(
+            {*pools, NODE_CALLS_KEY, *self.returns.set_pools(pools)}
+        )
         lifetimes = {entry.runner.lifetime for entry in entries}
         self.runner_health.retain(lifetimes)
         self._state.cold_runners.retain(lifetimes)
@@ -216,6 +225,7 @@
                 slack_slots=SLACK_SLOTS,
                 queue_share=QUEUE_SHARE,
             ),
+            extra_rules=self.returns.grant_rules,
         )
         self.broker = SlotBroker(
             membership=state.membership,
@@ -307,6 +317,7 @@
             random_key=lambda: state.rng.getrandbits(RANDOM_KEY_BITS),
             cap_factor=config.cap_factor,
             describes_calls=self._describes_calls,
+            returns=self.returns,
         )
 
     def _describes_calls(self, pool: str) -> bool:
@@ -342,6 +353,7 @@
 
     def _handle_gossip(self, node: Node, gossip: Gossip) -> None:
         self.crash_tracker.merge_notes(gossip.crashes)
+        self.returns.record_gossip(gossip)
         if gossip.evacuations_version > self.view.evacuations.view.revision:
             self._fetch_newer(node)
         self.view.adopt_ages(
@@ -366,6 +378,7 @@
     async def _run_housekeeping(self) -> None:
         rate_per_s = self._state.call_rate.per_s(now_ms=self.timers.now_ms())
         self._state.mean_load.set_local(NODE_CALLS_KEY, load=rate_per_s, runners=1)
+        self.returns.publish()
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -16,6 +16,7 @@
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.caller_stream import CallerStream
+from clementineyoke_node.edge.return_policy import FixedReturns
 from clementineyoke_node.slots.slot_request import SlotRequest
 from clementineyoke_wire.events import Event
 
@@ -29,14 +30,12 @@
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.attempt_executor import AttemptExecutor
     from clementineyoke_node.edge.crash_tracker import CrashTracker
+    from clementineyoke_node.edge.return_policy import ReturnPolicy
     from clementineyoke_node.edge.runner_response import CompleteResponse
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
 
-REFUSED_RETRY_MS = 100
-"""Retry-After of a call that was refused by full or draining runners: by then the node
-knows that they accept no more calls, and chooses another runner."""
 NO_RUNNER_RETRY_MS = 1_000
 """Retry-After of a call whose pool has no runner that accepts calls: the runners of an
 evacuated zone, or new ones, take seconds to arrive."""
@@ -45,10 +44,9 @@
 all runners of a pool are in backoff: callers that return all at once would be refused
 again."""
 FAILED_RETRY_MS = 200
+MIN_ERROR_STATUS = 400
 REACHABLE_OUTCOMES = frozenset((AttemptOutcome.FAILED, AttemptOutcome.REFUSED))
 """Outcomes that show that the runner is reachable."""
-MAX_QUEUE_MS = 400
-"""Longest wait of a call for a slot before it is refused with a Retry-After."""
 
 
 class Forwarder:
@@ -68,13 +66,15 @@
         random_key: Callable[[], int],
         cap_factor: float,
         describes_calls: Callable[[str], bool] = lambda _: False,
+        returns: ReturnPolicy | None = None,
     ) -> None:
         """Create a forwarder.
 
         ``cap_factor`` is the operator's limit on a runner's load, as a multiple of the
         mean load. ``count_nodes`` returns the number of nodes that share the retry
         budget of a pool. ``describes_calls`` returns whether the homes of a pool's
-        runners need the objective and the size of calls.
+        runners need the objective and the size of calls. ``returns`` decides when
+        rejected calls return.
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
@@ -87,6 +87,7 @@
         self._random_key = random_key
         self._cap_factor = cap_factor
         self._describes_calls = describes_calls
+        self._returns = returns or FixedReturns(timers=timers)
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -97,6 +98,7 @@
         """
         self._crash_tracker.check(admitted)
         self._retry_window.record_call(admitted.pool, now_ms=self._timers.now_ms())
+        self._returns.check_time_left(admitted, not_run_retry_ms=self._not_run_retry_ms)
         stream = CallerStream(request=request, last_event_id=admitted.call.last_event)
         ledger = AttemptLedger(
             may_repeat=admitted.route.may_repeat,
@@ -127,6 +129,8 @@
                     self._health.record_success(runner, now_ms=self._timers.now_ms())
                     self._crash_tracker.record_answer(admitted)
                     self._broker.record_answer(lease)
+                    if response is None or response.head.status < MIN_ERROR_STATUS:
+                        self._returns.record_answer(admitted, granted_ms=started_ms)
                     return self._complete(
                         admitted,
                         stream.response if response is None else _to_response(response),
@@ -144,17 +148,18 @@
         key = self._crash_tracker.isolation_key(admitted)
         if key is None:
             key = admitted.prompt_key
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        asked_ms = self._timers.now_ms()
         slot_request = SlotRequest(
             pool=admitted.pool,
             key=self._random_key() if key is None else key,
             profile=self._profile(admitted),
-            wait_ms=int(max(0.0, min(MAX_QUEUE_MS, left_ms))),
+            wait_ms=self._returns.queue_ms(admitted, was_searched=bool(ledger.tried)),
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried,
         )
         lease = await self._broker.acquire(slot_request)
         if lease is not None:
+            self._returns.record_slot(admitted, asked_ms=asked_ms)
             self._record_route(admitted, lease, attempt=len(ledger.tried) + 1)
             return lease
         if stream.has_started:
@@ -170,6 +175,7 @@
                 else f"no runner of {admitted.pool!r} takes calls"
             ),
             retry_after_ms=self._not_run_retry_ms(admitted),
+            details=self._returns.describe(admitted.pool),
         )
 
     def _profile(self, admitted: AdmittedCall) -> CallProfile:
@@ -188,7 +194,7 @@
         """Return the Retry-After, in milliseconds, of a call that did not run."""
         pool = admitted.pool
         if self._broker.has_available_runner(pool):
-            return REFUSED_RETRY_MS
+            return self._returns.retry_after_ms(admitted)
         backoff_ms = self._broker.backoff_remaining_ms(
             pool, now_ms=self._timers.now_ms()
         )
@@ -254,6 +260,7 @@
             peer=failure.peer,
             reason=failure.reason,
             retry_after_ms=retry_after_ms,
+            details=self._returns.describe(admitted.pool),
         ) from failure
 
     def _complete(
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -5,6 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 
 LATENCY_BUCKETS_S = [0.005, 0.02, 0.05, 0.1, 0.32, 1.0, 3.0, 10.0, 60.0]
+RETRY_AFTER_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4]
 
 
 class Metrics:
@@ -53,6 +54,17 @@
             "Slots in use on each runner that this node is home of.",
             registry=self.registry,
         )
+        self.retry_after_s = Histogram(
+            "clementineyoke_retry_after_seconds",
+            "Retry-After of calls rejected for lack of capacity, by pool and priority.",
+            registry=self.registry,
+            buckets=RETRY_AFTER_BUCKETS_S,
+        )
+        self.early_rejections = Counter(
+            "clementineyoke_early_rejections_total",
+            "Calls rejected unsent that could not be answered in time, by reason.",
+            registry=self.registry,
+        )
 
     def record_outcome(self, outcome: str, elapsed_ms: float) -> None:
         """Record a completed request."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -52,6 +52,12 @@
     RUNNER_BACKOFF = EventKind(
         222, "INFO", "A runner refused a call and asked for backoff."
     )
+    RETURN_RATE_CHANGED = EventKind(
+        227, "INFO", "The rate of a pool's returning calls has another source."
+    )
+    RETURNS_OVERBOOKED = EventKind(
+        228, "WARNING", "More calls of a pool are rejected than can return in time."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
