Gossip the grants per runner instead of per node

Cause: an average of grants per node is inexact for a pool with few homes: with 5 homes among 400 nodes, some nodes' rates were 2.6 times too high after 40 rounds, because the sums of rates and of nodes drift apart. Change: each home gossips its grants with the number of its runners, as it does its load, and nodes multiply the quotient by the pool's runners.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/return_rates.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/return_rates.py
@@ -8,7 +8,7 @@
 from clementineyoke_core.overload.grant_meter import grants_key
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable
 
     from clementineyoke_core.mean_load import MeanLoadEstimator
     from clementineyoke_core.overload.grant_meter import GrantMeter
@@ -48,21 +48,34 @@
     """The size of the fleet and the part of its calls that one node gets."""
 
     nodes: int
-    """Nodes whose values are averaged, at least 1."""
+    """Nodes of the region, at least 1."""
     call_share: float
     """This node's share of the fleet's calls; 0 if unknown."""
 
 
+class RunnerCount(NamedTuple):
+    """Runners of a pool that accept calls."""
+
+    total: int
+    homed: int
+    """Those of them whose home is this node."""
+
+
 UNKNOWN_SHARE = FleetShare(1, 0.0)
+NO_RUNNERS = RunnerCount(0, 0)
 
 
 class ReturnRates:
     """Compute this node's share of the rate at which each pool frees capacity.
 
-    The homes' grants per second are averaged over the nodes by gossip. The sum over
-    the fleet is divided among the nodes by their shares of the callers' calls: callers
-    connect to a few entry nodes, so that equal shares would leave most of the capacity
-    to nodes that reject no calls.
+    Gossip averages the homes' grants per second and runner; times the pool's runners,
+    that is the rate of the fleet. An average per node is less exact, because few nodes
+    are home of a small pool's runners: with 5 homes among 400 nodes some nodes' values
+    are 2.6 times too high.
+
+    The rate of the fleet is divided among the nodes by their shares of the callers'
+    calls: callers connect to a few entry nodes, so that equal shares would leave most
+    of the capacity to nodes that reject no calls.
     """
 
     def __init__(
@@ -78,34 +91,33 @@
         self._fleet_share = fleet_share
         self._share = UNKNOWN_SHARE
         """Counting the nodes takes too long for each decision."""
-        self._pools: frozenset[str] = frozenset()
+        self._runners: dict[str, RunnerCount] = {}
+        self._gossiped: frozenset[str] = frozenset()
         self._exchanged_ms: dict[str, float] = {}
 
-    def set_pools(self, pools: Collection[str]) -> set[str]:
-        """Set the known pools; return the gossip keys of their rates."""
-        self._pools = frozenset(sorted(pools)[:MAX_GOSSIPED_POOLS])
-        self._meter.retain(pools)
+    def set_runners(self, runners: dict[str, RunnerCount]) -> set[str]:
+        """Set the runners of each pool; return the gossip keys of the pools' rates."""
+        self._runners = runners
+        self._gossiped = frozenset(sorted(runners)[:MAX_GOSSIPED_POOLS])
+        self._meter.retain(runners)
         self._exchanged_ms = {
             pool: at_ms
             for pool, at_ms in self._exchanged_ms.items()
-            if pool in self._pools
+            if pool in self._gossiped
         }
-        return {grants_key(pool) for pool in self._pools}
+        return {grants_key(pool) for pool in self._gossiped}
 
     def publish(self, *, now_ms: float) -> None:
-        """Put the rates of this node's homes into the next gossip.
-
-        A node that is home of no runner contributes 0, as the sum is the mean times
-        the number of nodes.
-        """
+        """Put the rates of this node's homes into the next gossip."""
         self._share = self._fleet_share()
-        for pool in self._pools:
-            per_s = self._meter.per_s(pool, now_ms=now_ms)
-            self._mean_load.set_local(grants_key(pool), load=per_s, runners=1)
+        for pool in self._gossiped:
+            homed = self._runners[pool].homed
+            per_s = self._meter.per_s(pool, now_ms=now_ms) if homed else 0.0
+            self._mean_load.set_local(grants_key(pool), load=per_s, runners=homed)
 
     def record_exchange(self, pool: str, *, now_ms: float) -> None:
         """Record that a peer sent its value for a pool."""
-        if pool in self._pools:
+        if pool in self._gossiped:
             self._exchanged_ms[pool] = now_ms
 
     def rate(self, pool: str, *, now_ms: float) -> ReturnRate:
@@ -113,7 +125,8 @@
         exchanged_ms = self._exchanged_ms.get(pool)
         if exchanged_ms is not None and now_ms - exchanged_ms <= MAX_GOSSIP_AGE_MS:
             nodes, call_share = self._share
-            fleet_per_s = self._mean_load.mean(grants_key(pool)) * nodes
+            runners = self._runners.get(pool, NO_RUNNERS).total
+            fleet_per_s = self._mean_load.mean(grants_key(pool)) * runners
             if fleet_per_s >= MIN_RATE_PER_S:
                 share = min(1.0, call_share or 1.0 / nodes)
                 age_ms = now_ms - exchanged_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -167,9 +167,7 @@
         self.slot_home.rebuild()
         entries = self._state.table.entries()
         pools = {entry.runner.pool for entry in entries}
-        self.gossiper.set_pools(
-            {*pools, NODE_CALLS_KEY, *self.returns.set_pools(pools)}
-        )
+        self.gossiper.set_pools({*pools, NODE_CALLS_KEY, *self.returns.apply_hosts()})
         lifetimes = {entry.runner.lifetime for entry in entries}
         self.runner_health.retain(lifetimes)
         self._state.cold_runners.retain(lifetimes)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/return_policy.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/return_policy.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.grants.grant_rule import GrantRule
@@ -59,8 +59,8 @@
     def describe(self, pool: str) -> dict[str, object]:
         """Return the inputs of the Retry-After in a pool, for the log."""
 
-    def set_pools(self, pools: Collection[str]) -> set[str]:
-        """Set the known pools; return the keys that are averaged by gossip."""
+    def apply_hosts(self) -> set[str]:
+        """Apply a changed set of nodes or runners; return the keys to gossip."""
 
     def publish(self) -> None:
         """Put this node's values into the next gossip."""
@@ -104,7 +104,7 @@
         """Return no inputs."""
         return {}
 
-    def set_pools(self, pools: Collection[str]) -> set[str]:
+    def apply_hosts(self) -> set[str]:
         """Return no keys."""
         return set()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/scheduled_returns.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/scheduled_returns.py
@@ -10,10 +10,12 @@
 from clementineyoke_core.overload.expected_work import ExpectedWork
 from clementineyoke_core.overload.grant_meter import GrantMeter, grants_key
 from clementineyoke_core.overload.return_rates import (
+    NO_RUNNERS,
     FleetShare,
     RateSource,
     ReturnRate,
     ReturnRates,
+    RunnerCount,
 )
 from clementineyoke_core.overload.return_schedule import (
     MAX_LEFT_SHARE,
@@ -22,6 +24,7 @@
     ReturnSchedule,
 )
 from clementineyoke_core.request_error import RequestError
+from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_node.edge.return_policy import (
     MAX_QUEUE_MS,
     REFUSED_RETRY_MS,
@@ -31,7 +34,7 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Hashable
+    from collections.abc import Callable, Hashable
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.grants.grant_rule import GrantRule
@@ -49,6 +52,20 @@
 """Shortest time between two lines on one pool's overbooked returns."""
 
 
+def count_runners(state: NodeState) -> dict[str, RunnerCount]:
+    """Return the number of the region's runners that do not drain, by pool."""
+    counts: dict[str, RunnerCount] = {}
+    for entry in state.table.entries():
+        runner = entry.runner
+        if entry.state is RunnerState.DRAINING or runner.region != state.config.region:
+            continue
+        home_id = state.region_homes.home_of(runner.runner_id)
+        total, homed = counts.get(runner.pool, NO_RUNNERS)
+        homed += home_id == state.config.node_id
+        counts[runner.pool] = RunnerCount(total + 1, homed)
+    return counts
+
+
 def make_return_policy(
     *,
     features: OverloadFeatures,
@@ -73,6 +90,7 @@
     meter = GrantMeter(table=state.table)
     return ScheduledReturns(
         meter=meter,
+        count_runners=lambda: count_runners(state),
         rates=ReturnRates(
             meter=meter, mean_load=state.mean_load, fleet_share=fleet_share
         ),
@@ -92,12 +110,14 @@
         self,
         *,
         meter: GrantMeter,
+        count_runners: Callable[[], dict[str, RunnerCount]],
         rates: ReturnRates,
         schedule: ReturnSchedule,
         metrics: Metrics,
         timers: TimerService,
     ) -> None:
         self._meter = meter
+        self._count_runners = count_runners
         self._rates = rates
         self._schedule = schedule
         self._metrics = metrics
@@ -231,14 +251,15 @@
             "return_rate_source": rate.source.value,
         }
 
-    def set_pools(self, pools: Collection[str]) -> set[str]:
-        """Set the known pools; return the gossip keys of their rates."""
-        self._pools_by_hash = {hash_text(grants_key(pool)): pool for pool in pools}
-        self._schedule.retain(pools)
+    def apply_hosts(self) -> set[str]:
+        """Apply a changed set of runners; return the gossip keys of their pools."""
+        runners = self._count_runners()
+        self._pools_by_hash = {hash_text(grants_key(pool)): pool for pool in runners}
+        self._schedule.retain(runners)
         for table in (self._sources, self._overbooked):
-            for pool in table.keys() - set(pools):
+            for pool in table.keys() - runners.keys():
                 del table[pool]
-        return self._rates.set_pools(pools)
+        return self._rates.set_runners(runners)
 
     def publish(self) -> None:
         """Put the rates of this node's homes into the next gossip."""
