--- a/packages/clementineyoke-node/tests/edge/returns.feature
+++ b/packages/clementineyoke-node/tests/edge/returns.feature
@@ -48,6 +48,23 @@
     And a pool that grants 5 slots per second
     Then a call with 9000 ms left that got no slot gets a Retry-After of 50 to 260 ms
 
+  Scenario: More calls are rejected than can return in time
+    # A line for each call would crowd out the lines on the calls themselves.
+    Given a node with return_schedule on
+    And a pool that grants 5 slots per second
+    When 60 calls with 3000 ms left got no slot
+    And 60 more calls with 3000 ms left got no slot 1000 ms later
+    Then the log has 1 line return_rate_changed and 2 lines returns_overbooked
+
+  Scenario: A node loses its rate and learns it again
+    # Operators must see that the Retry-After no longer follows the capacity.
+    Given a node with return_schedule on
+    When 3 calls with 3000 ms left got no slot
+    And a pool that grants 5 slots per second
+    And 3 more calls with 3000 ms left got no slot 0 ms later
+    And 3 more calls with 3000 ms left got no slot 60000 ms later
+    Then the log has 3 lines return_rate_changed and 0 lines returns_overbooked
+
   Scenario Outline: Queue time
     # Calls queued for up to 400 ms, longer than the objective of the most urgent kind.
     Given a node with return_schedule on
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from edge_fleet import EdgeFleet
 from edge_steps import get_page, wait_until
+from loguru import logger
 from overload_settings_steps import ADDRESS_FIELDS, NUMBER_FIELDS, TEXT_FIELDS
 from runner_signals_steps import knows_fleet
 from slot_home_steps import RUNNER, ManualTimers
@@ -83,6 +84,9 @@
         returns=context.policy,
     )
     context.retry_ms = []
+    context.logged = []
+    sink = logger.add(lambda line: context.logged.append(line.record["message"]))
+    context.add_cleanup(logger.remove, sink)
 
 
 def admitted_call(context, *, left_ms, objective_ms=OBJECTIVE_MS, age_ms=0, **fields):
@@ -187,6 +191,27 @@
         context.retry_ms.append(context.forwarder._not_run_retry_ms(admitted))
 
 
+@when("{count:d} more calls with {left_ms:d} ms left got no slot {pause_ms:d} ms later")
+def reject_more_calls(context, count, left_ms, pause_ms):
+    context.timers.at_ms += pause_ms
+    for n in range(count):
+        admitted = admitted_call(context, left_ms=left_ms, body=b"more %d" % n)
+        context.forwarder._not_run_retry_ms(admitted)
+
+
+@then(
+    "the log has {changed:d} line return_rate_changed and {overbooked:d} lines "
+    "returns_overbooked"
+)
+@then(
+    "the log has {changed:d} lines return_rate_changed and {overbooked:d} lines "
+    "returns_overbooked"
+)
+def check_log(context, changed, overbooked):
+    assert context.logged.count("return_rate_changed") == changed, context.logged
+    assert context.logged.count("returns_overbooked") == overbooked, context.logged
+
+
 @then("their Retry-After is spread over {low:d} to {high:d} ms")
 def check_spread(context, low, high):
     spread_ms = max(context.retry_ms) - min(context.retry_ms)
