--- a/packages/clementineyoke-core/tests/overload/return_schedule.feature
+++ b/packages/clementineyoke-core/tests/overload/return_schedule.feature
@@ -68,6 +68,11 @@
     When 100 calls with the same content and 6 s left are rejected within 0 s
     Then no 100 ms have more than 20 returns
 
+  Scenario: Any rejected call
+    # A Retry-After beyond a third of the remaining time is not honored.
+    Given a schedule drawn with seed 1
+    Then the Retry-After of any call is at least 50 ms and at most a third of its time
+
   Scenario: A call comes back on time and is rejected again
     Given a schedule drawn with seed 1
     When a call is rejected, and again after its return was due
--- a/packages/clementineyoke-core/tests/steps/return_schedule_steps.py
+++ b/packages/clementineyoke-core/tests/steps/return_schedule_steps.py
@@ -4,6 +4,7 @@
 from statistics import median
 
 from behave import given, then, when
+from hypothesis import given as given_values, settings, strategies
 
 from clementineyoke_core.overload.return_schedule import ReturnRequest, ReturnSchedule
 
@@ -151,6 +152,33 @@
     assert low <= min(times) <= max(times) <= high, (min(times), max(times))
 
 
+@then("the Retry-After of any call is at least 50 ms and at most a third of its time")
+def check_any(context):
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given_values(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 20),
+                strategies.integers(0, 9),
+                strategies.floats(0.0, 60_000.0),
+                strategies.floats(0.01, 1e4),
+                strategies.floats(0.0, 5_000.0),
+            ),
+            max_size=30,
+        )
+    )
+    def check(calls):
+        given_schedule(context, 1)
+        now_ms = START_MS
+        for key, priority, left_ms, rate_per_s, pause_ms in calls:
+            now_ms += pause_ms
+            request = ReturnRequest("m", priority, key, left_ms, rate_per_s, now_ms)
+            retry_ms = context.schedules[0].plan(request).retry_after_ms
+            assert 50 <= retry_ms <= max(50.0, left_ms / 3), (retry_ms, request)
+
+    check()
+
+
 @then("{low:d} to {high:d} of them are not overbooked")
 def check_overbooked(context, low, high):
     kept = [planned for planned in context.planned if not planned.is_overbooked]
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -45,6 +45,7 @@
 again."""
 FAILED_RETRY_MS = 200
 MIN_ERROR_STATUS = 400
+"""From this status on, the time of an answer says nothing about a route's work."""
 REACHABLE_OUTCOMES = frozenset((AttemptOutcome.FAILED, AttemptOutcome.REFUSED))
 """Outcomes that show that the runner is reachable."""
 
--- a/packages/clementineyoke-node/tests/edge/returns.feature
+++ b/packages/clementineyoke-node/tests/edge/returns.feature
@@ -109,10 +109,24 @@
     And the decision on it gives work_ms, work_age_ms, left_ms and retry_after_ms
     And the metrics count 1 early rejection for work
 
+  Scenario Outline: A node learns the work from answered calls
+    # A fast error says nothing about the work, and a node that learns nothing rejects
+    # nothing.
+    Given a fleet with a return schedule, of 1 node and 1 runner
+    And the next 40 calls are answered as "<act>"
+    When a caller makes 20 "<kind>" calls one after another
+    Then node 1 knows the work of <known> and <slots> waits for slots
+
+    Examples:
+      | act  | kind           | known            | slots |
+      | ok   | non_idempotent | "non_idempotent" | 20    |
+      | fail | non_idempotent | no route         | 20    |
+
   Scenario: All slots of a pool are in use
     Given a fleet with a return schedule, of 2 nodes and 1 runner
     When calls have been answered until both nodes know the pool's rate from gossip
     And all slots of the runner are in use
     And a caller makes a "non_idempotent" call that waits for 2 s
-    Then it is rejected with 503, step "acquire_slot" and a Retry-After of 0.05 to 0.67 s
+    Then it asked to queue for 200 to 250 ms of its objective of 500 ms
+    And it is rejected with 503, step "acquire_slot" and a Retry-After of 0.05 to 0.67 s
     And the decision on it gives return_rate_per_s, return_rate_age_ms and return_rate_source
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -323,8 +323,31 @@
             )
 
 
+@then("node {number:d} knows the work of {known} and {count:d} waits for slots")
+def check_learned(context, number, known, count):
+    node = context.fleet.nodes[number - 1]
+    learned = node.io.returns._expected_work
+    routes = ("idempotent", "non_idempotent", "streaming")
+    now_ms = node.io.timers.now_ms()
+    found = [
+        f'"{route}"'
+        for route in routes
+        if learned.time_need(route, "pool", 1, now_ms=now_ms) is not None
+    ]
+    assert (found or ["no route"]) == [known], found
+    assert len(learned._waits._samples["pool", 1]) == count
+
+
 @when('a caller makes a "{kind}" call that waits for {left_s:d} s')
 def make_impatient_call(context, kind, left_s):
+    broker = context.fleet.nodes[0].io.broker
+    context.slot_requests, acquire = [], broker.acquire
+
+    def record_and_acquire(request):
+        context.slot_requests.append(request)
+        return acquire(request)
+
+    broker.acquire = record_and_acquire
     headers = {"X-Deadline-Ms": str(left_s * 1_000)}
     context.answer = context.run(
         context.fleet.call(kind, call_id="asked-for", headers=headers)
@@ -342,6 +365,12 @@
     assert low <= float(headers["Retry-After"]) <= high, headers
 
 
+@then("it asked to queue for {low:d} to {high:d} ms of its objective of 500 ms")
+def check_asked_queue(context, low, high):
+    (request,) = context.slot_requests
+    assert low <= request.wait_ms <= high, request
+
+
 @then("no runner received a call")
 def check_no_call(context):
     assert context.fleet.calls() == []
