Remove the gossip keys of former pools

Cause: a key that is gossiped once stays in every message until a restart. Change: a pool that is gone, or no longer among the 16, is removed from the averages.

--- a/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
@@ -49,6 +49,12 @@
             share.load + load - old.load, share.runners + runners - old.runners
         )
 
+    def remove(self, pool: str) -> None:
+        """Remove a pool, so that it takes no more room in the messages to peers."""
+        self._local.pop(pool, None)
+        self._shares.pop(pool, None)
+        self._estimates.pop(pool, None)
+
     def mean(self, pool: str) -> float:
         """Return the estimated load of an average runner of the pool."""
         return self._estimates.get(pool, 0.0)
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/return_rates.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/return_rates.py
@@ -98,7 +98,10 @@
     def set_runners(self, runners: dict[str, RunnerCount]) -> set[str]:
         """Set the runners of each pool; return the gossip keys of the pools' rates."""
         self._runners = runners
-        self._gossiped = frozenset(sorted(runners)[:MAX_GOSSIPED_POOLS])
+        gossiped = frozenset(sorted(runners)[:MAX_GOSSIPED_POOLS])
+        for pool in self._gossiped - gossiped:
+            self._mean_load.remove(grants_key(pool))
+        self._gossiped = gossiped
         self._meter.retain(runners)
         self._exchanged_ms = {
             pool: at_ms
--- a/packages/clementineyoke-core/tests/overload/return_rates.feature
+++ b/packages/clementineyoke-core/tests/overload/return_rates.feature
@@ -42,3 +42,10 @@
     Given 20 nodes of which 5 grant 12 slots per second each
     When the fleet has 100 pools
     Then the rates of 16 pools are gossiped, the same on every node
+
+  Scenario: Pools come and go
+    # Keys of former pools would fill the messages up to the limit on control traffic.
+    Given 20 nodes of which 5 grant 12 slots per second each
+    When they have exchanged gossip for 40 rounds
+    And the pool is replaced by 3 others
+    Then the messages have 3 keys
--- a/packages/clementineyoke-core/tests/steps/return_rates_steps.py
+++ b/packages/clementineyoke-core/tests/steps/return_rates_steps.py
@@ -149,3 +149,17 @@
 def check_keys(context, count):
     assert len(context.nodes[0].keys) == count
     assert all(node.keys == context.nodes[0].keys for node in context.nodes)
+
+
+@when("the pool is replaced by {count:d} others")
+def replace_pool(context, count):
+    for node in context.nodes:
+        pools = [f"pool-{n}" for n in range(count)]
+        node.rates.set_runners(dict.fromkeys(pools, RunnerCount(1, 0)))
+    publish_all(context)
+
+
+@then("the messages have {count:d} keys")
+def check_message_keys(context, count):
+    sizes = {len(node.mean_load.shares()) for node in context.nodes}
+    assert sizes == {count}, sizes
