Keep the return rate of an idle node above zero

A node's share of the fleet's calls decays toward 0 while it gets none. The rate could underflow to 0, and the next rejected call failed with a division by zero.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/return_rates.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/return_rates.py
@@ -133,7 +133,10 @@
             if fleet_per_s >= MIN_RATE_PER_S:
                 share = min(1.0, call_share or 1.0 / nodes)
                 age_ms = now_ms - exchanged_ms
-                return ReturnRate(fleet_per_s * share, age_ms, RateSource.FLEET)
+                # The share of a node without calls decays to 0, and a schedule
+                # cannot divide by a rate of 0 when a call arrives again.
+                per_s = max(MIN_RATE_PER_S, fleet_per_s * share)
+                return ReturnRate(per_s, age_ms, RateSource.FLEET)
         own_per_s = self._meter.per_s(pool, now_ms=now_ms)
         if own_per_s < MIN_RATE_PER_S:
             return UNKNOWN_RATE
--- a/packages/clementineyoke-core/tests/overload/return_rates.feature
+++ b/packages/clementineyoke-core/tests/overload/return_rates.feature
@@ -18,6 +18,15 @@
       | 60    | 0     | 1    |
       | 400   | 25    | 15   |
 
+  Scenario: A node that had no calls for half an hour
+    # Its share of the calls decays toward 0. With a rate that underflows to 0 the plan of
+    # the next rejected call divides by zero, and the caller gets an internal error.
+    Given 20 nodes of which 5 grant 12 slots per second each
+    When they have exchanged gossip for 40 rounds
+    And the share of a node in the fleet's calls has decayed to 5e-324
+    Then the node's rate is that of the fleet and at least 0.05 per second
+    And the node can plan a return with it
+
   Scenario: A node without gossip
     # A rate from before a partition is no longer true.
     Given 20 nodes of which 5 grant 12 slots per second each
--- a/packages/clementineyoke-core/tests/steps/return_rates_steps.py
+++ b/packages/clementineyoke-core/tests/steps/return_rates_steps.py
@@ -13,6 +13,7 @@
     ReturnRates,
     RunnerCount,
 )
+from clementineyoke_core.overload.return_schedule import ReturnRequest, ReturnSchedule
 from clementineyoke_core.runner import Runner, RunnerKind
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_core.slot_ledger import SlotHolder
@@ -110,6 +111,26 @@
     assert max(errors) <= percent / 100, max(errors)
 
 
+@when("the share of a node in the fleet's calls has decayed to {share:g}")
+def decay_share(context, share):
+    context.nodes[-1].share = share
+    publish_all(context)
+
+
+@then("the node's rate is that of the fleet and at least {low:g} per second")
+def check_low_rate(context, low):
+    context.rate = context.nodes[-1].rates.rate("m", now_ms=context.now_ms)
+    assert context.rate.source is RateSource.FLEET, context.rate
+    assert context.rate.per_s >= low, context.rate
+
+
+@then("the node can plan a return with it")
+def check_plan(context):
+    schedule = ReturnSchedule(rng=Random(1))
+    request = ReturnRequest("m", 1, "call", 6_000, context.rate.per_s, context.now_ms)
+    assert 50 <= schedule.plan(request).retry_after_ms <= 2_000
+
+
 @when("no gossip has arrived for {pause_s:g} s")
 def lose_gossip(context, pause_s):
     context.now_ms += pause_s * 1_000
