Spread the Retry-After of calls that need more time than they have

Cause: their Retry-After was exactly a third of the remaining time, so that calls with equal budgets, rejected together, came back at one moment. Change: it is a random time in the second half of that third, like that of an overbooked return.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/return_schedule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/return_schedule.py
@@ -78,7 +78,7 @@
         now_ms = request.now_ms
         self._drop_due(now_ms)
         earliest_ms = now_ms + MIN_RETURN_MS
-        latest_ms = max(earliest_ms, now_ms + MAX_LEFT_SHARE * request.left_ms)
+        latest_ms = now_ms + _longest_ms(request.left_ms)
         pending_ms = self._due_ms.get(request.call_key, 0.0)
         if pending_ms > now_ms:
             # Either the caller came early, or this is another call with the same
@@ -90,8 +90,7 @@
         start_ms = earliest_ms + backlog.wait_ms(request)
         is_overbooked = start_ms > latest_ms
         if is_overbooked:
-            share_ms = OVERBOOKED_SHARE * (latest_ms - now_ms)
-            due_ms = self._rng.uniform(max(earliest_ms, now_ms + share_ms), latest_ms)
+            due_ms = now_ms + self.spread_ms(left_ms=request.left_ms)
         else:
             end_ms = min(start_ms + MS_PER_S / request.rate_per_s, latest_ms)
             due_ms = self._rng.uniform(start_ms, end_ms)
@@ -101,6 +100,15 @@
         self._remember(request.call_key, now_ms + retry_after_ms)
         return PlannedReturn(retry_after_ms, is_overbooked)
 
+    def spread_ms(self, *, left_ms: float) -> int:
+        """Return a random Retry-After, in milliseconds, without planned capacity.
+
+        ``left_ms`` is the time that the caller has left.
+        """
+        longest_ms = _longest_ms(left_ms)
+        shortest_ms = max(MIN_RETURN_MS, OVERBOOKED_SHARE * longest_ms)
+        return math.floor(self._rng.uniform(shortest_ms, longest_ms))
+
     def pending_count(self) -> int:
         """Return the number of pending returns that are remembered."""
         return len(self._due_ms)
@@ -162,5 +170,9 @@
         self._updated_ms = request.now_ms
 
 
+def _longest_ms(left_ms: float) -> float:
+    return max(MIN_RETURN_MS, MAX_LEFT_SHARE * left_ms)
+
+
 def _delay_ms(due_ms: float, now_ms: float) -> int:
     return max(int(MIN_RETURN_MS), math.floor(due_ms - now_ms))
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/scheduled_returns.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/scheduled_returns.py
@@ -18,8 +18,6 @@
     RunnerCount,
 )
 from clementineyoke_core.overload.return_schedule import (
-    MAX_LEFT_SHARE,
-    MIN_RETURN_MS,
     ReturnRequest,
     ReturnSchedule,
 )
@@ -158,7 +156,7 @@
         if need.work_ms > left_ms:
             # A return would find even less time, and must not take capacity of others.
             shortage = "work"
-            retry_after_ms = int(max(MIN_RETURN_MS, MAX_LEFT_SHARE * left_ms))
+            retry_after_ms = self._schedule.spread_ms(left_ms=left_ms)
         else:
             shortage = "wait"
             retry_after_ms = not_run_retry_ms(admitted)
