Leave removed pools out of a gossip reply that is still awaited

Cause: a reply to a push from before the removal of a pool brought its key back, and the key stayed in every message until a restart.

--- a/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/mean_load.py
@@ -82,8 +82,16 @@
     def finish_round(
         self, *, pushed: dict[str, LoadShare], replied: dict[str, LoadShare]
     ) -> None:
-        """Merge a peer's reply to the pushed shares."""
-        self._average(local=pushed, remote=replied)
+        """Merge a peer's reply to the pushed shares.
+
+        Pools that were removed since the push are left out.
+        """
+        kept = {pool: share for pool, share in pushed.items() if pool in self._shares}
+        removed = pushed.keys() - kept.keys()
+        received = {
+            pool: share for pool, share in replied.items() if pool not in removed
+        }
+        self._average(local=kept, remote=received)
 
     def _average(
         self, *, local: dict[str, LoadShare], remote: dict[str, LoadShare]
--- a/packages/clementineyoke-core/tests/overload/return_rates.feature
+++ b/packages/clementineyoke-core/tests/overload/return_rates.feature
@@ -58,3 +58,10 @@
     When they have exchanged gossip for 40 rounds
     And the pool is replaced by 3 others
     Then the messages have 3 keys
+
+  Scenario: A pool goes while a reply is awaited
+    # Merging the reply would bring the key back, and no later change would remove it.
+    Given 20 nodes of which 5 grant 12 slots per second each
+    When they have exchanged gossip for 40 rounds
+    And the pool is replaced by 3 others between a push and its reply
+    Then the messages have 3 keys
--- a/packages/clementineyoke-core/tests/steps/return_rates_steps.py
+++ b/packages/clementineyoke-core/tests/steps/return_rates_steps.py
@@ -180,6 +180,14 @@
     publish_all(context)
 
 
+@when("the pool is replaced by {count:d} others between a push and its reply")
+def replace_pool_before_reply(context, count):
+    shares = [node.mean_load.begin_round() for node in context.nodes]
+    replace_pool(context, count)
+    for node, pushed in zip(context.nodes, shares, strict=True):
+        node.mean_load.finish_round(pushed=pushed, replied=pushed)
+
+
 @then("the messages have {count:d} keys")
 def check_message_keys(context, count):
     sizes = {len(node.mean_load.shares()) for node in context.nodes}
