--- a/packages/clementineyoke-node/tests/edge/returns.feature
+++ b/packages/clementineyoke-node/tests/edge/returns.feature
@@ -39,6 +39,22 @@
     And the log gives their rate as that of own_homes
     And the metrics count 10 planned returns of priority 1
 
+  Scenario Outline: Which calls are taken for repeats
+    # A repeat counted as a new return moves the returns of others; a different call taken
+    # for a repeat takes no part in the plan.
+    Given a node with return_schedule on
+    And a pool that grants 5 slots per second
+    When two calls are rejected whose bodies of 48000 bytes differ <where> and prompts <how>
+    Then <count> returns are planned
+
+    Examples:
+      | where         | how    | count |
+      | nowhere       | agree  | 1     |
+      | in the head   | agree  | 2     |
+      | in the tail   | agree  | 2     |
+      | in the middle | agree  | 1     |
+      | nowhere       | differ | 2     |
+
   Scenario: A node restarts
     # The schedule is lost, and calls are told to return as if none had been rejected.
     Given a node with return_schedule on
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -14,6 +14,7 @@
 from clementineyoke_core.edge.admission import AdmittedCall
 from clementineyoke_core.edge.call_kind import CallKind
 from clementineyoke_core.edge.edge_call import EdgeCall
+from clementineyoke_core.edge.prompt_key import PromptPart
 from clementineyoke_core.edge.route import Route, WeightedPool
 from clementineyoke_core.grants.grant_rule import GrantRequest
 from clementineyoke_core.overload.return_rates import RateSource
@@ -117,7 +118,7 @@
         key=None,
         budget_ms=left_ms,
         model="",
-        prompt_parts=(),
+        prompt_parts=fields.get("prompt_parts", ()),
         last_event=fields.get("last_event"),
     )
     now_ms = context.timers.now_ms()
@@ -199,6 +200,31 @@
         context.forwarder._not_run_retry_ms(admitted)
 
 
+@when(
+    "two calls are rejected whose bodies of {size:d} bytes differ {where} and prompts "
+    "{how}"
+)
+def reject_two(context, size, where, how):
+    places = {"in the head": 0, "in the middle": size // 2, "in the tail": size - 1}
+    bodies = [bytearray(size), bytearray(size)]
+    if where != "nowhere":
+        bodies[1][places[where]] = 1
+    part_ids = ("a", "b" if how == "differ" else "a")
+    for body, part_id in zip(bodies, part_ids, strict=True):
+        admitted = admitted_call(
+            context,
+            left_ms=9_000,
+            body=bytes(body),
+            prompt_parts=(PromptPart(part_id, 100),),
+        )
+        context.forwarder._not_run_retry_ms(admitted)
+
+
+@then("{count:d} returns are planned")
+def check_planned(context, count):
+    assert context.policy._schedule.pending_count() == count
+
+
 @then(
     "the log has {changed:d} line return_rate_changed and {overbooked:d} lines "
     "returns_overbooked"
