Spread calls whose equal return is later than they can wait

Cause: a call with the content of a pending one that returns later than the call can wait got exactly a third of its time, and many such calls came back together. Change: they get random times, like overbooked returns.

--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/return_schedule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/return_schedule.py
@@ -83,7 +83,11 @@
         if pending_ms > now_ms:
             # Either the caller came early, or this is another call with the same
             # content. The first gains nothing, and many of the second don't bunch.
-            first_ms = min(max(earliest_ms, pending_ms), latest_ms)
+            first_ms = max(earliest_ms, pending_ms)
+            if first_ms >= latest_ms:
+                # This caller cannot wait as long as the one that came first.
+                spread_ms = self.spread_ms(left_ms=request.left_ms)
+                return PlannedReturn(spread_ms, is_overbooked=False)
             due_ms = self._rng.uniform(first_ms, latest_ms)
             return PlannedReturn(_delay_ms(due_ms, now_ms), is_overbooked=False)
         backlog = self._pools.setdefault(request.pool, _PoolBacklog())
--- a/packages/clementineyoke-core/tests/overload/return_schedule.feature
+++ b/packages/clementineyoke-core/tests/overload/return_schedule.feature
@@ -68,6 +68,13 @@
     When 100 calls with the same content and 6 s left are rejected within 0 s
     Then no 100 ms have more than 20 returns
 
+  Scenario: Calls with the content of one that returns later than they can wait
+    # All of them were told to return at the end of their time, at one moment.
+    Given a schedule drawn with seed 1
+    When a call that returns in 2 s or more is rejected
+    And 100 calls with the same content and 3 s left are rejected within 0 s
+    Then no 100 ms have more than 40 returns
+
   Scenario: Any rejected call
     # A Retry-After beyond a third of the remaining time is not honored.
     Given a schedule drawn with seed 1
--- a/packages/clementineyoke-core/tests/steps/return_schedule_steps.py
+++ b/packages/clementineyoke-core/tests/steps/return_schedule_steps.py
@@ -243,6 +243,29 @@
         reject(context, 1, priority=1, left_ms=left_s * 1_000, now_ms=START_MS)
 
 
+@when("a call that returns in {min_s:d} s or more is rejected")
+def reject_long(context, min_s):
+    for n in range(int(min_s * LOW_RATE_PER_S)):
+        reject(
+            context,
+            f"earlier-{n}",
+            priority=1,
+            left_ms=60_000,
+            now_ms=START_MS,
+            rate_per_s=LOW_RATE_PER_S,
+        )
+    retry_ms = reject(
+        context,
+        1,
+        priority=1,
+        left_ms=60_000,
+        now_ms=START_MS,
+        rate_per_s=LOW_RATE_PER_S,
+    )
+    assert retry_ms >= min_s * 1_000, retry_ms
+    context.returns.clear()
+
+
 @when("a call is rejected, and again after its return was due")
 def reject_twice(context):
     first_ms = reject(context, 1, priority=1, left_ms=12_000, now_ms=START_MS)
