--- a/packages/clementineyoke-core/src/clementineyoke_core/request_error.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/request_error.py
@@ -35,5 +35,4 @@
         self.chat_id = chat_id
         """For operators only; not sent to callers."""
         self.details = dict(details or {})
-        """Further fields of the log line: the inputs of the decision, with their age.
-        """
+        """Inputs of the decision, for the log line; not sent to callers."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -25,6 +25,7 @@
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
+from clementineyoke_node.edge.scheduled_returns import make_return_policy
 from clementineyoke_node.edge.speed_exchange import SpeedExchange
 from clementineyoke_node.edge.store_watcher import StoreWatcher
 from clementineyoke_node.edge.token_accounting import TokenAccounting
@@ -139,6 +140,12 @@
         )
         self.admission = self._make_admission()
         self.token_accounting = self._make_token_accounting()
+        self.returns = make_return_policy(
+            features=config.overload_features,
+            state=state,
+            timers=self.timers,
+            fleet_calls_per_s=self.fleet_calls_per_s,
+        )
         self._create_slot_components()
         self._create_fleet_components()
         self.forwarder = self._make_forwarder()
@@ -280,7 +287,12 @@
         rules: list[GrantRule] = []
         if self.admission is not None:
             rules.append(self.admission.rule)
-        return [*rules, *self.token_accounting.rules, *self.speed_exchange.rules]
+        return [
+            *rules,
+            *self.token_accounting.rules,
+            *self.speed_exchange.rules,
+            *self.returns.grant_rules,
+        ]
 
     def _create_fleet_components(self) -> None:
         state = self._state
@@ -365,6 +377,7 @@
             describes_calls=self._describes_calls,
             admission=self.admission,
             compare_time=self.speed_exchange.compare_time,
+            returns=self.returns,
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
@@ -438,7 +451,7 @@
     def _set_gossip_keys(self) -> None:
         keys = {entry.runner.pool for entry in self._state.table.entries()}
         keys |= self.token_accounting.gossip_keys(keys)
-        keys.update(self.speed_exchange.gossip_keys())
+        keys.update(self.speed_exchange.gossip_keys(), self.returns.apply_hosts())
         if self.admission is not None:
             self.admission.update_pools()
             keys |= self.admission.gossip_keys()
@@ -449,6 +462,7 @@
             self.admission.record_exchange(now_ms=self.timers.now_ms())
         self.crash_tracker.merge_notes(gossip.crashes)
         self.speed_exchange.record_gossip(gossip)
+        self.returns.record_gossip(gossip)
         if gossip.evacuations_version > self.view.evacuations.view.revision:
             self._fetch_newer(node)
         self.view.adopt_ages(
@@ -481,6 +495,7 @@
             self._set_gossip_keys()
         rate_per_s = self._state.call_rate.per_s(now_ms=self.timers.now_ms())
         self._state.mean_load.set_local(NODE_CALLS_KEY, load=rate_per_s, runners=1)
+        self.returns.publish()
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
         self.token_accounting.update(self.slot_home.loads())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -20,6 +20,7 @@
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.caller_stream import CallerStream
 from clementineyoke_node.edge.response_checks import MIN_REDIRECT_STATUS
+from clementineyoke_node.edge.return_policy import FixedReturns
 from clementineyoke_node.slots.slot_request import SlotRequest
 from clementineyoke_wire.events import Event
 
@@ -35,15 +36,13 @@
     from clementineyoke_node.edge.admission_control import AdmissionControl
     from clementineyoke_node.edge.attempt_executor import AttemptExecutor
     from clementineyoke_node.edge.crash_tracker import CrashTracker
+    from clementineyoke_node.edge.return_policy import ReturnPolicy
     from clementineyoke_node.edge.runner_response import CompleteResponse
     from clementineyoke_node.edge.token_accounting import TokenAccounting
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
 
-REFUSED_RETRY_MS = 100
-"""Retry-After of a call that was refused by full or draining runners: by then the node
-knows that they accept no more calls, and chooses another runner."""
 NO_RUNNER_RETRY_MS = 1_000
 """Retry-After of a call whose pool has no runner that accepts calls: the runners of an
 evacuated zone, or new ones, take seconds to arrive."""
@@ -52,10 +51,10 @@
 all runners of a pool are in backoff: callers that return all at once would be refused
 again."""
 FAILED_RETRY_MS = 200
+MIN_ERROR_STATUS = 400
+"""From this status on, the time of an answer says nothing about a route's work."""
 REACHABLE_OUTCOMES = frozenset((AttemptOutcome.FAILED, AttemptOutcome.REFUSED))
 """Outcomes that show that the runner is reachable."""
-MAX_QUEUE_MS = 400
-"""Longest wait of a call for a slot before it is refused with a Retry-After."""
 
 
 class Forwarder:
@@ -78,6 +77,7 @@
         describes_calls: Callable[[str], bool] = lambda _: False,
         admission: AdmissionControl | None = None,
         compare_time: Callable[[AnswerKind, float], int] = lambda _, __: 0,
+        returns: ReturnPolicy | None = None,
     ) -> None:
         """Create a forwarder.
 
@@ -86,7 +86,8 @@
         budget of a pool. ``describes_calls`` returns whether the homes of a pool's
         runners need the objective and the size of calls. ``admission`` rejects calls by
         their priority before any search, or is None. ``compare_time`` returns the time
-        of an answer, in ms, as percent of the usual one, or 0 if unknown.
+        of an answer, in ms, as percent of the usual one, or 0 if unknown. ``returns``
+        decides when rejected calls return.
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
@@ -102,6 +103,7 @@
         self._admission = admission
         self._token_accounting = token_accounting
         self._compare_time = compare_time
+        self._returns = returns or FixedReturns(timers=timers)
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -114,6 +116,7 @@
         self._check_level(admitted)
         self._token_accounting.check_size(admitted)
         self._retry_window.record_call(admitted.pool, now_ms=self._timers.now_ms())
+        self._returns.check_time_left(admitted, not_run_retry_ms=self._not_run_retry_ms)
         stream = CallerStream(request=request, last_event_id=admitted.call.last_event)
         ledger = AttemptLedger(
             may_repeat=admitted.route.may_repeat,
@@ -154,6 +157,8 @@
                             admitted, stream, response, started_ms=started_ms
                         ),
                     )
+                    if response is None or response.head.status < MIN_ERROR_STATUS:
+                        self._returns.record_answer(admitted, granted_ms=started_ms)
                     return self._complete(
                         admitted,
                         stream.response if response is None else _to_response(response),
@@ -172,13 +177,12 @@
         if key is None:
             key = admitted.prompt_key
         started_ms = self._timers.now_ms()
-        left_ms = admitted.deadline_ms - started_ms
         refusals: dict[str, RefusalReason] = {}
         slot_request = SlotRequest(
             pool=admitted.pool,
             key=self._random_key() if key is None else key,
             profile=self._profile(admitted),
-            wait_ms=int(max(0.0, min(MAX_QUEUE_MS, left_ms))),
+            wait_ms=self._returns.queue_ms(admitted, was_searched=bool(ledger.tried)),
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried,
             refusals=refusals,
@@ -193,6 +197,7 @@
         if not ledger.tried:
             self._record_search(admitted, lease, started_ms=started_ms)
         if lease is not None:
+            self._returns.record_slot(admitted, asked_ms=started_ms)
             self._record_route(admitted, lease, attempt=len(ledger.tried) + 1)
             return lease
         if stream.has_started:
@@ -212,6 +217,7 @@
                 "refusals": Counter(reason.label for reason in refusals.values()),
                 "refusals_age_ms": round(self._timers.now_ms() - started_ms),
                 **self._token_accounting.describe_refusal(admitted),
+                **self._returns.describe(admitted.pool),
             },
         )
 
@@ -229,6 +235,7 @@
                 step="admission",
                 reason=reason,
                 retry_after_ms=self._not_run_retry_ms(admitted),
+                details=self._returns.describe(admitted.pool),
             )
 
     def _record_search(
@@ -279,7 +286,7 @@
         """Return the Retry-After, in milliseconds, of a call that did not run."""
         pool = admitted.pool
         if self._broker.has_available_runner(pool):
-            return REFUSED_RETRY_MS
+            return self._returns.retry_after_ms(admitted)
         backoff_ms = self._broker.backoff_remaining_ms(
             pool, now_ms=self._timers.now_ms()
         )
@@ -366,6 +373,7 @@
             peer=failure.peer,
             reason=failure.reason,
             retry_after_ms=retry_after_ms,
+            details=self._returns.describe(admitted.pool),
         ) from failure
 
     def _complete(
