Pause before a new home grants on a cold runner

Cause: on a busy host a live node misses three probes and is declared down. Its peer becomes the home of its runners and starts a pace of its own, while the former home still considers itself the home and keeps its pace. A cold runner then gets the calls of both.

Change: a node that becomes the home of a runner that had another home in its view grants no slot on it for 1 s while the runner is cold. Warm runners, and runners that the node did not know before, are granted as before. The pace of runners that are no longer homed here is dropped.

--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/cold_pace_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/cold_pace_rule.py
@@ -9,6 +9,8 @@
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from clementineyoke_core.cold_runners import ColdRunners
     from clementineyoke_core.grants.grant_rule import GrantRequest
     from clementineyoke_core.runner_table import RunnerTable
@@ -38,10 +40,18 @@
                 request.runner_id, calls_per_s=calls_per_s, now_ms=request.now_ms
             )
 
+    def record_takeover(self, runner_id: str, *, now_ms: float) -> None:
+        """Record that this node has become the home of a runner that had another."""
+        self._pacer.record_takeover(runner_id, now_ms=now_ms)
+
     def remove_runner(self, runner_id: str) -> None:
         """Remove the pace of a runner."""
         self._pacer.remove_runner(runner_id)
 
+    def retain(self, runner_ids: Collection[str]) -> None:
+        """Remove the pace of all runners but the given ones."""
+        self._pacer.retain(runner_ids)
+
     def _calls_per_s(self, request: GrantRequest) -> float | None:
         entry = self._table.get(request.runner_id)
         if entry is None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -77,12 +77,13 @@
         self._fault_breaker = FaultRateBreaker()
         self._reachability_breaker = ReachabilityBreaker()
         self._cold_runners = cold_runners or ColdRunners()
+        self._cold_pace = ColdPaceRule(cold_runners=self._cold_runners, table=table)
         self._rules: tuple[GrantRule, ...] = (
             BreakerRule(
                 fault_breaker=self._fault_breaker,
                 reachability=self._reachability_breaker,
             ),
-            ColdPaceRule(cold_runners=self._cold_runners, table=table),
+            self._cold_pace,
             LoadBoundRule(
                 ledger=ledger, table=table, mean_load=mean_load, load_bound=load_bound
             ),
@@ -113,6 +114,7 @@
         self._runner_ids_by_hash = {}
         homed: dict[str, list[str]] = {}
         entries = self._table.entries()
+        known_ids = set(self._lifetimes)
         self._remove_restarted({e.runner.runner_id: e.runner.lifetime for e in entries})
         for entry in entries:
             runner = entry.runner
@@ -121,7 +123,9 @@
                 continue
             if self._homes.home_of(runner.runner_id) == self._own_id:
                 homed.setdefault(runner.pool, []).append(runner.runner_id)
-        self._remove_rehomed({name for names in homed.values() for name in names})
+        homed_ids = {name for names in homed.values() for name in names}
+        self._remove_rehomed(homed_ids)
+        self._record_takeovers(homed_ids, known_ids)
         emptied = self._homed_runners.keys() - homed.keys()
         self._homed_runners = homed
         for pool in homed.keys() | emptied:
@@ -308,6 +312,16 @@
             if runner_id not in homed_ids:
                 self._remove_runner(runner_id)
 
+    def _record_takeovers(self, homed_ids: set[str], known_ids: set[str]) -> None:
+        """Pause the grants on cold runners that have had another home until now.
+
+        A runner that this node learns of now has had no home in its view.
+        """
+        former_ids = {name for names in self._homed_runners.values() for name in names}
+        for runner_id in (homed_ids & known_ids) - former_ids:
+            self._cold_pace.record_takeover(runner_id, now_ms=self._timers.now_ms())
+        self._cold_pace.retain(homed_ids)
+
     def _remove_restarted(self, lifetimes: dict[str, str]) -> None:
         """Drop counts and faults of runners that restarted under the same id.
 
