Return a slot on a cold runner that is not used in time

Cause: a home spaces its grants on a cold runner, but a busy node reads them, connects and sends late.

The reply to a slot request carries the time, counted from the request, within which the call must be sent (valid_ms, 0 for no limit; earlier releases send none and ignore it). The node checks it when it reads the grant, and again when it has a connection, before it writes the first byte. A late call returns its slot, has not been sent (outcome not_sent), and goes on to another runner; the runner does not count as unreachable. Event 236 logs it. Grants on warm runners have no limit.

Result: cold_pace.feature covers a node that reads 4 grants at once (one call may be sent, three slots are returned), an earlier release and a warm runner; cold_runners.feature covers a slot that expires during the connection (answered by the other runner, run once).

--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
@@ -17,6 +17,8 @@
     runner_id: str
     in_use: int
     """Slots in use, including this one."""
+    valid_ms: float = 0.0
+    """Time from the request on within which the call must be sent; 0 for no limit."""
 
 
 class SlotRefusal(NamedTuple):
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -21,6 +21,7 @@
         reason: str,
         response: CompleteResponse | None = None,
         is_connection_lost: bool = False,
+        is_runner_fault: bool = True,
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.outcome = outcome
@@ -29,5 +30,7 @@
         self.reason = reason
         self.is_connection_lost = is_connection_lost
         """Whether the connection broke during the call, as when a runner crashes."""
+        self.is_runner_fault = is_runner_fault
+        """Whether the failure counts against the runner."""
         self.response = response
         """The runner's signed error response, returned if no retry succeeds."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -69,11 +70,14 @@
         runner: Runner,
         stream: CallerStream,
         may_retry: Callable[[], bool],
+        *,
+        send_before_ms: float = math.inf,
     ) -> CompleteResponse | None:
         """Return the runner's complete response, or None when its stream was relayed.
 
         ``may_retry`` returns whether the call may go to another runner if this one is
-        silent. Raises ``AttemptError`` when the attempt gave no valid response.
+        silent. ``send_before_ms`` is the time until which the call may be sent. Raises
+        ``AttemptError`` when the attempt gave no valid response.
         """
         now_ms = self._timers.now_ms()
         left_ms = admitted.deadline_ms - now_ms
@@ -100,6 +104,7 @@
                 routing,
                 runner_timeout=head_timeout,
                 may_repeat=admitted.route.may_repeat,
+                send_before_ms=send_before_ms,
             ) as response:
                 if response.head.is_event_stream and not response.head.is_refusal:
                     await self._relay(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -117,6 +117,7 @@
                         runner,
                         stream,
                         partial(self._may_abandon, admitted, ledger, runner),
+                        send_before_ms=lease.send_before_ms,
                     )
                 except AttemptError as error:
                     self._record_failure(
@@ -312,7 +313,7 @@
         ledger.record(error.peer, error.outcome)
         if error.outcome in REACHABLE_OUTCOMES:
             self._broker.record_answer(lease)
-        if admitted.deadline_ms > now_ms:
+        if admitted.deadline_ms > now_ms and error.is_runner_fault:
             # A failure after the call's deadline is no evidence against the runner: the
             # operator's timeout may be shorter than the work.
             self._health.record_failure(runner, outcome=error.outcome, now_ms=now_ms)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import TYPE_CHECKING, Self
 
@@ -43,13 +44,29 @@
 """Headers that aiohttp adds by default: the runner gets only those of the caller."""
 
 
+class GrantExpiredError(Exception):
+    """Raised when the slot of a call expired before any byte of it was sent."""
+
+    def __init__(self, *, late_ms: float) -> None:
+        super().__init__(f"the slot expired {late_ms:.0f} ms before the call was sent")
+        self.late_ms = late_ms
+
+
 class ConnectionTrace:
-    """Records whether a request was sent on a reused connection."""
+    """Records whether a connection is reused, and stops a request that is late."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, timers: TimerService, send_before_ms: float) -> None:
+        self._timers = timers
+        self._send_before_ms = send_before_ms
         self.is_reused = False
         """Whether the connection was kept alive after an earlier call."""
 
+    def check_send(self) -> None:
+        """Raise ``GrantExpiredError`` if the request may no longer be sent."""
+        late_ms = self._timers.now_ms() - self._send_before_ms
+        if late_ms > 0.0:
+            raise GrantExpiredError(late_ms=late_ms)
+
 
 class RunnerConnectionPool:
     """Owns the connections to runners, and sends calls on them."""
@@ -86,9 +103,12 @@
         *,
         runner_timeout: RunnerTimeout,
         may_repeat: bool,
+        send_before_ms: float = math.inf,
     ) -> AsyncIterator[OpenResponse]:
         """Send a call and yield its response once the head has arrived.
 
+        A call whose connection is not ready at ``send_before_ms`` is not sent.
+
         A connection whose response was not read to its end is closed, so that the rest
         can never be read as the response to another call. Raises ``AttemptError`` when
         there is no connection, no head within ``runner_timeout``, or the head belongs
@@ -102,7 +122,12 @@
         )
         session = self._choose_session(runner, may_repeat=may_repeat)
         response = await self._request(
-            session, runner, call, routing, runner_timeout=runner_timeout
+            session,
+            runner,
+            call,
+            routing,
+            runner_timeout=runner_timeout,
+            trace=ConnectionTrace(timers=self._timers, send_before_ms=send_before_ms),
         )
         is_complete = False
         try:
@@ -158,8 +183,8 @@
         routing: RoutingHeaders,
         *,
         runner_timeout: RunnerTimeout,
+        trace: ConnectionTrace,
     ) -> aiohttp.ClientResponse:
-        trace = ConnectionTrace()
         url = URL(f"http://{runner.address}:{runner.port}{call.target}", encoded=True)
         timeout = aiohttp.ClientTimeout(
             total=None,
@@ -176,6 +201,20 @@
                     allow_redirects=False,
                     trace_request_ctx=trace,
                 )
+        except GrantExpiredError as error:
+            log_event(
+                Event.GRANT_EXPIRED,
+                request_id=call.call_id,
+                runner=runner.runner_id,
+                late_ms=round(error.late_ms),
+            )
+            raise AttemptError(
+                outcome=AttemptOutcome.NOT_SENT,
+                step="send",
+                peer=runner.runner_id,
+                reason=str(error),
+                is_runner_fault=False,
+            ) from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise AttemptError(
                 outcome=AttemptOutcome.NOT_SENT,
@@ -219,7 +258,7 @@
         skip_auto_headers=_SKIPPED_AUTO_HEADERS,
         max_line_size=MAX_HEAD_BYTES,
         max_field_size=MAX_HEAD_BYTES,
-        trace_configs=[_trace_reuse()],
+        trace_configs=[_make_trace_config()],
     )
     # aiohttp retries idempotent HTTP methods when a kept-alive connection breaks: a
     # call that may not be repeated would run twice.
@@ -227,7 +266,7 @@
     return session
 
 
-def _trace_reuse() -> aiohttp.TraceConfig:
+def _make_trace_config() -> aiohttp.TraceConfig:
     async def record_reuse(
         session: aiohttp.ClientSession,
         context: SimpleNamespace,
@@ -235,6 +274,16 @@
     ) -> None:
         context.trace_request_ctx.is_reused = True
 
+    async def check_send(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceRequestHeadersSentParams,
+    ) -> None:
+        # aiohttp calls this once it has a connection and before it writes to it, and
+        # closes the connection on an error.
+        context.trace_request_ctx.check_send()
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(record_reuse)
+    trace.on_request_headers_sent.append(check_send)
     return trace
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from clementineyoke_core.slot_search import SlotAttempt, SlotSearch
 from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_node.slots.slot_lease import SkippedRunner, SlotLease
+from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import (
     RunnerFault,
@@ -60,11 +62,14 @@
         socket: PeerSocket,
         timeout_ms: float,
         is_cold: Callable[[Runner], bool] = lambda _: False,
+        now_ms: Callable[[], float] = TimerService.now_ms,
     ) -> None:
         """Create a broker.
 
         ``is_cold`` returns whether a runner handles only a limited call rate for now.
+        ``now_ms`` returns the monotonic time in milliseconds.
         """
+        self._now_ms = now_ms
         self._membership = membership
         self._own_id = membership.local_node.node_id
         self._table = table
@@ -94,6 +99,7 @@
                 search.record_timeout(attempt)
                 continue
             ask_id = self._socket.next_ask_id()
+            asked_ms = self._now_ms()
             result = await self._request_slot(runner, attempt, ask_id, request)
             if result is None:
                 search.record_timeout(attempt)
@@ -106,6 +112,7 @@
                     reason=reason,
                     passed_over=self._list_skipped(search, request, runner),
                     tokens=request.profile.prompt.total_tokens,
+                    send_before_ms=_send_before_ms(asked_ms, result.unwrap().valid_ms),
                 )
                 if lease is not None:
                     return lease
@@ -264,7 +271,7 @@
             return None
         self._last_in_use[runner_id] = reply.in_use
         if reply.granted:
-            return Success(SlotGrant(runner_id, reply.in_use))
+            return Success(SlotGrant(runner_id, reply.in_use, reply.valid_ms))
         return Failure(SlotRefusal(runner_id, reply.in_use, _to_reason(reply)))
 
     def _make_search(self, request: SlotRequest) -> SlotSearch:
@@ -290,9 +297,13 @@
         ask_id = self._socket.next_ask_id()
         try:
             if home.node_id == self._own_id:
-                granted = await self._wait_locally(runner.runner_id, ask_id, request)
+                send_before_ms = await self._wait_locally(
+                    runner.runner_id, ask_id, request
+                )
             else:
-                granted = await self._wait_remotely(home, runner, ask_id, request)
+                send_before_ms = await self._wait_remotely(
+                    home, runner, ask_id, request
+                )
         except (TimeoutError, asyncio.CancelledError) as error:
             # A grant that is still on its way would occupy the slot until its lease
             # expires.
@@ -300,7 +311,7 @@
             if isinstance(error, asyncio.CancelledError):
                 raise
             return None
-        if not granted:
+        if send_before_ms is None:
             return None
         return self._create_lease(
             runner,
@@ -308,17 +319,21 @@
             ask_id,
             reason="waited",
             tokens=request.profile.prompt.total_tokens,
+            send_before_ms=send_before_ms,
         )
 
     async def _wait_locally(
         self, runner_id: str, ask_id: int, request: SlotRequest
-    ) -> bool:
+    ) -> float | None:
+        """Return until when the call may be sent, or None without a slot."""
         loop = asyncio.get_running_loop()
-        future: asyncio.Future[bool] = loop.create_future()
+        future: asyncio.Future[float | None] = loop.create_future()
 
         def resolve(granted: bool) -> None:
             if not future.done():
-                future.set_result(granted)
+                valid_ms = self._slot_home.grant_validity_ms(runner_id)
+                send_before_ms = _send_before_ms(self._now_ms(), valid_ms)
+                future.set_result(send_before_ms if granted else None)
 
         self._slot_home.enqueue(
             runner_id,
@@ -331,7 +346,9 @@
 
     async def _wait_remotely(
         self, home: Node, runner: Runner, ask_id: int, request: SlotRequest
-    ) -> bool:
+    ) -> float | None:
+        """Return until when the call may be sent, or None without a slot."""
+        asked_ms = self._now_ms()
         profile = request.profile
         ask = _describe(
             SlotAsk(
@@ -347,7 +364,7 @@
         reply = await self._socket.request(
             home, ask, reply_type=SlotReply, timeout_ms=ask.wait_ms
         )
-        return reply.granted
+        return _send_before_ms(asked_ms, reply.valid_ms) if reply.granted else None
 
     def _list_skipped(
         self, search: SlotSearch, request: SlotRequest, runner: Runner
@@ -374,12 +391,23 @@
         reason: str,
         passed_over: tuple[SkippedRunner, ...] = (),
         tokens: int = 0,
+        send_before_ms: float = math.inf,
     ) -> SlotLease | None:
         if not self._accepts_calls(runner):
             # The runner's state changed while the request to the home was pending.
             self._release_at_home(runner, ask_id)
             return None
-        lease = SlotLease(runner, ask_id, reason, attempt.rank, passed_over, tokens)
+        late_ms = self._now_ms() - send_before_ms
+        if late_ms > 0.0:
+            # The call would reach a cold runner together with the next one.
+            log_event(
+                Event.GRANT_EXPIRED, runner=runner.runner_id, late_ms=round(late_ms)
+            )
+            self._release_at_home(runner, ask_id)
+            return None
+        lease = SlotLease(
+            runner, ask_id, reason, attempt.rank, passed_over, tokens, send_before_ms
+        )
         self._leases[ask_id] = lease
         return lease
 
@@ -432,6 +460,11 @@
         return SlotHolder(self._own_id, ask_id)
 
 
+def _send_before_ms(since_ms: float, valid_ms: float) -> float:
+    """Return until when a call may be sent; ``valid_ms`` is 0 for no limit."""
+    return since_ms + valid_ms if valid_ms else math.inf
+
+
 def _describe(ask: SlotAsk, profile: CallProfile) -> SlotAsk:
     """Add the description of a call to a request, if the call has one."""
     if not profile.is_described:
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -160,7 +160,8 @@
             in_use = self._ledger.in_use(runner_id)
             return Failure(SlotRefusal(runner_id, in_use, reason))
         self._grant(request)
-        return Success(SlotGrant(runner_id, self._ledger.in_use(runner_id)))
+        in_use = self._ledger.in_use(runner_id)
+        return Success(SlotGrant(runner_id, in_use, self.grant_validity_ms(runner_id)))
 
     def enqueue(
         self,
@@ -226,6 +227,12 @@
         """Record that a runner answered a call."""
         self._reachability_breaker.record_answer(runner_id)
 
+    def grant_validity_ms(self, runner_id: str) -> float:
+        """Return how long a grant that is given now is valid; 0 for no limit."""
+        return self._cold_pace.grant_validity_ms(
+            runner_id, now_ms=self._timers.now_ms()
+        )
+
     def loads(self) -> dict[str, int]:
         """Return the number of slots in use on each runner homed on this node."""
         return {
@@ -361,7 +368,10 @@
             profile=_to_profile(ask),
         )
         if is_successful(result):
-            reply = SlotReply(ask.ask_id, True, result.unwrap().in_use)
+            grant = result.unwrap()
+            reply = SlotReply(
+                ask.ask_id, True, grant.in_use, valid_ms=round(grant.valid_ms)
+            )
         else:
             refusal = result.failure()
             reply = SlotReply(
@@ -376,9 +386,16 @@
     def _enqueue_remote(
         self, peer: PeerAddress, runner_id: str, holder: SlotHolder, ask: SlotAsk
     ) -> None:
+        queued_ms = self._timers.now_ms()
+
         def send_reply(granted: bool) -> None:
             in_use = self._ledger.in_use(runner_id)
-            self._socket.send(peer, SlotReply(ask.ask_id, granted, in_use))
+            valid_ms = self.grant_validity_ms(runner_id) if granted else 0.0
+            if valid_ms:
+                # Counted from the request on, since the clocks of two nodes differ.
+                valid_ms += self._timers.now_ms() - queued_ms
+            reply = SlotReply(ask.ask_id, granted, in_use, valid_ms=round(valid_ms))
+            self._socket.send(peer, reply)
 
         self.enqueue(
             runner_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -28,3 +29,5 @@
     """Preceding runners that were skipped for a reason other than their load."""
     tokens: int = 0
     """Memory that the request takes on its runner, in tokens; 0 if unknown."""
+    send_before_ms: float = math.inf
+    """Monotonic time until which the request may be sent."""
--- a/packages/clementineyoke-node/tests/edge/cold_runners.feature
+++ b/packages/clementineyoke-node/tests/edge/cold_runners.feature
@@ -38,3 +38,11 @@
     When the runners report that they are warm
     And 60 calls arrive within a second
     Then most of the calls are answered
+
+  Scenario: The connection to a cold runner is ready too late
+    # The call would reach the runner together with the next one. It may run only once, so
+    # it goes to another runner only because nothing of it was sent to the first.
+    Given a fleet of 1 node and 2 runners, of which 1 have just started
+    When the slot of a call expires while the node connects to its runner
+    Then the call is answered by the other runner and has run once
+    And the runner does not count as unreachable
--- a/packages/clementineyoke-node/tests/steps/cold_pace_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cold_pace_steps.py
@@ -1,14 +1,20 @@
 from __future__ import annotations
 
+import asyncio
+
 from behave import given, then, when
-from slot_home_steps import RUNNER, ManualTimers, RecordingSocket
+from slot_broker_steps import REQUEST, SilentSocket, make_broker
+from slot_home_steps import RUNNER, ManualTimers, RecordingSocket, request_slot
 
 from clementineyoke_core.cold_runners import ColdRunnerLimit, ColdRunners
+from clementineyoke_core.grants.cold_pace_rule import GRANT_VALIDITY_MS
+from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.mean_load import MeanLoadEstimator
 from clementineyoke_core.runner_homes import RunnerHomes
 from clementineyoke_core.runner_table import RunnerTable
 from clementineyoke_core.slot_ledger import SlotHolder, SlotLedger
 from clementineyoke_node.slots.slot_home import SlotHome
+from clementineyoke_wire.messages import SlotRelease, SlotReply
 
 RUN_MS = 4_000
 STEP_MS = 10
@@ -114,3 +120,104 @@
 def check_first_grant(context, node_id, from_ms):
     granted = run(context)[node_id]
     assert granted[:1] == [from_ms], granted[:1]
+
+
+class DelayedSocket(SilentSocket):
+    """A socket on which the node reads the replies to its requests only when told."""
+
+    def __init__(self):
+        super().__init__()
+        self.replies = {}
+
+    async def request(self, node, message, *, reply_type, timeout_ms):
+        self.requests.append(message)
+        if not message.wait_ms:
+            return SlotReply(message.ask_id, False, 0, True, RefusalReason.COLD)
+        self.replies[message.ask_id] = asyncio.get_running_loop().create_future()
+        return await self.replies[message.ask_id]
+
+
+@given("a broker whose cold runner's home is another node")
+def given_cold_broker(context):
+    context.valid_ms = GRANT_VALIDITY_MS
+    context.socket = DelayedSocket()
+    context.timers = ManualTimers()
+    context.broker = make_broker(socket=context.socket, now_ms=context.timers.now_ms)
+
+
+@given("a broker whose runner's home is of an earlier release")
+def given_earlier_release(context):
+    given_cold_broker(context)
+    context.valid_ms = None
+
+
+@when("the home grants {count:d} queued call {interval_ms:d} ms apart")
+@when("the home grants {count:d} queued calls {interval_ms:d} ms apart")
+def schedule_grants(context, count, interval_ms):
+    context.granted_ms = [interval_ms * number for number in range(count)]
+
+
+@when("the node reads the replies {read_ms:d} ms after the first grant")
+def read_replies(context, read_ms):
+    async def run():
+        request = REQUEST._replace(wait_ms=1_000)
+        calls = [
+            asyncio.create_task(context.broker.acquire(request))
+            for _ in context.granted_ms
+        ]
+        while len(context.socket.replies) < len(calls):
+            await asyncio.sleep(0)
+        context.timers.at_ms = read_ms
+        replies = context.socket.replies.items()
+        for granted_ms, (ask_id, future) in zip(
+            context.granted_ms, replies, strict=True
+        ):
+            valid_ms = 0 if context.valid_ms is None else granted_ms + context.valid_ms
+            future.set_result(SlotReply(ask_id, True, 1, valid_ms=int(valid_ms)))
+        context.leases = [lease for lease in await asyncio.gather(*calls) if lease]
+
+    context.run(run())
+
+
+@then("{count:d} call may be sent")
+@then("{count:d} calls may be sent")
+def check_leases(context, count):
+    assert len(context.leases) == count, context.leases
+
+
+@then("the slots of the {count:d} others are returned")
+def check_returned(context, count):
+    returned = [m for m in context.socket.sent if isinstance(m, SlotRelease)]
+    held = {lease.ask_id for lease in context.leases}
+    queued = set(context.socket.replies)
+    assert len(returned) == count
+    assert {release.ask_id for release in returned} == queued - held
+
+
+@then("it must be sent within {valid_ms:d} ms of the grant")
+def check_send_before(context, valid_ms):
+    assert [lease.send_before_ms for lease in context.leases] == [valid_ms]
+
+
+@when(
+    "two nodes queue for it {pause_ms:d} ms later, "
+    "and the queue is served {wait_ms:d} ms after that"
+)
+def queue_twice(context, pause_ms, wait_ms):
+    context.timers.at_ms += pause_ms
+    for ask_id in (1, 2):
+        request_slot(context, ask_id, wait_ms=1_000)
+    context.socket.receive(SlotRelease(1, RUNNER.lifetime_hash, is_answered=True))
+    context.timers.at_ms += wait_ms
+    context.run(context.home.serve_queues())
+
+
+@then("the grants are valid for {first_ms:d} and {second_ms:d} ms")
+def check_validity(context, first_ms, second_ms):
+    replies = [(reply.granted, reply.valid_ms) for reply in context.socket.sent]
+    assert replies == [(True, first_ms), (True, second_ms)], replies
+
+
+@then("the grant has no limit")
+def check_no_limit(context):
+    assert [(r.granted, r.valid_ms) for r in context.socket.sent] == [(True, 0)]
--- a/packages/clementineyoke-node/tests/steps/cold_runner_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cold_runner_steps.py
@@ -149,3 +149,42 @@
     for number, headers in refused:
         assert f"call-{number}" not in ran
         assert float(headers["Retry-After"]) > 0
+
+
+@when("the slot of a call expires while the node connects to its runner")
+def expire_slot(context):
+    io = context.fleet.nodes[0].io
+    acquire, record_unreachable = io.broker.acquire, io.slot_home.record_unreachable
+    context.leases, context.unreachable = [], []
+
+    async def acquire_expiring(request):
+        lease = await acquire(request)
+        if not context.leases:
+            lease = lease._replace(send_before_ms=0.0)
+        context.leases.append(lease)
+        return lease
+
+    def record(runner_id, *, reporter):
+        context.unreachable.append(runner_id)
+        record_unreachable(runner_id, reporter=reporter)
+
+    io.broker.acquire, io.slot_home.record_unreachable = acquire_expiring, record
+    context.answers = [context.run(context.fleet.call("non_idempotent"))]
+
+
+@then("the call is answered by the other runner and has run once")
+def check_answered_once(context):
+    assert [status for status, _, _ in context.answers] == [200]
+    first, second = (lease.runner.runner_id for lease in context.leases)
+    received = {runner.runner_id: len(runner.calls) for runner in context.fleet.runners}
+    assert received == {first: 0, second: 1}, received
+    assert context.fleet.nodes[0].io.broker.lease_count() == 0
+
+
+@then("the runner does not count as unreachable")
+def check_reachable(context):
+    assert context.unreachable == []
+    table = context.fleet.nodes[0].state.table
+    assert not any(
+        table.is_quarantined(runner.runner_id) for runner in context.fleet.runners
+    )
--- a/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
@@ -39,8 +39,8 @@
             await asyncio.Event().wait()
 
 
-@given("a broker whose runner's home is another node")
-def given_broker(context):
+def make_broker(*, socket, **options):
+    """Return a broker of node n1 with one runner, whose home is n2."""
     own, other = (Node(f"n{n}", "127.0.0.1", 1, n, "z", "region") for n in (1, 2))
     membership = Membership(local_node=own, incarnation=1, rng=Random(1))
     membership.apply_host_list(live=[own, other], leaving=[])
@@ -50,18 +50,24 @@
     rings.rebuild()
     homes = RunnerHomes()
     homes.reassign(nodes=["n2"], pools={"m": ["engine-1"]})
-    context.socket = SilentSocket()
-    context.broker = SlotBroker(
+    return SlotBroker(
         membership=membership,
         table=table,
         rings=rings,
         homes=homes,
         slot_home=None,
-        socket=context.socket,
+        socket=socket,
         timeout_ms=30,
+        **options,
     )
 
 
+@given("a broker whose runner's home is another node")
+def given_broker(context):
+    context.socket = SilentSocket()
+    context.broker = make_broker(socket=context.socket)
+
+
 @when("the caller disconnects while the home is being asked")
 def cancel(context):
     async def run():
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -52,6 +52,11 @@
     RUNNER_BACKOFF = EventKind(
         222, "INFO", "A runner refused a call and asked for backoff."
     )
+    GRANT_EXPIRED = EventKind(
+        236,
+        "INFO",
+        "A slot on a cold runner was returned: the call was not sent in time.",
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -52,6 +52,8 @@
     """Whether the slot was refused for a reason other than the runner's load."""
     reason: int = 0
     """Reason of a refusal; home nodes of an earlier release do not send it."""
+    valid_ms: int = 0
+    """Time from the request on within which the call must be sent; 0 for no limit."""
 
 
 class SlotRelease(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -7,7 +7,7 @@
   objectiveMs @7 :UInt16; promptKey @8 :UInt64; sharedTokens @9 :UInt32;
   ownTokens @10 :UInt32; outputTokens @11 :UInt32; }
 struct SlotReply { askId @0 :UInt32; granted @1 :Bool; inUse @2 :UInt16;
-  isHeld @3 :Bool; reason @4 :UInt8; }
+  isHeld @3 :Bool; reason @4 :UInt8; validMs @5 :UInt32; }
 struct SlotRelease { askId @0 :UInt32; runner @1 :UInt64; isAnswered @2 :Bool; }
 struct SlotRenewal { runner @0 :UInt64; askIds @1 :List(UInt32);
   tokenCounts @2 :List(UInt32); }
