--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
@@ -20,6 +20,8 @@
     prefill_tokens: int = 0
     """Prompt tokens that the runner has to process by its home's record; 0 if unknown.
     """
+    valid_ms: float = 0.0
+    """Time from the request on within which the call must be sent; 0 for no limit."""
 
 
 class SlotRefusal(NamedTuple):
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -88,12 +88,13 @@
         self._fault_breaker = FaultRateBreaker()
         self._reachability_breaker = ReachabilityBreaker()
         self._cold_runners = cold_runners or ColdRunners()
+        self._cold_pace = ColdPaceRule(cold_runners=self._cold_runners, table=table)
         self._rules: tuple[GrantRule, ...] = (
             BreakerRule(
                 fault_breaker=self._fault_breaker,
                 reachability=self._reachability_breaker,
             ),
-            ColdPaceRule(cold_runners=self._cold_runners, table=table),
+            self._cold_pace,
             LoadBoundRule(
                 ledger=ledger,
                 table=table,
@@ -129,6 +130,7 @@
         self._runner_ids_by_hash = {}
         homed: dict[str, list[str]] = {}
         entries = self._table.entries()
+        known_ids = set(self._lifetimes)
         self._remove_restarted({e.runner.runner_id: e.runner.lifetime for e in entries})
         for entry in entries:
             runner = entry.runner
@@ -137,7 +139,9 @@
                 continue
             if self._homes.home_of(runner.runner_id) == self._own_id:
                 homed.setdefault(runner.pool, []).append(runner.runner_id)
-        self._remove_rehomed({name for names in homed.values() for name in names})
+        homed_ids = {name for names in homed.values() for name in names}
+        self._remove_rehomed(homed_ids)
+        self._record_takeovers(homed_ids, known_ids)
         emptied = self._homed_runners.keys() - homed.keys()
         self._homed_runners = homed
         for pool in homed.keys() | emptied:
@@ -174,7 +178,8 @@
         prefill_tokens = self._prefill_tokens(request)
         self._grant(request)
         in_use = self._ledger.in_use(runner_id)
-        return Success(SlotGrant(runner_id, in_use, prefill_tokens))
+        valid_ms = self.grant_validity_ms(runner_id)
+        return Success(SlotGrant(runner_id, in_use, prefill_tokens, valid_ms))
 
     def enqueue(
         self,
@@ -245,6 +250,12 @@
         if time_percent:
             self._on_response_time(runner_id, time_percent)
 
+    def grant_validity_ms(self, runner_id: str) -> float:
+        """Return how long a grant that is given now is valid; 0 for no limit."""
+        return self._cold_pace.grant_validity_ms(
+            runner_id, now_ms=self._timers.now_ms()
+        )
+
     def loads(self) -> dict[str, int]:
         """Return the number of slots in use on each runner homed on this node."""
         return {
@@ -353,6 +364,16 @@
             if runner_id not in homed_ids:
                 self._remove_runner(runner_id)
 
+    def _record_takeovers(self, homed_ids: set[str], known_ids: set[str]) -> None:
+        """Pause the grants on cold runners that have had another home until now.
+
+        A runner that this node learns of now has had no home in its view.
+        """
+        former_ids = {name for names in self._homed_runners.values() for name in names}
+        for runner_id in (homed_ids & known_ids) - former_ids:
+            self._cold_pace.record_takeover(runner_id, now_ms=self._timers.now_ms())
+        self._cold_pace.retain(homed_ids)
+
     def _remove_restarted(self, lifetimes: dict[str, str]) -> None:
         """Drop counts and faults of runners that restarted under the same id.
 
@@ -394,7 +415,11 @@
         if is_successful(result):
             grant = result.unwrap()
             reply = SlotReply(
-                ask.ask_id, True, grant.in_use, prefill_tokens=grant.prefill_tokens
+                ask.ask_id,
+                True,
+                grant.in_use,
+                prefill_tokens=grant.prefill_tokens,
+                valid_ms=round(grant.valid_ms),
             )
         else:
             refusal = result.failure()
@@ -410,9 +435,16 @@
     def _enqueue_remote(
         self, peer: PeerAddress, runner_id: str, holder: SlotHolder, ask: SlotAsk
     ) -> None:
+        queued_ms = self._timers.now_ms()
+
         def send_reply(granted: bool) -> None:
             in_use = self._ledger.in_use(runner_id)
-            self._socket.send(peer, SlotReply(ask.ask_id, granted, in_use))
+            valid_ms = self.grant_validity_ms(runner_id) if granted else 0.0
+            if valid_ms:
+                # Counted from the request on, since the clocks of two nodes differ.
+                valid_ms += self._timers.now_ms() - queued_ms
+            reply = SlotReply(ask.ask_id, granted, in_use, valid_ms=round(valid_ms))
+            self._socket.send(peer, reply)
 
         self.enqueue(
             runner_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -30,3 +31,5 @@
     """Memory that the request takes on its runner, in tokens; 0 if unknown."""
     prefill_tokens: int = 0
     """Prompt tokens that the runner has to process; 0 if unknown."""
+    send_before_ms: float = math.inf
+    """Monotonic time until which the request may be sent."""
--- a/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
+++ b/packages/clementineyoke-node/tests/steps/slot_broker_steps.py
@@ -43,8 +43,8 @@
             return await asyncio.Event().wait()
 
 
-@given("a broker whose runner's home is another node")
-def given_broker(context):
+def make_broker(*, socket, **options):
+    """Return a broker of node n1 with one runner, whose home is n2."""
     own, other = (Node(f"n{n}", "127.0.0.1", 1, n, "z", "region") for n in (1, 2))
     membership = Membership(local_node=own, incarnation=1, rng=Random(1))
     membership.apply_host_list(live=[own, other], leaving=[])
@@ -54,17 +54,25 @@
     rings.rebuild()
     homes = RunnerHomes()
     homes.reassign(nodes=["n2"], pools={"m": ["engine-1"]})
-    context.socket = SilentSocket()
-    context.now_ms = 0.0
-    context.is_short = False
-    context.broker = SlotBroker(
+    return SlotBroker(
         membership=membership,
         table=table,
         rings=rings,
         homes=homes,
         slot_home=None,
-        socket=context.socket,
+        socket=socket,
         timeout_ms=30,
+        **options,
+    )
+
+
+@given("a broker whose runner's home is another node")
+def given_broker(context):
+    context.socket = SilentSocket()
+    context.now_ms = 0.0
+    context.is_short = False
+    context.broker = make_broker(
+        socket=context.socket,
         is_short=lambda _: context.is_short,
         now_ms=lambda: context.now_ms,
     )
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -55,6 +55,8 @@
     prefill_tokens: int = 0
     """Prompt tokens that the runner has to process for a granted call; 0 if unknown.
     """
+    valid_ms: int = 0
+    """Time from the request on within which the call must be sent; 0 for no limit."""
 
 
 class SlotRelease(NamedTuple):
