Rank only the priorities that a part of the calls use

A priority now has a rank if a tenth of the pool's calls of the last 30 s use it; a node that has seen few calls goes by the routes. Rules learn of requests for slots, so that homes without callers count too.

--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/grant_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/grant_rule.py
@@ -35,12 +35,15 @@
     """One condition on grants; a slot is granted if no rule refuses it.
 
     A rule keeps its own state per runner and performs no I/O. The methods other than
-    ``check`` are called for every grant, also for those that the rule did not refuse.
+    ``check`` are called whatever the rule decides.
     """
 
     def check(self, request: GrantRequest) -> RefusalReason | None:
         """Return why the slot is refused, or None; must not change any state."""
 
+    def record_request(self, request: GrantRequest) -> None:
+        """Record that a call asked for a slot, before ``check``."""
+
     def record_grant(self, request: GrantRequest) -> None:
         """Record that a slot was granted."""
 
@@ -63,6 +66,9 @@
 class StatelessGrantRule:
     """Base of rules that need no record of the grants."""
 
+    def record_request(self, request: GrantRequest) -> None:
+        """Ignore a request."""
+
     def record_grant(self, request: GrantRequest) -> None:
         """Ignore a grant."""
 
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_reserve_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_reserve_rule.py
@@ -87,6 +87,14 @@
             return None
         return RefusalReason.PRIORITY
 
+    def record_request(self, request: GrantRequest) -> None:
+        """Count the call, as the priorities in use have ranks."""
+        entry = self._table.get(request.runner_id)
+        if entry is not None and request.profile.is_described:
+            self._ranks.record_call(
+                entry.runner.pool, request.profile.priority, now_ms=request.now_ms
+            )
+
     def _severity(self, runner_id: str, pool: str, slots: int) -> float:
         reading = self._pressure.reading(pool)
         shift = POOL_SHIFT * ramp(reading.pressure, POOL_START, POOL_FULL)
--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -95,3 +95,22 @@
     Given a node that measures 20 pools
     Then 16 keys are gossiped
     And every pool has the pressure of the node's own runners
+
+  Scenario: Few calls use the most urgent priority of a pool
+    # Checks of routes that serve nothing else had the most urgent priority of a plain
+    # service, and nearly all of its calls were rejected in their favor.
+    Given a node whose desired state gives the priorities 0 and 2
+    When 100 calls of priority 2 and 8 of priority 0 arrive within 10 s
+    Then the node ranks the priorities 0 and 2 as 0 and 0
+
+  Scenario: A surge of the least urgent calls
+    # The urgent calls, then less than a tenth of all, must not lose their rank.
+    Given a node whose desired state gives the priorities 0 and 2
+    When 150 calls of priority 2 and 150 of priority 0 arrive within 30 s
+    And 600 calls of priority 2 and 50 of priority 0 arrive within 10 s
+    Then the node ranks the priorities 0 and 2 as 0 and 1
+
+  Scenario: A node that has seen few calls
+    Given a node whose desired state gives the priorities 0 and 2
+    When 19 calls of priority 2 and 0 of priority 0 arrive within 1 s
+    Then the node ranks the priorities 0 and 2 as 0 and 1
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -207,6 +207,26 @@
     context.ranks = PriorityRanks(read_state=lambda: context.state)
 
 
+@when(
+    "{last:d} calls of priority 2 and {first:d} of priority 0 arrive within "
+    "{seconds:d} s"
+)
+def record_calls(context, last, first, seconds):
+    started_ms = getattr(context, "ended_ms", 0.0)
+    context.ended_ms = started_ms + seconds * 1_000
+    arrivals = [(n / last, 2) for n in range(last)]
+    arrivals += [(n / first, 0) for n in range(first)]
+    for part, priority in sorted(arrivals):
+        now_ms = started_ms + part * seconds * 1_000
+        context.ranks.record_call(POOL, priority, now_ms=now_ms)
+
+
+@then("the node ranks the priorities 0 and 2 as {first:d} and {last:d}")
+def check_used_ranks(context, first, last):
+    context.ranks.record_call(POOL, 2, now_ms=context.ended_ms)
+    assert (context.ranks.rank(POOL, 0), context.ranks.rank(POOL, 2)) == (first, last)
+
+
 @when("other nodes know a state with the priorities 0, 1 and 2")
 def make_newer_state(context):
     context.newer_state = make_state((0, 1, 2), revision=2)
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -171,6 +171,9 @@
             load_factor=load_factor,
             profile=profile,
         )
+        if not request.is_last_resort:
+            for rule in self._rules:
+                rule.record_request(request)
         reason = self._check(request)
         if reason is not None:
             in_use = self._ledger.in_use(runner_id)
