Let the pressure of a pool limit retries and bypasses

Without it the calls of a surge were sent twice and past the homes, and the runners held more than their homes granted. The admission also counts calls by the priorities in use.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
@@ -29,6 +29,8 @@
 LATE_SHARE = 0.5
 """Share of a call's objective from which a search for a slot counts as failed. Calls
 that reached a runner later than that were answered late."""
+SHORTAGE_PRESSURE = 1.0
+"""Pressure from which a pool is short of capacity: its slots are all in use."""
 LEVEL_REASON = "level"
 NO_SLOT_REASON = "no_slot"
 
@@ -122,6 +124,7 @@
         level = self._levels.get(pool)
         if level is None:
             return None
+        self._ranks.record_call(pool, priority, now_ms=now_ms)
         rank = self._ranks.rank(pool, priority)
         if level.admits(rank, draw=self._rng.random()):
             self._metrics.calls_admitted.inc({"pool": pool, "priority": str(priority)})
@@ -149,6 +152,10 @@
         self._metrics.calls_promoted.inc({"pool": pool, "priority": str(priority)})
         return 0
 
+    def is_short(self, pool: str) -> bool:
+        """Return whether a pool has more calls than its runners can serve at once."""
+        return self._meter.reading(pool).pressure >= SHORTAGE_PRESSURE
+
     def record_search(
         self,
         pool: str,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -281,6 +281,7 @@
             socket=self.socket,
             timeout_ms=self._config.slot_timeout_ms,
             is_cold=self._is_cold,
+            is_short=self._is_short,
         )
 
     def _extra_rules(self) -> list[GrantRule]:
@@ -429,6 +430,9 @@
             is_zone_notified=node.availability_zone == self._config.availability_zone,
         )
 
+    def _is_short(self, pool: str) -> bool:
+        return self.admission is not None and self.admission.is_short(pool)
+
     def _is_cold(self, runner: Runner) -> bool:
         now_ms = self.timers.now_ms()
         return self._state.cold_runners.calls_per_s(runner, now_ms=now_ms) is not None
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -222,6 +222,10 @@
             },
         )
 
+    def _is_short(self, pool: str) -> bool:
+        """Return whether a pool is short of capacity, so that a retry gains nothing."""
+        return self._admission is not None and self._admission.is_short(pool)
+
     def _check_level(self, admitted: AdmittedCall) -> None:
         """Raise ``RequestError`` if the pool's admission level rejects a call."""
         if self._admission is None:
@@ -320,7 +324,7 @@
         self, admitted: AdmittedCall, ledger: AttemptLedger, runner: Runner
     ) -> bool:
         """Return whether a call may abandon a silent runner and try another one."""
-        if not ledger.may_abandon_attempt():
+        if not ledger.may_abandon_attempt() or self._is_short(admitted.pool):
             return False
         tried = {*ledger.tried, runner.runner_id}
         return self._broker.has_untried_runner(
