--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -219,6 +219,7 @@
                 "refusals_age_ms": round(self._timers.now_ms() - started_ms),
                 **self._token_accounting.describe_refusal(admitted),
                 **self._returns.describe(admitted.pool),
+                **_describe_caller(admitted),
             },
         )
 
@@ -240,7 +241,8 @@
                 step="admission",
                 reason=reason,
                 retry_after_ms=self._not_run_retry_ms(admitted),
-                details=self._returns.describe(admitted.pool),
+                details=self._returns.describe(admitted.pool)
+                | _describe_caller(admitted),
             )
 
     def _record_search(
@@ -414,6 +416,7 @@
             route=admitted.route.name,
             version=admitted.version,
             team=admitted.team,
+            priority=admitted.priority,
             pool=admitted.pool,
             runner=lease.runner.runner_id,
             reason=lease.reason,
@@ -462,6 +465,15 @@
         )
 
 
+def _describe_caller(admitted: AdmittedCall) -> dict[str, object]:
+    """Return the fields of a rejected call's log line that tell who is affected."""
+    return {
+        "route": admitted.route.name,
+        "team": admitted.team,
+        "priority": admitted.priority,
+    }
+
+
 def _to_response(complete: CompleteResponse) -> web.Response:
     response = web.Response(status=complete.head.status, body=complete.body)
     for name, value in complete.head.forwarded_headers:
