Order calls of equally urgent teams by their routes

The teams of the new deployments have priorities of their own, most of them the same one. With priority admission a call's priority is now the place of its class, the team's priority first and the route's second, among those of its pool. The mapping test of single priorities is replaced by one of classes.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.edge.desired_state import PriorityClass
 from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_core.edge.request_digest import request_digest
 from clementineyoke_core.grants.call_profile import NO_PROMPT, PromptCost
@@ -36,6 +37,7 @@
     pool: str
     team: str | None
     priority: int
+    """0 is the most urgent."""
     arrived_ms: float
     deadline_ms: float
     """Monotonic time at which the caller's budget or the route's timeout is used up."""
@@ -77,11 +79,18 @@
 
 
 def admit(
-    call: EdgeCall, table: RouteTable | None, *, arrived_ms: float, rng: Random
+    call: EdgeCall,
+    table: RouteTable | None,
+    *,
+    arrived_ms: float,
+    rng: Random,
+    has_priority_classes: bool = False,
 ) -> AdmittedCall:
     """Match a call with its route and team.
 
-    Raises ``RequestError`` if the call is refused.
+    With ``has_priority_classes`` the call's priority is the place of its class among
+    those of its pool, so that the route's priority counts among calls of teams with the
+    same priority. Raises ``RequestError`` if the call is refused.
     """
     if table is None:
         # A 404 would claim that the route does not exist, which is not known here.
@@ -97,12 +106,18 @@
     wait_ms = route.timeout_ms
     if call.budget_ms is not None:
         wait_ms = min(wait_ms, call.budget_ms)
+    pool = _pick_pool(route, rng)
+    priority = _priority(route, team)
+    if has_priority_classes:
+        team_priority = None if team is None else team.priority
+        priority_class = PriorityClass.of(route, team_priority)
+        priority = table.class_index(pool, priority_class)
     return AdmittedCall(
         call=call,
         route=route,
-        pool=_pick_pool(route, rng),
+        pool=pool,
         team=None if team is None else team.name,
-        priority=_priority(route, team),
+        priority=priority,
         arrived_ms=arrived_ms,
         deadline_ms=arrived_ms + wait_ms,
         version=match.version,
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
@@ -6,6 +6,24 @@
 
 from clementineyoke_core.edge.route import Route  # noqa: TC001 - msgspec reads it
 
+MAX_CLASSES = 10
+"""Priority classes of a pool, as runners know ten degrees of urgency. Less urgent ones
+share the last class."""
+
+
+class PriorityClass(NamedTuple):
+    """Urgency of a call; a smaller one is more urgent."""
+
+    priority: int
+    """The team's priority, or the route's if the team has none."""
+    route_priority: int
+
+    @classmethod
+    def of(cls, route: Route, team_priority: int | None) -> PriorityClass:
+        """Return the class of calls by a route of teams with a priority, or None."""
+        priority = route.priority if team_priority is None else team_priority
+        return cls(priority, route.priority)
+
 
 class Team(NamedTuple):
     """A customer of the operator, with the API keys of its callers."""
@@ -51,10 +69,18 @@
     limits: CallerLimits
     pools: tuple[PoolLimits, ...] = ()
 
-    def pool_priorities(self) -> dict[str, tuple[int, ...]]:
-        """Return the distinct priorities of the routes to each pool, in order."""
-        priorities: dict[str, set[int]] = {}
+    def priority_classes(self) -> dict[str, tuple[PriorityClass, ...]]:
+        """Return the classes of calls to each pool, the most urgent one first.
+
+        A team's priority takes precedence over the route's. Among calls of teams with
+        the same priority, those of a route with a more urgent one come first.
+        """
+        team_priorities = {team.priority for team in self.teams} | {None}
+        classes: dict[str, set[PriorityClass]] = {}
         for route in self.routes:
+            found = {PriorityClass.of(route, priority) for priority in team_priorities}
             for entry in route.pools:
-                priorities.setdefault(entry.pool, set()).add(route.priority)
-        return {pool: tuple(sorted(found)) for pool, found in priorities.items()}
+                classes.setdefault(entry.pool, set()).update(found)
+        return {
+            pool: tuple(sorted(found))[:MAX_CLASSES] for pool, found in classes.items()
+        }
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/route_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/route_table.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from clementineyoke_core.edge.desired_state import DesiredState, Team
+    from clementineyoke_core.edge.desired_state import (
+        DesiredState,
+        PriorityClass,
+        Team,
+    )
     from clementineyoke_core.edge.route import Route
 
 
@@ -31,6 +36,7 @@
             prefixes = self._by_host.setdefault(route.hostname.lower(), {})
             prefixes[route.path_prefix] = route
         self._teams = {key: team for team in state.teams for key in team.keys}
+        self._classes = state.priority_classes()
 
     def match(self, hostname: str, path: str) -> RouteMatch:
         """Return the route with the longest prefix of the path.
@@ -47,6 +53,11 @@
             end = path.rfind("/", 0, end)
         return RouteMatch(None, self.state.version)
 
+    def class_index(self, pool: str, priority_class: PriorityClass) -> int:
+        """Return the place of a class among those of a pool; 0 is the most urgent."""
+        classes = self._classes.get(pool, ())
+        return max(0, min(bisect_left(classes, priority_class), len(classes) - 1))
+
     def team_of(self, key: str) -> Team | None:
         """Return the team of an API key; None if the key is unknown."""
         return self._teams.get(key)
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_ranks.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_ranks.py
@@ -1,4 +1,4 @@
-"""Ranks of the priorities of each pool, as routes have them and calls use them."""
+"""Ranks of the priority classes of each pool, as calls use them."""
 
 from __future__ import annotations
 
@@ -9,12 +9,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from clementineyoke_core.edge.desired_state import DesiredState
+    from clementineyoke_core.edge.desired_state import DesiredState, PriorityClass
 
 MIN_RANKS = 2
-"""A pool whose routes have a single priority has nothing to choose between."""
+"""A pool with a single priority class has nothing to choose between."""
 MIN_CALL_SHARE = 0.1
-"""Share of a pool's calls from which a priority has a rank.
+"""Share of a pool's calls from which a priority has a rank. Calls of a class without
+one have the rank of the next less urgent class.
 
 Routes that serve only checks have priorities too: with a rank for those, nearly all
 calls of a pool were rejected in favor of 7 in 100 checks.
@@ -31,23 +32,24 @@
 class PriorityRanks:
     """Map priorities to ranks; rank 0 is the most urgent one of a pool.
 
-    A priority has a rank if a route of the desired state in force has it and enough of
-    the recent calls, at this node or to the runners homed on it, use it. A node that
-    has seen few calls goes by the routes alone, one with a stale state by the routes
-    that it knows.
+    The priority of a call is the place of its class among those of the desired state. It
+    has a rank if enough of the recent calls, at this node or to the runners homed on
+    it, use it. A node that has seen few calls goes by the desired state alone, one with
+    a stale state by the classes that it knows.
     """
 
     def __init__(self, *, read_state: Callable[[], DesiredState | None]) -> None:
         """Create the ranks; ``read_state`` returns the desired state in force."""
         self._read_state = read_state
         self._revision = -1
+        self._classes: dict[str, tuple[PriorityClass, ...]] = {}
         self._configured: dict[str, tuple[int, ...]] = {}
         self._counts: dict[str, dict[int, float]] = {}
         self._used: dict[str, tuple[int, ...]] = {}
         self._counted_ms = 0.0
 
     def pools(self) -> set[str]:
-        """Return the pools whose routes have at least two priorities."""
+        """Return the pools with at least two priority classes."""
         self._read()
         return set(self._configured)
 
@@ -59,8 +61,7 @@
     def rank(self, pool: str, priority: int) -> int:
         """Return the rank of a priority; 0 for a pool without ranks.
 
-        A priority that has no rank takes the one of the next less urgent one, or the
-        last rank.
+        A priority without a rank takes that of the next less urgent one, or the last.
         """
         self._read()
         priorities = self._used.get(pool)
@@ -83,13 +84,19 @@
         if state is None or state.revision == self._revision:
             return
         self._revision = state.revision
+        classes = {
+            pool: found
+            for pool, found in state.priority_classes().items()
+            if len(found) >= MIN_RANKS
+        }
+        for pool in list(self._counts):
+            if classes.get(pool) != self._classes.get(pool):
+                # The same number stands for another class now.
+                del self._counts[pool]
+        self._classes = classes
         self._configured = {
-            pool: priorities
-            for pool, priorities in state.pool_priorities().items()
-            if len(priorities) >= MIN_RANKS
+            pool: tuple(range(len(found))) for pool, found in classes.items()
         }
-        for pool in self._counts.keys() - self._configured.keys():
-            del self._counts[pool]
         self._rank_used()
 
     def _follow_counts(self, now_ms: float) -> None:
--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -1,9 +1,25 @@
 Feature: Ranks, pressure and admission level
 
-  Scenario: Ranks of priorities
-    # A team may override the priority of its calls with one that no route has.
-    Given a pool whose routes have the priorities 1, 4 and 6
-    Then the priorities 0, 1, 2, 4, 5, 6 and 9 have the ranks 0, 0, 1, 1, 2, 2 and 2
+  Scenario Outline: Priority classes of a pool
+    # Each team had a priority of its own. It replaced that of the routes, so that all
+    # calls of most teams were equally urgent and the most urgent route was served worst.
+    Given a pool whose routes have the priorities 1 and 4, and teams of 0, of 4 and of none
+    Then a call by the route of <route> of a team of <team> has the priority <priority>
+
+    Examples:
+      | route | team | priority |
+      | 1     | 0    | 0        |
+      | 4     | 0    | 1        |
+      | 1     | none | 2        |
+      | 1     | 4    | 3        |
+      | 4     | 4    | 4        |
+      | 4     | none | 4        |
+      | 1     | 2    | 3        |
+      | 4     | 9    | 4        |
+
+  Scenario: A pool with more priority classes than runners know degrees of urgency
+    Given a pool whose routes have 12 priorities
+    Then the priorities of their calls are 0 to 9, and 9 for the last three
 
   Scenario: The level rises fast and falls slowly
     Given an admission level of 3 ranks
@@ -100,17 +116,17 @@
     # Checks of routes that serve nothing else had the most urgent priority of a plain
     # service, and nearly all of its calls were rejected in their favor.
     Given a node whose desired state gives the priorities 0 and 2
-    When 100 calls of priority 2 and 8 of priority 0 arrive within 10 s
-    Then the node ranks the priorities 0 and 2 as 0 and 0
+    When 100 calls of the last class and 8 of the first arrive within 10 s
+    Then the node ranks the first and the last class as 0 and 0
 
   Scenario: A surge of the least urgent calls
     # The urgent calls, then less than a tenth of all, must not lose their rank.
     Given a node whose desired state gives the priorities 0 and 2
-    When 150 calls of priority 2 and 150 of priority 0 arrive within 30 s
-    And 600 calls of priority 2 and 50 of priority 0 arrive within 10 s
-    Then the node ranks the priorities 0 and 2 as 0 and 1
+    When 150 calls of the last class and 150 of the first arrive within 30 s
+    And 600 calls of the last class and 50 of the first arrive within 10 s
+    Then the node ranks the first and the last class as 0 and 1
 
   Scenario: A node that has seen few calls
     Given a node whose desired state gives the priorities 0 and 2
-    When 19 calls of priority 2 and 0 of priority 0 arrive within 1 s
-    Then the node ranks the priorities 0 and 2 as 0 and 1
+    When 19 calls of the last class and 0 of the first arrive within 1 s
+    Then the node ranks the first and the last class as 0 and 1
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -4,6 +4,8 @@
 from behave import given, then, when
 from hypothesis import given as drawn, settings, strategies as st
 
+from clementineyoke_core.edge.desired_state import PriorityClass, Team
+from clementineyoke_core.edge.route_table import RouteTable
 from clementineyoke_core.mean_load import MeanLoadEstimator
 from clementineyoke_core.overload.admission_level import AdmissionLevel
 from clementineyoke_core.overload.pressure_meter import PressureMeter, RunnerDemand
@@ -40,15 +42,34 @@
     context.meter.record_exchange(now_ms=context.now_ms)
 
 
-@given("a pool whose routes have the priorities 1, 4 and 6")
-def given_priorities(context):
-    context.ranks = PriorityRanks(read_state=lambda: make_state((1, 4, 6)))
+@given(
+    "a pool whose routes have the priorities 1 and 4, and teams of 0, of 4 and of none"
+)
+def given_classes(context):
+    teams = tuple(Team(f"team-{p}", (), p) for p in (0, 4, None))
+    context.table = RouteTable(state=make_state((1, 4))._replace(teams=teams))
+
+
+@then(
+    "a call by the route of {route:d} of a team of {team} has the priority {priority:d}"
+)
+def check_priority(context, route, team, priority):
+    team_priority = None if team == "none" else int(team)
+    found = PriorityClass.of(make_state((route,)).routes[0], team_priority)
+    assert context.table.class_index(POOL, found) == priority
+
+
+@given("a pool whose routes have 12 priorities")
+def given_many_classes(context):
+    context.state = make_state(range(12))
 
 
-@then("the priorities 0, 1, 2, 4, 5, 6 and 9 have the ranks 0, 0, 1, 1, 2, 2 and 2")
-def check_ranks(context):
-    ranks = [context.ranks.rank(POOL, priority) for priority in (0, 1, 2, 4, 5, 6, 9)]
-    assert ranks == [0, 0, 1, 1, 2, 2, 2]
+@then("the priorities of their calls are 0 to 9, and 9 for the last three")
+def check_many_classes(context):
+    table = RouteTable(state=context.state)
+    classes = [PriorityClass.of(route, None) for route in context.state.routes]
+    found = [table.class_index(POOL, priority_class) for priority_class in classes]
+    assert found == [*range(10), 9, 9]
 
 
 @given("an admission level of {ranks:d} ranks")
@@ -208,23 +229,23 @@
 
 
 @when(
-    "{last:d} calls of priority 2 and {first:d} of priority 0 arrive within "
+    "{last:d} calls of the last class and {first:d} of the first arrive within "
     "{seconds:d} s"
 )
 def record_calls(context, last, first, seconds):
     started_ms = getattr(context, "ended_ms", 0.0)
     context.ended_ms = started_ms + seconds * 1_000
-    arrivals = [(n / last, 2) for n in range(last)]
+    arrivals = [(n / last, 1) for n in range(last)]
     arrivals += [(n / first, 0) for n in range(first)]
     for part, priority in sorted(arrivals):
         now_ms = started_ms + part * seconds * 1_000
         context.ranks.record_call(POOL, priority, now_ms=now_ms)
 
 
-@then("the node ranks the priorities 0 and 2 as {first:d} and {last:d}")
+@then("the node ranks the first and the last class as {first:d} and {last:d}")
 def check_used_ranks(context, first, last):
-    context.ranks.record_call(POOL, 2, now_ms=context.ended_ms)
-    assert (context.ranks.rank(POOL, 0), context.ranks.rank(POOL, 2)) == (first, last)
+    context.ranks.record_call(POOL, 1, now_ms=context.ended_ms)
+    assert (context.ranks.rank(POOL, 0), context.ranks.rank(POOL, 1)) == (first, last)
 
 
 @when("other nodes know a state with the priorities 0, 1 and 2")
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -49,7 +49,10 @@
         membership: Membership,
         startup_wait: StartupWait,
         call_rate: CallRate,
+        has_priority_classes: bool = False,
     ) -> None:
+        """Create the handler; ``has_priority_classes`` is described at ``admit``."""
+        self._has_priority_classes = has_priority_classes
         self._view = view
         self._forwarder = forwarder
         self._in_flight = in_flight
@@ -129,7 +132,13 @@
             )
         if not self._view.ready.is_set():
             await self._wait_for_state()
-        admitted = admit(call, self._view.routes, arrived_ms=arrived_ms, rng=self._rng)
+        admitted = admit(
+            call,
+            self._view.routes,
+            arrived_ms=arrived_ms,
+            rng=self._rng,
+            has_priority_classes=self._has_priority_classes,
+        )
         return await self._forwarder.forward(request, admitted)
 
     async def _wait_for_state(self) -> None:
--- a/packages/clementineyoke-node/tests/steps/overload_settings_steps.py
+++ b/packages/clementineyoke-node/tests/steps/overload_settings_steps.py
@@ -79,7 +79,8 @@
 
 @then('the pool "{pool}" has the priorities {first:d} and {second:d}')
 def check_priorities(context, pool, first, second):
-    assert context.state.pool_priorities() == {pool: (first, second)}
+    classes = ((first, first), (second, second))
+    assert context.state.priority_classes() == {pool: classes}
 
 
 @then('engines of the pool "{pool}" hold {tokens:d} tokens')
