--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_ranks.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_ranks.py
@@ -32,8 +32,8 @@
 class PriorityRanks:
     """Map priorities to ranks; rank 0 is the most urgent one of a pool.
 
-    The priority of a call is the place of its class among those of the desired state. It
-    has a rank if enough of the recent calls, at this node or to the runners homed on
+    The priority of a call is the place of its class among those of the desired state.
+    It has a rank if enough of the recent calls, at this node or to the runners homed on
     it, use it. A node that has seen few calls goes by the desired state alone, one with
     a stale state by the classes that it knows.
     """
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -47,7 +47,7 @@
 )
 def given_classes(context):
     teams = tuple(Team(f"team-{p}", (), p) for p in (0, 4, None))
-    context.table = RouteTable(state=make_state((1, 4))._replace(teams=teams))
+    context.route_table = RouteTable(state=make_state((1, 4))._replace(teams=teams))
 
 
 @then(
@@ -56,7 +56,7 @@
 def check_priority(context, route, team, priority):
     team_priority = None if team == "none" else int(team)
     found = PriorityClass.of(make_state((route,)).routes[0], team_priority)
-    assert context.table.class_index(POOL, found) == priority
+    assert context.route_table.class_index(POOL, found) == priority
 
 
 @given("a pool whose routes have 12 priorities")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -164,10 +164,31 @@
     Mutation(
         "admission: ranks do not follow a newer desired state",
         f"{CORE_SOURCE}/overload/priority_ranks.py",
-        "state.revision != self._revision",
-        "self._revision < 0",
+        "if state is None or state.revision == self._revision:",
+        "if state is None or self._revision >= 0:",
         f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
     ),
+    Mutation(
+        "admission: the priority of a route does not count beside that of a team",
+        f"{CORE_SOURCE}/edge/desired_state.py",
+        "return cls(priority, route.priority)",
+        "return cls(priority, 0)",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "admission: a priority that few calls use has a rank",
+        f"{CORE_SOURCE}/overload/priority_ranks.py",
+        "if counts.get(p, 0.0) >= min_calls",
+        "if counts.get(p, 0.0) > 0.0",
+        f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
+    ),
+    Mutation(
+        "a busy home is bypassed while its pool is short of capacity",
+        f"{NODE}/src/clementineyoke_node/slots/slot_broker.py",
+        "may_bypass = self._may_bypass_in_shortage",
+        "pass",
+        f"{NODE}/tests/slots/slot_broker.feature",
+    ),
     Mutation(
         "admission: an old mean of the fleet stays in use",
         f"{CORE_SOURCE}/overload/pressure_meter.py",
@@ -325,8 +346,8 @@
     Mutation(
         "a truncated event is continued with the next runner's stream",
         f"{NODE_EDGE_SOURCE}/caller_stream.py",
-        "self._splitter = EventSplitter()\n        if self._response",
-        "if self._response",
+        "self._splitter = EventSplitter()\n        self.pace = EventPace()\n        if",
+        "self.pace = EventPace()\n        if",
         STREAMS,
     ),
     Mutation(
