--- a/packages/clementineyoke-core/tests/overload/admission_level.feature
+++ b/packages/clementineyoke-core/tests/overload/admission_level.feature
@@ -130,3 +130,9 @@
     Given a node whose desired state gives the priorities 0 and 2
     When 19 calls of the last class and 0 of the first arrive within 1 s
     Then the node ranks the first and the last class as 0 and 1
+
+  Scenario: Few calls use a priority between two others
+    # A call without a rank of its own must not displace more urgent ones.
+    Given a node whose desired state gives the priorities 0, 1 and 2
+    When 100 calls of class 0, 8 of class 1 and 100 of class 2 arrive
+    Then the node ranks the classes 0, 1 and 2 as 0, 1 and 1
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -248,6 +248,24 @@
     assert (context.ranks.rank(POOL, 0), context.ranks.rank(POOL, 1)) == (first, last)
 
 
+@given("a node whose desired state gives the priorities 0, 1 and 2")
+def given_three_classes(context):
+    context.ranks = PriorityRanks(read_state=lambda: make_state(range(3)))
+
+
+@when("100 calls of class 0, 8 of class 1 and 100 of class 2 arrive")
+def record_three_classes(context):
+    for priority, count in enumerate((100, 8, 100)):
+        for _ in range(count):
+            context.ranks.record_call(POOL, priority, now_ms=0.0)
+    context.ranks.record_call(POOL, 2, now_ms=1_000.0)
+
+
+@then("the node ranks the classes 0, 1 and 2 as 0, 1 and 1")
+def check_three_classes(context):
+    assert [context.ranks.rank(POOL, priority) for priority in range(3)] == [0, 1, 1]
+
+
 @when("other nodes know a state with the priorities 0, 1 and 2")
 def make_newer_state(context):
     context.newer_state = make_state((0, 1, 2), revision=2)
