--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/prefill_backlog.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/prefill_backlog.py
@@ -6,7 +6,7 @@
 
 from clementineyoke_core.capacity.cached_prompts import CachedPrompts
 from clementineyoke_core.capacity.recent_objectives import RecentObjectives
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 if TYPE_CHECKING:
@@ -67,7 +67,7 @@
         self._held_tokens -= self._added_tokens.pop(holder, 0)
 
 
-class PrefillBacklog(StatelessGrantRule):
+class PrefillBacklog(BaseGrantRule):
     """Refuses calls on an engine whose waiting prompts would delay urgent ones.
 
     The home knows which prompts it granted on a runner, and thus which tokens a call
--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/speed_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/speed_rule.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.capacity.recent_prompts import RecentPrompts
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 if TYPE_CHECKING:
@@ -31,7 +31,7 @@
 """Time for which a runner that is slow now probably stays slow."""
 
 
-class SpeedRule(StatelessGrantRule):
+class SpeedRule(BaseGrantRule):
     """Refuses calls on a slow runner if another runner probably serves them sooner.
 
     Only calls with a short objective or a long prefill are refused. Last-resort and
--- a/packages/clementineyoke-core/src/clementineyoke_core/capacity/token_reservations.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/capacity/token_reservations.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.grants.call_profile import NO_PROMPT, PromptCost
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
         self._known_tokens -= shared.tokens
 
 
-class TokenReservations(StatelessGrantRule):
+class TokenReservations(BaseGrantRule):
     """Refuses calls that do not fit in the free memory of an engine.
 
     A call takes its prompt and its expected output; shared parts of prompts count once
--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/breaker_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/breaker_rule.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 if TYPE_CHECKING:
@@ -13,7 +13,7 @@
     from clementineyoke_core.reachability_breaker import ReachabilityBreaker
 
 
-class BreakerRule(StatelessGrantRule):
+class BreakerRule(BaseGrantRule):
     """Refuses slots on paused runners, except to last-resort and queued requests."""
 
     def __init__(
--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/cold_pace_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/cold_pace_rule.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.cold_runner_pacer import ColdRunnerPacer
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
 """
 
 
-class ColdPaceRule(StatelessGrantRule):
+class ColdPaceRule(BaseGrantRule):
     """Spaces the grants on a cold runner by the operator's limit."""
 
     def __init__(self, *, cold_runners: ColdRunners, table: RunnerTable) -> None:
--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/grant_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/grant_rule.py
@@ -63,8 +63,8 @@
         """Remove the state of a runner that restarted, left or moved."""
 
 
-class StatelessGrantRule:
-    """Base of rules that need no record of the grants."""
+class BaseGrantRule:
+    """Base of rules, whose methods record nothing; a rule overrides what it needs."""
 
     def record_request(self, request: GrantRequest) -> None:
         """Ignore a request."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/load_bound_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/load_bound_rule.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound, compute_home_bound
 from clementineyoke_core.runner_state import RunnerState
@@ -19,7 +19,7 @@
     from clementineyoke_core.slot_ledger import SlotLedger
 
 
-class LoadBoundRule(StatelessGrantRule):
+class LoadBoundRule(BaseGrantRule):
     """Refuses slots on a runner that is at its load bound."""
 
     def __init__(
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/grant_meter.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/grant_meter.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.call_rate import CallRate
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -24,7 +24,7 @@
     return GRANTS_KEY_PREFIX + pool
 
 
-class GrantMeter(StatelessGrantRule):
+class GrantMeter(BaseGrantRule):
     """Counts the grants of a home; refuses nothing.
 
     While calls are rejected, a pool grants slots as fast as its runners free them.
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_reserve_rule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_reserve_rule.py
@@ -5,7 +5,7 @@
 import math
 from typing import TYPE_CHECKING, Protocol
 
-from clementineyoke_core.grants.grant_rule import StatelessGrantRule
+from clementineyoke_core.grants.grant_rule import BaseGrantRule
 from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.overload.admission_level import ramp
 
@@ -41,7 +41,7 @@
         """Return the latest pressure of a pool."""
 
 
-class PriorityReserveRule(StatelessGrantRule):
+class PriorityReserveRule(BaseGrantRule):
     """Refuses slots to less urgent ranks on a busy runner.
 
     The most urgent rank is never refused. The bounds fall with the rank, so whenever a
