Bound the memory reserved for an output of unknown length

Until 20 answers of a route are known, a call reserved its caller's whole maximum: one call of 10 prompt tokens with a maximum of 10^9 kept an engine of 406,728 tokens from all others (found in review, reproduced there). At most a tenth of the memory is reserved now.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/token_accounting.py
@@ -35,6 +35,10 @@
 FREE_SHARE = 0.8
 """Shares of the usable memory at which an engine is reported as full and, after that,
 as free again; the gap keeps one call from causing an event at each grant."""
+UNKNOWN_OUTPUT_SHARE = 0.1
+"""Share of an engine's memory that is reserved at most for an output whose usual length
+is not known. One caller that states a huge maximum must not keep an engine from all
+others."""
 RATE_CHANGE_FACTOR = 1.5
 """Change of a learned prefill rate that is reported."""
 
@@ -132,8 +136,11 @@
             max_output_tokens=admitted.call.max_output_tokens,
         )
         # A call whose prompt fits must fit on an idle engine, whatever its maximum.
-        left_tokens = max(0, memory_tokens - cost.prompt_tokens)
-        return cost._replace(output_tokens=min(output_tokens, left_tokens))
+        limit_tokens = max(0, memory_tokens - cost.prompt_tokens)
+        if not self._learned_tokens(admitted):
+            unknown_tokens = int(UNKNOWN_OUTPUT_SHARE * memory_tokens)
+            limit_tokens = min(limit_tokens, unknown_tokens)
+        return cost._replace(output_tokens=min(output_tokens, limit_tokens))
 
     def record_first_event(
         self, admitted: AdmittedCall, *, prefill_tokens: int, latency_ms: float
