--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -285,6 +285,7 @@
         )
 
     def _extra_rules(self) -> list[GrantRule]:
+        """Return the rules of the overload features, in the order they are asked."""
         rules: list[GrantRule] = []
         if self.admission is not None:
             rules.append(self.admission.rule)
@@ -382,9 +383,7 @@
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
-        self._pool_memory = PoolMemory(
-            state=lambda: None if self.view.routes is None else self.view.routes.state
-        )
+        self._pool_memory = PoolMemory(state=self._read_desired_state)
         engines = EngineView(
             table=self._state.table,
             rings=self._state.rings,
@@ -413,13 +412,12 @@
         )
 
     def _describes_calls(self, pool: str) -> bool:
-        if not pool:
-            return False
-        return (
-            self._features.priority_admission
-            or self.speed_exchange.has_reports(pool)
-            or self._accounts_tokens(pool)
-        )
+        """Return whether a rule of the pool's homes needs the urgency or size of calls.
+
+        The rules on tokens apply under the same conditions.
+        """
+        has_reports = self.speed_exchange.has_reports(pool)
+        return self._features.priority_admission or has_reports
 
     def _is_watcher(self) -> bool:
         return self.registration.registered.is_set() and self._state.is_watcher()
