Always create the admission control, and let a setting empty it

It was None without the feature, and ten places asked for that. It now has no ranks and no rule then, like the exchange of speeds, and each method returns what the callers assumed.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/admission_control.py
@@ -16,6 +16,7 @@
     from random import Random
 
     from clementineyoke_core.edge.desired_state import DesiredState
+    from clementineyoke_core.grants.grant_rule import GrantRule
     from clementineyoke_core.mean_load import MeanLoadEstimator
     from clementineyoke_core.overload.pressure_meter import RunnerDemand
     from clementineyoke_core.runner_table import RunnerTable
@@ -62,23 +63,31 @@
         rng: Random,
         read_state: Callable[[], DesiredState | None],
         queue_share: float,
+        is_enabled: bool = True,
     ) -> None:
-        """Create the control; ``read_state`` returns the desired state in force."""
+        """Create the control; ``read_state`` returns the desired state in force.
+
+        If it is not enabled, no pool has ranks, and it neither rejects nor measures.
+        """
+        self.is_enabled = is_enabled
         self._metrics = metrics
         self._rng = rng
-        self._ranks = PriorityRanks(read_state=read_state)
+        self._ranks = PriorityRanks(
+            read_state=read_state if is_enabled else lambda: None
+        )
         self._meter = PressureMeter(mean_load=mean_load)
         self._levels: dict[str, AdmissionLevel] = {}
         self._shares: dict[str, ServedShares] = {}
         self._logged_levels: dict[str, float] = {}
         self._was_shared = False
-        self.rule = PriorityReserveRule(
+        rule = PriorityReserveRule(
             ledger=ledger,
             table=table,
             ranks=self._ranks,
             pressure=self._meter,
             queue_share=queue_share,
         )
+        self.rules: tuple[GrantRule, ...] = (rule,) if is_enabled else ()
 
     def update_pools(self) -> bool:
         """Adopt the pools of the desired state; return whether they have changed."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -41,7 +41,6 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.edge.desired_state import DesiredState
-    from clementineyoke_core.grants.grant_rule import GrantRule
     from clementineyoke_core.node import Node
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.config.edge_config import EdgeConfig
@@ -141,7 +140,7 @@
         self.admission = self._make_admission()
         self.token_accounting = self._make_token_accounting()
         self.returns = make_return_policy(
-            features=config.overload_features,
+            features=self._features,
             state=state,
             timers=self.timers,
             fleet_calls_per_s=self.fleet_calls_per_s,
@@ -220,9 +219,7 @@
             self.introducer.send_hello(PeerAddress(address, self._config.peer_port))
             self.peers.fetch(seed)
 
-    def _make_admission(self) -> AdmissionControl | None:
-        if not self._config.overload_features.priority_admission:
-            return None
+    def _make_admission(self) -> AdmissionControl:
         state = self._state
         return AdmissionControl(
             ledger=state.ledger,
@@ -232,6 +229,7 @@
             rng=state.rng,
             read_state=self._read_desired_state,
             queue_share=QUEUE_SHARE,
+            is_enabled=self._features.priority_admission,
         )
 
     def _read_desired_state(self) -> DesiredState | None:
@@ -240,7 +238,7 @@
     def _make_speed_exchange(self) -> SpeedExchange:
         state = self._state
         return SpeedExchange(
-            is_enabled=self._config.overload_features.speed_weighting,
+            is_enabled=self._features.speed_weighting,
             membership=state.membership,
             table=state.table,
             homes=state.region_homes,
@@ -267,7 +265,12 @@
                 slack_slots=SLACK_SLOTS,
                 queue_share=QUEUE_SHARE,
             ),
-            extra_rules=self._extra_rules(),
+            extra_rules=(
+                *self.admission.rules,
+                *self.token_accounting.rules,
+                *self.speed_exchange.rules,
+                *self.returns.grant_rules,
+            ),
             prefill_tokens=self.token_accounting.prefill_tokens,
             load_weight=self.speed_exchange.load_weight,
             on_response_time=self.speed_exchange.record_response_time,
@@ -281,21 +284,9 @@
             socket=self.socket,
             timeout_ms=self._config.slot_timeout_ms,
             is_cold=self._is_cold,
-            is_short=self._is_short,
+            is_short=self.admission.is_short,
         )
 
-    def _extra_rules(self) -> list[GrantRule]:
-        """Return the rules of the overload features, in the order they are asked."""
-        rules: list[GrantRule] = []
-        if self.admission is not None:
-            rules.append(self.admission.rule)
-        return [
-            *rules,
-            *self.token_accounting.rules,
-            *self.speed_exchange.rules,
-            *self.returns.grant_rules,
-        ]
-
     def _create_fleet_components(self) -> None:
         state = self._state
         self.peers = PeerStateExchange(
@@ -428,9 +419,6 @@
             is_zone_notified=node.availability_zone == self._config.availability_zone,
         )
 
-    def _is_short(self, pool: str) -> bool:
-        return self.admission is not None and self.admission.is_short(pool)
-
     def _is_cold(self, runner: Runner) -> bool:
         now_ms = self.timers.now_ms()
         return self._state.cold_runners.calls_per_s(runner, now_ms=now_ms) is not None
@@ -454,13 +442,12 @@
         keys = {entry.runner.pool for entry in self._state.table.entries()}
         keys |= self.token_accounting.gossip_keys(keys)
         keys.update(self.speed_exchange.gossip_keys(), self.returns.apply_hosts())
-        if self.admission is not None:
-            self.admission.update_pools()
-            keys |= self.admission.gossip_keys()
+        self.admission.update_pools()
+        keys |= self.admission.gossip_keys()
         self.gossiper.set_pools({*keys, NODE_CALLS_KEY})
 
     def _handle_gossip(self, node: Node, gossip: Gossip) -> None:
-        if self.admission is not None and node.region == self._config.region:
+        if node.region == self._config.region:
             self.admission.record_exchange(now_ms=self.timers.now_ms())
         self.crash_tracker.merge_notes(gossip.crashes)
         self.speed_exchange.record_gossip(gossip)
@@ -488,12 +475,11 @@
         await self.view.drop_lapsed()
 
     async def _run_admission(self) -> None:
-        if self.admission is not None:
-            demands = self.slot_home.demands()
-            self.admission.update(demands, now_ms=self.timers.now_ms())
+        demands = self.slot_home.demands()
+        self.admission.update(demands, now_ms=self.timers.now_ms())
 
     async def _run_housekeeping(self) -> None:
-        if self.admission is not None and self.admission.update_pools():
+        if self.admission.update_pools():
             self._set_gossip_keys()
         rate_per_s = self._state.call_rate.per_s(now_ms=self.timers.now_ms())
         self._state.mean_load.set_local(NODE_CALLS_KEY, load=rate_per_s, runners=1)
@@ -515,7 +501,7 @@
         )
         for name, interval_ms, call in schedule:
             self.timers.subscribe(name, interval_ms=interval_ms, callback=call)
-        if self.admission is not None:
+        if self.admission.is_enabled:
             self.timers.subscribe(
                 "admission",
                 interval_ms=ADMISSION_INTERVAL_MS,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -73,9 +73,9 @@
         count_nodes: Callable[[], int],
         random_key: Callable[[], int],
         cap_factor: float,
+        admission: AdmissionControl,
         token_accounting: TokenAccounting,
         describes_calls: Callable[[str], bool] = lambda _: False,
-        admission: AdmissionControl | None = None,
         compare_time: Callable[[AnswerKind, float], int] = lambda _, __: 0,
         returns: ReturnPolicy | None = None,
     ) -> None:
@@ -85,9 +85,9 @@
         mean load. ``count_nodes`` returns the number of nodes that share the retry
         budget of a pool. ``describes_calls`` returns whether the homes of a pool's
         runners need the objective and the size of calls. ``admission`` rejects calls by
-        their priority before any search, or is None. ``compare_time`` returns the time
-        of an answer, in ms, as percent of the usual one, or 0 if unknown. ``returns``
-        decides when rejected calls return.
+        their priority before any search. ``compare_time`` returns the time of an
+        answer, in ms, as percent of the usual one, or 0 if unknown. ``returns`` decides
+        when rejected calls return.
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
@@ -223,14 +223,8 @@
             },
         )
 
-    def _is_short(self, pool: str) -> bool:
-        """Return whether a pool is short of capacity, so that a retry gains nothing."""
-        return self._admission is not None and self._admission.is_short(pool)
-
     def _check_level(self, admitted: AdmittedCall) -> None:
         """Raise ``RequestError`` if the pool's admission level rejects a call."""
-        if self._admission is None:
-            return
         reason = self._admission.rejection_reason(
             admitted.pool, admitted.priority, now_ms=self._timers.now_ms()
         )
@@ -248,8 +242,6 @@
     def _record_search(
         self, admitted: AdmittedCall, lease: SlotLease | None, *, started_ms: float
     ) -> None:
-        if self._admission is None:
-            return
         now_ms = self._timers.now_ms()
         self._admission.record_search(
             admitted.pool,
@@ -263,8 +255,6 @@
     def _record_abandoned_search(
         self, admitted: AdmittedCall, *, started_ms: float
     ) -> None:
-        if self._admission is None:
-            return
         now_ms = self._timers.now_ms()
         self._admission.record_abandoned_search(
             admitted.pool,
@@ -279,12 +269,9 @@
         team = hash_text(admitted.team or "")
         if not self._describes_calls(admitted.pool):
             return CallProfile(team, admitted.priority)
-        priority = admitted.priority
-        if self._admission is not None:
-            priority = self._admission.asked_priority(admitted.pool, priority)
         return CallProfile(
             team,
-            priority,
+            self._admission.asked_priority(admitted.pool, admitted.priority),
             max(1, round(admitted.route.objective_ms)),
             self._token_accounting.describe(admitted),
         )
@@ -326,7 +313,10 @@
         self, admitted: AdmittedCall, ledger: AttemptLedger, runner: Runner
     ) -> bool:
         """Return whether a call may abandon a silent runner and try another one."""
-        if not ledger.may_abandon_attempt() or self._is_short(admitted.pool):
+        if not ledger.may_abandon_attempt():
+            return False
+        if self._admission.is_short(admitted.pool):
+            # Another runner would answer no sooner.
             return False
         tried = {*ledger.tried, runner.runner_id}
         return self._broker.has_untried_runner(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
@@ -64,11 +64,7 @@
                 if state.table.is_backed_off(entry.runner)
             ],
             "homed_slots": io.slot_home.loads(),
-            "pressure": (
-                {}
-                if io.admission is None
-                else io.admission.status(now_ms=io.timers.now_ms())
-            ),
+            "pressure": io.admission.status(now_ms=io.timers.now_ms()),
         }
         return web.json_response(status)
 
--- a/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
+++ b/packages/clementineyoke-node/tests/steps/admission_by_priority_steps.py
@@ -72,7 +72,7 @@
         home.demands = lambda home=home: [
             RunnerDemand(POOL, round(times * SLOTS), 0, SLOTS) for _ in home.loads()
         ]
-    if context.fleet.nodes[0].io.admission is not None:
+    if context.fleet.nodes[0].io.admission.is_enabled:
         context.run(wait_until(lambda: min(levels(context.fleet)) > 0.99, 10))
 
 
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -82,6 +82,7 @@
         count_nodes=lambda: 1,
         random_key=lambda: state.rng.getrandbits(64),
         cap_factor=1.5,
+        admission=None,
         token_accounting=None,
         returns=context.policy,
     )
