Leave unset fields out when a message is encoded

The description of calls gave slot requests five more fields, and each was written although it is zero unless a feature needs it. A field that is not set reads as zero or empty.

--- a/packages/clementineyoke-wire/src/clementineyoke_wire/codec.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/codec.py
@@ -92,6 +92,9 @@
     values: dict[str, Any] = {}
     for name, capnp_name, entry_class in mapping.fields:
         value = getattr(message, name)
+        if not value:
+            # A field that is not set has its type's zero or empty value when read.
+            continue
         if entry_class is not None:
             entry_mapping = _entry_mapping(entry_class)
             value = [_to_values(entry, entry_mapping) for entry in value]
