--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_search.py
@@ -95,13 +95,14 @@
         attempt: SlotAttempt,
         *,
         in_use: int,
-        is_held: bool = False,
         reason: RefusalReason = RefusalReason.LOAD,
     ) -> None:
         """Record a refusal with the exact load that the home reported."""
         if attempt.seen_mean > 0.0:
             return  # The refusal of the runner's first request is already recorded.
-        refusal = _Refusal(is_held, in_use, attempt.rank, attempt.runner_id, reason)
+        refusal = _Refusal(
+            reason.is_held, in_use, attempt.rank, attempt.runner_id, reason
+        )
         self._refusals.append(refusal)
 
     def record_timeout(self, attempt: SlotAttempt) -> None:
--- a/packages/clementineyoke-core/tests/steps/slot_search_steps.py
+++ b/packages/clementineyoke-core/tests/steps/slot_search_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, then, when
 
+from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.slot_search import SlotSearch
 
 
@@ -32,10 +33,11 @@
         if context.loads is None:
             context.search.record_timeout(attempt)
         else:
+            is_paused = attempt.runner_id in context.paused
             context.search.record_refusal(
                 attempt,
                 in_use=context.loads[attempt.runner_id],
-                is_held=attempt.runner_id in context.paused,
+                reason=RefusalReason.PAUSED if is_paused else RefusalReason.LOAD,
             )
     assert context.requested == context.runner_ids[:count]
 
@@ -106,7 +108,7 @@
     attempt = context.search.next_attempt()
     assert attempt.runner_id in context.paused
     assert attempt.seen_mean == mean
-    context.search.record_refusal(attempt, in_use=1, is_held=True)
+    context.search.record_refusal(attempt, in_use=1, reason=RefusalReason.PAUSED)
 
 
 @then("it still sends a request that is marked as last-resort")
--- a/packages/clementineyoke-core/tests/steps/uneven_pool.py
+++ b/packages/clementineyoke-core/tests/steps/uneven_pool.py
@@ -12,6 +12,7 @@
 from clementineyoke_core.capacity.speed_rule import SpeedRule
 from clementineyoke_core.grants.call_profile import CallProfile, PromptCost
 from clementineyoke_core.grants.grant_rule import GrantRequest
+from clementineyoke_core.grants.refusal_reason import RefusalReason
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.mean_load import MeanLoadEstimator
 from clementineyoke_core.slot_ledger import SlotHolder
@@ -125,7 +126,7 @@
                 rule.record_grant(request)
                 return attempt.runner_id
             self.refused_long += is_long
-            search.record_refusal(attempt, in_use=1, is_held=True)
+            search.record_refusal(attempt, in_use=1, reason=RefusalReason.SPEED)
         return None
 
     def send_head(self, name):
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -136,10 +136,7 @@
                 refusal = result.failure()
                 refusals[runner.runner_id] = refusal.reason
                 search.record_refusal(
-                    attempt,
-                    in_use=refusal.in_use,
-                    is_held=refusal.is_held,
-                    reason=refusal.reason,
+                    attempt, in_use=refusal.in_use, reason=refusal.reason
                 )
         may_bypass = self._may_bypass_home
         if self._is_short(request.pool):
