Derive priority classes from the few priorities of the routes

Each desired state, also of deployments without priority admission, built a class for each pair of route and team priority: 3.9 ms for 1,640 routes on a fast host. The priorities of the routes of a pool are collected first.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -110,7 +110,7 @@
     priority = _priority(route, team)
     if has_priority_classes:
         team_priority = None if team is None else team.priority
-        priority_class = PriorityClass.of(route, team_priority)
+        priority_class = PriorityClass.of(route.priority, team_priority)
         priority = table.class_index(pool, priority_class)
     return AdmittedCall(
         call=call,
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
@@ -19,10 +19,10 @@
     route_priority: int
 
     @classmethod
-    def of(cls, route: Route, team_priority: int | None) -> PriorityClass:
-        """Return the class of calls by a route of teams with a priority, or None."""
-        priority = route.priority if team_priority is None else team_priority
-        return cls(priority, route.priority)
+    def of(cls, route_priority: int, team_priority: int | None) -> PriorityClass:
+        """Return the class of calls by a route of a team with a priority, or None."""
+        priority = route_priority if team_priority is None else team_priority
+        return cls(priority, route_priority)
 
 
 class Team(NamedTuple):
@@ -76,11 +76,23 @@
         the same priority, those of a route with a more urgent one come first.
         """
         team_priorities = {team.priority for team in self.teams} | {None}
-        classes: dict[str, set[PriorityClass]] = {}
+        # A state has thousands of routes but few priorities.
+        route_priorities: dict[str, set[int]] = {}
         for route in self.routes:
-            found = {PriorityClass.of(route, priority) for priority in team_priorities}
             for entry in route.pools:
-                classes.setdefault(entry.pool, set()).update(found)
+                route_priorities.setdefault(entry.pool, set()).add(route.priority)
         return {
-            pool: tuple(sorted(found))[:MAX_CLASSES] for pool, found in classes.items()
+            pool: _sort_classes(found, team_priorities)
+            for pool, found in route_priorities.items()
         }
+
+
+def _sort_classes(
+    route_priorities: set[int], team_priorities: set[int | None]
+) -> tuple[PriorityClass, ...]:
+    classes = {
+        PriorityClass.of(route_priority, team_priority)
+        for route_priority in route_priorities
+        for team_priority in team_priorities
+    }
+    return tuple(sorted(classes))[:MAX_CLASSES]
--- a/packages/clementineyoke-core/tests/steps/admission_level_steps.py
+++ b/packages/clementineyoke-core/tests/steps/admission_level_steps.py
@@ -55,7 +55,7 @@
 )
 def check_priority(context, route, team, priority):
     team_priority = None if team == "none" else int(team)
-    found = PriorityClass.of(make_state((route,)).routes[0], team_priority)
+    found = PriorityClass.of(route, team_priority)
     assert context.route_table.class_index(POOL, found) == priority
 
 
@@ -67,7 +67,7 @@
 @then("the priorities of their calls are 0 to 9, and 9 for the last three")
 def check_many_classes(context):
     table = RouteTable(state=context.state)
-    classes = [PriorityClass.of(route, None) for route in context.state.routes]
+    classes = [PriorityClass.of(route.priority, None) for route in context.state.routes]
     found = [table.class_index(POOL, priority_class) for priority_class in classes]
     assert found == [*range(10), 9, 9]
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -171,7 +171,7 @@
     Mutation(
         "admission: the priority of a route does not count beside that of a team",
         f"{CORE_SOURCE}/edge/desired_state.py",
-        "return cls(priority, route.priority)",
+        "return cls(priority, route_priority)",
         "return cls(priority, 0)",
         f"{CORE_OVERLOAD_TESTS}/admission_level.feature",
     ),
@@ -241,7 +241,7 @@
     Mutation(
         "admission: the pressure is not gossiped",
         f"{NODE_EDGE_SOURCE}/edge_io.py",
-        "            keys |= self.admission.gossip_keys()\n",
+        "        keys |= self.admission.gossip_keys()\n",
         "",
         f"{NODE}/tests/edge/admission_by_priority.feature",
     ),
