--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/admission_level.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/admission_level.py
@@ -13,7 +13,7 @@
 RELIEF_END = 0.6
 """Pressures between which a level loses its effect, whatever its value. The level falls
 slowly, and without the relief, runners with free slots idle for seconds after an
-overload: they answered 0.39 of their capacity in time, and 0.49 with the relief."""
+overload."""
 RISE_MS = 1_000.0
 """Time in which the level rises over its full range."""
 FALL_MS = 8_000.0
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_ranks.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/priority_ranks.py
@@ -34,7 +34,7 @@
 
     Only pools of engines have ranks. The calls of a plain service take milliseconds and
     its pool has few slots, so that a clump of calls fills it for less time than the
-    gossip needs to tell: on a quiet day 178 calls were rejected for such clumps.
+    gossip needs to tell, and calls were rejected for clumps that had passed.
 
     The priority of a call is the place of its class among those of the desired state.
     It has a rank if enough of the recent calls, at this node or to the runners homed on
--- a/packages/clementineyoke-core/src/clementineyoke_core/overload/return_schedule.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/overload/return_schedule.py
@@ -23,11 +23,10 @@
 SURGE_MS = 1_000.0
 """For how long rejections of more urgent calls are assumed to go on at their present
 rate. Without that assumption a less urgent call is told to return at a time that more
-urgent calls take a moment later: of 180 calls of three priorities, rejected within a
-second, 75% then met capacity of 60 calls per second, and 94% with it (30 seeds)."""
+urgent calls take a moment later; a quarter of the returns then met no capacity."""
 REJECTION_DECAY_MS = 150.0
-"""Time constant of that rate. With 250 ms 91% met capacity, with 500 ms 87%: the first
-less urgent calls of a surge are told to return too soon."""
+"""Time constant of that rate. With a longer one the first less urgent calls of a surge
+are told to return too soon."""
 MAX_PENDING = 4_096
 """Pending returns that a node remembers, 0.8 MB; the oldest are dropped."""
 
