Log whether a node reaches other runners, and who has a runner paused

The logs of the incident could not tell a node that reaches no runner from runners that are gone, nor pauses that nodes in touch ask for from those that cut-off nodes ask for. Failed attempts now give the age of the last connection to another runner of the pool, pauses the nodes that reported, and two counters show connections and pauses.

--- a/packages/clementineyoke-core/src/clementineyoke_core/reachability_breaker.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/reachability_breaker.py
@@ -27,6 +27,8 @@
     """Nodes that could not reach the runner, each with the time of its report."""
     paused_until_ms: float = 0.0
     pause_ms: float = 0.0
+    reporters: tuple[str, ...] = ()
+    """Nodes whose reports began the current pause."""
 
 
 class ReachabilityBreaker:
@@ -57,15 +59,19 @@
         )
         reports += ((reporter, now_ms),)
         # After a pause one report is enough, as the runner has answered no node since.
-        reporters = len({node_id for node_id, _ in reports}) + bool(outage.pause_ms)
-        if reporters < MIN_REPORTERS:
+        reporters = tuple(sorted({node_id for node_id, _ in reports}))
+        if len(reporters) + bool(outage.pause_ms) < MIN_REPORTERS:
             self._outages[runner_id] = outage._replace(reports=reports)
             return False
         pause_ms = max(MIN_PAUSE_MS, PAUSE_GROWTH * outage.pause_ms)
         pause_ms = min(MAX_PAUSE_MS, pause_ms)
-        self._outages[runner_id] = _Outage((), now_ms + pause_ms, pause_ms)
+        self._outages[runner_id] = _Outage((), now_ms + pause_ms, pause_ms, reporters)
         return True
 
+    def reporters(self, runner_id: str) -> list[str]:
+        """Return the nodes whose reports began a runner's current pause."""
+        return list(self._outages.get(runner_id, _Outage()).reporters)
+
     def is_paused(self, runner_id: str, *, now_ms: float) -> bool:
         """Return whether a runner is paused and gets no calls now."""
         outage = self._outages.get(runner_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -12,6 +12,7 @@
 from clementineyoke_core.edge.prompt_holders import PromptHolders
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
+from clementineyoke_core.edge.runner_reach import RunnerReach
 from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
 from clementineyoke_core.load_bound import LoadBound
 from clementineyoke_node.edge.admission_control import AdmissionControl
@@ -104,8 +105,12 @@
             on_draining=self._record_draining,
             on_head=self.speed_exchange.record_head,
         )
+        self.runner_reach = RunnerReach()
         self.connection_pool = RunnerConnectionPool(
-            timers=self.timers, signals=self.signals
+            timers=self.timers,
+            signals=self.signals,
+            reach=self.runner_reach,
+            metrics=state.metrics,
         )
         self.runner_health = RunnerHealth(table=state.table)
         self.view = FleetView(
@@ -273,6 +278,7 @@
             ),
             prefill_tokens=self.token_accounting.prefill_tokens,
             load_weight=self.speed_exchange.load_weight,
+            on_pause=self._record_pause,
             on_response_time=self.speed_exchange.record_response_time,
         )
         self.broker = SlotBroker(
@@ -371,6 +377,7 @@
             admission=self.admission,
             compare_time=self.speed_exchange.compare_time,
             returns=self.returns,
+            reach=self.runner_reach,
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
@@ -438,6 +445,9 @@
             self.broadcaster.send_to(home, changes)
         return True
 
+    def _record_pause(self, reason: str) -> None:
+        self._state.metrics.runner_pauses.inc({"reason": reason})
+
     def _set_gossip_keys(self) -> None:
         keys = {entry.runner.pool for entry in self._state.table.entries()}
         keys |= self.token_accounting.gossip_keys(keys)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -30,6 +30,7 @@
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.retry_window import RetryWindow
     from clementineyoke_core.edge.runner_health import RunnerHealth
+    from clementineyoke_core.edge.runner_reach import RunnerReach
     from clementineyoke_core.grants.refusal_reason import RefusalReason
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
@@ -77,6 +78,7 @@
         token_accounting: TokenAccounting,
         describes_calls: Callable[[str], bool] = lambda _: False,
         compare_time: Callable[[AnswerKind, float], int] = lambda _, __: 0,
+        reach: RunnerReach,
         returns: ReturnPolicy | None = None,
     ) -> None:
         """Create a forwarder.
@@ -103,6 +105,7 @@
         self._admission = admission
         self._token_accounting = token_accounting
         self._compare_time = compare_time
+        self._reach = reach
         self._returns = returns or FixedReturns(timers=timers)
 
     async def forward(
@@ -452,8 +455,14 @@
             request_digest=admitted.digest.hex(),
             on_runner_ms=round(now_ms - started_ms),
             after_ms=round(now_ms - admitted.arrived_ms),
+            reached_other_ms=self._reached_other_age_ms(runner),
         )
 
+    def _reached_other_age_ms(self, runner: Runner) -> int | None:
+        """Return how long ago a connection to another runner of its pool was opened."""
+        reached_ms = self._reach.reached_other_ms(runner)
+        return None if reached_ms is None else round(self._timers.now_ms() - reached_ms)
+
 
 def _describe_caller(admitted: AdmittedCall) -> dict[str, object]:
     """Return the fields of a rejected call's log line that tell who is affected."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Self
 
 import aiohttp
@@ -25,13 +26,15 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
     from types import SimpleNamespace
 
     from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.edge.runner_reach import RunnerReach
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.edge.runner_signals import RunnerSignals
     from clementineyoke_node.edge.runner_timeout import RunnerTimeout
+    from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
@@ -55,9 +58,17 @@
 class ConnectionTrace:
     """Records whether a connection is reused, and stops a request that is late."""
 
-    def __init__(self, *, timers: TimerService, send_before_ms: float) -> None:
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        send_before_ms: float,
+        on_connected: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Create a record; ``on_connected`` is called for a new connection."""
         self._timers = timers
         self._send_before_ms = send_before_ms
+        self.on_connected = on_connected
         self.is_reused = False
         """Whether the connection was kept alive after an earlier call."""
 
@@ -71,9 +82,18 @@
 class RunnerConnectionPool:
     """Owns the connections to runners, and sends calls on them."""
 
-    def __init__(self, *, timers: TimerService, signals: RunnerSignals) -> None:
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        signals: RunnerSignals,
+        reach: RunnerReach,
+        metrics: Metrics,
+    ) -> None:
         self._timers = timers
         self._signals = signals
+        self._reach = reach
+        self._metrics = metrics
         self._idle_policy = IdleConnectionPolicy()
         self._address_lifetimes = AddressLifetimes()
         self._stack = AsyncExitStack()
@@ -127,7 +147,11 @@
             call,
             routing,
             runner_timeout=runner_timeout,
-            trace=ConnectionTrace(timers=self._timers, send_before_ms=send_before_ms),
+            trace=ConnectionTrace(
+                timers=self._timers,
+                send_before_ms=send_before_ms,
+                on_connected=partial(self._record_connected, runner),
+            ),
         )
         is_complete = False
         try:
@@ -216,6 +240,9 @@
                 is_runner_fault=False,
             ) from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._metrics.runner_connections.inc(
+                {"pool": runner.pool, "outcome": "failed"}
+            )
             raise AttemptError(
                 outcome=AttemptOutcome.NOT_SENT,
                 step="connect",
@@ -234,6 +261,10 @@
                 is_connection_lost=is_connection_lost,
             ) from error
 
+    def _record_connected(self, runner: Runner) -> None:
+        self._reach.record_connected(runner, now_ms=self._timers.now_ms())
+        self._metrics.runner_connections.inc({"pool": runner.pool, "outcome": "opened"})
+
     def _record_idle_loss(self, runner: Runner, call: EdgeCall) -> None:
         if self._idle_policy.record_loss(runner.pool, now_ms=self._timers.now_ms()):
             log_event(
@@ -274,6 +305,13 @@
     ) -> None:
         context.trace_request_ctx.is_reused = True
 
+    async def record_connected(
+        session: aiohttp.ClientSession,
+        context: SimpleNamespace,
+        params: aiohttp.TraceConnectionCreateEndParams,
+    ) -> None:
+        context.trace_request_ctx.on_connected()
+
     async def check_send(
         session: aiohttp.ClientSession,
         context: SimpleNamespace,
@@ -285,5 +323,6 @@
 
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(record_reuse)
+    trace.on_connection_create_end.append(record_connected)
     trace.on_request_headers_sent.append(check_send)
     return trace
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -18,6 +18,16 @@
             "Requests by outcome.",
             registry=self.registry,
         )
+        self.runner_connections = Counter(
+            "clementineyoke_runner_connections_total",
+            "New connections to runners for calls, by pool and outcome.",
+            registry=self.registry,
+        )
+        self.runner_pauses = Counter(
+            "clementineyoke_runner_pauses_total",
+            "Pauses of runners that this node is home of, by reason.",
+            registry=self.registry,
+        )
         self.latency_s = Histogram(
             "clementineyoke_request_seconds",
             "Time from a request's head to the end of its answer.",
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -76,13 +76,15 @@
         prefill_tokens: Callable[[GrantRequest], int] = lambda _: 0,
         load_weight: Callable[[GrantRequest], float] = lambda _: 1.0,
         on_response_time: Callable[[str, int], None] = lambda _, __: None,
+        on_pause: Callable[[str], None] = lambda _: None,
     ) -> None:
         """Create a home; ``extra_rules`` are asked after the rules of every home.
 
         ``prefill_tokens`` returns how many prompt tokens a call adds on its runner, or
         0 if that is unknown. Requesters learn from it how fast runners process prompts.
         ``load_weight`` is described at ``LoadBoundRule``. ``on_response_time`` is
-        called with a runner and the time of its answer in percent of the usual time.
+        called with a runner and the time of its answer in percent of the usual time,
+        ``on_pause`` with the reason of each pause of a runner.
         """
         self._prefill_tokens = prefill_tokens
         self._fault_breaker = FaultRateBreaker()
@@ -105,6 +107,7 @@
             *extra_rules,
         )
         self._on_response_time = on_response_time
+        self._on_pause = on_pause
         self._own_id = own_id
         self._ledger = ledger
         self._table = table
@@ -234,6 +237,7 @@
         """Record that a call to a runner failed or is overdue."""
         if self._fault_breaker.record_fault(runner_id, now_ms=self._timers.now_ms()):
             log_event(Event.RUNNER_PAUSED, runner=runner_id)
+            self._on_pause("faults")
 
     def record_unreachable(self, runner_id: str, *, reporter: str) -> None:
         """Record that a node could not connect to a runner."""
@@ -241,7 +245,12 @@
         if self._reachability_breaker.record_unreachable(
             runner_id, reporter=reporter, now_ms=now_ms
         ):
-            log_event(Event.RUNNER_UNREACHABLE, runner=runner_id, reporter=reporter)
+            log_event(
+                Event.RUNNER_UNREACHABLE,
+                runner=runner_id,
+                reporters=self._reachability_breaker.reporters(runner_id),
+            )
+            self._on_pause("unreachable")
             self._assume_cold(runner_id, now_ms)
 
     def record_answer(self, runner_id: str, *, time_percent: int = 0) -> None:
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -84,6 +84,7 @@
         cap_factor=1.5,
         admission=None,
         token_accounting=None,
+        reach=None,
         returns=context.policy,
     )
     context.retry_ms = []
