--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -62,6 +62,8 @@
     """Speed of that core, as a multiple of a standard core's; None if unknown."""
     link_mbps: float | None = None
     """Bandwidth of the host's link; None if unknown."""
+    runner_source_address: str = ""
+    """Local IP address of connections to runners; the system chooses one if empty."""
     linger_ms: int = 2_600
     """How long a draining node still accepts calls from callers that have cached its
     address. Some callers cache addresses with a lifetime of one second for three."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -111,6 +111,7 @@
             signals=self.signals,
             reach=self.runner_reach,
             metrics=state.metrics,
+            source_address=config.runner_source_address,
         )
         self.runner_health = RunnerHealth(table=state.table)
         self.view = FleetView(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -89,7 +89,10 @@
         signals: RunnerSignals,
         reach: RunnerReach,
         metrics: Metrics,
+        source_address: str = "",
     ) -> None:
+        """Create a pool; without ``source_address`` the system chooses one."""
+        self._local_address = (source_address, 0) if source_address else None
         self._timers = timers
         self._signals = signals
         self._reach = reach
@@ -103,10 +106,10 @@
     async def __aenter__(self) -> Self:
         """Open the sessions for kept-alive and for single-use connections."""
         self._keepalive_session = await self._stack.enter_async_context(
-            _make_session(keeps_alive=True, address_lifetimes=self._address_lifetimes)
+            self._make_session(keeps_alive=True)
         )
         self._single_use_session = await self._stack.enter_async_context(
-            _make_session(keeps_alive=False, address_lifetimes=self._address_lifetimes)
+            self._make_session(keeps_alive=False)
         )
         return self
 
@@ -174,7 +177,9 @@
         """
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
-                _, writer = await asyncio.open_connection(runner.address, runner.port)
+                _, writer = await asyncio.open_connection(
+                    runner.address, runner.port, local_addr=self._local_address
+                )
         except (ConnectionRefusedError, TimeoutError):
             return False
         except OSError as error:
@@ -183,6 +188,26 @@
         writer.close()
         return True
 
+    def _make_session(self, *, keeps_alive: bool) -> aiohttp.ClientSession:
+        session = aiohttp.ClientSession(
+            connector=make_connector(
+                asyncio.get_running_loop(),
+                keeps_alive=keeps_alive,
+                address_lifetimes=self._address_lifetimes,
+                local_address=self._local_address,
+            ),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            trace_configs=[_make_trace_config()],
+        )
+        # aiohttp retries idempotent HTTP methods when a kept-alive connection breaks: a
+        # call that may not be repeated would run twice.
+        session._retry_connection = False
+        return session
+
     def _choose_session(
         self, runner: Runner, *, may_repeat: bool
     ) -> aiohttp.ClientSession:
@@ -275,28 +300,6 @@
             )
 
 
-def _make_session(
-    *, keeps_alive: bool, address_lifetimes: AddressLifetimes
-) -> aiohttp.ClientSession:
-    session = aiohttp.ClientSession(
-        connector=make_connector(
-            asyncio.get_running_loop(),
-            keeps_alive=keeps_alive,
-            address_lifetimes=address_lifetimes,
-        ),
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-        max_line_size=MAX_HEAD_BYTES,
-        max_field_size=MAX_HEAD_BYTES,
-        trace_configs=[_make_trace_config()],
-    )
-    # aiohttp retries idempotent HTTP methods when a kept-alive connection breaks: a
-    # call that may not be repeated would run twice.
-    session._retry_connection = False
-    return session
-
-
 def _make_trace_config() -> aiohttp.TraceConfig:
     async def record_reuse(
         session: aiohttp.ClientSession,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import ClientPayloadError, TCPConnector
 from aiohttp.client_proto import ResponseHandler
@@ -97,12 +97,15 @@
     *,
     keeps_alive: bool,
     address_lifetimes: AddressLifetimes,
+    local_address: tuple[str, int] | None = None,
 ) -> TCPConnector:
     """Return a connector to runners that keeps idle connections, or closes each one."""
-    options = (
+    options: dict[str, Any] = (
         {"keepalive_timeout": MAX_IDLE_S} if keeps_alive else {"force_close": True}
     )
-    connector = TCPConnector(limit=0, socket_factory=open_socket, **options)
+    connector = TCPConnector(
+        limit=0, socket_factory=open_socket, local_addr=local_address, **options
+    )
     # aiohttp has no public way to set the protocol class of a connector.
     connector._factory = lambda: RunnerProtocol(  # type: ignore[assignment]
         loop=loop, address_lifetimes=address_lifetimes
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -57,6 +57,7 @@
         cold=None,
         node_zones=("zone",),
         settings=None,
+        has_own_sources=False,
     ):
         self.store = EdgeStore()
         self.runners = [EdgeRunner(runner_id=f"runner-{n}") for n in range(runners)]
@@ -68,6 +69,8 @@
         """Fields of the desired state for the memory or the cold time of runners."""
         self.settings = settings or {}
         """Settings of the nodes in addition to the usual ones."""
+        self.has_own_sources = has_own_sources
+        """Whether runners can tell the nodes apart by their addresses."""
         self.nodes = []
         self.stop_tasks = []
         self._count = nodes
@@ -153,6 +156,7 @@
             "stop_deadline_s": 3,
             "longest_keep_s": 5,
             "linger_ms": 100,
+            "runner_source_address": address if self.has_own_sources else "",
             **self.settings,
         }
         return msgspec.convert(document, EdgeConfig)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -10,9 +10,10 @@
 from typing import TYPE_CHECKING, NamedTuple, Self
 
 from clementineyoke_node.platform import names
+from clementineyoke_standins.edge.source_filter import drop_sources
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
 PROOF = "proof-of-the-runner"
 EVENTS = 6
@@ -24,6 +25,7 @@
 COLD_OVERLOAD_MARGIN = 5
 """A cold runner crashes if its calls within 1 s exceed its limit times the factor plus
 the margin, as the platform specifies."""
+LINK_POLL_S = 0.01
 LATE_RESPONSE_DELAY_S = 0.05
 """Delay of a late second response, long enough for the first to be relayed."""
 
@@ -59,6 +61,20 @@
     """Sends a response without the runner's signature."""
 
 
+class LinkCut(Enum):
+    """What happens to the connections of callers that lose their link to the runner.
+
+    New connections get no answer in any case.
+    """
+
+    SILENT = "silent"
+    """Open connections transfer nothing until the link is back."""
+    RESET = "reset"
+    """Open connections are reset."""
+    NEW_ONLY = "new_only"
+    """Open connections go on."""
+
+
 STATUS_LINES = {
     ScriptedResponse.FAIL: "500 Failed",
     ScriptedResponse.REFUSE: "503 Busy",
@@ -133,6 +149,10 @@
         self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
         """Called after a crash; may restart the runner."""
         self.port = 0
+        self.cut_sources: frozenset[str] = frozenset()
+        """Addresses whose packets are dropped."""
+        self._silent_sources: frozenset[str] = frozenset()
+        """Addresses to which nothing is sent either."""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -150,6 +170,37 @@
         """Start to listen, at first or after a crash."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
+        if self.cut_sources:
+            self._filter_listener()
+
+    def cut_links(self, addresses: Collection[str], how: LinkCut) -> None:
+        """Cut the links to the callers at some addresses, or end an earlier cut."""
+        self.cut_sources = frozenset(addresses)
+        is_silent = how is LinkCut.SILENT
+        self._silent_sources = self.cut_sources if is_silent else frozenset()
+        self._filter_listener()
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            if writer.is_closing() or sock.fileno() < 0:
+                continue
+            is_cut = _source_of(writer) in self.cut_sources
+            if is_cut and how is LinkCut.RESET:
+                _reset(writer)
+            elif how is not LinkCut.NEW_ONLY or not is_cut:
+                drop_sources(sock, self._silent_sources)
+
+    def heal_links(self) -> None:
+        """End a cut of the links to callers."""
+        self.cut_links((), LinkCut.SILENT)
+
+    def _filter_listener(self) -> None:
+        if self._server is not None:
+            drop_sources(self._server.sockets[0]._sock, self.cut_sources)  # type: ignore[attr-defined]
+
+    async def _wait_for_link(self, writer: asyncio.StreamWriter) -> None:
+        """Wait while nothing may be sent to a caller."""
+        while _source_of(writer) in self._silent_sources:
+            await asyncio.sleep(LINK_POLL_S)
 
     @property
     def crashes(self) -> int:
@@ -280,6 +331,7 @@
             fields[names.SERVER_SIGNATURE] = PROOF
         if response in (ScriptedResponse.UNFRAMED, ScriptedResponse.UNFRAMED_RESET):
             return await self._send_unframed(writer, response, fields, body)
+        await self._wait_for_link(writer)
         message = (
             _encode_head(status, {**fields, "Content-Length": str(len(body))}) + body
         )
@@ -332,6 +384,7 @@
                 await asyncio.sleep(LATE_RESPONSE_DELAY_S)
                 _reset(writer)
                 return False
+            await self._wait_for_link(writer)
             writer.write(_encode_chunk(event))
             await writer.drain()
             await asyncio.sleep(self.event_pause_s)
@@ -352,6 +405,12 @@
     return ReceivedCall(method, target, fields, body)
 
 
+def _source_of(writer: asyncio.StreamWriter) -> str:
+    """Return the IP address of a connection's caller; empty if it is closed."""
+    peer = writer.get_extra_info("peername")
+    return str(peer[0]) if peer else ""
+
+
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Reset the connection rather than closing it in order."""
     sock = writer.get_extra_info("socket")
