Forward calls to a peer where a node reaches no runner of their pool

Callers of a node without links to any runner got 503 for as long as that lasted: the node only ever sent calls to runners itself. A node now counts as isolated from a pool when its connections to four of the pool's runners (or to all, if there are fewer) fail in a row; after a failed connection it opens others until one is accepted, and the call waits for that result before it goes on. An isolated node forwards the pool's calls to a peer in touch, tells its peers, and tries runners every 250 ms. A hop is signed for its call and never forwarded again, at most three peers are asked, each only after the one before has said that the call did not run; a peer whose desired state is older refuses. Where nobody is in touch the call is refused at once.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -16,6 +16,7 @@
 
     from clementineyoke_core.edge.desired_state import CallerLimits, Team
     from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.edge.hop import Hop
     from clementineyoke_core.edge.route import Route
     from clementineyoke_core.edge.route_table import RouteTable
 
@@ -45,6 +46,8 @@
     """Operator's version of the desired state that admitted the call."""
     prompt_key: int | None
     """Routing key of the prompt; None for a call without a prompt."""
+    hop: Hop | None = None
+    """Set if another node has forwarded the call."""
 
     @property
     def prompt_tokens(self) -> int:
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_ledger.py
@@ -32,10 +32,16 @@
     would run twice, for example as two bookings for one caller.
     """
 
-    def __init__(self, *, may_repeat: bool, max_runners: int) -> None:
+    def __init__(
+        self, *, may_repeat: bool, max_runners: int, runners_used: int = 0
+    ) -> None:
+        """Create a ledger; another node has sent the call to ``runners_used`` runners.
+
+        A call that has used all its runners may still go to one.
+        """
         self._may_repeat = may_repeat
         self._max_runners = max_runners
-        self._sends = 0
+        self._sends = max(0, min(runners_used, max_runners - 1))
         self._connects = 0
         self._may_have_run = False
         self.tried: list[str] = []
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -239,6 +239,14 @@
             self._entries[runner_id] = entry._replace(state=RunnerState.READY)
         return due
 
+    def release_quarantined(self, pool: str) -> None:
+        """Mark a pool's quarantined runners ready, as if they had never failed."""
+        for runner_id, entry in self._entries.items():
+            if entry.runner.pool == pool and entry.state is RunnerState.QUARANTINED:
+                self._entries[runner_id] = entry._replace(
+                    state=RunnerState.READY, failures=0
+                )
+
     def due_for_probe(self, *, now_ms: float) -> list[Runner]:
         """Return the runners to probe: those not ready, and those due in quarantine."""
         return [
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -4,11 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
+
 if TYPE_CHECKING:
-    from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
     from clementineyoke_node.edge.runner_response import CompleteResponse
 
 
+_READ_STEPS = frozenset(("read_head", "read_body", "relay"))
+
+
 class AttemptError(Exception):
     """Raised when an attempt fails, with its outcome, the step and the runner."""
 
@@ -34,3 +38,11 @@
         """Whether the failure counts against the runner."""
         self.response = response
         """The runner's signed error response, returned if no retry succeeds."""
+
+    @property
+    def is_silence(self) -> bool:
+        """Whether no connection was accepted, or nothing came on one in time."""
+        if self.outcome is AttemptOutcome.NOT_SENT:
+            return self.is_runner_fault
+        is_timeout = self.step in _READ_STEPS and not self.is_connection_lost
+        return self.outcome is AttemptOutcome.LOST and is_timeout
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -140,7 +140,7 @@
         left_ms = admitted.deadline_ms - self._timers.now_ms()
         try:
             async with asyncio.timeout(max(MIN_TIMEOUT_S, left_ms / MS_PER_S)):
-                return await read_response(response, runner=runner)
+                return await read_response(response, peer=runner.runner_id)
         except TimeoutError as error:
             raise AttemptError(
                 outcome=AttemptOutcome.LOST,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -10,16 +10,20 @@
 from clementineyoke_core.edge.admission import admit
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
+from clementineyoke_node.edge.forwarder import REACH_STEP
 from clementineyoke_node.platform.call_decoder import decode_call
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.node_responses import encode_error, error_headers
 from clementineyoke_wire.events import Event
+from clementineyoke_wire.headers import HOP, HOP_REFUSED
+from clementineyoke_wire.hop_codec import decode_hop
 
 if TYPE_CHECKING:
     from random import Random
 
     from clementineyoke_core.edge.call_rate import CallRate
     from clementineyoke_core.edge.edge_call import EdgeCall
+    from clementineyoke_core.edge.hop import Hop
     from clementineyoke_core.edge.startup_wait import StartupWait
     from clementineyoke_core.membership import Membership
     from clementineyoke_node.callers.decision_ring import DecisionRing
@@ -28,8 +32,11 @@
     from clementineyoke_node.edge.forwarder import Forwarder
     from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.timers.timer_service import TimerService
+    from clementineyoke_wire.message_signer import MessageSigner
 
 MS_PER_S = 1000.0
+REACH_STEPS = frozenset((REACH_STEP, "connect"))
+"""Steps of errors after which another node may still serve the call."""
 BUSY_RETRY_MS = 500
 
 
@@ -49,9 +56,11 @@
         membership: Membership,
         startup_wait: StartupWait,
         call_rate: CallRate,
+        signer: MessageSigner,
         has_priority_classes: bool = False,
     ) -> None:
         """Create the handler; ``has_priority_classes`` is described at ``admit``."""
+        self._signer = signer
         self._has_priority_classes = has_priority_classes
         self._view = view
         self._forwarder = forwarder
@@ -108,7 +117,9 @@
         try:
             return await self._serve(request, call, arrived_ms)
         except RequestError as error:
-            return self._error_response(call, error, arrived_ms)
+            return self._error_response(
+                call, error, arrived_ms, is_forwarded=HOP in request.headers
+            )
         except asyncio.CancelledError:
             self._decisions.record(Event.CALLER_GONE, request_id=call.call_id)
             raise
@@ -132,6 +143,16 @@
             )
         if not self._view.ready.is_set():
             await self._wait_for_state()
+        hop = self._decode_hop(request, call)
+        if hop is not None and hop.state_revision > self._view.state_revision:
+            # Served here, the call would be handled by an older desired state.
+            raise RequestError(
+                status=503,
+                outcome=Outcome.NOT_RUN,
+                step=REACH_STEP,
+                reason=f"the desired state {hop.state_revision} is not in force yet",
+                retry_after_ms=BUSY_RETRY_MS,
+            )
         admitted = admit(
             call,
             self._view.routes,
@@ -139,7 +160,14 @@
             rng=self._rng,
             has_priority_classes=self._has_priority_classes,
         )
-        return await self._forwarder.forward(request, admitted)
+        return await self._forwarder.forward(request, admitted._replace(hop=hop))
+
+    def _decode_hop(self, request: web.Request, call: EdgeCall) -> Hop | None:
+        """Return the hop of a call that a peer has forwarded, or None."""
+        text = request.headers.get(HOP)
+        if text is None:
+            return None
+        return decode_hop(text, call_id=call.call_id, signer=self._signer)
 
     async def _wait_for_state(self) -> None:
         wait_ms = self._startup_wait.begin_wait(now_ms=self._timers.now_ms())
@@ -152,7 +180,12 @@
             self._startup_wait.end_wait()
 
     def _error_response(
-        self, call: EdgeCall, error: RequestError, arrived_ms: float
+        self,
+        call: EdgeCall,
+        error: RequestError,
+        arrived_ms: float,
+        *,
+        is_forwarded: bool,
     ) -> web.Response:
         self._decisions.record(
             Event.ROUTE_REFUSED,
@@ -166,8 +199,12 @@
             after_ms=round(self._timers.now_ms() - arrived_ms),
             **error.details,
         )
+        headers = error_headers(call.call_id, retry_after_ms=error.retry_after_ms)
+        may_try_peer = error.step in REACH_STEPS and error.outcome is Outcome.NOT_RUN
+        if is_forwarded and may_try_peer:
+            headers[HOP_REFUSED] = "1"
         return web.Response(
             status=error.status,
             body=encode_error(step=error.step, reason=error.reason),
-            headers=error_headers(call.call_id, retry_after_ms=error.retry_after_ms),
+            headers=headers,
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -9,6 +9,7 @@
 from clementineyoke_core.edge.attempt_timeouts import AttemptTimeouts
 from clementineyoke_core.edge.crash_records import CrashRecords
 from clementineyoke_core.edge.load_cap_share import NO_PROMPT_CAP_SHARE
+from clementineyoke_core.edge.peer_reach import PeerReach
 from clementineyoke_core.edge.prompt_holders import PromptHolders
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
@@ -23,7 +24,9 @@
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.node_registration import NodeRegistration
+from clementineyoke_node.edge.peer_relay import PeerRelay
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
+from clementineyoke_node.edge.reach_monitor import ReachMonitor
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
 from clementineyoke_node.edge.scheduled_returns import make_return_policy
@@ -61,6 +64,8 @@
 rise over their full range within 1 s."""
 ARCHIVE_INTERVAL_MS = 500
 """How long a newly refused request may be known to the nodes but not to the store."""
+REACH_INTERVAL_MS = 250
+"""How often a node that reaches no runner of a pool tries to."""
 NODE_CHANGE_DELAY_MS = 20.0
 """Delay that combines changes of the nodes into one update. A home that moves that much
 later costs one slot request that goes to the former home."""
@@ -106,11 +111,21 @@
             on_head=self.speed_exchange.record_head,
         )
         self.runner_reach = RunnerReach()
+        self.reach_monitor = ReachMonitor(
+            reach=self.runner_reach,
+            table=state.table,
+            region=config.region,
+            tasks=self.tasks,
+            timers=self.timers,
+            rng=state.rng,
+            probe=lambda runner: self.connection_pool.accepts_connection(runner),
+            on_change=lambda: self.gossiper.announce(),
+        )
         self.connection_pool = RunnerConnectionPool(
             timers=self.timers,
             signals=self.signals,
-            reach=self.runner_reach,
             metrics=state.metrics,
+            on_connected=self.reach_monitor.record_connected,
             source_address=config.runner_source_address,
         )
         self.runner_health = RunnerHealth(table=state.table)
@@ -153,6 +168,14 @@
         )
         self._create_slot_components()
         self._create_fleet_components()
+        self.peer_reach = PeerReach(rng=state.rng)
+        self.peer_relay = PeerRelay(
+            membership=state.membership,
+            peer_reach=self.peer_reach,
+            signer=state.signer,
+            timers=self.timers,
+            state_revision=lambda: self.view.state_revision,
+        )
         self.forwarder = self._make_forwarder()
 
     async def __aenter__(self) -> Self:
@@ -163,6 +186,7 @@
             self.socket,
             self.store,
             self.connection_pool,
+            self.peer_relay,
             self.peers,
             self.store_watcher,
         ):
@@ -318,6 +342,7 @@
             on_gossip=self._handle_gossip,
             crash_notes=self.crash_tracker.next_gossip_notes,
             evacuations_version=lambda: self.view.evacuations.version,
+            unreachable_pools=self.reach_monitor.unreachable_pool_hashes,
         )
         self.broadcaster = UpdateBroadcaster(
             socket=self.socket,
@@ -379,6 +404,8 @@
             compare_time=self.speed_exchange.compare_time,
             returns=self.returns,
             reach=self.runner_reach,
+            reach_monitor=self.reach_monitor,
+            peer_relay=self.peer_relay,
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
@@ -460,6 +487,9 @@
     def _handle_gossip(self, node: Node, gossip: Gossip) -> None:
         if node.region == self._config.region:
             self.admission.record_exchange(now_ms=self.timers.now_ms())
+        self.peer_reach.record_report(
+            node.node_id, gossip.unreachable_pools, now_ms=self.timers.now_ms()
+        )
         self.crash_tracker.merge_notes(gossip.crashes)
         self.speed_exchange.record_gossip(gossip)
         self.returns.record_gossip(gossip)
@@ -497,6 +527,7 @@
         self.returns.publish()
         self._state.table.end_expired_quarantines(now_ms=self.timers.now_ms())
         self.crash_tracker.drop_expired()
+        self.peer_reach.drop_expired(now_ms=self.timers.now_ms())
         self.token_accounting.update(self.slot_home.loads())
         self.speed_exchange.run_housekeeping()
 
@@ -508,6 +539,7 @@
             ("expire", EXPIRY_INTERVAL_MS, self.slot_home.expire),
             ("prompt", FREQUENT_WORK_INTERVAL_MS, self._run_frequent_work),
             ("house", HOUSEKEEPING_INTERVAL_MS, self._run_housekeeping),
+            ("reach", REACH_INTERVAL_MS, self.reach_monitor.run_round),
             ("archive", ARCHIVE_INTERVAL_MS, self.crash_archive.run_round),
         )
         for name, interval_ms, call in schedule:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -64,6 +64,7 @@
             membership=self.state.membership,
             startup_wait=StartupWait(),
             call_rate=self.state.call_rate,
+            signer=self.state.signer,
             has_priority_classes=config.overload_features.priority_admission,
         )
         self._directory_api = AddressApi(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -37,6 +37,8 @@
     from clementineyoke_node.edge.admission_control import AdmissionControl
     from clementineyoke_node.edge.attempt_executor import AttemptExecutor
     from clementineyoke_node.edge.crash_tracker import CrashTracker
+    from clementineyoke_node.edge.peer_relay import PeerRelay
+    from clementineyoke_node.edge.reach_monitor import ReachMonitor
     from clementineyoke_node.edge.return_policy import ReturnPolicy
     from clementineyoke_node.edge.runner_response import CompleteResponse
     from clementineyoke_node.edge.token_accounting import TokenAccounting
@@ -52,6 +54,9 @@
 all runners of a pool are in backoff: callers that return all at once would be refused
 again."""
 FAILED_RETRY_MS = 200
+REACH_STEP = "reach_runner"
+"""Step of the error of a call that neither this node nor a peer can send to a runner.
+"""
 MIN_ERROR_STATUS = 400
 """From this status on, the time of an answer says nothing about a route's work."""
 REACHABLE_OUTCOMES = frozenset((AttemptOutcome.FAILED, AttemptOutcome.REFUSED))
@@ -79,6 +84,8 @@
         describes_calls: Callable[[str], bool] = lambda _: False,
         compare_time: Callable[[AnswerKind, float], int] = lambda _, __: 0,
         reach: RunnerReach,
+        reach_monitor: ReachMonitor,
+        peer_relay: PeerRelay,
         returns: ReturnPolicy | None = None,
     ) -> None:
         """Create a forwarder.
@@ -106,6 +113,8 @@
         self._token_accounting = token_accounting
         self._compare_time = compare_time
         self._reach = reach
+        self._reach_monitor = reach_monitor
+        self._peer_relay = peer_relay
         self._returns = returns or FixedReturns(timers=timers)
 
     async def forward(
@@ -118,14 +127,19 @@
         self._crash_tracker.check(admitted)
         self._check_level(admitted)
         self._token_accounting.check_size(admitted)
-        self._retry_window.record_call(admitted.pool, now_ms=self._timers.now_ms())
+        if admitted.hop is None:
+            # The node that forwarded a call has counted it.
+            self._retry_window.record_call(admitted.pool, now_ms=self._timers.now_ms())
         self._returns.check_time_left(admitted, not_run_retry_ms=self._not_run_retry_ms)
         stream = CallerStream(request=request, last_event_id=admitted.call.last_event)
         ledger = AttemptLedger(
             may_repeat=admitted.route.may_repeat,
             max_runners=admitted.route.max_runners,
+            runners_used=0 if admitted.hop is None else admitted.hop.runners_used,
         )
         while True:
+            if self._reach_monitor.is_isolated(admitted.pool):
+                return await self._forward_to_peer(request, admitted, ledger, stream)
             lease = await self._acquire_slot(admitted, ledger, stream)
             if lease is None:
                 return self._abort_stream(
@@ -169,6 +183,70 @@
                     )
             if not self._may_retry(admitted, ledger, failure):
                 return self._fail(admitted, ledger, stream, failure)
+            if failure.is_silence:
+                await self._reach_monitor.settle(admitted.pool)
+
+    async def _forward_to_peer(
+        self,
+        request: web.Request,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        stream: CallerStream,
+    ) -> web.StreamResponse:
+        """Return the response that a peer got from a runner.
+
+        Raises ``RequestError`` if no peer in touch with the pool takes the call. A peer
+        that cannot reach the pool either says that the call did not run, so that it may
+        go to the next one. A call that was forwarded to this node goes to none.
+        """
+        peers = self._peer_relay.choose_peers(admitted.pool)
+        for peer in peers if admitted.hop is None else ():
+            self._decisions.record(
+                Event.FORWARDED,
+                request_id=admitted.call.call_id,
+                pool=admitted.pool,
+                peer=peer.node_id,
+                runners_used=ledger.sends,
+            )
+            try:
+                response = await self._peer_relay.execute(
+                    request, admitted, peer, stream, runners_used=ledger.sends
+                )
+            except AttemptError as error:
+                self._record_forward_failure(admitted, error)
+                if error.outcome is AttemptOutcome.LOST:
+                    ledger.record(error.peer, error.outcome)
+                    return self._fail(admitted, ledger, stream, error)
+                continue
+            if response is None:
+                return self._complete(admitted, stream.response)
+            if stream.has_started:
+                reason = f"a peer answered {response.head.status} to its resumption"
+                return self._abort_stream(admitted, stream, reason=reason)
+            return self._complete(admitted, _to_response(response))
+        if stream.has_started:
+            return self._abort_stream(admitted, stream, reason="no peer resumes it")
+        raise RequestError(
+            status=502 if ledger.may_have_run else 503,
+            outcome=Outcome.UNKNOWN if ledger.may_have_run else Outcome.NOT_RUN,
+            step=REACH_STEP,
+            reason=f"this node reaches no runner of {admitted.pool!r}",
+            retry_after_ms=NO_RUNNER_RETRY_MS + self._random_key() % RETRY_JITTER_MS,
+            details={"peers": [peer.node_id for peer in peers]},
+        )
+
+    def _record_forward_failure(
+        self, admitted: AdmittedCall, error: AttemptError
+    ) -> None:
+        self._decisions.record(
+            Event.FORWARD_FAILED,
+            request_id=admitted.call.call_id,
+            peer=error.peer,
+            step=error.step,
+            end=error.outcome.value,
+            reason=error.reason,
+            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        )
 
     async def _acquire_slot(
         self, admitted: AdmittedCall, ledger: AttemptLedger, stream: CallerStream
@@ -416,6 +494,7 @@
             rank=lease.rank,
             attempt=attempt,
             passed_over=dict(lease.passed_over),
+            forwarded_by=None if admitted.hop is None else admitted.hop.node_id,
             evacuated_zones=self._broker.evacuated_zones(),
         )
 
@@ -437,7 +516,10 @@
             # A failure after the call's deadline is no evidence against the runner: the
             # operator's timeout may be shorter than the work.
             self._health.record_failure(runner, outcome=error.outcome, now_ms=now_ms)
+            if error.is_silence:
+                self._reach_monitor.check(runner.pool)
             if error.outcome is AttemptOutcome.NOT_SENT:
+                self._reach_monitor.record_unreachable(runner)
                 self._broker.report_fault(runner, is_unreachable=True)
             elif error.is_connection_lost:
                 self._broker.report_fault(runner)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -21,7 +21,7 @@
 """Statuses that tell a caller that its call did not run and never will."""
 
 
-async def read_response(response: OpenResponse, *, runner: Runner) -> CompleteResponse:
+async def read_response(response: OpenResponse, *, peer: str) -> CompleteResponse:
     """Read a response to its end; raises ``AttemptError`` if it is truncated."""
     try:
         body = await response.client_response.read()
@@ -29,7 +29,7 @@
         raise AttemptError(
             outcome=AttemptOutcome.LOST,
             step="read_body",
-            peer=runner.runner_id,
+            peer=peer,
             reason=repr(error),
             is_connection_lost=not isinstance(error, TimeoutError),
         ) from error
@@ -75,7 +75,7 @@
         )
 
 
-def check_call_id(runner: Runner, call: EdgeCall, head: ResponseHead) -> None:
+def check_call_id(call: EdgeCall, head: ResponseHead, *, peer: str) -> None:
     """Raise ``AttemptError`` for a response that carries another call's id."""
     if head.call_id == call.call_id:
         return
@@ -85,6 +85,6 @@
     raise AttemptError(
         outcome=AttemptOutcome.LOST,
         step="check_echo",
-        peer=runner.runner_id,
+        peer=peer,
         reason=f"the answer is for call {head.call_id!r}",
     )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -26,11 +26,10 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Sequence
     from types import SimpleNamespace
 
     from clementineyoke_core.edge.edge_call import EdgeCall
-    from clementineyoke_core.edge.runner_reach import RunnerReach
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.edge.runner_signals import RunnerSignals
     from clementineyoke_node.edge.runner_timeout import RunnerTimeout
@@ -87,15 +86,19 @@
         *,
         timers: TimerService,
         signals: RunnerSignals,
-        reach: RunnerReach,
         metrics: Metrics,
+        on_connected: Callable[[Runner], None],
         source_address: str = "",
     ) -> None:
-        """Create a pool; without ``source_address`` the system chooses one."""
+        """Create a pool.
+
+        ``on_connected`` is called for each new connection that a call opens. Without
+        ``source_address`` the system chooses one.
+        """
         self._local_address = (source_address, 0) if source_address else None
         self._timers = timers
         self._signals = signals
-        self._reach = reach
+        self._on_connected = on_connected
         self._metrics = metrics
         self._idle_policy = IdleConnectionPolicy()
         self._address_lifetimes = AddressLifetimes()
@@ -160,7 +163,7 @@
         try:
             head = decode_response_head(response.status, response.headers)
             self._signals.apply(runner, call, head)
-            check_call_id(runner, call, head)
+            check_call_id(call, head, peer=runner.runner_id)
             yield OpenResponse(head, response)
             is_complete = response.content.at_eof()
         finally:
@@ -189,24 +192,24 @@
         return True
 
     def _make_session(self, *, keeps_alive: bool) -> aiohttp.ClientSession:
-        session = aiohttp.ClientSession(
-            connector=make_connector(
-                asyncio.get_running_loop(),
-                keeps_alive=keeps_alive,
-                address_lifetimes=self._address_lifetimes,
-                local_address=self._local_address,
-            ),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=_SKIPPED_AUTO_HEADERS,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
+        return make_session(
+            keeps_alive=keeps_alive,
+            address_lifetimes=self._address_lifetimes,
+            local_address=self._local_address,
             trace_configs=[_make_trace_config()],
         )
-        # aiohttp retries idempotent HTTP methods when a kept-alive connection breaks: a
-        # call that may not be repeated would run twice.
-        session._retry_connection = False
-        return session
+
+    async def accepts_connection(self, runner: Runner) -> bool:
+        """Return whether a connection to a runner can be opened now."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, writer = await asyncio.open_connection(
+                    runner.address, runner.port, local_addr=self._local_address
+                )
+        except (TimeoutError, OSError):
+            return False
+        writer.close()
+        return True
 
     def _choose_session(
         self, runner: Runner, *, may_repeat: bool
@@ -287,7 +290,7 @@
             ) from error
 
     def _record_connected(self, runner: Runner) -> None:
-        self._reach.record_connected(runner, now_ms=self._timers.now_ms())
+        self._on_connected(runner)
         self._metrics.runner_connections.inc({"pool": runner.pool, "outcome": "opened"})
 
     def _record_idle_loss(self, runner: Runner, call: EdgeCall) -> None:
@@ -300,6 +303,34 @@
             )
 
 
+def make_session(
+    *,
+    keeps_alive: bool,
+    address_lifetimes: AddressLifetimes,
+    local_address: tuple[str, int] | None = None,
+    trace_configs: Sequence[aiohttp.TraceConfig] = (),
+) -> aiohttp.ClientSession:
+    """Return a session that sends a call once and as it is, and adds no headers."""
+    session = aiohttp.ClientSession(
+        connector=make_connector(
+            asyncio.get_running_loop(),
+            keeps_alive=keeps_alive,
+            address_lifetimes=address_lifetimes,
+            local_address=local_address,
+        ),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_SKIPPED_AUTO_HEADERS,
+        max_line_size=MAX_HEAD_BYTES,
+        max_field_size=MAX_HEAD_BYTES,
+        trace_configs=list(trace_configs),
+    )
+    # aiohttp retries idempotent HTTP methods when a kept-alive connection breaks: a
+    # call that may not be repeated would run twice.
+    session._retry_connection = False
+    return session
+
+
 def _make_trace_config() -> aiohttp.TraceConfig:
     async def record_reuse(
         session: aiohttp.ClientSession,
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
@@ -48,6 +48,7 @@
         on_gossip: Callable[[Node, Gossip], None] = lambda _, __: None,
         crash_notes: Callable[[], list[CrashNote]] = list,
         evacuations_version: Callable[[], int] = lambda: 0,
+        unreachable_pools: Callable[[], list[int]] = list,
     ) -> None:
         self._socket = socket
         self._membership = membership
@@ -62,6 +63,7 @@
         self._on_gossip = on_gossip
         self._crash_notes = crash_notes
         self._evacuations_version = evacuations_version
+        self._unreachable_pools = unreachable_pools
         self._pending_probes: dict[int, tuple[str, dict[str, LoadShare]]] = {}
         self._pool_names: dict[int, str] = {}
         socket.handle(Gossip, self._receive)
@@ -86,9 +88,10 @@
     def announce(self) -> None:
         """Send the current state to a sample of peers without waiting for a round.
 
-        A change spread by regular gossip alone takes a second to reach all nodes, and
-        a leaving node keeps receiving calls meanwhile. Announcements do not count as
-        probes, so their sequence numbers are not recorded.
+        A change spread by regular gossip alone takes a second to reach all nodes.
+        Meanwhile a leaving node keeps receiving calls, and peers forward calls to a
+        node that reaches no runner. Announcements do not count as probes, so their
+        sequence numbers are not recorded.
         """
         for node in self._membership.sample(MAX_ANNOUNCED_PEERS):
             self._send(
@@ -167,6 +170,7 @@
             self._crash_notes(),
             self._evacuations_version(),
             ages.evacuations_ms,
+            self._unreachable_pools(),
         )
         self._socket.send(PeerAddress.of(node), message)
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from clementineyoke_wire.headers import HOP
+
 SETTINGS_FILE_VARIABLE = "CLEMENTINEYOKE_NODE_FILE"
 """Environment variable with the path of this node's settings file."""
 
@@ -49,6 +51,7 @@
         "X-Kv-Backup",
         "Kv-From",
         "X-Expected-Version",
+        HOP,
     )
 )
 """Headers that only the router sets; those of a caller are not forwarded to runners."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/background_tasks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/background_tasks.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any, Self
+from typing import TYPE_CHECKING, Any, Self, TypeVar
 
 from clementineyoke_wire.events import Event, log_failure
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+ResultT = TypeVar("ResultT")
+
 
 class BackgroundTasks:
     """Own tasks, log their exceptions and cancel the remaining ones on close.
@@ -32,11 +34,14 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def spawn(self, coroutine: Coroutine[Any, Any, Any], *, name: str) -> None:
-        """Run a coroutine in a new task."""
+    def spawn(
+        self, coroutine: Coroutine[Any, Any, ResultT], *, name: str
+    ) -> asyncio.Task[ResultT]:
+        """Run a coroutine in a new task, and return the task."""
         task = asyncio.create_task(coroutine, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
+        return task
 
     def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
--- a/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
@@ -5,8 +5,23 @@
 
 from behave import given, then, when
 from edge_fleet import EdgeFleet
+from edge_steps import WHOLE_STREAM, set_script
 
+from clementineyoke_core.edge.hop import Hop
+from clementineyoke_core.runner_state import RunnerState
 from clementineyoke_standins.edge.edge_runner import LinkCut, ScriptedResponse
+from clementineyoke_wire.headers import HOP
+from clementineyoke_wire.hop_codec import encode_hop
+
+MAX_RETRY_AFTER_S = 2.0
+
+
+@when('a caller makes a "{kind}" call that node 0 has signed for another')
+def make_call_with_other_hop(context, kind):
+    hop = Hop("node-1", 0, 0)
+    signer = context.fleet.nodes[0].state.signer
+    header = encode_hop(hop, call_id="call-2", signer=signer)
+    context.answer = context.run(context.fleet.call(kind, headers={HOP: header}))
 
 
 @given("{nodes:d} nodes and {runners:d} runners, whose links to nodes can be cut")
@@ -19,6 +34,12 @@
     context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
 
 
+@given("reports of unreachable pools are lost")
+def lose_reports(context):
+    for node in context.fleet.nodes:
+        node.io.peer_reach.record_report = lambda *_, **__: None
+
+
 def numbers_in(text):
     return [int(number) for number in text.split(",")]
 
@@ -62,7 +83,7 @@
 @when('callers make {count:d} "{kind}" calls at each node')
 def make_calls_at_each(context, count, kind):
     numbers = range(len(context.fleet.nodes))
-    context.kind = kind
+    context.count = count
     context.answers = context.run(
         call_each(context, kind, count=count, label="cut", numbers=numbers)
     )
@@ -112,3 +133,92 @@
     ]
     paused = [entry for entry in passed_over if "paused" in entry.values()]
     assert len(paused) <= count, f"{len(paused)} of {len(passed_over)}: {paused[:3]}"
+
+
+@when(
+    'nodes "{numbers}" lose their links to all runners, "{how}" amid {count:d} streams'
+)
+def cut_links_during_streams(context, numbers, how, count):
+    async def act():
+        streams = call_each(
+            context, "streaming", count=count, label="cut", numbers=numbers_in(numbers)
+        )
+        running = asyncio.ensure_future(streams)
+        await asyncio.sleep(0.25)
+        cut_links(context, numbers, how)
+        return await running
+
+    context.answers = context.run(act())
+
+
+@then("each stream is complete and has every event once")
+def check_streams(context):
+    for status, _, body in context.answers:
+        assert (status, body) == (200, WHOLE_STREAM), (status, body)
+
+
+@when('the next call at a runner is answered as "{act}"')
+def script_next(context, act):
+    set_script(context, ScriptedResponse(act))
+
+
+@then("each of these calls is refused as not run within {limit_s:g} s, to return later")
+def check_refused(context, limit_s):
+    for status, headers, _ in context.answers:
+        assert status == 503, status
+        assert 0.0 < float(headers["Retry-After"]) <= MAX_RETRY_AFTER_S, headers
+    events = decisions_of(context, "route_refused")
+    assert len(events) == len(context.answers), len(events)
+    slowest_ms = max(event["fields"]["after_ms"] for event in events)
+    assert slowest_ms <= limit_s * 1000, slowest_ms
+
+
+def decisions_of(context, event, *, label="cut"):
+    """Return the decisions of one kind on the calls of the last step at each node."""
+    return [
+        decision
+        for node in context.fleet.nodes
+        for number in range(len(context.fleet.nodes))
+        for n in range(context.count)
+        for decision in node.state.decisions.find(f"{label}-{number}-{n}")
+        if decision["event"] == event
+    ]
+
+
+@then("no call was forwarded by two nodes")
+def check_one_hop(context):
+    senders = Counter()
+    for number, node in enumerate(context.fleet.nodes):
+        for call in range(len(context.fleet.nodes)):
+            for n in range(context.count):
+                found = node.state.decisions.find(f"cut-{call}-{n}")
+                if any(decision["event"] == "forwarded" for decision in found):
+                    senders[call, n] += 1
+                    assert number == call, f"node {number} forwarded a call of {call}"
+    assert not senders or max(senders.values()) == 1, senders
+
+
+@when("the links are back for {wait_s:g} s")
+def heal_links(context, wait_s):
+    for runner in context.fleet.runners:
+        runner.heal_links()
+    context.run(asyncio.sleep(wait_s))
+
+
+@then("none of these calls was forwarded")
+def check_not_forwarded(context):
+    assert not decisions_of(context, "forwarded")
+
+
+@then("no node has a quarantined runner")
+def check_no_quarantine(context):
+    for node in context.fleet.nodes:
+        states = {entry.state for entry in node.state.table.entries()}
+        assert RunnerState.QUARANTINED not in states, states
+
+
+@then("the call counts as the caller's own")
+def check_own_call(context):
+    found = context.fleet.nodes[0].state.decisions.find("call-1")
+    routed = [decision for decision in found if decision["event"] == "routed"]
+    assert [decision["fields"]["forwarded_by"] for decision in routed] == [None]
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -85,6 +85,8 @@
         admission=None,
         token_accounting=None,
         reach=None,
+        reach_monitor=None,
+        peer_relay=None,
         returns=context.policy,
     )
     context.retry_ms = []
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -90,6 +90,12 @@
         "INFO",
         "A slot on a cold runner was returned: the call was not sent in time.",
     )
+    POOL_UNREACHABLE = EventKind(
+        237, "WARNING", "The node reaches no runner of a pool; peers get its calls."
+    )
+    POOL_REACHABLE = EventKind(238, "INFO", "The node reaches a pool's runners again.")
+    FORWARDED = EventKind(239, "INFO", "A call is forwarded to a peer.")
+    FORWARD_FAILED = EventKind(240, "WARNING", "A peer did not forward a call.")
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -178,6 +178,8 @@
     """Store revision of the last change of the evacuated zones."""
     evacuations_age_ms: int = 0
     """Time since the evacuated zones were last confirmed as current."""
+    unreachable_pools: list[int] = []
+    """Pools of which the sender reaches no runner."""
 
 
 class RunnerNote(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -32,6 +32,7 @@
   crashes @8 :List(CrashNote);
   evacuationsVersion @9 :UInt64;
   evacuationsAgeMs @10 :UInt16;
+  unreachablePools @11 :List(UInt64);
 }
 
 struct RunnerNote {
