Have other nodes verify that a runner is dead before it counts for all

Nodes in touch lost sound runners: two cut-off nodes that reported the same runner had it paused for all, and calls that broke with a node's links counted as faults and as crashes of their runners, so that sound requests were refused as crashing. The home still pauses a runner on the second report, so that a dead one is found as soon as before; it then opens a connection itself and asks up to three peers in touch to do so, and ends the pause if one is accepted. Reporters that were wrong do not suffice again for 2 s. A broken or overdue call counts only after a connection to its runner, or once no witness reaches the runner either. Quarantines at a node end when it turns out to be isolated: the failures were those of its path.

--- a/packages/clementineyoke-core/src/clementineyoke_core/cold_runners.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/cold_runners.py
@@ -32,6 +32,8 @@
     def __init__(self) -> None:
         self._limits: Mapping[str, ColdRunnerLimit] = {}
         self._until_ms: dict[str, float] = {}
+        self._before_suspicion_ms: dict[str, float] = {}
+        """Until when a runner was cold before it was suspected to be."""
 
     def set_limits(self, limits: Mapping[str, ColdRunnerLimit]) -> None:
         """Set the operator's limits, by pool."""
@@ -41,6 +43,7 @@
         self, runner: Runner, *, remaining_ms: float, now_ms: float
     ) -> None:
         """Record a runner's own report of how much longer it is cold; 0 for warm."""
+        self._before_suspicion_ms.pop(runner.lifetime, None)
         if remaining_ms > 0.0:
             self._until_ms[runner.lifetime] = now_ms + remaining_ms
         else:
@@ -51,10 +54,24 @@
 
         Never shortens a longer time that the runner has reported.
         """
-        duration_ms = self._limits.get(runner.pool, NO_LIMIT).duration_ms
+        self._before_suspicion_ms.pop(runner.lifetime, None)
+        self._extend(runner, now_ms)
+
+    def suspect_cold(self, runner: Runner, *, now_ms: float) -> None:
+        """Treat a runner as cold until this is confirmed or withdrawn."""
         until_ms = self._until_ms.get(runner.lifetime, now_ms)
-        if duration_ms > 0.0:
-            self._until_ms[runner.lifetime] = max(until_ms, now_ms + duration_ms)
+        self._before_suspicion_ms.setdefault(runner.lifetime, until_ms)
+        self._extend(runner, now_ms)
+
+    def confirm_suspicion(self, runner: Runner) -> None:
+        """Record that a runner was rightly treated as cold."""
+        self._before_suspicion_ms.pop(runner.lifetime, None)
+
+    def withdraw_suspicion(self, runner: Runner) -> None:
+        """Treat a runner as it was before it was suspected to be cold."""
+        before_ms = self._before_suspicion_ms.pop(runner.lifetime, None)
+        if before_ms is not None:
+            self._until_ms[runner.lifetime] = before_ms
 
     def remaining_ms(self, runner: Runner, *, now_ms: float) -> float:
         """Return how much longer a runner is cold; 0 for a warm one."""
@@ -70,3 +87,10 @@
         """Remove the state of all lifetimes but the given ones."""
         for lifetime in self._until_ms.keys() - live_lifetimes:
             del self._until_ms[lifetime]
+            self._before_suspicion_ms.pop(lifetime, None)
+
+    def _extend(self, runner: Runner, now_ms: float) -> None:
+        duration_ms = self._limits.get(runner.pool, NO_LIMIT).duration_ms
+        until_ms = self._until_ms.get(runner.lifetime, now_ms)
+        if duration_ms > 0.0:
+            self._until_ms[runner.lifetime] = max(until_ms, now_ms + duration_ms)
--- a/packages/clementineyoke-core/src/clementineyoke_core/reachability_breaker.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/reachability_breaker.py
@@ -18,6 +18,8 @@
 The limit is also the longest time until a runner that is back gets its chats again.
 """
 PAUSE_GROWTH = 2.0
+DOUBT_MS = 2_000.0
+"""How long the reports of nodes that were wrong about a runner do not suffice."""
 
 
 class _Outage(NamedTuple):
@@ -38,10 +40,15 @@
     nodes, calls failed for the whole 4 s for which a runner was unreachable. The home
     receives the reports of all nodes and also learns of answers, which tell a dead
     runner from a busy one and from nodes that are cut off themselves.
+
+    Several nodes may be cut off at once. The home therefore has each pause verified by
+    other nodes, and ends it if one of them reaches the runner.
     """
 
     def __init__(self) -> None:
         self._outages: dict[str, _Outage] = {}
+        self._doubted: dict[str, dict[str, float]] = {}
+        """Until when reporters are doubted, by runner and node."""
 
     def record_answer(self, runner_id: str) -> None:
         """Record that a runner answered a call."""
@@ -60,7 +67,9 @@
         reports += ((reporter, now_ms),)
         # After a pause one report is enough, as the runner has answered no node since.
         reporters = tuple(sorted({node_id for node_id, _ in reports}))
-        if len(reporters) + bool(outage.pause_ms) < MIN_REPORTERS:
+        is_enough = len(reporters) + bool(outage.pause_ms) >= MIN_REPORTERS
+        doubted = self._doubted.get(runner_id, {})
+        if not is_enough or all(doubted.get(n, 0.0) > now_ms for n in reporters):
             self._outages[runner_id] = outage._replace(reports=reports)
             return False
         pause_ms = max(MIN_PAUSE_MS, PAUSE_GROWTH * outage.pause_ms)
@@ -68,6 +77,18 @@
         self._outages[runner_id] = _Outage((), now_ms + pause_ms, pause_ms, reporters)
         return True
 
+    def record_reached(self, runner_id: str, *, now_ms: float) -> bool:
+        """End the pause of a runner that another node reaches.
+
+        Return whether there was one.
+        """
+        outage = self._outages.pop(runner_id, None)
+        if outage is None or not outage.reporters:
+            return False
+        doubted = self._doubted.setdefault(runner_id, {})
+        doubted.update(dict.fromkeys(outage.reporters, now_ms + DOUBT_MS))
+        return True
+
     def reporters(self, runner_id: str) -> list[str]:
         """Return the nodes whose reports began a runner's current pause."""
         return list(self._outages.get(runner_id, _Outage()).reporters)
@@ -80,3 +101,4 @@
     def remove_runner(self, runner_id: str) -> None:
         """Remove the state of a runner."""
         self._outages.pop(runner_id, None)
+        self._doubted.pop(runner_id, None)
--- a/packages/clementineyoke-core/tests/reachability.feature
+++ b/packages/clementineyoke-core/tests/reachability.feature
@@ -20,3 +20,20 @@
     Given 6 nodes that call a runner in turn, 7 times a second
     When nodes 1 and 4 cannot reach it for 20 s
     Then it is never paused
+
+  Scenario: Another node reaches a paused runner
+    # Several nodes that are cut off agree on a sound runner. If each of their reports is
+    # enough for the next pause, the runner is lost for the others all the same.
+    Given 6 nodes that call a runner in turn, 7 times a second
+    When nodes 1 and 4 report it as unreachable
+    Then it is paused
+    When another node reaches it
+    Then it is not paused
+    When nodes 1 and 4 report it as unreachable
+    Then it is not paused
+    When nodes 1 and 2 report it as unreachable
+    Then it is paused
+    When another node reaches it
+    And 3000 ms pass
+    And nodes 1 and 4 report it as unreachable
+    Then it is paused
--- a/packages/clementineyoke-core/tests/steps/reachability_steps.py
+++ b/packages/clementineyoke-core/tests/steps/reachability_steps.py
@@ -12,6 +12,7 @@
     context.count = nodes
     context.step_ms = 1000.0 / rate
     context.breaker = ReachabilityBreaker()
+    context.now_ms = 0.0
     context.failed_at_ms, context.answered, context.paused_at_ms = [], [], []
 
 
@@ -80,3 +81,29 @@
 @then("it is never paused")
 def check_never(context):
     assert not context.paused_at_ms, context.paused_at_ms
+
+
+@when("nodes {first:d} and {second:d} report it as unreachable")
+def report(context, first, second):
+    for node in (first, second):
+        call(context, node, context.now_ms, is_reached=False)
+
+
+@when("another node reaches it")
+def reach(context):
+    context.breaker.record_reached(RUNNER, now_ms=context.now_ms)
+
+
+@when("{ms:d} ms pass")
+def pass_time(context, ms):
+    context.now_ms += ms
+
+
+@then("it is paused")
+def check_paused(context):
+    assert context.breaker.is_paused(RUNNER, now_ms=context.now_ms)
+
+
+@then("it is not paused")
+def check_not_paused(context):
+    assert not context.breaker.is_paused(RUNNER, now_ms=context.now_ms)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -29,10 +29,10 @@
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.caller_stream import CallerStream
+    from clementineyoke_node.edge.fault_reports import FaultReports
     from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
     from clementineyoke_node.edge.token_accounting import TokenAccounting
-    from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
@@ -45,7 +45,7 @@
     def __init__(
         self,
         *,
-        broker: SlotBroker,
+        fault_reports: FaultReports,
         connection_pool: RunnerConnectionPool,
         rings: PoolRings,
         table: RunnerTable,
@@ -56,7 +56,7 @@
         membership: Membership,
         token_accounting: TokenAccounting,
     ) -> None:
-        self._broker = broker
+        self._fault_reports = fault_reports
         self._connection_pool = connection_pool
         self._rings = rings
         self._table = table
@@ -267,7 +267,7 @@
         )
 
     def _report_overdue(self, admitted: AdmittedCall, runner: Runner) -> None:
-        self._broker.report_fault(runner)
+        self._fault_reports.record_overdue(runner)
         self._decisions.record(
             Event.RUNNER_OVERDUE,
             request_id=admitted.call.call_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
@@ -24,6 +24,7 @@
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.fault_reports import FaultReports
     from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
     from clementineyoke_node.timers.background_tasks import BackgroundTasks
@@ -76,7 +77,9 @@
         tasks: BackgroundTasks,
         timers: TimerService,
         decisions: DecisionRing,
+        fault_reports: FaultReports,
     ) -> None:
+        self._fault_reports = fault_reports
         self._records = records
         self._connection_pool = connection_pool
         self._table = table
@@ -211,15 +214,19 @@
         self._records.drop_expired(now_ms=self._timers.now_ms())
 
     async def _probe_runner(self, runner: Runner) -> None:
-        """Report the calls that broke at a runner, if it has crashed.
+        """Report the calls that broke at a runner.
 
         Calls also break when a connection is reset or a response is malformed. The
-        runner still accepts connections then, and the request is not suspected.
+        runner still accepts connections then, and the request is not suspected. Nor is
+        it if another node reaches the runner: then only this node has lost its path.
         """
         await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
         is_listening = await self._connection_pool.is_listening(runner)
+        has_ended = not is_listening and await self._fault_reports.has_ended(runner)
         broken = self._broken_calls.pop(runner.lifetime)
-        if is_listening:
+        if is_listening or has_ended:
+            self._fault_reports.record_broken(runner, calls=len(broken))
+        if not has_ended:
             return
         log_event(Event.RUNNER_ENDED, runner=runner.runner_id, calls=len(broken))
         for call in broken:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -11,6 +11,7 @@
 from clementineyoke_core.edge.load_cap_share import NO_PROMPT_CAP_SHARE
 from clementineyoke_core.edge.peer_reach import PeerReach
 from clementineyoke_core.edge.prompt_holders import PromptHolders
+from clementineyoke_core.edge.reach_verdict import ReachVerdict
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
 from clementineyoke_core.edge.runner_reach import RunnerReach
@@ -21,12 +22,14 @@
 from clementineyoke_node.edge.crash_archive import CrashArchive
 from clementineyoke_node.edge.crash_tracker import CrashTracker
 from clementineyoke_node.edge.engine_view import EngineView, PoolMemory
+from clementineyoke_node.edge.fault_reports import FaultReports
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.node_registration import NodeRegistration
 from clementineyoke_node.edge.peer_relay import PeerRelay
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
 from clementineyoke_node.edge.reach_monitor import ReachMonitor
+from clementineyoke_node.edge.reach_witnesses import ReachWitnesses
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_signals import RunnerSignals
 from clementineyoke_node.edge.scheduled_returns import make_return_policy
@@ -141,6 +144,33 @@
             on_runners_changed=self.apply_hosts,
             on_update=lambda changes: self.broadcaster.broadcast(changes),
         )
+        self.admission = self._make_admission()
+        self.token_accounting = self._make_token_accounting()
+        self.returns = make_return_policy(
+            features=self._features,
+            state=state,
+            timers=self.timers,
+            fleet_calls_per_s=self.fleet_calls_per_s,
+        )
+        self.peer_reach = PeerReach(rng=state.rng)
+        self._create_slot_components()
+        self.witnesses = ReachWitnesses(
+            monitor=self.reach_monitor,
+            peer_reach=self.peer_reach,
+            membership=state.membership,
+            table=state.table,
+            socket=self.socket,
+            tasks=self.tasks,
+            timers=self.timers,
+            probe=self.connection_pool.accepts_connection,
+        )
+        self.fault_reports = FaultReports(
+            broker=self.broker,
+            monitor=self.reach_monitor,
+            witnesses=self.witnesses,
+            tasks=self.tasks,
+            probe=self.connection_pool.accepts_connection,
+        )
         self.crash_tracker = CrashTracker(
             records=CrashRecords(),
             connection_pool=self.connection_pool,
@@ -151,6 +181,7 @@
             tasks=self.tasks,
             timers=self.timers,
             decisions=state.decisions,
+            fault_reports=self.fault_reports,
         )
         self.crash_archive = CrashArchive(
             store=self.store,
@@ -158,17 +189,7 @@
             timers=self.timers,
             is_watcher=self._is_watcher,
         )
-        self.admission = self._make_admission()
-        self.token_accounting = self._make_token_accounting()
-        self.returns = make_return_policy(
-            features=self._features,
-            state=state,
-            timers=self.timers,
-            fleet_calls_per_s=self.fleet_calls_per_s,
-        )
-        self._create_slot_components()
         self._create_fleet_components()
-        self.peer_reach = PeerReach(rng=state.rng)
         self.peer_relay = PeerRelay(
             membership=state.membership,
             peer_reach=self.peer_reach,
@@ -304,6 +325,7 @@
             prefill_tokens=self.token_accounting.prefill_tokens,
             load_weight=self.speed_exchange.load_weight,
             on_pause=self._record_pause,
+            on_unreachable=self._verify_unreachable,
             on_response_time=self.speed_exchange.record_response_time,
         )
         self.broker = SlotBroker(
@@ -372,7 +394,7 @@
     def _make_forwarder(self) -> Forwarder:
         config, state = self._config, self._state
         attempts = AttemptExecutor(
-            broker=self.broker,
+            fault_reports=self.fault_reports,
             connection_pool=self.connection_pool,
             rings=state.rings,
             table=state.table,
@@ -406,6 +428,7 @@
             reach=self.runner_reach,
             reach_monitor=self.reach_monitor,
             peer_relay=self.peer_relay,
+            fault_reports=self.fault_reports,
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
@@ -473,6 +496,22 @@
             self.broadcaster.send_to(home, changes)
         return True
 
+    def _verify_unreachable(self, runner_id: str, reporters: list[str]) -> None:
+        entry = self._state.table.get(runner_id)
+        if entry is not None:
+            verification = self._verify_pause(entry.runner, reporters)
+            self.tasks.spawn(verification, name="verify_pause")
+
+    async def _verify_pause(self, runner: Runner, reporters: list[str]) -> None:
+        """End a runner's pause if a node other than the reporters reaches it."""
+        verdict = await self.witnesses.ask(runner, without=reporters)
+        if not self._state.table.is_current(runner):
+            return
+        if verdict is ReachVerdict.REACHED:
+            self.slot_home.record_reached(runner.runner_id)
+        elif verdict is ReachVerdict.UNREACHABLE:
+            self.slot_home.record_ended(runner.runner_id)
+
     def _record_pause(self, reason: str) -> None:
         self._state.metrics.runner_pauses.inc({"reason": reason})
 
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
@@ -0,0 +1,73 @@
+"""Reports failing runners to their homes, but not a path that this node has lost."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.edge.reach_verdict import ReachVerdict
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from clementineyoke_core.runner import Runner
+    from clementineyoke_node.edge.reach_monitor import ReachMonitor
+    from clementineyoke_node.edge.reach_witnesses import ReachWitnesses
+    from clementineyoke_node.slots.slot_broker import SlotBroker
+    from clementineyoke_node.timers.background_tasks import BackgroundTasks
+
+
+class FaultReports:
+    """Find out why calls to a runner failed before its home is told.
+
+    Calls also break or get no answer when the path to the runner is lost. Other nodes
+    may reach it, and would lose it if the failure counted as the runner's.
+    """
+
+    def __init__(
+        self,
+        *,
+        broker: SlotBroker,
+        monitor: ReachMonitor,
+        witnesses: ReachWitnesses,
+        tasks: BackgroundTasks,
+        probe: Callable[[Runner], Awaitable[bool]],
+    ) -> None:
+        """Create the reports; ``probe`` is described at ``ReachMonitor``."""
+        self._broker = broker
+        self._monitor = monitor
+        self._witnesses = witnesses
+        self._tasks = tasks
+        self._probe = probe
+
+    def record_unreachable(self, runner: Runner) -> None:
+        """Report a runner that accepted no connection."""
+        if not self._monitor.is_isolated(runner.pool):
+            self._broker.report_fault(runner, is_unreachable=True)
+
+    def record_overdue(self, runner: Runner) -> None:
+        """Report a runner whose answer is overdue, if it is in reach."""
+        self._tasks.spawn(self._check_overdue(runner), name="check_overdue")
+
+    def record_broken(self, runner: Runner, *, calls: int) -> None:
+        """Report calls that broke at a runner that is in reach or has ended."""
+        for _ in range(calls):
+            self._broker.report_fault(runner)
+
+    async def has_ended(self, runner: Runner) -> bool:
+        """Return whether a runner that this node does not reach has ended.
+
+        It has not if another node reaches it, or if nobody can tell.
+        """
+        self._monitor.record_unreachable(runner)
+        self.record_unreachable(runner)
+        return await self._witnesses.ask(runner) is ReachVerdict.UNREACHABLE
+
+    async def _check_overdue(self, runner: Runner) -> None:
+        if self._monitor.is_isolated(runner.pool):
+            return
+        if await self._probe(runner):
+            self._monitor.record_connected(runner)
+            self._broker.report_fault(runner)
+            return
+        self._monitor.record_unreachable(runner)
+        self.record_unreachable(runner)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -37,6 +37,7 @@
     from clementineyoke_node.edge.admission_control import AdmissionControl
     from clementineyoke_node.edge.attempt_executor import AttemptExecutor
     from clementineyoke_node.edge.crash_tracker import CrashTracker
+    from clementineyoke_node.edge.fault_reports import FaultReports
     from clementineyoke_node.edge.peer_relay import PeerRelay
     from clementineyoke_node.edge.reach_monitor import ReachMonitor
     from clementineyoke_node.edge.return_policy import ReturnPolicy
@@ -86,6 +87,7 @@
         reach: RunnerReach,
         reach_monitor: ReachMonitor,
         peer_relay: PeerRelay,
+        fault_reports: FaultReports,
         returns: ReturnPolicy | None = None,
     ) -> None:
         """Create a forwarder.
@@ -115,6 +117,7 @@
         self._reach = reach
         self._reach_monitor = reach_monitor
         self._peer_relay = peer_relay
+        self._fault_reports = fault_reports
         self._returns = returns or FixedReturns(timers=timers)
 
     async def forward(
@@ -515,14 +518,16 @@
         if admitted.deadline_ms > now_ms and error.is_runner_fault:
             # A failure after the call's deadline is no evidence against the runner: the
             # operator's timeout may be shorter than the work.
-            self._health.record_failure(runner, outcome=error.outcome, now_ms=now_ms)
+            if not self._reach_monitor.is_isolated(runner.pool):
+                self._health.record_failure(
+                    runner, outcome=error.outcome, now_ms=now_ms
+                )
             if error.is_silence:
                 self._reach_monitor.check(runner.pool)
             if error.outcome is AttemptOutcome.NOT_SENT:
                 self._reach_monitor.record_unreachable(runner)
-                self._broker.report_fault(runner, is_unreachable=True)
+                self._fault_reports.record_unreachable(runner)
             elif error.is_connection_lost:
-                self._broker.report_fault(runner)
                 self._crash_tracker.record_broken_call(
                     admitted, runner, sent_ms=started_ms
                 )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/reach_monitor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/reach_monitor.py
@@ -35,6 +35,9 @@
     After a failed connection it opens others to the pool's runners until one is
     accepted. An isolated node goes on with that, so that it serves its callers itself
     soon after the path is back. Nothing is sent while all connections succeed.
+
+    Failures of a lost path are none of the runners: their quarantines end when the node
+    turns out to be isolated.
     """
 
     def __init__(
@@ -135,13 +138,12 @@
                 pool=pool,
                 runners=sorted(self._reach.failed_runners(pool)),
             )
+            self._table.release_quarantined(pool)
             self._report()
         return self._reach.is_isolated(pool)
 
     def _end_isolation(self, pool: str) -> None:
         log_event(Event.POOL_REACHABLE, pool=pool)
-        # Their failures were those of the path.
-        self._table.release_quarantined(pool)
         self._report()
 
     def _report(self) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
@@ -19,11 +19,12 @@
     from clementineyoke_wire.messages import (
         ClaimRequest,
         Message,
+        ReachAsk,
         ShareAsk,
         SlotAsk,
     )
 
-    Request = SlotAsk | ClaimRequest | ShareAsk
+    Request = SlotAsk | ClaimRequest | ShareAsk | ReachAsk
 
 MS_PER_S = 1000.0
 ReplyT = TypeVar("ReplyT")
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -77,6 +77,7 @@
         load_weight: Callable[[GrantRequest], float] = lambda _: 1.0,
         on_response_time: Callable[[str, int], None] = lambda _, __: None,
         on_pause: Callable[[str], None] = lambda _: None,
+        on_unreachable: Callable[[str, list[str]], None] = lambda _, __: None,
     ) -> None:
         """Create a home; ``extra_rules`` are asked after the rules of every home.
 
@@ -84,7 +85,9 @@
         0 if that is unknown. Requesters learn from it how fast runners process prompts.
         ``load_weight`` is described at ``LoadBoundRule``. ``on_response_time`` is
         called with a runner and the time of its answer in percent of the usual time,
-        ``on_pause`` with the reason of each pause of a runner.
+        ``on_pause`` with the reason of each pause of a runner. ``on_unreachable`` is
+        called with a runner and the nodes that reported it as unreachable; it calls
+        ``record_reached`` or ``record_ended`` once it knows more.
         """
         self._prefill_tokens = prefill_tokens
         self._fault_breaker = FaultRateBreaker()
@@ -108,6 +111,7 @@
         )
         self._on_response_time = on_response_time
         self._on_pause = on_pause
+        self._on_unreachable = on_unreachable
         self._own_id = own_id
         self._ledger = ledger
         self._table = table
@@ -245,13 +249,27 @@
         if self._reachability_breaker.record_unreachable(
             runner_id, reporter=reporter, now_ms=now_ms
         ):
-            log_event(
-                Event.RUNNER_UNREACHABLE,
-                runner=runner_id,
-                reporters=self._reachability_breaker.reporters(runner_id),
-            )
+            reporters = self._reachability_breaker.reporters(runner_id)
+            log_event(Event.RUNNER_UNREACHABLE, runner=runner_id, reporters=reporters)
             self._on_pause("unreachable")
-            self._assume_cold(runner_id, now_ms)
+            self._suspect_cold(runner_id, now_ms)
+            self._on_unreachable(runner_id, reporters)
+
+    def record_reached(self, runner_id: str) -> None:
+        """End the pause of an unreachable runner: a node reaches it."""
+        if self._reachability_breaker.record_reached(
+            runner_id, now_ms=self._timers.now_ms()
+        ):
+            log_event(Event.RUNNER_REACHED, runner=runner_id)
+        entry = self._table.get(runner_id)
+        if entry is not None:
+            self._cold_runners.withdraw_suspicion(entry.runner)
+
+    def record_ended(self, runner_id: str) -> None:
+        """Record that no node reaches a runner."""
+        entry = self._table.get(runner_id)
+        if entry is not None:
+            self._cold_runners.confirm_suspicion(entry.runner)
 
     def record_answer(self, runner_id: str, *, time_percent: int = 0) -> None:
         """Record that a runner answered a call.
@@ -335,7 +353,7 @@
         for rule in self._rules:
             rule.remove_runner(runner_id)
 
-    def _assume_cold(self, runner_id: str, now_ms: float) -> None:
+    def _suspect_cold(self, runner_id: str, now_ms: float) -> None:
         """Treat a runner that refused connections as restarting.
 
         It may be reachable under its id again before its entry reports the restart.
@@ -343,7 +361,7 @@
         """
         entry = self._table.get(runner_id)
         if entry is not None:
-            self._cold_runners.assume_cold(entry.runner, now_ms=now_ms)
+            self._cold_runners.suspect_cold(entry.runner, now_ms=now_ms)
 
     def _serve_queue(self, runner_id: str) -> None:
         queue = self._queues.get(runner_id)
--- a/packages/clementineyoke-node/tests/edge/cut_off_nodes.feature
+++ b/packages/clementineyoke-node/tests/edge/cut_off_nodes.feature
@@ -110,3 +110,30 @@
     When nodes "0, 1" lose their links to all runners, "silent"
     And callers make 40 "idempotent" calls at all nodes, one each 0.05 s
     Then calls at nodes "2, 3" pass over at most 2 paused runners
+
+  Scenario: Some nodes lose their links to one runner only
+    # They reach other runners and so are not cut off; the nodes that reach this one would
+    # lose it by their reports.
+    Given 4 nodes and 3 runners, whose links to nodes can be cut
+    And callers use all nodes
+    When nodes "0, 1" lose their links to one runner, "silent"
+    And callers make 40 "idempotent" calls at all nodes, one each 0.05 s
+    Then calls at nodes "2, 3" pass over at most 4 paused runners
+
+  Scenario: Calls break with the links of their nodes
+    # A broken call whose runner then accepts no connection looks as if the request had
+    # crashed the runner; its copies would be refused for minutes.
+    Given 4 nodes and 3 runners, whose links to nodes can be cut
+    And callers use all nodes
+    And the runners stream slowly
+    When nodes "0, 1" lose their links to all runners, "reset" amid 3 streams
+    And callers make 20 "idempotent" calls at all nodes, one each 0.05 s
+    Then no node has a record of a crash
+
+  Scenario: A runner ends for all nodes
+    Given 4 nodes and 3 runners, whose links to nodes can be cut
+    And callers use all nodes
+    When a runner ends
+    And callers make 20 "idempotent" calls at all nodes, one each 0.05 s
+    Then each of these calls is answered by a runner on its first try
+    And its home has paused it after at most 4 reports
--- a/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
@@ -80,6 +80,46 @@
     context.run(asyncio.sleep(wait_s))
 
 
+@when('nodes "{numbers}" lose their links to one runner, "{how}"')
+def cut_one_link(context, numbers, how):
+    addresses = [f"127.0.0.{number + 2}" for number in numbers_in(numbers)]
+    context.fleet.runners[0].cut_links(addresses, LinkCut(how))
+
+
+@when("a runner ends")
+def end_runner(context):
+    context.ended = context.fleet.runners[0]
+    context.pauses, context.reports = [], []
+    for node in context.fleet.nodes:
+        observe_reports(context, node.io.slot_home)
+    context.ended.crash()
+
+
+def observe_reports(context, home):
+    record_unreachable = home.record_unreachable
+
+    def record(runner_id, *, reporter):
+        context.reports.append(reporter)
+        record_unreachable(runner_id, reporter=reporter)
+        now_ms = home._timers.now_ms()
+        if home._reachability_breaker.is_paused(runner_id, now_ms=now_ms):
+            context.pauses.append(len(context.reports))
+
+    home.record_unreachable = record
+
+
+@then("its home has paused it after at most {count:d} reports")
+def check_paused(context, count):
+    assert context.pauses, context.reports
+    assert context.pauses[0] <= count, context.pauses
+
+
+@then("no node has a record of a crash")
+def check_no_crash(context):
+    for node in context.fleet.nodes:
+        assert node.io.crash_tracker.newest_notes() == []
+
+
 @when('callers make {count:d} "{kind}" calls at each node')
 def make_calls_at_each(context, count, kind):
     numbers = range(len(context.fleet.nodes))
@@ -114,10 +154,10 @@
             calls = call_each(context, kind, count=1, label=f"r{n}", numbers=numbers)
             rounds.append(asyncio.ensure_future(calls))
             await asyncio.sleep(pause_s)
-        await asyncio.gather(*rounds)
+        return [answer for calls in await asyncio.gather(*rounds) for answer in calls]
 
     context.rounds = count
-    context.run(act())
+    context.answers = context.run(act())
 
 
 @then('calls at nodes "{numbers}" pass over at most {count:d} paused runners')
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -87,6 +87,7 @@
         reach=None,
         reach_monitor=None,
         peer_relay=None,
+        fault_reports=None,
         returns=context.policy,
     )
     context.retry_ms = []
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -96,6 +96,9 @@
     POOL_REACHABLE = EventKind(238, "INFO", "The node reaches a pool's runners again.")
     FORWARDED = EventKind(239, "INFO", "A call is forwarded to a peer.")
     FORWARD_FAILED = EventKind(240, "WARNING", "A peer did not forward a call.")
+    RUNNER_REACHED = EventKind(
+        241, "INFO", "Another node reaches a paused runner; its pause ends."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -96,6 +96,21 @@
     """Whether no connection to the runner could be opened."""
 
 
+class ReachAsk(NamedTuple):
+    """Request to open a connection to a runner that others cannot reach."""
+
+    ask_id: int
+    runner: int
+
+
+class ReachReply(NamedTuple):
+    """Whether the sender reaches a runner."""
+
+    ask_id: int
+    verdict: int
+    """0 if it cannot tell, 1 if it does, 2 if it does not but reaches others."""
+
+
 class SlotRenewal(NamedTuple):
     """Renewal of the sender's slots on a runner.
 
@@ -308,5 +323,7 @@
     | CrashReport
     | CrashNews
     | RunnerSpeed
+    | ReachAsk
+    | ReachReply
 )
 """Any message that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -101,6 +101,8 @@
 struct RunnerSpeed { runner @0 :UInt64; running @1 :UInt16; waiting @2 :UInt16;
   slots @3 :UInt16; slowdownPercent @4 :UInt16; ageMs @5 :UInt32; }
 struct RunnerFault { runner @0 :UInt64; isUnreachable @1 :Bool; }
+struct ReachAsk { askId @0 :UInt32; runner @1 :UInt64; }
+struct ReachReply { askId @0 :UInt32; verdict @1 :UInt8; }
 struct NodeHello {
   isReply @0 :Bool;
   nodeId @1 :Text;
@@ -131,5 +133,7 @@
     crashReport @14 :CrashReport;
     crashNews @15 :CrashNews;
     runnerSpeed @16 :RunnerSpeed;
+    reachAsk @17 :ReachAsk;
+    reachReply @18 :ReachReply;
   }
 }
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -36,6 +36,7 @@
 FLEET = f"{NODE}/tests/edge/fleet.feature"
 NEWS = f"{NODE}/tests/edge/news.feature"
 CRASHING_REQUESTS = f"{NODE}/tests/edge/crashing_requests.feature"
+CUT_OFF_NODES = f"{NODE}/tests/edge/cut_off_nodes.feature"
 CORE_EDGE_TESTS = f"{CORE}/tests/edge"
 CORE_OVERLOAD_TESTS = f"{CORE}/tests/overload"
 
@@ -255,7 +256,7 @@
     Mutation(
         "an unreachable runner is not assumed cold",
         f"{NODE}/src/clementineyoke_node/slots/slot_home.py",
-        "            self._assume_cold(runner_id, now_ms)\n",
+        "            self._suspect_cold(runner_id, now_ms)\n",
         "",
         f"{NODE}/tests/slots/slot_home.feature",
     ),
@@ -599,8 +600,8 @@
     Mutation(
         "a report from a single node makes a runner unreachable",
         f"{CORE_SOURCE}/reachability_breaker.py",
-        "if reporters < MIN_REPORTERS:",
-        "if False:",
+        "is_enough = len(reporters) + bool(outage.pause_ms) >= MIN_REPORTERS",
+        "is_enough = True",
         f"{CORE}/tests/reachability.feature",
     ),
     Mutation(
@@ -655,10 +656,66 @@
     Mutation(
         "a broken connection counts as a crash while the runner accepts connections",
         f"{NODE_EDGE_SOURCE}/crash_tracker.py",
-        "if is_listening:",
-        "if False:",
+        "has_ended = not is_listening and await self._fault_reports.has_ended(runner)",
+        "has_ended = True",
         CRASHING_REQUESTS,
     ),
+    Mutation(
+        "a call that breaks with its node's links counts as a crash",
+        f"{NODE_EDGE_SOURCE}/fault_reports.py",
+        "return await self._witnesses.ask(runner) is ReachVerdict.UNREACHABLE",
+        "return True",
+        CUT_OFF_NODES,
+    ),
+    Mutation(
+        "pauses are not verified",
+        f"{NODE_EDGE_SOURCE}/edge_io.py",
+        "self.slot_home.record_reached(runner.runner_id)",
+        "pass",
+        CUT_OFF_NODES,
+    ),
+    Mutation(
+        "nodes that were wrong about a runner are believed at once",
+        f"{CORE_SOURCE}/reachability_breaker.py",
+        "doubted.update(dict.fromkeys(outage.reporters, now_ms + DOUBT_MS))",
+        "pass",
+        f"{CORE}/tests/reachability.feature",
+    ),
+    Mutation(
+        "isolated nodes forward no calls",
+        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        "if self._reach_monitor.is_isolated(admitted.pool):",
+        "if False:",
+        CUT_OFF_NODES,
+    ),
+    Mutation(
+        "a forwarded call is forwarded again",
+        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        "peers if admitted.hop is None else ()",
+        "peers",
+        CUT_OFF_NODES,
+    ),
+    Mutation(
+        "a hop counts for any call",
+        "packages/clementineyoke-wire/src/clementineyoke_wire/hop_codec.py",
+        "return decoded.hop if decoded.call_id == call_id else None",
+        "return decoded.hop",
+        CUT_OFF_NODES,
+    ),
+    Mutation(
+        "a stream that has started gets a peer's error response",
+        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        '            if stream.has_started:\n                reason = f"a peer',
+        '            if False:\n                reason = f"a peer',
+        CUT_OFF_NODES,
+    ),
+    Mutation(
+        "an isolated node never tries its runners again",
+        f"{NODE_EDGE_SOURCE}/reach_monitor.py",
+        "if self._runners(pool):\n                self.check(pool)",
+        "if self._runners(pool):\n                pass",
+        CUT_OFF_NODES,
+    ),
     Mutation(
         "the end of a draining runner counts as a crash",
         f"{NODE_EDGE_SOURCE}/crash_tracker.py",
