Keep brittle runners from rejecting more calls than they can take

Runners may say in each answer that they fall over if they have to reject more than N calls in a second for want of room. The adapter now reads the header, nodes tell it to homes with each slot request, and a home lets no call wait at such a runner. Grants that may end in a rejection, after one and in the first second of a new home, are bounded by N together with the rejections; given-up calls count for a second, and no node passes the home by. Malformed values say nothing.

Pools that say nothing get the same grants as before, which two scenarios show.

--- a/packages/clementineyoke-core/src/clementineyoke_core/grants/refusal_reason.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/grants/refusal_reason.py
@@ -23,6 +23,9 @@
     SPEED = 6
     """The runner is too slow at the moment for the call's objective."""
 
+    BRITTLE = 7
+    """The runner may have to reject the call, and fails after too many of these."""
+
     @property
     def is_held(self) -> bool:
         """Return whether the runner is held back for another reason than its load."""
@@ -35,7 +38,7 @@
     @property
     def allows_last_resort(self) -> bool:
         """Return whether a last-resort request may be granted after this refusal."""
-        return self is not RefusalReason.MEMORY
+        return self not in (RefusalReason.MEMORY, RefusalReason.BRITTLE)
 
     @property
     def label(self) -> str:
--- a/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/slot_ledger.py
@@ -99,6 +99,10 @@
         """Remove a runner that restarted, left or moved to another home."""
         self._expires_at_ms.pop(runner_id, None)
 
+    def holds(self, runner_id: str, holder: SlotHolder) -> bool:
+        """Return whether a holder has a slot on a runner."""
+        return holder in self._expires_at_ms.get(runner_id, {})
+
     def in_use(self, runner_id: str) -> int:
         """Return the number of slots in use on a runner."""
         return len(self._expires_at_ms.get(runner_id, {}))
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -26,6 +26,7 @@
         response: CompleteResponse | None = None,
         is_connection_lost: bool = False,
         is_runner_fault: bool = True,
+        is_rejection: bool = False,
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.outcome = outcome
@@ -36,6 +37,8 @@
         """Whether the connection broke during the call, as when a runner crashes."""
         self.is_runner_fault = is_runner_fault
         """Whether the failure counts against the runner."""
+        self.is_rejection = is_rejection
+        """Whether the runner stated that it had no room for the call."""
         self.response = response
         """The runner's signed error response, returned if no retry succeeds."""
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -6,6 +6,7 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
+from clementineyoke_core.brittle_pools import BrittlePools
 from clementineyoke_core.edge.attempt_timeouts import AttemptTimeouts
 from clementineyoke_core.edge.crash_records import CrashRecords
 from clementineyoke_core.edge.load_cap_share import NO_PROMPT_CAP_SHARE
@@ -106,11 +107,13 @@
             rng=state.rng,
         )
         self.speed_exchange = self._make_speed_exchange()
+        self.brittle_pools = BrittlePools()
         self.signals = RunnerSignals(
             table=state.table,
             timers=self.timers,
             decisions=state.decisions,
             on_draining=self._record_draining,
+            brittle_pools=self.brittle_pools,
             on_head=self.speed_exchange.record_head,
         )
         self.runner_reach = RunnerReach()
@@ -311,6 +314,7 @@
             socket=self.socket,
             timers=self.timers,
             cold_runners=state.cold_runners,
+            brittle_pools=self.brittle_pools,
             load_bound=LoadBound(
                 factor=NO_PROMPT_CAP_SHARE * self._config.cap_factor,
                 slack_slots=SLACK_SLOTS,
@@ -336,7 +340,8 @@
             slot_home=self.slot_home,
             socket=self.socket,
             timeout_ms=self._config.slot_timeout_ms,
-            is_cold=self._is_cold,
+            is_limited=self._is_limited,
+            rejection_limit=self._rejection_limit,
             is_short=self.admission.is_short,
         )
 
@@ -477,10 +482,19 @@
             is_zone_notified=node.availability_zone == self._config.availability_zone,
         )
 
+    def _is_limited(self, runner: Runner) -> bool:
+        """Return whether only a runner's home knows how many calls it can take now."""
+        now_ms = self.timers.now_ms()
+        is_brittle = self.brittle_pools.limit(runner.pool, now_ms=now_ms) is not None
+        return is_brittle or self._is_cold(runner)
+
     def _is_cold(self, runner: Runner) -> bool:
         now_ms = self.timers.now_ms()
         return self._state.cold_runners.calls_per_s(runner, now_ms=now_ms) is not None
 
+    def _rejection_limit(self, pool: str) -> int | None:
+        return self.brittle_pools.answered_limit(pool, now_ms=self.timers.now_ms())
+
     def _record_draining(self, runner: Runner) -> bool:
         """Record that a runner drains; return whether that was unknown.
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -514,7 +514,9 @@
         runner = lease.runner
         ledger.record(error.peer, error.outcome)
         if error.outcome in REACHABLE_OUTCOMES:
-            self._broker.record_answer(lease)
+            self._broker.record_answer(lease, is_rejected=error.is_rejection)
+        elif error.outcome is AttemptOutcome.NOT_SENT:
+            self._broker.record_unused(lease)
         if admitted.deadline_ms > now_ms and error.is_runner_fault:
             # A failure after the call's deadline is no evidence against the runner: the
             # operator's timeout may be shorter than the work.
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/operator_api.py
@@ -63,6 +63,8 @@
                 for entry in state.table.entries()
                 if state.table.is_backed_off(entry.runner)
             ],
+            "unreachable_pools": sorted(io.runner_reach.isolated_pools),
+            "rejection_limits": io.brittle_pools.limits(now_ms=io.timers.now_ms()),
             "homed_slots": io.slot_home.loads(),
             "pressure": io.admission.status(now_ms=io.timers.now_ms()),
         }
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -17,6 +17,7 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 MIN_REDIRECT_STATUS = 300
+NO_ROOM_STATUSES = frozenset((429, 503))
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its call did not run and never will."""
 
@@ -49,6 +50,7 @@
             step="read_head",
             peer=runner.runner_id,
             reason=f"refused with {head.status}",
+            is_rejection=head.status in NO_ROOM_STATUSES,
         )
     if head.status in NOT_RUN_STATUSES:
         # Callers conclude that the call did not run, which the runner has not stated.
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_signals.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_signals.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from clementineyoke_wire.events import Event
+from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from clementineyoke_core.brittle_pools import BrittlePools
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
@@ -16,6 +17,9 @@
     from clementineyoke_node.platform.runner_codec import ResponseHead
     from clementineyoke_node.timers.timer_service import TimerService
 
+MISDIRECTED_STATUS = 421
+"""Comes from another runner at the address, which speaks for its own pool."""
+
 
 class RunnerSignals:
     """Applies the drain and backoff signals in the head of each response."""
@@ -27,6 +31,7 @@
         timers: TimerService,
         decisions: DecisionRing,
         on_draining: Callable[[Runner], bool],
+        brittle_pools: BrittlePools,
         on_head: Callable[[Runner, ResponseHead], None] = lambda _, __: None,
     ) -> None:
         """Create the handler.
@@ -38,11 +43,13 @@
         self._timers = timers
         self._decisions = decisions
         self._on_draining = on_draining
+        self._brittle_pools = brittle_pools
         self._on_head = on_head
 
     def apply(self, runner: Runner, call: EdgeCall, head: ResponseHead) -> None:
         """Apply the signals in the head of a response, refusal or stream."""
         self._on_head(runner, head)
+        self._apply_brittle(runner, head)
         if head.is_draining and self._on_draining(runner):
             self._decisions.record(
                 Event.RUNNER_DRAINING,
@@ -60,3 +67,16 @@
                 status=head.status,
                 backoff_ms=round(head.retry_after_ms),
             )
+
+    def _apply_brittle(self, runner: Runner, head: ResponseHead) -> None:
+        """Record whether the runner is brittle; malformed statements change nothing."""
+        if head.status == MISDIRECTED_STATUS or head.has_malformed_rejections:
+            return
+        limit = head.rejections_per_s
+        now_ms = self._timers.now_ms()
+        if not self._brittle_pools.record_answer(runner.pool, limit, now_ms=now_ms):
+            return
+        if limit is None:
+            log_event(Event.POOL_ROBUST, pool=runner.pool)
+        else:
+            log_event(Event.POOL_BRITTLE, pool=runner.pool, rejections_per_s=limit)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/names.py
@@ -36,6 +36,9 @@
 """Running calls, waiting calls, slots and, in some deployments, how long work takes now
 in percent of the usual time; separated by commas."""
 
+BRITTLE = "Server-Brittle"
+"""Rejections in a second above which the runner falls over; absent if it does not."""
+
 RESERVED_HEADERS = frozenset(
     name.lower()
     for name in (
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -29,6 +29,11 @@
 """A non-negative number in ASCII digits; ``float`` also accepts ``nan`` and ``1_0``."""
 
 
+_COUNT = re.compile(r"[0-9]{1,18}")
+MAX_REJECTIONS_PER_S = 65_534
+"""Larger values are reduced to this, which fits the field of ``SlotAsk``."""
+
+
 class RoutingHeaders(NamedTuple):
     """The headers that the router adds to a call to one runner."""
 
@@ -59,6 +64,10 @@
     """The runner's report of its speed; None without a valid one."""
     has_malformed_load: bool
     """Whether the head has a report of speed that cannot be parsed."""
+    rejections_per_s: int | None
+    """Rejections a second that the runner can take; None if it does not say."""
+    has_malformed_rejections: bool
+    """Whether the head says so in a form that cannot be parsed."""
     forwarded_headers: list[tuple[str, str]]
 
 
@@ -95,6 +104,10 @@
         is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
         speed=speed,
         has_malformed_load=speed is None and len(load_fields) >= SPEED_FIELDS,
+        rejections_per_s=_decode_rejections(fields),
+        has_malformed_rejections=(
+            names.BRITTLE in fields and _decode_rejections(fields) is None
+        ),
         forwarded_headers=remove_hop_by_hop(list(fields.items())),
     )
 
@@ -126,6 +139,13 @@
     return SpeedReport(running, waiting, slots, slowdown)
 
 
+def _decode_rejections(fields: CIMultiDictProxy[str]) -> int | None:
+    text = fields.get(names.BRITTLE, "").strip()
+    if not _COUNT.fullmatch(text):
+        return None
+    return min(MAX_REJECTIONS_PER_S, int(text))
+
+
 def _decode_retry_after_ms(status: int, fields: CIMultiDictProxy[str]) -> float:
     """Return the backoff time of a response; 0 if it is missing or cannot be parsed."""
     if status not in BACKOFF_STATUSES:
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from clementineyoke_core.grants.refusal_reason import RefusalReason
+from clementineyoke_core.lease_end import UNKNOWN_END, LeaseEnd
 from clementineyoke_core.overload.home_liveness import HomeLiveness
 from clementineyoke_core.slot_ledger import SlotGrant, SlotHolder, SlotRefusal
 from clementineyoke_core.slot_search import MAX_REQUESTS, SlotAttempt, SlotSearch
@@ -69,15 +70,17 @@
         slot_home: SlotHome,
         socket: PeerSocket,
         timeout_ms: float,
-        is_cold: Callable[[Runner], bool] = lambda _: False,
+        is_limited: Callable[[Runner], bool] = lambda _: False,
         is_short: Callable[[str], bool] = lambda _: False,
+        rejection_limit: Callable[[str], int | None] = lambda _: None,
         now_ms: Callable[[], float] = TimerService.now_ms,
     ) -> None:
         """Create a broker.
 
-        ``is_cold`` returns whether a runner handles only a limited call rate for now,
-        ``is_short`` whether a pool has more calls than its runners can serve, and
-        ``now_ms`` the monotonic time.
+        ``is_limited`` returns whether only a runner's home knows what it can take now,
+        ``is_short`` whether a pool has more calls than its runners can serve,
+        ``rejection_limit`` how many calls a second a pool's runners may reject by their
+        answers to this node, and ``now_ms`` the monotonic time.
         """
         self._membership = membership
         self._own_id = membership.local_node.node_id
@@ -87,14 +90,15 @@
         self._slot_home = slot_home
         self._socket = socket
         self._timeout_ms = timeout_ms
-        self._is_cold = is_cold
+        self._is_limited = is_limited
         self._is_short = is_short
+        self._rejection_limit = rejection_limit
         self._now_ms = now_ms
         self._home_liveness = HomeLiveness()
         self._leases: dict[int, SlotLease] = {}
         self._last_in_use: dict[str, int] = {}
-        self._answered: dict[int, int] = {}
-        """Time of the answer in percent of the usual time, or 0, by ask id."""
+        self._ends: dict[int, LeaseEnd] = {}
+        """How the calls that were answered or not sent ended, by ask id."""
 
     async def acquire(self, request: SlotRequest) -> SlotLease | None:
         """Return a lease on the first runner that grants one, or None.
@@ -189,13 +193,21 @@
         finally:
             self._end_lease(lease)
 
-    def record_answer(self, lease: SlotLease, *, time_percent: int = 0) -> None:
+    def record_answer(
+        self, lease: SlotLease, *, time_percent: int = 0, is_rejected: bool = False
+    ) -> None:
         """Record that the runner answered.
 
         The runner's home learns of it with the release of the slot. ``time_percent`` is
         the time of the answer in percent of its route's mean, or 0 if unknown.
         """
-        self._answered[lease.ask_id] = time_percent
+        self._ends[lease.ask_id] = LeaseEnd(
+            is_answered=True, time_percent=time_percent, is_rejected=is_rejected
+        )
+
+    def record_unused(self, lease: SlotLease) -> None:
+        """Record that the call was not sent to the runner."""
+        self._ends[lease.ask_id] = LeaseEnd(is_unused=True)
 
     def report_fault(self, runner: Runner, *, is_unreachable: bool = False) -> None:
         """Report to a runner's home that a call to the runner failed or is overdue."""
@@ -273,6 +285,7 @@
                 runner.lifetime_hash,
                 attempt.seen_mean,
                 load_factor=request.load_factor,
+                rejections=self._encode_rejection_limit(runner.pool),
             ),
             request.profile,
         )
@@ -385,6 +398,7 @@
                 wait_ms=min(request.wait_ms, MAX_WAIT_MS),
                 team=profile.team,
                 priority=profile.priority,
+                rejections=self._encode_rejection_limit(runner.pool),
             ),
             profile,
         )
@@ -459,33 +473,26 @@
 
     def _end_lease(self, lease: SlotLease) -> None:
         self._leases.pop(lease.ask_id, None)
-        time_percent = self._answered.pop(lease.ask_id, None)
-        self._release_at_home(
-            lease.runner,
-            lease.ask_id,
-            is_answered=time_percent is not None,
-            time_percent=time_percent or 0,
-        )
+        end = self._ends.pop(lease.ask_id, UNKNOWN_END)
+        self._release_at_home(lease.runner, lease.ask_id, end)
 
     def _release_at_home(
-        self,
-        runner: Runner,
-        ask_id: int,
-        *,
-        is_answered: bool = False,
-        time_percent: int = 0,
+        self, runner: Runner, ask_id: int, end: LeaseEnd = UNKNOWN_END
     ) -> None:
         home = self._home_of(runner.runner_id)
         if home is None:
             return
         if home.node_id == self._own_id:
-            if is_answered:
-                self._slot_home.record_answer(
-                    runner.runner_id, time_percent=time_percent
-                )
-            self._slot_home.release(runner.runner_id, self._own_holder(ask_id))
+            self._slot_home.end(runner.runner_id, self._own_holder(ask_id), end)
             return
-        release = SlotRelease(ask_id, runner.lifetime_hash, is_answered, time_percent)
+        release = SlotRelease(
+            ask_id,
+            runner.lifetime_hash,
+            end.is_answered,
+            end.time_percent,
+            end.is_rejected,
+            end.is_unused,
+        )
         self._socket.send(PeerAddress.of(home), release)
 
     def _may_bypass_home(self, runner_id: str) -> bool:
@@ -495,7 +502,7 @@
         the total would crash the runner.
         """
         entry = self._table.get(runner_id)
-        return entry is not None and not self._is_cold(entry.runner)
+        return entry is not None and not self._is_limited(entry.runner)
 
     def _may_bypass_in_shortage(self, runner_id: str) -> bool:
         """Return whether a call may bypass a home while its pool is short of capacity.
@@ -510,6 +517,10 @@
             return False
         return self._may_bypass_home(runner_id)
 
+    def _encode_rejection_limit(self, pool: str) -> int:
+        limit = self._rejection_limit(pool)
+        return 0 if limit is None else limit + 1
+
     def _runner_of(self, attempt: SlotAttempt) -> Runner | None:
         entry = self._table.get(attempt.runner_id)
         return None if entry is None else entry.runner
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_home.py
@@ -8,9 +8,11 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Success
 
+from clementineyoke_core.brittle_pools import BrittlePools
 from clementineyoke_core.cold_runners import ColdRunners
 from clementineyoke_core.fault_rate_breaker import FaultRateBreaker
 from clementineyoke_core.grants.breaker_rule import BreakerRule
+from clementineyoke_core.grants.brittle_rule import BrittleRule
 from clementineyoke_core.grants.call_profile import (
     UNDESCRIBED,
     CallProfile,
@@ -19,6 +21,7 @@
 from clementineyoke_core.grants.cold_pace_rule import ColdPaceRule
 from clementineyoke_core.grants.grant_rule import GrantRequest
 from clementineyoke_core.grants.load_bound_rule import LoadBoundRule
+from clementineyoke_core.lease_end import LeaseEnd
 from clementineyoke_core.load_bound import DEFAULT_BOUND, LoadBound
 from clementineyoke_core.overload.pressure_meter import RunnerDemand
 from clementineyoke_core.reachability_breaker import ReachabilityBreaker
@@ -71,6 +74,7 @@
         socket: PeerSocket,
         timers: TimerService,
         cold_runners: ColdRunners | None = None,
+        brittle_pools: BrittlePools | None = None,
         load_bound: LoadBound = DEFAULT_BOUND,
         extra_rules: Sequence[GrantRule] = (),
         prefill_tokens: Callable[[GrantRequest], int] = lambda _: 0,
@@ -94,12 +98,17 @@
         self._reachability_breaker = ReachabilityBreaker()
         self._cold_runners = cold_runners or ColdRunners()
         self._cold_pace = ColdPaceRule(cold_runners=self._cold_runners, table=table)
+        self._brittle_pools = brittle_pools or BrittlePools()
+        self._brittle_rule = BrittleRule(
+            brittle_pools=self._brittle_pools, ledger=ledger, table=table
+        )
         self._rules: tuple[GrantRule, ...] = (
             BreakerRule(
                 fault_breaker=self._fault_breaker,
                 reachability=self._reachability_breaker,
             ),
             self._cold_pace,
+            self._brittle_rule,
             LoadBoundRule(
                 ledger=ledger,
                 table=table,
@@ -227,6 +236,18 @@
         self._update_pool_load(runner_id)
         self._serve_queue(runner_id)
 
+    def end(self, runner_id: str, holder: SlotHolder, end: LeaseEnd) -> None:
+        """Release a slot whose call has ended, and record how."""
+        if end.is_answered:
+            self.record_answer(runner_id, time_percent=end.time_percent)
+        was_held = self._ledger.holds(runner_id, holder)
+        now_ms = self._timers.now_ms()
+        if was_held and not end.is_answered and not end.is_unused:
+            self._brittle_rule.record_abandoned(runner_id, now_ms=now_ms)
+        self.release(runner_id, holder)
+        if end.is_rejected:
+            self._brittle_rule.record_rejection(runner_id, now_ms=now_ms)
+
     def renew(self, runner_id: str, holder: SlotHolder, *, tokens: int = 0) -> None:
         """Extend a grant; an unknown one is adopted from a previous home.
 
@@ -431,6 +452,7 @@
         if runner_id is None:
             self._socket.send(received.peer, SlotReply(ask.ask_id, False, 0))
             return
+        self._record_rejection_limit(runner_id, ask)
         holder = SlotHolder(str(received.peer), ask.ask_id)
         if ask.wait_ms:
             self._enqueue_remote(received.peer, runner_id, holder, ask)
@@ -462,6 +484,13 @@
             )
         self._socket.send(received.peer, reply)
 
+    def _record_rejection_limit(self, runner_id: str, ask: SlotAsk) -> None:
+        entry = self._table.get(runner_id)
+        if entry is not None and ask.rejections:
+            self._brittle_pools.record_peer(
+                entry.runner.pool, ask.rejections - 1, now_ms=self._timers.now_ms()
+            )
+
     def _enqueue_remote(
         self, peer: PeerAddress, runner_id: str, holder: SlotHolder, ask: SlotAsk
     ) -> None:
@@ -489,9 +518,13 @@
         runner_id = self._runner_ids_by_hash.get(release.runner)
         if runner_id is None:
             return
-        if release.is_answered:
-            self.record_answer(runner_id, time_percent=release.time_percent)
-        self.release(runner_id, SlotHolder(str(received.peer), release.ask_id))
+        end = LeaseEnd(
+            release.is_answered,
+            release.time_percent,
+            release.is_rejected,
+            release.is_unused,
+        )
+        self.end(runner_id, SlotHolder(str(received.peer), release.ask_id), end)
 
     def _receive_fault(self, received: PeerMessage) -> None:
         fault: RunnerFault = received.message
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -150,6 +150,20 @@
         self.on_crash: Callable[[EdgeRunner], None] = lambda _: None
         """Called after a crash; may restart the runner."""
         self.port = 0
+        self.max_running: int | None = None
+        """Calls that the runner executes at once; it rejects all others. None for any
+        number."""
+        self.brittle_header = ""
+        """Brittleness header of all responses; empty for none."""
+        self.max_rejections_per_s: int | None = None
+        """Rejections in a second above which the runner crashes; None for any number.
+        """
+        self.rejection_times_s: list[float] = []
+        self.rejection_crashes = 0
+        """Number of crashes by too many rejections."""
+        self.most_running = 0
+        """Most calls that the runner executed at once."""
+        self._running = 0
         self.cut_sources: frozenset[str] = frozenset()
         """Addresses whose packets are dropped."""
         self._silent_sources: frozenset[str] = frozenset()
@@ -254,7 +268,10 @@
         first_byte: bytes,
     ) -> bool:
         call = await _read_call(reader, first_byte)
-        response = self._next_response(call.target)
+        has_room = self.max_running is None or self._running < self.max_running
+        response = (
+            self._next_response(call.target) if has_room else ScriptedResponse.REFUSE
+        )
         is_refused = response is ScriptedResponse.REFUSE
         seen = call._replace(
             received_s=time.monotonic(),
@@ -271,6 +288,22 @@
             await asyncio.sleep(CRASH_DELAY_S)
             self.crash()
             return False
+        if not has_room and self._exceeds_rejections(seen.received_s):
+            self.crash()
+            return False
+        self._running += not is_refused
+        self.most_running = max(self.most_running, self._running)
+        try:
+            return await self._respond(writer, call, response)
+        finally:
+            self._running -= not is_refused
+
+    async def _respond(
+        self,
+        writer: asyncio.StreamWriter,
+        call: ReceivedCall,
+        response: ScriptedResponse,
+    ) -> bool:
         call_id = call.call_id
         if response in (ScriptedResponse.STREAM, ScriptedResponse.CUT):
             return await self._send_stream(
@@ -278,6 +311,17 @@
             )
         return await self._send_response(writer, response, call_id)
 
+    def _exceeds_rejections(self, now_s: float) -> bool:
+        """Record a rejection; return whether recent ones crash a brittle runner."""
+        self.rejection_times_s.append(now_s)
+        if self.max_rejections_per_s is None:
+            return False
+        recent = sum(time_s > now_s - 1.0 for time_s in self.rejection_times_s)
+        if recent <= self.max_rejections_per_s:
+            return False
+        self.rejection_crashes += 1
+        return True
+
     def _exceeds_cold_limit(self, now_s: float) -> bool:
         """Return whether recent calls crash a cold runner, and count these crashes."""
         if now_s >= self.cold_until_s or not self.cold_calls_per_s:
@@ -294,6 +338,8 @@
         fields = {names.DRAINING: names.DRAINING_VALUE} if self.is_draining else {}
         if self.server_load:
             fields[names.SERVER_LOAD] = self.server_load
+        if self.brittle_header:
+            fields[names.BRITTLE] = self.brittle_header
         if self.keep_alive_timeout_s is not None:
             fields["Keep-Alive"] = f"timeout={self.keep_alive_timeout_s}"
         return fields
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -99,6 +99,12 @@
     RUNNER_REACHED = EventKind(
         241, "INFO", "Another node reaches a paused runner; its pause ends."
     )
+    POOL_BRITTLE = EventKind(
+        242, "INFO", "Answers say how many rejections a second a pool's runners take."
+    )
+    POOL_ROBUST = EventKind(
+        243, "INFO", "Answers no longer say that a pool is brittle."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -39,6 +39,11 @@
     own_tokens: int = 0
     output_tokens: int = 0
     """Expected length of the output."""
+    rejections: int = 0
+    """One more than the rejections a second that the runner's pool can take.
+
+    0 if no answer told the sender that the pool is brittle.
+    """
 
 
 class SlotReply(NamedTuple):
@@ -71,6 +76,10 @@
 
     0 if it was not measured. For a stream this compares the time per event.
     """
+    is_rejected: bool = False
+    """Whether the runner had no room for the call."""
+    is_unused: bool = False
+    """Whether the call was not sent to the runner."""
 
 
 class RunnerSpeed(NamedTuple):
--- a/packages/clementineyoke-wire/tests/steps/codec_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/codec_steps.py
@@ -62,6 +62,7 @@
     "reason": 8,
     "priority": 8,
     "state": 8,
+    "rejections": 16,
 }
 TEXT = st.text(st.characters(exclude_categories=["Cs"], exclude_characters="\0"))
 STRATEGIES = {
@@ -157,7 +158,9 @@
 def given_earlier_schema(context):
     schema = Path(codec.__file__).with_name("peer.capnp").read_text()
     for addition in (
-        r"timePercent @\d+ :UInt16;",
+        r"timePercent @\d+ :UInt16; isRejected @\d+ :Bool; isUnused @\d+ :Bool;",
+        r"reachAsk @\d+ :ReachAsk;",
+        r"reachReply @\d+ :ReachReply;",
         r"runnerSpeed @\d+ :RunnerSpeed;",
         r"struct RunnerSpeed \{[^}]*\}",
     ):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -36,6 +36,7 @@
 FLEET = f"{NODE}/tests/edge/fleet.feature"
 NEWS = f"{NODE}/tests/edge/news.feature"
 CRASHING_REQUESTS = f"{NODE}/tests/edge/crashing_requests.feature"
+BRITTLE_RUNNERS = f"{NODE}/tests/edge/brittle_runners.feature"
 CUT_OFF_NODES = f"{NODE}/tests/edge/cut_off_nodes.feature"
 CORE_EDGE_TESTS = f"{CORE}/tests/edge"
 CORE_OVERLOAD_TESTS = f"{CORE}/tests/overload"
@@ -263,7 +264,7 @@
     Mutation(
         "a node bypasses the home node of a cold runner",
         f"{NODE}/src/clementineyoke_node/slots/slot_broker.py",
-        "return entry is not None and not self._is_cold(entry.runner)",
+        "return entry is not None and not self._is_limited(entry.runner)",
         "return entry is not None",
         NODE_COLD_RUNNERS,
     ),
@@ -674,6 +675,41 @@
         "USER_TIMEOUT_MS = 700",
         f"{NODE}/tests/edge/silent_runners.feature",
     ),
+    Mutation(
+        "homes ignore how many rejections a brittle runner takes",
+        f"{CORE_SOURCE}/grants/brittle_rule.py",
+        "if max_rejections is None:",
+        "if True:",
+        BRITTLE_RUNNERS,
+    ),
+    Mutation(
+        "a new home grants all slots of a brittle runner at once",
+        f"{CORE_SOURCE}/grants/brittle_rule.py",
+        "return is_new_home or has_rejected",
+        "return has_rejected",
+        f"{CORE}/tests/brittle_runners.feature",
+    ),
+    Mutation(
+        "a rejection does not hold back the next calls",
+        f"{CORE_SOURCE}/grants/brittle_rule.py",
+        "return is_new_home or has_rejected",
+        "return is_new_home",
+        f"{CORE}/tests/brittle_runners.feature",
+    ),
+    Mutation(
+        "nodes pass on a limit that peers told them",
+        f"{CORE_SOURCE}/brittle_pools.py",
+        "return _limit(self._answered.get(pool), now_ms)",
+        "return self.limit(pool, now_ms=now_ms)",
+        f"{CORE}/tests/brittle_runners.feature",
+    ),
+    Mutation(
+        "a malformed limit ends that a pool is brittle",
+        f"{NODE_EDGE_SOURCE}/runner_signals.py",
+        "if head.status == MISDIRECTED_STATUS or head.has_malformed_rejections:",
+        "if head.status == MISDIRECTED_STATUS:",
+        BRITTLE_RUNNERS,
+    ),
     Mutation(
         "a call that breaks with its node's links counts as a crash",
         f"{NODE_EDGE_SOURCE}/fault_reports.py",
