Cut nodes off, make runners brittle and silence one in the soak

The soak had one link for each runner, shared by all nodes, so that no node ever lost its links while others kept theirs. Links now tell nodes apart by their addresses. Each seed cuts off up to all but one node, makes all runners brittle and silences one, drawn apart from its other faults, and once more undisturbed at its end. The audit compares callers' service at cut-off nodes and others, and counts falls of brittle runners, both with the platform's own bounds. It knows which node sent a call, which may not be the one that its caller used.

Kept seeds play without the new faults, as before.

--- a/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
@@ -9,7 +9,8 @@
 
 from clementineyoke_core.edge.hop import Hop
 from clementineyoke_core.runner_state import RunnerState
-from clementineyoke_standins.edge.edge_runner import LinkCut, ScriptedResponse
+from clementineyoke_standins.edge.edge_runner import ScriptedResponse
+from clementineyoke_standins.edge.source_filter import LinkCut
 from clementineyoke_wire.headers import HOP
 from clementineyoke_wire.hop_codec import encode_hop
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -29,6 +29,8 @@
     """Whether zones are evacuated and runners start cold, in every second seed."""
     has_runner_signals: bool = True
     """Whether runners shed calls, and drain before their entries show it."""
+    has_path_faults: bool = True
+    """Whether nodes lose their links to runners, and runners are brittle or silent."""
 
 
 def run(
@@ -53,6 +55,7 @@
                 entry.get("has_crashes", False),
                 entry.get("has_zone_work", False),
                 entry.get("has_runner_signals", False),
+                entry.get("has_path_faults", False),
             )
             for entry in entries
         ]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 import time
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple, Self
 
 from clementineyoke_node.platform import names
-from clementineyoke_standins.edge.source_filter import drop_sources
+from clementineyoke_standins.edge.source_filter import (
+    LinkCut,
+    LinkCuts,
+    reset_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -25,7 +27,6 @@
 COLD_OVERLOAD_MARGIN = 5
 """A cold runner crashes if its calls within 1 s exceed its limit times the factor plus
 the margin, as the platform specifies."""
-LINK_POLL_S = 0.01
 LATE_RESPONSE_DELAY_S = 0.05
 """Delay of a late second response, long enough for the first to be relayed."""
 
@@ -61,20 +62,6 @@
     """Sends a response without the runner's signature."""
 
 
-class LinkCut(Enum):
-    """What happens to the connections of callers that lose their link to the runner.
-
-    New connections get no answer in any case.
-    """
-
-    SILENT = "silent"
-    """Open connections transfer nothing until the link is back."""
-    RESET = "reset"
-    """Open connections are reset."""
-    NEW_ONLY = "new_only"
-    """Open connections go on."""
-
-
 STATUS_LINES = {
     ScriptedResponse.FAIL: "500 Failed",
     ScriptedResponse.REFUSE: "503 Busy",
@@ -100,6 +87,9 @@
     retry_after_s: float = 0.0
     """``Retry-After`` of the refusal; 0 if there was none."""
 
+    sender_port: int = 0
+    """Port from which the call was sent."""
+
     @property
     def call_id(self) -> str:
         """The ID of the caller's attempt."""
@@ -164,10 +154,7 @@
         self.most_running = 0
         """Most calls that the runner executed at once."""
         self._running = 0
-        self.cut_sources: frozenset[str] = frozenset()
-        """Addresses whose packets are dropped."""
-        self._silent_sources: frozenset[str] = frozenset()
-        """Addresses to which nothing is sent either."""
+        self._link_cuts = LinkCuts()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -185,38 +172,17 @@
         """Start to listen, at first or after a crash."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
-        if self.cut_sources:
-            self._filter_listener()
+        if self._link_cuts.sources:
+            self._link_cuts.filter_listener(self._server)
 
     def cut_links(self, addresses: Collection[str], how: LinkCut) -> None:
         """Cut the links to the callers at some addresses, or end an earlier cut."""
-        self.cut_sources = frozenset(addresses)
-        is_silent = how is LinkCut.SILENT
-        self._silent_sources = self.cut_sources if is_silent else frozenset()
-        self._filter_listener()
-        for writer in list(self._writers):
-            sock = writer.get_extra_info("socket")
-            if writer.is_closing() or sock.fileno() < 0:
-                continue
-            is_cut = _source_of(writer) in self.cut_sources
-            if is_cut and how is LinkCut.RESET:
-                _reset(writer)
-            elif how is not LinkCut.NEW_ONLY or not is_cut:
-                drop_sources(sock, self._silent_sources)
+        self._link_cuts.begin(self._server, self._writers, addresses, how)
 
     def heal_links(self) -> None:
         """End a cut of the links to callers."""
         self.cut_links((), LinkCut.SILENT)
 
-    def _filter_listener(self) -> None:
-        if self._server is not None:
-            drop_sources(self._server.sockets[0]._sock, self.cut_sources)  # type: ignore[attr-defined]
-
-    async def _wait_for_link(self, writer: asyncio.StreamWriter) -> None:
-        """Wait while nothing may be sent to a caller."""
-        while _source_of(writer) in self._silent_sources:
-            await asyncio.sleep(LINK_POLL_S)
-
     @property
     def crashes(self) -> int:
         """Number of crashes so far."""
@@ -231,7 +197,7 @@
         self._server = None
         for writer in list(self._writers):
             if not writer.is_closing():
-                _reset(writer)
+                reset_connection(writer)
         self.on_crash(self)
 
     async def _serve(
@@ -244,7 +210,7 @@
                 idle_since_s = time.monotonic()
                 first_byte = await reader.readexactly(1)
                 if self._resets_idle(time.monotonic() - idle_since_s):
-                    _reset(writer)
+                    reset_connection(writer)
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
             return  # the node closed the connection, as some tests intend
@@ -279,6 +245,7 @@
             lifetime=self.crashes,
             signals_draining=self.is_draining,
             retry_after_s=self.retry_after_s if is_refused else 0.0,
+            sender_port=(writer.get_extra_info("peername") or ("", 0))[1],
         )
         self.calls.append(seen)
         if self._exceeds_cold_limit(seen.received_s):
@@ -363,7 +330,7 @@
         if response is ScriptedResponse.SLOW:
             await asyncio.sleep(self.slow_delay_s)
         if response is ScriptedResponse.RESET:
-            _reset(writer)
+            reset_connection(writer)
             return False
         body = f"answer to {call_id}".encode()
         if response is ScriptedResponse.CROSSED:
@@ -378,7 +345,7 @@
             fields[names.SERVER_SIGNATURE] = PROOF
         if response in (ScriptedResponse.UNFRAMED, ScriptedResponse.UNFRAMED_RESET):
             return await self._send_unframed(writer, response, fields, body)
-        await self._wait_for_link(writer)
+        await self._link_cuts.wait(writer)
         message = (
             _encode_head(status, {**fields, "Content-Length": str(len(body))}) + body
         )
@@ -403,7 +370,7 @@
         writer.write(_encode_head("200 OK", fields) + body[: len(body) // 2])
         await writer.drain()
         await asyncio.sleep(LATE_RESPONSE_DELAY_S)
-        _reset(writer)
+        reset_connection(writer)
         return False
 
     async def _send_stream(
@@ -429,9 +396,9 @@
                 writer.write(_encode_chunk(event[: len(event) // 2]))
                 await writer.drain()
                 await asyncio.sleep(LATE_RESPONSE_DELAY_S)
-                _reset(writer)
+                reset_connection(writer)
                 return False
-            await self._wait_for_link(writer)
+            await self._link_cuts.wait(writer)
             writer.write(_encode_chunk(event))
             await writer.drain()
             await asyncio.sleep(self.event_pause_s)
@@ -452,19 +419,6 @@
     return ReceivedCall(method, target, fields, body)
 
 
-def _source_of(writer: asyncio.StreamWriter) -> str:
-    """Return the IP address of a connection's caller; empty if it is closed."""
-    peer = writer.get_extra_info("peername")
-    return str(peer[0]) if peer else ""
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Reset the connection rather than closing it in order."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 def _encode_head(status: str, fields: dict[str, str]) -> bytes:
     lines = [f"HTTP/1.1 {status}", *(f"{name}: {fields[name]}" for name in fields)]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/source_filter.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/source_filter.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import ctypes
 import socket
 import struct
 from contextlib import suppress
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from asyncio import Server, StreamWriter
+    from collections.abc import Collection, Iterable
 
 SO_ATTACH_FILTER = 26
 SO_DETACH_FILTER = 27
@@ -19,6 +22,79 @@
 SOURCE_ADDRESS_OFFSET = 0xFFF00000 + 12
 """Offset of the source address from the start of the IPv4 header."""
 WHOLE_PACKET = 0xFFFFFFFF
+LINK_POLL_S = 0.01
+
+
+class LinkCut(Enum):
+    """What happens to open connections from addresses whose links are cut.
+
+    New connections get no answer in any case.
+    """
+
+    SILENT = "silent"
+    """They transfer nothing until the link is back."""
+    RESET = "reset"
+    NEW_ONLY = "new_only"
+    """They go on."""
+
+
+class LinkCuts:
+    """The cut links of a stand-in that listens on a socket."""
+
+    def __init__(self) -> None:
+        self.sources: frozenset[str] = frozenset()
+        """Addresses whose packets are dropped."""
+        self._silent_sources: frozenset[str] = frozenset()
+        """Addresses to which nothing is sent either."""
+
+    def begin(
+        self,
+        server: Server | None,
+        writers: Iterable[StreamWriter],
+        addresses: Collection[str],
+        how: LinkCut,
+    ) -> None:
+        """Cut the links to some addresses, in place of earlier ones."""
+        self.sources = frozenset(addresses)
+        is_silent = how is LinkCut.SILENT
+        self._silent_sources = self.sources if is_silent else frozenset()
+        self.filter_listener(server)
+        for writer in list(writers):
+            sock = writer.get_extra_info("socket")
+            if writer.is_closing() or sock.fileno() < 0:
+                continue
+            is_cut = source_of(writer) in self.sources
+            if is_cut and how is LinkCut.RESET:
+                reset_connection(writer)
+            elif how is not LinkCut.NEW_ONLY or not is_cut:
+                drop_sources(sock, self._silent_sources)
+
+    def filter_listener(self, server: Server | None) -> None:
+        """Apply the cut to new connections, also after the server has restarted."""
+        if server is not None:
+            listener = server.sockets[0]._sock  # type: ignore[attr-defined]
+            drop_sources(listener, self.sources)
+
+    async def wait(self, writer: StreamWriter) -> None:
+        """Wait while nothing may be sent on a connection."""
+        while source_of(writer) in self._silent_sources:
+            await asyncio.sleep(LINK_POLL_S)
+
+
+def source_of(writer: StreamWriter) -> str:
+    """Return the IP address of a connection's peer; empty if it is closed."""
+    peer = writer.get_extra_info("peername")
+    return str(peer[0]) if peer else ""
+
+
+def reset_connection(writer: StreamWriter) -> None:
+    """Reset a connection rather than closing it in order."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        # With a linger time of 0, the connection is reset rather than closed.
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
 
 
 def drop_sources(sock: socket.socket, addresses: Collection[str]) -> None:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -28,6 +28,13 @@
 BACKOFF_START_DEADLINE_S = 0.5
 """Time after a refusal with ``Retry-After`` within which the node must back off."""
 MAX_CALLS_IN_BACKOFF = 2
+CUT_DETECTION_S = 3.0
+"""Time after which callers of cut-off nodes must be served like those of others."""
+MIN_CUT_OFF_SHARE = 2 / 3
+CUT_OFF_SLACK_CALLS = 10
+CUT_OFF_SLACK_SHARE = 1 / 50
+RUNNER_FALL_SLACK = 2
+RUNNER_FALL_SHARE = 0.1
 CLOCK_TOLERANCE_S = 0.5
 """Allowance for the delay between the store's reply and the soak's clock reading."""
 
@@ -47,6 +54,16 @@
     """Whether the response signalled that the runner is draining."""
     retry_after_s: float = 0.0
     """``Retry-After`` of the refusal; 0 if there was none."""
+    node: int = -1
+    """Node that sent the call, which a peer may have forwarded to it."""
+
+
+class NodeCut(NamedTuple):
+    """A time in which nodes had no links to any runner."""
+
+    nodes: list[int]
+    start_s: float
+    end_s: float
 
 
 class Span(NamedTuple):
@@ -76,12 +93,19 @@
     evacuations: list[ZoneEvacuation]
     overload_crashes: dict[str, int]
     """Number of crashes of each cold runner by more calls than its limit."""
+    rejection_crashes: int
+    """Number of brittle runners' crashes by too many rejections."""
+    brittle_spans: int
+    """Number of times in which the runners were brittle."""
+    node_cuts: list[NodeCut]
     crash_times_s: dict[str, list[float]]
     """Crash time of each lifetime of a runner, the first lifetime first."""
     undisturbed: list[Span]
     """Periods without disruptive faults, in which guarantees with a deadline hold."""
     planned_work_only: list[Span]
     """Periods with orderly stops, state changes and leaving runners at most."""
+    path_faults_only: list[Span]
+    """Periods with cut-off nodes, orderly work and state changes at most."""
     interruptions: list[NodeInterruption]
     runner_link_faults: list[Span]
     """Periods in which the path to a runner failed."""
@@ -110,6 +134,8 @@
         violations += _check_cold_runners(evidence)
         violations += _check_draining(evidence, executions)
         violations += _check_backoffs(evidence)
+        violations += _check_brittle_runners(evidence)
+        violations += _check_cut_off_nodes(evidence)
     return violations
 
 
@@ -252,7 +278,7 @@
     for call in evidence.calls:
         seen = executions.get(call.call_id, [])
         if call.status == STATUS_OK and len(seen) == 1 and seen[0].signals_draining:
-            key = (call.node, seen[0].runner_id, seen[0].lifetime)
+            key = (seen[0].node, seen[0].runner_id, seen[0].lifetime)
             signalled_s[key] = min(signalled_s.get(key, math.inf), call.ended_s)
     calls = {call.call_id: call for call in evidence.calls}
     for observation in evidence.observations:
@@ -260,30 +286,25 @@
             continue  # the caller was cancelled before it recorded the call
         call = calls[observation.call_id]
         since_s = signalled_s.get(
-            (call.node, observation.runner_id, observation.lifetime), math.inf
+            (observation.node, observation.runner_id, observation.lifetime), math.inf
         )
         if call.sent_s <= since_s + APPLY_DEADLINE_S:
             continue
-        if not _was_interrupted(evidence, call.node, since_s, observation.received_s):
+        received_s = observation.received_s
+        if not _was_interrupted(evidence, observation.node, since_s, received_s):
             delay_s = call.sent_s - since_s
             yield (
                 f"{call.call_id}: reached {observation.runner_id} {delay_s:.1f} s after"
-                f" node-{call.node} had relayed its draining signal"
+                f" node-{observation.node} had relayed its draining signal"
             )
 
 
 def _check_backoffs(evidence: Evidence) -> Iterable[str]:
     """Find calls to a runner that had asked their node to back off."""
-    nodes = {call.call_id: call.node for call in evidence.calls}
     by_sender: dict[tuple[int, str, int], list[RunnerObservation]] = defaultdict(list)
     for observation in evidence.observations:
-        if observation.call_id in nodes:
-            key = (
-                nodes[observation.call_id],
-                observation.runner_id,
-                observation.lifetime,
-            )
-            by_sender[key].append(observation)
+        key = (observation.node, observation.runner_id, observation.lifetime)
+        by_sender[key].append(observation)
     for (node, runner_id, _), observations in by_sender.items():
         for refusal in observations:
             start_s = refusal.received_s + BACKOFF_START_DEADLINE_S
@@ -299,6 +320,45 @@
                 )
 
 
+def _check_brittle_runners(evidence: Evidence) -> Iterable[str]:
+    """Find brittle runners that fell over more often than the platform allows."""
+    runners = len(evidence.crash_times_s)
+    max_falls = RUNNER_FALL_SLACK + RUNNER_FALL_SHARE * runners
+    if evidence.rejection_crashes > max_falls * evidence.brittle_spans:
+        yield (
+            f"brittle runners fell over {evidence.rejection_crashes} times in"
+            f" {evidence.brittle_spans} such times"
+        )
+
+
+def _check_cut_off_nodes(evidence: Evidence) -> Iterable[str]:
+    """Find cuts in which callers of cut-off nodes were served worse than others."""
+    for cut in evidence.node_cuts:
+        start_s = cut.start_s + CUT_DETECTION_S
+        if not _is_within(evidence.path_faults_only, cut.start_s, cut.end_s):
+            continue
+        calls = [
+            call
+            for call in evidence.calls
+            if call.sent_s >= start_s and call.ended_s <= cut.end_s
+        ]
+        served = {True: 0, False: 0}
+        sent = {True: 0, False: 0}
+        for call in calls:
+            sent[call.node in cut.nodes] += 1
+            served[call.node in cut.nodes] += call.status == STATUS_OK
+        if not sent[True] or not sent[False]:
+            continue
+        share, other_share = served[True] / sent[True], served[False] / sent[False]
+        slack = CUT_OFF_SLACK_CALLS + CUT_OFF_SLACK_SHARE * len(calls)
+        failed = sent[True] - served[True]
+        if share < MIN_CUT_OFF_SHARE * other_share and failed > slack:
+            yield (
+                f"nodes {cut.nodes} without links to runners served {served[True]} of"
+                f" {sent[True]} calls, the others {served[False]} of {sent[False]}"
+            )
+
+
 def _was_interrupted(
     evidence: Evidence, node: int, start_s: float, end_s: float
 ) -> bool:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -12,9 +12,15 @@
 
 from clementineyoke_standins.edge.edge_runner import ScriptedResponse
 from clementineyoke_standins.edge.edge_store import StoreFault
-from clementineyoke_standins.soak.audit import APPLY_DEADLINE_S
+from clementineyoke_standins.edge.source_filter import LinkCut
+from clementineyoke_standins.soak.audit import (
+    APPLY_DEADLINE_S,
+    CUT_DETECTION_S,
+    NodeCut,
+)
 from clementineyoke_standins.soak.caller import Caller
 from clementineyoke_standins.soak.fault_proxy import LinkFault
+from clementineyoke_standins.soak.loopback import node_address
 from clementineyoke_standins.soak.operator_state import COLD_CALLS_PER_S, RouteKind
 from clementineyoke_standins.soak.schedule import FaultKind
 from clementineyoke_standins.soak.soak_fleet import CRASHING_BODY, zone_name
@@ -55,6 +61,11 @@
 """Longer than a seed; the cold phase ends with the runner's next entry."""
 STORE_POLL_INTERVAL_S = 0.05
 SHED_RETRY_AFTER_S = 2.0
+MAX_REJECTIONS_PER_S = 2
+BRITTLE_NOTICE_S = 3.0
+"""Time for which runners say that they are brittle before they are."""
+BRITTLE_ROOM = 3
+SILENCE_S = 1.1
 
 
 async def send_crashing_request(
@@ -77,6 +88,9 @@
         self._fleet = fleet
         self._stop_timeout_s = stop_timeout_s
         self._lock = asyncio.Lock()
+        self.node_cuts: list[NodeCut] = []
+        self.brittle_spans: list[float] = []
+        """Length of each time in which runners were brittle."""
         self.crashing_callers: list[Caller] = []
         """Callers of requests that crash runners, one for each such fault."""
         self._handlers: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
@@ -100,6 +114,9 @@
             FaultKind.RUNNER_COLD: self._start_cold_phase,
             FaultKind.RUNNER_SHEDS: self._shed_calls,
             FaultKind.RUNNER_DRAINS_UNLISTED: self._drain_unlisted,
+            FaultKind.NODE_CUT: self._cut_off_nodes,
+            FaultKind.RUNNERS_BRITTLE: self._make_brittle,
+            FaultKind.RUNNER_SILENT: self._silence_runner,
         }
 
     async def inject(self, fault: PlannedFault) -> None:
@@ -218,6 +235,43 @@
         await asyncio.sleep(fault.duration_s)
         runner.is_shedding, runner.retry_after_s = False, 0.0
 
+    async def _cut_off_nodes(self, fault: PlannedFault) -> None:
+        """Cut the links of up to all but one nodes to all runners."""
+        nodes = len(self._fleet.nodes)
+        first, count = fault.selector % nodes, 1 + fault.selector // nodes % (nodes - 1)
+        cut = [(first + n) % nodes for n in range(count)]
+        addresses = [node_address(number) for number in cut]
+        how = list(LinkCut)[fault.selector // 16 % len(LinkCut)]
+        start_s = time.monotonic()
+        for link in self._fleet.runner_links:
+            link.cut_links(addresses, how)
+        await asyncio.sleep(CUT_DETECTION_S + fault.duration_s)
+        for link in self._fleet.runner_links:
+            link.cut_links((), LinkCut.SILENT)
+        self.node_cuts.append(NodeCut(cut, start_s, time.monotonic()))
+
+    async def _make_brittle(self, fault: PlannedFault) -> None:
+        """Make runners fall over if they reject more calls than they say."""
+        for runner in self._fleet.runners:
+            runner.brittle_header = str(MAX_REJECTIONS_PER_S)
+        await asyncio.sleep(BRITTLE_NOTICE_S)
+        for runner in self._fleet.runners:
+            runner.max_running = BRITTLE_ROOM
+            runner.max_rejections_per_s = MAX_REJECTIONS_PER_S
+        await asyncio.sleep(fault.duration_s)
+        for runner in self._fleet.runners:
+            runner.brittle_header = ""
+            runner.max_running = runner.max_rejections_per_s = None
+        self.brittle_spans.append(fault.duration_s)
+
+    async def _silence_runner(self, fault: PlannedFault) -> None:
+        links = self._fleet.runner_links
+        link = links[fault.selector % len(links)]
+        addresses = [node_address(n) for n in range(len(self._fleet.nodes))]
+        link.cut_links(addresses, LinkCut.SILENT)
+        await asyncio.sleep(SILENCE_S)
+        link.cut_links((), LinkCut.SILENT)
+
     async def _change_key(self, fault: PlannedFault) -> None:
         async with self._lock:
             await self._fleet.state.change_key()
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from enum import Enum
 from typing import TYPE_CHECKING, Self
 
+from clementineyoke_standins.edge.source_filter import (
+    LinkCuts,
+    reset_connection,
+    source_of,
+)
+
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from clementineyoke_standins.edge.source_filter import LinkCut
     from clementineyoke_standins.soak.loopback import Endpoint
 
 CHUNK_BYTES = 65_536
@@ -45,6 +52,9 @@
         self.listen = listen
         self._target = target
         self.fault: LinkFault | None = None
+        self.sources: dict[int, str] = {}
+        """Address that opened each connection, by its port towards the target."""
+        self._link_cuts = LinkCuts()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -62,6 +72,8 @@
         self._server = await asyncio.start_server(
             self._serve, self.listen.address, self.listen.port
         )
+        if self._link_cuts.sources:
+            self._link_cuts.filter_listener(self._server)
 
     def stop(self) -> None:
         """Stop listening and reset all connections, as if the target had crashed."""
@@ -76,6 +88,10 @@
         if fault is LinkFault.RESET:
             self._reset_all()
 
+    def cut_links(self, addresses: Collection[str], how: LinkCut) -> None:
+        """Cut the links to some addresses, or end an earlier cut."""
+        self._link_cuts.begin(self._server, self._writers, addresses, how)
+
     def clear_fault(self) -> None:
         """Stop the fault for new connections."""
         self.fault = None
@@ -93,6 +109,8 @@
             self._reset(writer)  # show the caller that the target is down
             return
         self._writers.add(target_writer)
+        local_port = target_writer.get_extra_info("sockname")[1]
+        self.sources[local_port] = source_of(writer)
         try:
             await asyncio.gather(
                 self._pump(reader, target_writer, BLOCKING_TO_TARGET),
@@ -115,6 +133,7 @@
                     continue
                 if self.fault is LinkFault.DELAY:
                     await asyncio.sleep(DELAY_S)
+                await self._link_cuts.wait(writer)
                 writer.write(chunk)
                 await writer.drain()
         except ConnectionError:
@@ -130,9 +149,4 @@
 
     def _reset(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
-        sock = writer.get_extra_info("socket")
-        if sock is not None and sock.fileno() >= 0:
-            # With a linger time of 0, the connection is reset rather than closed.
-            linger = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        writer.transport.abort()
+        reset_connection(writer)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -51,6 +51,13 @@
     RUNNER_DRAINS_UNLISTED = "runner_drains_unlisted"
     """A runner signals draining in its responses before its entry is updated."""
 
+    NODE_CUT = "node_cut"
+    """Some nodes lose their links to all runners."""
+    RUNNERS_BRITTLE = "runners_brittle"
+    """All runners have little room and fall over if they reject too many calls."""
+    RUNNER_SILENT = "runner_silent"
+    """A runner sends and receives nothing for a second."""
+
 
 NON_DISRUPTIVE = frozenset(
     (
@@ -78,12 +85,18 @@
 )
 """Faults after which a node may have lost the signals of runners."""
 RUNNER_SIGNALS = (FaultKind.RUNNER_SHEDS, FaultKind.RUNNER_DRAINS_UNLISTED)
+PATH_FAULTS = (
+    FaultKind.NODE_CUT,
+    FaultKind.RUNNERS_BRITTLE,
+    FaultKind.RUNNER_SILENT,
+)
 SEPARATELY_DRAWN = frozenset(
     (
         FaultKind.CRASHING_REQUEST,
         FaultKind.ZONE_EMPTIED,
         FaultKind.RUNNER_COLD,
         *RUNNER_SIGNALS,
+        *PATH_FAULTS,
     )
 )
 """Faults with random generators of their own, so that older seeds keep their faults."""
@@ -130,6 +143,11 @@
     return _draw_once(RUNNER_SIGNALS, Random(f"signals of {seed}"), length_s)
 
 
+def plan_path_faults(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the cut-off nodes, the brittle runners and the silence of a seed."""
+    return _draw_once(PATH_FAULTS, Random(f"paths of {seed}"), length_s)
+
+
 def _draw_once(
     kinds: tuple[FaultKind, ...], rng: Random, length_s: float
 ) -> list[PlannedFault]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from clementineyoke_standins.edge.edge_runner import ReceivedCall
+
 LOCAL = "127.0.0.1"
 NODE_PORTS = ("front", "ready", "directory", "control", "peer_port")
 STOP_DEADLINE_S = 8
@@ -103,6 +105,11 @@
         port = self._node_ports["front"]
         return [Endpoint(node_address(n), port) for n in range(len(self.nodes))]
 
+    def sender_of(self, runner: int, call: ReceivedCall) -> int:
+        """Return the number of the node that sent a call to a runner."""
+        source = self.runner_links[runner].sources[call.sender_port]
+        return [node_address(n) for n in range(len(self.nodes))].index(source)
+
     def _handle_crash(self, runner: EdgeRunner) -> None:
         """Stop the link of a crashed runner and schedule the restart of both."""
         link = self.runner_links[self.runners.index(runner)]
@@ -129,6 +136,7 @@
         return {
             "node_id": f"node-{number}",
             "address": address,
+            "runner_source_address": address,
             **listeners,
             "peer_port": self._node_ports["peer_port"],
             "availability_zone": zone_name(number),
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -26,12 +26,14 @@
 from clementineyoke_standins.soak.schedule import (
     INTERRUPTIONS,
     NON_DISRUPTIVE,
+    PATH_FAULTS,
     PLANNED_WORK,
     RUNNER_SIGNALS,
     FaultKind,
     PlannedFault,
     plan_crashes,
     plan_faults,
+    plan_path_faults,
     plan_runner_signals,
     plan_zone_work,
 )
@@ -49,6 +51,7 @@
 POLL_INTERVAL_S = 0.1
 RECOVERY_S = 3.0
 """Time after a fault within which a node is connected again."""
+PATH_FAULT_S = 3.0
 OBSERVATION_S = 1.5
 """How long calls go on after the deadline for applying the last change."""
 STATUS_OK = 200
@@ -86,11 +89,13 @@
         has_crashes: bool = True,
         has_zone_work: bool = True,
         has_runner_signals: bool = True,
+        has_path_faults: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
         self._has_zone_work = has_zone_work
         self._has_runner_signals = has_runner_signals
+        self._has_path_faults = has_path_faults
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -134,6 +139,8 @@
                     planned += plan_zone_work(self._seed, length_s=self._length_s)
                 if self._has_runner_signals:
                     planned += plan_runner_signals(self._seed, length_s=self._length_s)
+                if self._has_path_faults:
+                    planned += plan_path_faults(self._seed, length_s=self._length_s)
                 await asyncio.gather(
                     *(self._inject(fault, run_start_s) for fault in planned)
                 )
@@ -199,6 +206,8 @@
             await self._injector.inject(
                 PlannedFault(0.0, kind, self._seed, OBSERVATION_S)
             )
+        for kind in PATH_FAULTS if self._has_path_faults else ():
+            await self._inject(PlannedFault(0.0, kind, self._seed, PATH_FAULT_S), 0.0)
         await asyncio.sleep(APPLY_DEADLINE_S + OBSERVATION_S)
 
     async def _check_withdrawn_keys(self, session: aiohttp.ClientSession) -> None:
@@ -258,8 +267,9 @@
                 call.lifetime,
                 call.signals_draining,
                 call.retry_after_s,
+                self._fleet.sender_of(number, call),
             )
-            for runner in self._fleet.runners
+            for number, runner in enumerate(self._fleet.runners)
             for call in runner.calls
         ]
         evidence = Evidence(
@@ -272,9 +282,15 @@
             overload_crashes={
                 r.runner_id: r.overload_crashes for r in self._fleet.runners
             },
+            rejection_crashes=sum(r.rejection_crashes for r in self._fleet.runners),
+            brittle_spans=len(self._injector.brittle_spans),
+            node_cuts=self._injector.node_cuts,
             crash_times_s={r.runner_id: r.crash_times_s for r in self._fleet.runners},
             undisturbed=self._spans_without(NON_DISRUPTIVE, run_start_s),
             planned_work_only=self._spans_without(PLANNED_WORK, run_start_s),
+            path_faults_only=self._spans_without(
+                NON_DISRUPTIVE | frozenset(PATH_FAULTS), run_start_s
+            ),
             interruptions=self._interruptions,
             runner_link_faults=[
                 span for kind, span in self._injected if kind is FaultKind.RUNNER_LINK
--- a/packages/clementineyoke-standins/tests/soak_audit.feature
+++ b/packages/clementineyoke-standins/tests/soak_audit.feature
@@ -30,3 +30,27 @@
       | 3     | 0    | 10.1 | nothing |
       | 3     | 0    | 13   | nothing |
       | 3     | 1    | 11   | nothing |
+
+  Scenario Outline: Callers of a node without links to runners
+    # Guards against an audit that passes although these callers are served far worse.
+    Given node 0 has no links to runners from 10 s to 30 s
+    When it serves <served> of 60 calls from <at> s on, node 1 serves all
+    Then the audit finds <found>
+
+    Examples:
+      | served | at   | found   |
+      | 0      | 14   | a fault |
+      | 39     | 14   | a fault |
+      | 41     | 14   | nothing |
+      | 0      | 12   | nothing |
+
+  Scenario Outline: Brittle runners fall over
+    Given brittle runners that fell over <falls> times in <spans> such times
+    Then the audit finds <found>
+
+    Examples:
+      | falls | spans | found   |
+      | 3     | 1     | a fault |
+      | 2     | 1     | nothing |
+      | 4     | 2     | nothing |
+      | 5     | 2     | a fault |
--- a/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
+++ b/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
@@ -4,6 +4,7 @@
 
 from clementineyoke_standins.soak.audit import (
     Evidence,
+    NodeCut,
     NodeInterruption,
     RunnerObservation,
     Span,
@@ -31,7 +32,7 @@
     )
     context.calls.append(record)
     observation = RunnerObservation(
-        RUNNER, call_id, at_s, was_executed=not is_refused, **signals
+        RUNNER, call_id, at_s, was_executed=not is_refused, node=node, **signals
     )
     context.observations.append(observation)
 
@@ -66,6 +67,25 @@
     context.interruptions.append(NodeInterruption(node, Span(at_s, at_s + 1.0)))
 
 
+@given("node 0 has no links to runners from 10 s to 30 s")
+def given_cut(context):
+    context.calls, context.observations, context.interruptions = [], [], []
+    context.cuts = [NodeCut([0], 10.0, 30.0)]
+
+
+@when("it serves {served:d} of {sent:d} calls from {at_s:g} s on, node 1 serves all")
+def serve_share(context, served, sent, at_s):
+    for number in range(sent):
+        add_call(context, node=0, at_s=at_s, is_refused=number >= served)
+        add_call(context, node=1, at_s=at_s)
+
+
+@given("brittle runners that fell over {falls:d} times in {spans:d} such times")
+def given_falls(context, falls, spans):
+    context.calls, context.observations, context.interruptions = [], [], []
+    context.falls, context.brittle_spans = falls, spans
+
+
 @then("the audit finds {what}")
 def check_found(context, what):
     evidence = Evidence(
@@ -76,6 +96,10 @@
         runner_left_s={},
         evacuations=[],
         overload_crashes={},
+        rejection_crashes=getattr(context, "falls", 0),
+        brittle_spans=getattr(context, "brittle_spans", 0),
+        node_cuts=getattr(context, "cuts", []),
+        path_faults_only=[Span(0.0, 60.0)],
         crash_times_s={RUNNER: []},
         undisturbed=[Span(0.0, 60.0)],
         planned_work_only=[Span(0.0, 60.0)],
