Model forwarded calls, verified reports and grants on brittle runners

Three specifications: a call that may not be repeated runs at most once and makes one hop, whatever links and connections fail; a pause by reports of cut-off nodes ends, that of an ended runner stays; a brittle runner rejects no more than it can take while its home moves.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -7,11 +7,14 @@
 from minicheck import check_safety
 
 from clementineyoke_standins.model import (
+    brittle_grants_spec,
     claims_roll_spec,
     claims_spec,
     cold_grants_spec,
     crash_records_spec,
     evacuations_spec,
+    forwarded_calls_spec,
+    reach_reports_spec,
     runner_entries_spec,
     runner_lifetimes_spec,
     runner_signals_spec,
@@ -32,6 +35,9 @@
     crash_records_spec,
     evacuations_spec,
     runner_signals_spec,
+    forwarded_calls_spec,
+    reach_reports_spec,
+    brittle_grants_spec,
 )
 
 
