Show the state of a request's pool in its timeline

A node says once that it reaches no runner of a pool, or that the pool is brittle; explain showed events of the last three seconds only, and so not why a call was forwarded. It now adds the latest such event of each node on the request's way. The new scenario fails without it.

--- a/packages/clementineyoke-cli/src/clementineyoke_cli/request_timeline.py
+++ b/packages/clementineyoke-cli/src/clementineyoke_cli/request_timeline.py
@@ -17,6 +17,10 @@
 of the request."""
 RUNNER_SIGNALS = frozenset(("runner_draining", "runner_backoff"))
 """Events for signals that runners send in responses to any request."""
+POOL_STATES = frozenset(
+    ("pool_unreachable", "pool_reachable", "pool_brittle", "pool_robust")
+)
+"""Events for what a node knows of a whole pool until a later event says otherwise."""
 
 LogLine = dict[str, Any]
 
@@ -26,8 +30,9 @@
 
     Besides the lines of the request these are events of its runners and nodes at that
     time, lines of requests with the same digest, since a request may be refused for
-    crashes of earlier copies with other ids, and signals for which it passed over
-    runners, since these may come with responses to other requests.
+    crashes of earlier copies with other ids, signals for which it passed over
+    runners, since these may come with responses to other requests, and the state of its
+    pool at its nodes, however long ago that began.
 
     Raises ``AdminError`` if a file cannot be read or no line contains the request.
     """
@@ -46,6 +51,9 @@
         + _copy_lines(request_lines, lines)
         + _signal_lines(request_lines, lines)
     )
+    timeline += [
+        line for line in _pool_lines(request_lines, lines) if line not in timeline
+    ]
     return [_render(line) for line in sorted(timeline, key=lambda line: line["time"])]
 
 
@@ -111,6 +119,24 @@
     ]
 
 
+def _pool_lines(request_lines: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
+    """Return the latest state of the request's pools at each of its nodes."""
+    pools = {line["pool"] for line in request_lines if line.get("pool")}
+    processes = {line.get("process") for line in request_lines}
+    first = _time_of(request_lines[0])
+    latest: dict[tuple[str, str, bool], LogLine] = {}
+    for line in lines:
+        if line["message"] not in POOL_STATES or _time_of(line) > first:
+            continue
+        process, pool = line.get("process"), line.get("pool")
+        if pool in pools and process in processes:
+            is_reach = line["message"].endswith("reachable")
+            key = (str(process), str(pool), is_reach)
+            if key not in latest or _time_of(latest[key]) < _time_of(line):
+                latest[key] = line
+    return list(latest.values())
+
+
 def _time_of(line: LogLine) -> datetime:
     return datetime.fromisoformat(line["time"])
 
--- a/packages/clementineyoke-cli/tests/console/explain_logs.feature
+++ b/packages/clementineyoke-cli/tests/console/explain_logs.feature
@@ -24,3 +24,10 @@
     When the operator runs explain for the request "r-3" on these logs
     Then the timeline lists in order "runner_draining, runner_backoff, routed, answered"
     And it does not contain the request "r-4"
+
+  Scenario: A request was forwarded by a node that reached no runner
+    # The node has known for a long time that it is cut off, and says so once only.
+    Given the logs of a node that lost a pool and forwarded "r-3", and of its peer
+    When the operator runs explain for the request "r-3" on these logs
+    Then the timeline lists in order "pool_unreachable, pool_brittle, forwarded, routed, answered, answered"
+    And it does not contain the request "r-4"
--- a/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -82,6 +82,29 @@
         context.files.append(str(file))
 
 
+@given(
+    'the logs of a node that lost a pool and forwarded "{request_id}", and of its peer'
+)
+def given_forwarded(context, request_id):
+    one = [
+        make_line(1, "pool_unreachable", pool="p", process="one"),
+        make_line(2, "pool_unreachable", pool="q", process="one"),
+        make_line(20, "forwarded", request_id=request_id, pool="p", process="one"),
+        make_line(25, "answered", request_id=request_id, process="one"),
+    ]
+    two = [
+        make_line(3, "pool_brittle", pool="p", process="two"),
+        make_line(21, "routed", request_id=request_id, pool="p", process="two"),
+        make_line(24, "answered", request_id=request_id, process="two"),
+        make_line(24, "answered", request_id="r-4", process="two"),
+    ]
+    context.files = []
+    for name, lines in (("one", one), ("two", two)):
+        file = context.directory / f"{name}.log"
+        file.write_text("".join(f"{line}\n" for line in lines))
+        context.files.append(str(file))
+
+
 @when('the operator runs explain for the request "{request_id}" on these logs')
 def run_explain(context, request_id):
     context.timeline = context.error = None
