Record crashes where all runners of a pool have ended, and keep the only peer in touch

With two runners left, both ended within a second, no node reached any runner of the pool, every witness abstained, and the crashes were not recorded. Where nobody can tell, a host that refuses the connection now counts as in reach.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -173,6 +173,7 @@
             witnesses=self.witnesses,
             tasks=self.tasks,
             probe=self.connection_pool.accepts_connection,
+            refuses=self.connection_pool.refuses_connection,
         )
         self.crash_tracker = CrashTracker(
             records=CrashRecords(),
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
@@ -31,8 +31,14 @@
         witnesses: ReachWitnesses,
         tasks: BackgroundTasks,
         probe: Callable[[Runner], Awaitable[bool]],
+        refuses: Callable[[Runner], Awaitable[bool]],
     ) -> None:
-        """Create the reports; ``probe`` is described at ``ReachMonitor``."""
+        """Create the reports.
+
+        ``probe`` is described at ``ReachMonitor``. ``refuses`` opens a connection to a
+        runner and returns whether its host refused it.
+        """
+        self._refuses = refuses
         self._broker = broker
         self._monitor = monitor
         self._witnesses = witnesses
@@ -56,11 +62,15 @@
     async def has_ended(self, runner: Runner) -> bool:
         """Return whether a runner that this node does not reach has ended.
 
-        It has not if another node reaches it, or if nobody can tell.
+        It has not if another node reaches it. If nobody reaches any runner of the pool,
+        all of them may have ended; a host that refuses the connection is in reach.
         """
         self._monitor.record_unreachable(runner)
         self.record_unreachable(runner)
-        return await self._witnesses.ask(runner) is ReachVerdict.UNREACHABLE
+        verdict = await self._witnesses.ask(runner)
+        if verdict is ReachVerdict.UNKNOWN:
+            return await self._refuses(runner)
+        return verdict is ReachVerdict.UNREACHABLE
 
     async def _check_overdue(self, runner: Runner) -> None:
         if self._monitor.is_isolated(runner.pool):
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -117,10 +117,12 @@
                     return None
                 return await self._read(admitted, peer, response)
         except AttemptError as error:
-            if error.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.REFUSED):
-                self._peer_reach.record_failure(
-                    peer.node_id, hash_text(admitted.pool), now_ms=self._timers.now_ms()
-                )
+            now_ms = self._timers.now_ms()
+            if error.outcome is AttemptOutcome.NOT_SENT:
+                self._peer_reach.record_failure(peer.node_id, now_ms=now_ms)
+            elif error.outcome is AttemptOutcome.REFUSED:
+                pool = hash_text(admitted.pool)
+                self._peer_reach.record_refusal(peer.node_id, pool, now_ms=now_ms)
             raise
 
     @asynccontextmanager
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -199,6 +199,20 @@
             trace_configs=[_make_trace_config()],
         )
 
+    async def refuses_connection(self, runner: Runner) -> bool:
+        """Return whether a runner's host refuses a connection now."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, writer = await asyncio.open_connection(
+                    runner.address, runner.port, local_addr=self._local_address
+                )
+        except ConnectionRefusedError:
+            return True
+        except (TimeoutError, OSError):
+            return False
+        writer.close()
+        return False
+
     async def accepts_connection(self, runner: Runner) -> bool:
         """Return whether a connection to a runner can be opened now."""
         try:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -713,7 +713,7 @@
     Mutation(
         "a call that breaks with its node's links counts as a crash",
         f"{NODE_EDGE_SOURCE}/fault_reports.py",
-        "return await self._witnesses.ask(runner) is ReachVerdict.UNREACHABLE",
+        "return verdict is ReachVerdict.UNREACHABLE",
         "return True",
         CUT_OFF_NODES,
     ),
