--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -70,6 +70,9 @@
 """How long a newly refused request may be known to the nodes but not to the store."""
 REACH_INTERVAL_MS = 250
 """How often a node that reaches no runner of a pool tries to."""
+MAX_REPEATED_REPORTS = 16
+"""Peers that are reminded each second of the pools that this node cannot reach. The
+others learn of it when they forward it a call."""
 NODE_CHANGE_DELAY_MS = 20.0
 """Delay that combines changes of the nodes into one update. A home that moves that much
 later costs one slot request that goes to the former home."""
@@ -126,6 +129,7 @@
             rng=state.rng,
             probe=lambda runner: self.connection_pool.accepts_connection(runner),
             on_change=lambda: self.gossiper.announce(),
+            on_repeat=lambda: self.gossiper.announce(max_peers=MAX_REPEATED_REPORTS),
         )
         self.connection_pool = RunnerConnectionPool(
             timers=self.timers,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/reach_monitor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/reach_monitor.py
@@ -51,12 +51,13 @@
         rng: Random,
         probe: Callable[[Runner], Awaitable[bool]],
         on_change: Callable[[], None],
+        on_repeat: Callable[[], None],
     ) -> None:
         """Create a monitor.
 
         ``probe`` opens a connection to a runner and returns whether it was accepted.
-        ``on_change`` is called when the unreachable pools change, and once a second
-        while there are any.
+        ``on_change`` is called when the unreachable pools change, ``on_repeat`` once a
+        second while there are any.
         """
         self._reach = reach
         self._table = table
@@ -66,6 +67,7 @@
         self._rng = rng
         self._probe = probe
         self._on_change = on_change
+        self._on_repeat = on_repeat
         self._checks: dict[str, asyncio.Task[bool]] = {}
         self._reported_ms = 0.0
 
@@ -126,7 +128,8 @@
             self._reach.isolated_pools
             and now_ms >= self._reported_ms + REPORT_INTERVAL_MS
         ):
-            self._report()
+            self._reported_ms = now_ms
+            self._on_repeat()
 
     def _record_failure(self, runner: Runner) -> bool:
         """Record a failed connection; return whether the node is isolated."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/fleet/gossiper.py
@@ -85,7 +85,7 @@
         self._pending_probes[sequence] = (node.node_id, shares)
         self._send(node, sequence=sequence, is_reply=False, shares=shares)
 
-    def announce(self) -> None:
+    def announce(self, *, max_peers: int = MAX_ANNOUNCED_PEERS) -> None:
         """Send the current state to a sample of peers without waiting for a round.
 
         A change spread by regular gossip alone takes a second to reach all nodes.
@@ -93,7 +93,7 @@
         node that reaches no runner. Announcements do not count as probes, so their
         sequence numbers are not recorded.
         """
-        for node in self._membership.sample(MAX_ANNOUNCED_PEERS):
+        for node in self._membership.sample(max_peers):
             self._send(
                 node, sequence=self._socket.next_ask_id(), is_reply=True, shares={}
             )
