--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -178,18 +178,31 @@
         Only a refused connection or a timeout counts as "not listening"; any other
         error leaves the runner's state open, and it is taken to be alive.
         """
+        error = await self._try_connection(runner)
+        if error is None or isinstance(error, (ConnectionRefusedError, TimeoutError)):
+            return error is None
+        log_event(Event.RUNNER_UNSURE, runner=runner.runner_id, reason=repr(error))
+        return True
+
+    async def accepts_connection(self, runner: Runner) -> bool:
+        """Return whether a connection to a runner can be opened now."""
+        return await self._try_connection(runner) is None
+
+    async def refuses_connection(self, runner: Runner) -> bool:
+        """Return whether a runner's host refuses a connection now."""
+        return isinstance(await self._try_connection(runner), ConnectionRefusedError)
+
+    async def _try_connection(self, runner: Runner) -> OSError | None:
+        """Open and close a connection; return the error if that fails."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
                 _, writer = await asyncio.open_connection(
                     runner.address, runner.port, local_addr=self._local_address
                 )
-        except (ConnectionRefusedError, TimeoutError):
-            return False
         except OSError as error:
-            log_event(Event.RUNNER_UNSURE, runner=runner.runner_id, reason=repr(error))
-            return True
+            return error
         writer.close()
-        return True
+        return None
 
     def _make_session(self, *, keeps_alive: bool) -> aiohttp.ClientSession:
         return make_session(
@@ -199,32 +212,6 @@
             trace_configs=[_make_trace_config()],
         )
 
-    async def refuses_connection(self, runner: Runner) -> bool:
-        """Return whether a runner's host refuses a connection now."""
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
-                _, writer = await asyncio.open_connection(
-                    runner.address, runner.port, local_addr=self._local_address
-                )
-        except ConnectionRefusedError:
-            return True
-        except (TimeoutError, OSError):
-            return False
-        writer.close()
-        return False
-
-    async def accepts_connection(self, runner: Runner) -> bool:
-        """Return whether a connection to a runner can be opened now."""
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
-                _, writer = await asyncio.open_connection(
-                    runner.address, runner.port, local_addr=self._local_address
-                )
-        except (TimeoutError, OSError):
-            return False
-        writer.close()
-        return True
-
     def _choose_session(
         self, runner: Runner, *, may_repeat: bool
     ) -> aiohttp.ClientSession:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -78,8 +78,6 @@
             SETTINGS_FILE_VARIABLE: str(self._settings_path),
             SKEW_VARIABLE: str(self.skew_s),
         }
-        self._is_exit_expected = False
-        self._is_killed = False
         self._log_offset = self._log_path.stat().st_size
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -89,6 +87,9 @@
             stderr=self._log,
             env=environment,
         )
+        # Only now, as another fault may meanwhile look at the previous process.
+        self._is_exit_expected = False
+        self._is_killed = False
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
