--- a/packages/clementineyoke-node/tests/edge/silent_runners.feature
+++ b/packages/clementineyoke-node/tests/edge/silent_runners.feature
@@ -14,6 +14,13 @@
       | 0.1      | 1.2      |
       | 1.5      | 1.0      |
 
+  Scenario: A call is sent on a kept connection of a silent runner
+    # What is sent stays unacknowledged until the runner goes on.
+    Given 1 nodes and 1 runners, whose links to nodes can be cut
+    And callers use all nodes
+    When a "non_idempotent" call is sent just after all runners fall silent for 1.2 s
+    Then the caller gets 200 and its own response, with the runner's signature
+
   Scenario: Many calls find a runner silent
     # Each call that finds no connection prolongs the quarantine: with ten of them the runner
     # is out of use for half a minute.
--- a/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
@@ -278,20 +278,31 @@
         runner.slow_delay_s = delay_s
 
 
+async def call_and_silence(context, kind, silent_s, *, call_first):
+    runners = context.fleet.runners
+    answer = asyncio.ensure_future(context.fleet.call(kind)) if call_first else None
+    await asyncio.sleep(0.05)
+    for runner in runners:
+        runner.cut_links({"127.0.0.2"}, LinkCut.SILENT)
+    answer = answer or asyncio.ensure_future(context.fleet.call(kind))
+    await asyncio.sleep(silent_s)
+    for runner in runners:
+        runner.heal_links()
+    return await answer
+
+
 @when('a "{kind}" call is on its way while all runners are silent for {silent_s:g} s')
-def call_during_silence(context, kind, silent_s):
-    async def act():
-        answer = asyncio.ensure_future(context.fleet.call(kind))
-        await asyncio.sleep(0.05)
-        for runner in context.fleet.runners:
-            runner.cut_links({"127.0.0.2"}, LinkCut.SILENT)
-        await asyncio.sleep(silent_s)
-        for runner in context.fleet.runners:
-            runner.heal_links()
-        return await answer
+def silence_after_call(context, kind, silent_s):
+    context.call_id = "call-1"
+    call = call_and_silence(context, kind, silent_s, call_first=True)
+    context.answer = context.run(call)
+
 
+@when('a "{kind}" call is sent just after all runners fall silent for {silent_s:g} s')
+def silence_before_call(context, kind, silent_s):
     context.call_id = "call-1"
-    context.answer = context.run(act())
+    call = call_and_silence(context, kind, silent_s, call_first=False)
+    context.answer = context.run(call)
 
 
 @when("{count:d} calls that may be repeated are made at once")
