--- a/packages/clementineyoke-node/src/clementineyoke_node/runners/keep_alive_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/runners/keep_alive_socket.py
@@ -12,10 +12,12 @@
 """Maximum time without acknowledgement: enough to send a packet twice on a lossy link
 and for a peer that is silent for a second or two, but less than callers wait.
 
-Linux applies it to keep-alive probes as well, in place of a number of probes.
+Linux applies it to keep-alive probes as well, in place of their number.
 """
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+MAX_KEEPALIVE_PROBES = 2
+"""For systems that do not apply the user timeout to probes."""
 
 
 def open_socket(address: AddrInfoType) -> socket.socket:
@@ -31,6 +33,9 @@
     client_socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
     )
+    client_socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_KEEPALIVE_PROBES
+    )
     client_socket.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
     )
