Log the shared parts of a broken call's prompt, and what ended an answer

The incident's logs could not tell apart whether calls under which runners ended had a part of their prompts in common, nor whether an answer that counted as whole had ended with its length, its last chunk or just its connection. runner_failed now has prompt_parts and is_connection_lost, answered has ended_by.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -8,6 +8,7 @@
 
 from clementineyoke_core.capacity.event_pace import EventPace
 from clementineyoke_core.edge.event_splitter import EventSplitter
+from clementineyoke_node.platform.runner_codec import BodyEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,8 @@
         """Software version of the runner that produced its events, None if unknown."""
         self.pace = EventPace()
         """Pace of the runner that sends the stream at present."""
+        self.body_end = BodyEnd.CHUNKS
+        """What marks the end of the response of the runner that sends it at present."""
 
     @property
     def has_started(self) -> bool:
@@ -45,6 +48,7 @@
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
         self.pace = EventPace()
+        self.body_end = head.body_end
         if self._response is not None:
             return
         response = web.StreamResponse(status=head.status)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -18,12 +18,11 @@
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.edge.attempt_error import AttemptError
+from clementineyoke_node.edge.call_log import CallLog, describe_caller
 from clementineyoke_node.edge.caller_stream import CallerStream
 from clementineyoke_node.edge.response_checks import MIN_REDIRECT_STATUS
 from clementineyoke_node.edge.return_policy import FixedReturns
-from clementineyoke_node.edge.stream_registry import describe_resumed
 from clementineyoke_node.slots.slot_request import SlotRequest
-from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -112,7 +111,7 @@
         self._crash_tracker = crash_tracker
         self._retry_window = retry_window
         self._timers = timers
-        self._decisions = decisions
+        self._call_log = CallLog(decisions=decisions, timers=timers)
         self._count_nodes = count_nodes
         self._random_key = random_key
         self._cap_factor = cap_factor
@@ -192,10 +191,7 @@
                     )
                     if response is None or response.head.status < MIN_ERROR_STATUS:
                         self._returns.record_answer(admitted, granted_ms=started_ms)
-                    return self._complete(
-                        admitted,
-                        stream.response if response is None else _to_response(response),
-                    )
+                    return self._complete(admitted, stream, response)
             if not self._may_retry(admitted, ledger, failure):
                 return self._fail(admitted, ledger, stream, failure)
             if failure.is_silence:
@@ -216,29 +212,25 @@
         """
         peers = self._peer_relay.choose_peers(admitted.pool)
         for peer in peers if admitted.hop is None else ():
-            self._decisions.record(
-                Event.FORWARDED,
-                request_id=admitted.call.call_id,
-                pool=admitted.pool,
-                peer=peer.node_id,
-                runners_used=ledger.sends,
+            self._call_log.record_forward(
+                admitted, peer.node_id, runners_used=ledger.sends
             )
             try:
                 response = await self._peer_relay.execute(
                     request, admitted, peer, stream, runners_used=ledger.sends
                 )
             except AttemptError as error:
-                self._record_forward_failure(admitted, error)
+                self._call_log.record_forward_failure(admitted, error)
                 if error.outcome is AttemptOutcome.LOST:
                     ledger.record(error.peer, error.outcome)
                     return self._fail(admitted, ledger, stream, error)
                 continue
             if response is None:
-                return self._complete(admitted, stream.response)
+                return self._complete(admitted, stream, None)
             if stream.has_started:
                 reason = f"a peer answered {response.head.status} to its resumption"
                 return self._abort_stream(admitted, stream, reason=reason)
-            return self._complete(admitted, _to_response(response))
+            return self._complete(admitted, stream, response)
         if stream.has_started:
             return self._abort_stream(admitted, stream, reason="no peer resumes it")
         raise RequestError(
@@ -250,19 +242,6 @@
             details={"peers": [peer.node_id for peer in peers]},
         )
 
-    def _record_forward_failure(
-        self, admitted: AdmittedCall, error: AttemptError
-    ) -> None:
-        self._decisions.record(
-            Event.FORWARD_FAILED,
-            request_id=admitted.call.call_id,
-            peer=error.peer,
-            step=error.step,
-            end=error.outcome.value,
-            reason=error.reason,
-            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
-        )
-
     async def _resume_stream(
         self, admitted: AdmittedCall, stream: CallerStream
     ) -> AdmittedCall:
@@ -313,7 +292,13 @@
             self._record_search(admitted, lease, started_ms=started_ms)
         if lease is not None:
             self._returns.record_slot(admitted, asked_ms=started_ms)
-            self._record_route(admitted, lease, stream, attempt=len(ledger.tried) + 1)
+            self._call_log.record_route(
+                admitted,
+                lease,
+                last_event=stream.last_event_id,
+                attempt=len(ledger.tried) + 1,
+                evacuated_zones=self._broker.evacuated_zones(),
+            )
             return lease
         if stream.has_started:
             return None
@@ -336,7 +321,7 @@
                 "refusals_age_ms": round(self._timers.now_ms() - started_ms),
                 **self._token_accounting.describe_refusal(admitted),
                 **self._returns.describe(admitted.pool),
-                **_describe_caller(admitted),
+                **describe_caller(admitted),
             },
         )
 
@@ -367,7 +352,7 @@
                 reason=reason,
                 retry_after_ms=self._not_run_retry_ms(admitted),
                 details=self._returns.describe(admitted.pool)
-                | _describe_caller(admitted),
+                | describe_caller(admitted),
             )
 
     def _record_search(
@@ -490,7 +475,7 @@
         if stream.has_started:
             return self._abort_stream(admitted, stream, reason=failure.reason)
         if failure.response is not None:
-            return self._complete(admitted, _to_response(failure.response))
+            return self._complete(admitted, stream, failure.response)
         is_late = admitted.deadline_ms <= self._timers.now_ms()
         if ledger.may_have_run:
             status = 504 if is_late else 502
@@ -513,13 +498,16 @@
         ) from failure
 
     def _complete(
-        self, admitted: AdmittedCall, response: web.StreamResponse
+        self,
+        admitted: AdmittedCall,
+        stream: CallerStream,
+        complete: CompleteResponse | None,
     ) -> web.StreamResponse:
-        self._decisions.record(
-            Event.ANSWERED,
-            request_id=admitted.call.call_id,
-            status=response.status,
-            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        """Return the complete response, or the stream if there is none."""
+        body_end = stream.body_end if complete is None else complete.head.body_end
+        response = stream.response if complete is None else _to_response(complete)
+        self._call_log.record_answered(
+            admitted, status=response.status, ended_by=body_end.value
         )
         return response
 
@@ -527,43 +515,11 @@
         self, admitted: AdmittedCall, stream: CallerStream, *, reason: str
     ) -> web.StreamResponse:
         """Abort a stream that has started and cannot be completed."""
-        self._decisions.record(
-            Event.ANSWER_CUT,
-            request_id=admitted.call.call_id,
-            reason=reason,
-            events=stream.sent_event_count,
-            after_ms=round(self._timers.now_ms() - admitted.arrived_ms),
+        self._call_log.record_cut(
+            admitted, reason=reason, events=stream.sent_event_count
         )
         return stream.abort()
 
-    def _record_route(
-        self,
-        admitted: AdmittedCall,
-        lease: SlotLease,
-        stream: CallerStream,
-        *,
-        attempt: int,
-    ) -> None:
-        self._decisions.record(
-            Event.ROUTED,
-            request_id=admitted.call.call_id,
-            route=admitted.route.name,
-            version=admitted.version,
-            team=admitted.team,
-            priority=admitted.priority,
-            pool=admitted.pool,
-            runner=lease.runner.runner_id,
-            runner_version=lease.runner.version,
-            last_event=stream.last_event_id,
-            resumes=describe_resumed(admitted),
-            reason=lease.reason,
-            rank=lease.rank,
-            attempt=attempt,
-            passed_over=dict(lease.passed_over),
-            forwarded_by=None if admitted.hop is None else admitted.hop.node_id,
-            evacuated_zones=self._broker.evacuated_zones(),
-        )
-
     def _record_failure(
         self,
         admitted: AdmittedCall,
@@ -597,18 +553,11 @@
                 self._crash_tracker.record_broken_call(
                     admitted, runner, sent_ms=started_ms
                 )
-        self._decisions.record(
-            Event.RUNNER_FAILED,
-            request_id=admitted.call.call_id,
-            runner=error.peer,
-            runner_version=runner.version,
-            step=error.step,
-            end=error.outcome.value,
-            reason=error.reason,
-            kind=admitted.route.kind.value,
-            request_digest=admitted.digest.hex(),
-            on_runner_ms=round(now_ms - started_ms),
-            after_ms=round(now_ms - admitted.arrived_ms),
+        self._call_log.record_failure(
+            admitted,
+            lease,
+            error,
+            started_ms=started_ms,
             reached_other_ms=self._reached_other_age_ms(runner),
         )
 
@@ -622,15 +571,6 @@
     return repr(pool) if version is None else f"{pool!r} at version {version!r}"
 
 
-def _describe_caller(admitted: AdmittedCall) -> dict[str, object]:
-    """Return the fields of a rejected call's log line that tell who is affected."""
-    return {
-        "route": admitted.route.name,
-        "team": admitted.team,
-        "priority": admitted.priority,
-    }
-
-
 def _to_response(complete: CompleteResponse) -> web.Response:
     response = web.Response(status=complete.head.status, body=complete.body)
     for name, value in complete.head.forwarded_headers:
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.capacity.speed_report import SpeedReport
@@ -16,6 +17,7 @@
 
 MS_PER_S = 1000.0
 STATUS_MISDIRECTED = 421
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 BACKOFF_STATUSES = frozenset((429, 503))
 """Statuses of responses that may carry a backoff time."""
 MAX_BACKOFF_MS = 3_600_000.0
@@ -46,6 +48,17 @@
     """IP:PORT of a runner that has more of the prompt in its cache."""
 
 
+class BodyEnd(Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    """The announced length; a response without a body has the length 0."""
+    CHUNKS = "chunks"
+    """The last chunk."""
+    CONNECTION = "connection"
+    """The end of the connection, which looks the same if the runner crashes."""
+
+
 class ResponseHead(NamedTuple):
     """The decoded head of a runner's response."""
 
@@ -68,6 +81,7 @@
     """Rejections a second that the runner can take; None if it does not say."""
     has_malformed_rejections: bool
     """Whether the head says so in a form that cannot be parsed."""
+    body_end: BodyEnd
     forwarded_headers: list[tuple[str, str]]
 
 
@@ -108,10 +122,20 @@
         has_malformed_rejections=(
             names.BRITTLE in fields and _decode_rejections(fields) is None
         ),
+        body_end=_decode_body_end(status, fields),
         forwarded_headers=remove_hop_by_hop(list(fields.items())),
     )
 
 
+def _decode_body_end(status: int, fields: CIMultiDictProxy[str]) -> BodyEnd:
+    codings = fields.get("Transfer-Encoding", "").lower().split(",")
+    if codings[-1].strip() == "chunked":
+        return BodyEnd.CHUNKS
+    if "Content-Length" in fields or status in STATUSES_WITHOUT_BODY:
+        return BodyEnd.LENGTH
+    return BodyEnd.CONNECTION
+
+
 def _is_draining(status: int, fields: CIMultiDictProxy[str]) -> bool:
     # Status 421 comes from another runner at the address, which signals its own state.
     if status == STATUS_MISDIRECTED:
