--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -33,6 +33,14 @@
 """Delay of a late second response, long enough for the first to be relayed."""
 
 
+class CrashManner(Enum):
+    """How the connections of a runner end when it crashes."""
+
+    RESET = "reset"
+    CLOSE = "close"
+    """They are closed in order, like that of a complete response without a length."""
+
+
 class ScriptedResponse(Enum):
     """How the runner responds to one call."""
 
@@ -133,6 +141,12 @@
         """Announced idle timeout; a connection that is reused after it is reset."""
         self.crashing_bodies: set[bytes] = set()
         """Bodies of calls that crash the runner when it starts to execute them."""
+        self.crashing_parts: set[str] = set()
+        """Parts of a prompt, other than the last, that crash the runner when it starts
+        to answer."""
+        self.crash_manner = CrashManner.RESET
+        self.frames_streams = True
+        """Whether streams come in chunks; otherwise they end with their connection."""
         self.cold_until_s = 0.0
         """Monotonic time until which the runner is cold."""
         self.cold_calls_per_s = 0.0
@@ -201,14 +215,18 @@
         return len(self.crash_times_s)
 
     def crash(self) -> None:
-        """Stop listening and reset all connections."""
+        """Stop listening and end all connections."""
         if self._server is None:
             return
         self.crash_times_s.append(time.monotonic())
         self._server.close()
         self._server = None
         for writer in list(self._writers):
-            if not writer.is_closing():
+            if writer.is_closing():
+                continue
+            if self.crash_manner is CrashManner.CLOSE:
+                writer.close()
+            else:
                 reset_connection(writer)
         self.on_crash(self)
 
@@ -267,6 +285,11 @@
             await asyncio.sleep(CRASH_DELAY_S)
             self.crash()
             return False
+        if not is_refused and self.crashing_parts & shared_parts(call):
+            await self._begin_response(writer, call)
+            await asyncio.sleep(CRASH_DELAY_S)
+            self.crash()
+            return False
         if not has_room and self._exceeds_rejections(seen.received_s):
             self.crash()
             return False
@@ -411,30 +434,52 @@
         cut_event: int | None,
     ) -> bool:
         """Send a stream, which is cut within ``cut_event`` if that is not None."""
-        fields = {
-            names.CALL_ID: call_id,
-            names.SERVER_SIGNATURE: PROOF,
-            **self._signal_headers(),
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
-        writer.write(_encode_head("200 OK", fields))
+        writer.write(self._stream_head(call_id))
         for number in range(first_event, EVENTS + 1):
             event = self._make_event(number)
             if number == cut_event:
-                writer.write(_encode_chunk(event[: len(event) // 2]))
+                writer.write(self._frame(event[: len(event) // 2]))
                 await writer.drain()
                 await asyncio.sleep(LATE_RESPONSE_DELAY_S)
                 reset_connection(writer)
                 return False
             await self._link_cuts.wait(writer)
-            writer.write(_encode_chunk(event))
+            writer.write(self._frame(event))
             await writer.drain()
             await asyncio.sleep(self.event_pause_s)
+        if not self.frames_streams:
+            return False
         writer.write(_encode_chunk(b""))
         await writer.drain()
         return True
 
+    async def _begin_response(
+        self, writer: asyncio.StreamWriter, call: ReceivedCall
+    ) -> None:
+        """Send the head of a stream and its first event."""
+        writer.write(self._stream_head(call.call_id) + self._frame(self._make_event(1)))
+        await writer.drain()
+
+    def _stream_head(self, call_id: str) -> bytes:
+        fields = {
+            names.CALL_ID: call_id,
+            names.SERVER_SIGNATURE: PROOF,
+            **self._signal_headers(),
+            "Content-Type": "text/event-stream",
+        }
+        if self.frames_streams:
+            fields["Transfer-Encoding"] = "chunked"
+        return _encode_head("200 OK", fields)
+
+    def _frame(self, body: bytes) -> bytes:
+        return _encode_chunk(body) if self.frames_streams else body
+
+
+def shared_parts(call: ReceivedCall) -> set[str]:
+    """Return the ids of all parts of a call's prompt but the last."""
+    entries = call.headers.get(names.PROMPT_PARTS.lower(), "").split(",")
+    return {entry.partition(":")[0].strip() for entry in entries[:-1]}
+
 
 async def _read_call(reader: asyncio.StreamReader, first_byte: bytes) -> ReceivedCall:
     head = (first_byte + await reader.readuntil(b"\r\n\r\n")).decode()
