Hold responsible for a crash whatever the calls on the runners had in common

Callers of one route were not served, again and again, while requests that share one part of their prompts crashed one runner after another: no two of them are alike, and the records knew a request by its digest.

A call now has several factors: its request and each part of its prompt but the last. Records, homes, news, gossip, store objects and refusals are the same for all of them. A crash is held against a factor only if no other explains it better: factors of other calls with more crashes, or narrower ones of the same calls. A call is compared with factors that it lacks, so calls with the parts around a crashing one are served. A complete, successful answer clears the factors of its call, also those before a crash: reports tell when the sender last saw one. What was answered before needs six crashes rather than three. Crashes of one team's calls do not count for others until a second team has some. Calls are checked again when they get a slot; after a refusal one call over the fleet tries, by leave of the factor's home node. Clears go to the homes, which tell all others.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.edge.crash_factors import crash_factors
 from clementineyoke_core.edge.desired_state import PriorityClass
 from clementineyoke_core.edge.prompt_key import prompt_key
 from clementineyoke_core.edge.request_digest import request_digest
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from clementineyoke_core.edge.crash_factors import CrashFactors
     from clementineyoke_core.edge.desired_state import CallerLimits, Team
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.edge.hop import Hop
@@ -80,6 +82,17 @@
             body=self.call.body,
         )
 
+    @property
+    def crash_factors(self) -> CrashFactors:
+        """Return what may be the cause if the call's runner crashes."""
+        return crash_factors(
+            team=self.team,
+            method=self.call.method,
+            target=self.call.target,
+            body=self.call.body,
+            prompt_parts=self.call.prompt_parts,
+        )
+
 
 def admit(
     call: EdgeCall,
--- a/packages/clementineyoke-core/tests/edge/crash_load.feature
+++ b/packages/clementineyoke-core/tests/edge/crash_load.feature
@@ -61,3 +61,35 @@
     Given busy fleets of 59 nodes and 70 runners, seeds 1 to 3
     When 4 requests that crash their runners are sent every second for 40 s
     Then fewer other calls break than where suspects follow their prompt
+
+  Scenario Outline: Requests with a crashing part stop soon; no other is refused
+    # No two of them are alike. Sound requests share their caller and their other parts, and
+    # most runners of a small pool are down for a while.
+    Given a busy fleet of <nodes> nodes and <runners> runners, seed <seed>
+    When requests with <parts> crashing parts are sent every <gap> ms for 40 s
+    Then 3 requests with each part at most are sent later than 3 s after its fifth crash
+    And no other request is refused
+
+    Examples:
+      | nodes | runners | parts | gap | seed |
+      | 9     | 6       | 1     | 350 | 1    |
+      | 9     | 6       | 1     | 350 | 2    |
+      | 9     | 6       | 1     | 350 | 3    |
+      | 9     | 6       | 2     | 700 | 4    |
+      | 9     | 6       | 2     | 700 | 5    |
+      | 59    | 70      | 2     | 500 | 6    |
+      | 195   | 39      | 1     | 350 | 7    |
+
+  Scenario Outline: Requests with a crashing part are sent while nodes restart or racks fail
+    Given a busy fleet of 9 nodes and 6 runners, seed <seed>
+    And <trouble>
+    When requests with 1 crashing parts are sent every 350 ms for 40 s
+    Then 3 requests with each part at most are sent later than 3 s after its fifth crash
+    And no other request is refused
+
+    Examples:
+      | trouble                                                | seed |
+      | a node restarts every 2 s and gets the records of a peer | 1    |
+      | a node restarts every 2 s and gets the records of a peer | 2    |
+      | a third of the runners crash at once every 4 s         | 3    |
+      | a third of the runners crash at once every 4 s         | 4    |
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -8,7 +8,6 @@
 
 from clementineyoke_core.brittle_pools import BrittlePools
 from clementineyoke_core.edge.attempt_timeouts import AttemptTimeouts
-from clementineyoke_core.edge.crash_records import CrashRecords
 from clementineyoke_core.edge.load_cap_share import NO_PROMPT_CAP_SHARE
 from clementineyoke_core.edge.peer_reach import PeerReach
 from clementineyoke_core.edge.pool_versions import PoolVersions
@@ -27,7 +26,7 @@
 from clementineyoke_node.edge.admission_control import AdmissionControl
 from clementineyoke_node.edge.attempt_executor import AttemptExecutor
 from clementineyoke_node.edge.crash_archive import CrashArchive
-from clementineyoke_node.edge.crash_tracker import CrashTracker
+from clementineyoke_node.edge.crash_components import make_crash_tracker
 from clementineyoke_node.edge.engine_view import EngineView, PoolMemory
 from clementineyoke_node.edge.fault_reports import FaultReports
 from clementineyoke_node.edge.fleet_view import FleetView
@@ -187,17 +186,13 @@
             probe=self.connection_pool.accepts_connection,
             refuses=self.connection_pool.refuses_connection,
         )
-        self.crash_tracker = CrashTracker(
-            records=CrashRecords(),
+        self.crash_tracker = make_crash_tracker(
+            state=state,
             connection_pool=self.connection_pool,
-            table=state.table,
-            homes=state.fleet_homes,
-            membership=state.membership,
+            fault_reports=self.fault_reports,
             socket=self.socket,
             tasks=self.tasks,
             timers=self.timers,
-            decisions=state.decisions,
-            fault_reports=self.fault_reports,
         )
         self.crash_archive = CrashArchive(
             store=self.store,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -133,7 +133,7 @@
 
         Raises ``RequestError`` when no runner gave a response that can be returned.
         """
-        self._crash_tracker.check(admitted)
+        await self._crash_tracker.check(admitted)
         self._check_level(admitted)
         self._token_accounting.check_size(admitted)
         if admitted.hop is None:
@@ -161,6 +161,9 @@
             runner = lease.runner
             started_ms = self._timers.now_ms()
             with self._broker.holding(lease):
+                if self._is_refused(admitted, ledger, lease, stream):
+                    reason = "runners end under such calls"
+                    return self._abort_stream(admitted, stream, reason=reason)
                 try:
                     response = await self._attempt_executor.execute(
                         admitted,
@@ -177,7 +180,6 @@
                     failure = error
                 else:
                     self._health.record_success(runner, now_ms=self._timers.now_ms())
-                    self._crash_tracker.record_answer(admitted)
                     if response is None:
                         self._streams.record_complete(admitted)
                         self._token_accounting.record_answer(
@@ -189,6 +191,8 @@
                             admitted, stream, response, started_ms=started_ms
                         ),
                     )
+                    if response is None or response.head.status < MIN_REDIRECT_STATUS:
+                        self._crash_tracker.record_answer(admitted, runner)
                     if response is None or response.head.status < MIN_ERROR_STATUS:
                         self._returns.record_answer(admitted, granted_ms=started_ms)
                     return self._complete(admitted, stream, response)
@@ -339,6 +343,24 @@
         left_ms = admitted.deadline_ms - self._timers.now_ms()
         return max(queue_ms, int(min(RESUMPTION_QUEUE_MS, max(0.0, left_ms))))
 
+    def _is_refused(
+        self,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        lease: SlotLease,
+        stream: CallerStream,
+    ) -> bool:
+        """Return whether a call was found to crash runners while it waited for a slot.
+
+        Raises ``RequestError`` for such a call if its stream has not started.
+        """
+        if not self._crash_tracker.refused_for_ms(admitted):
+            return False
+        self._broker.record_unused(lease)
+        if not stream.has_started:
+            self._crash_tracker.check_again(admitted, may_have_run=ledger.may_have_run)
+        return True
+
     def _check_level(self, admitted: AdmittedCall) -> None:
         """Raise ``RequestError`` if the pool's admission level rejects a call."""
         reason = self._admission.rejection_reason(
@@ -455,7 +477,7 @@
         now_ms = self._timers.now_ms()
         if admitted.deadline_ms <= now_ms or not ledger.may_retry():
             return False
-        if failure.is_connection_lost and self._crash_tracker.is_suspect(admitted):
+        if failure.is_connection_lost and self._crash_tracker.may_be_cause(admitted):
             # Other runners crashed during this request, and probably this one did too.
             return False
         if not ledger.sends:
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -48,6 +48,21 @@
             "Streams of which this node remembers the version.",
             registry=self.registry,
         )
+        self.runner_crashes = Counter(
+            "clementineyoke_runner_crashes_total",
+            "Crashes of runners that broke calls of this node, by pool.",
+            registry=self.registry,
+        )
+        self.crash_records = Gauge(
+            "clementineyoke_crash_records",
+            "Requests and parts of prompts under which runners have crashed.",
+            registry=self.registry,
+        )
+        self.calls_refused_for_crashes = Counter(
+            "clementineyoke_calls_refused_for_crashes_total",
+            "Calls refused because runners crash under their request or a part.",
+            registry=self.registry,
+        )
         self.latency_s = Histogram(
             "clementineyoke_request_seconds",
             "Time from a request's head to the end of its answer.",
--- a/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
@@ -23,9 +23,10 @@
         ShareAsk,
         SlotAsk,
         StreamAsk,
+        TrialAsk,
     )
 
-    Request = SlotAsk | ClaimRequest | ShareAsk | ReachAsk | StreamAsk
+    Request = SlotAsk | ClaimRequest | ShareAsk | ReachAsk | StreamAsk | TrialAsk
 
 MS_PER_S = 1000.0
 ReplyT = TypeVar("ReplyT")
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -7,18 +7,24 @@
 
 import msgspec
 
-from clementineyoke_core.edge.crash_records import MAX_NAMED_RUNNERS
+from clementineyoke_core.edge.crash_factors import PART_DIGEST_BYTES
+from clementineyoke_core.edge.crash_records import (
+    MAX_COMPANIONS,
+    MAX_NAMED_RUNNERS,
+    MAX_TEAMS,
+    CrashRecord,
+)
 from clementineyoke_core.edge.node_capacity import MAX_CALLS_PER_S
 from clementineyoke_core.edge.request_digest import DIGEST_BYTES
 from clementineyoke_core.edge.runner_record import RunnerRecord
 from clementineyoke_core.node import Node
 from clementineyoke_core.runner import Runner, RunnerKind
+from clementineyoke_node.edge.crash_notes import to_note
 from clementineyoke_node.platform.format_error import FormatError
-from clementineyoke_wire.messages import CrashNote
 
 if TYPE_CHECKING:
-    from clementineyoke_core.edge.crash_records import CrashRecord
     from clementineyoke_node.platform.store_page import StoredEntry
+    from clementineyoke_wire.messages import CrashNote
 
 STATE_DRAINING = "draining"
 MAX_COLD_MS = 600_000.0
@@ -28,6 +34,7 @@
 """Longer versions are cut off, as each message about a runner carries its version."""
 MAX_PORT = 0xFFFF
 MAX_UINT32 = 0xFFFF_FFFF
+MAX_UINT64 = 0xFFFF_FFFF_FFFF_FFFF
 MAX_TIMESTAMP_MS = 0xFFFF_FFFF_FFFF
 """The range of the fields in messages between nodes."""
 
@@ -62,6 +69,10 @@
     runners: list[str]
     ended_at: int
     """Time of the latest crash, in Unix milliseconds."""
+    companions: list[list[str]] = []
+    """For each of ``runners``, digests of other factors of the calls on it."""
+    teams: list[int] = []
+    was_answered: bool = False
 
 
 _Spec = TypeVar("_Spec", _RunnerSpec, _NodeSpec, _CrashSpec)
@@ -144,23 +155,31 @@
 
 
 def encode_crash(record: CrashRecord, *, ended_at_ms: int) -> dict[str, Any]:
-    """Return the entry of a request that has crashed runners."""
+    """Return the entry of a factor that has crashed runners."""
     return {
         "crashes": record.crashes,
         "runners": list(record.runners),
         "endedAt": ended_at_ms,
+        "companions": [[c.hex() for c in listed] for listed in record.companions],
+        "teams": list(record.teams),
+        "wasAnswered": record.was_answered,
     }
 
 
 def decode_crash(entry: StoredEntry, *, wall_ms: int) -> CrashNote:
-    """Decode the entry of a request that has crashed runners; raises ``FormatError``.
+    """Decode the entry of a factor that has crashed runners; raises ``FormatError``.
 
-    The entry's name is the request's digest in hex.
+    The entry's name is the factor's digest in hex.
     """
     spec = _decode(entry, _CrashSpec, step="decode_crash")
     try:
-        digest = bytes.fromhex(entry.name)
-        _check_range(len(digest), DIGEST_BYTES, DIGEST_BYTES)
+        digest = _decode_digest(entry.name)
+        companions = [
+            tuple(_decode_digest(text) for text in listed[:MAX_COMPANIONS])
+            for listed in spec.companions
+        ]
+        for team in spec.teams:
+            _check_range(team, 0, MAX_UINT64)
         _check_range(spec.crashes, 1, MAX_UINT32)
         _check_range(spec.ended_at, 0, MAX_TIMESTAMP_MS)
     except ValueError as error:
@@ -169,7 +188,22 @@
         ) from error
     # The clock of the node that wrote the entry may be ahead of this node's.
     age_ms = min(MAX_UINT32, max(0, wall_ms - spec.ended_at))
-    return CrashNote(digest, 0, spec.crashes, spec.runners[:MAX_NAMED_RUNNERS], age_ms)
+    record = CrashRecord(
+        crashes=spec.crashes,
+        runners=tuple(spec.runners[:MAX_NAMED_RUNNERS]),
+        companions=tuple(companions[:MAX_NAMED_RUNNERS]),
+        teams=tuple(spec.teams[:MAX_TEAMS]),
+        was_answered=spec.was_answered,
+    )
+    return to_note(digest, record, now_ms=age_ms)
+
+
+def _decode_digest(text: str) -> bytes:
+    digest = bytes.fromhex(text)
+    if len(digest) not in (DIGEST_BYTES, PART_DIGEST_BYTES):
+        message = f"a digest of {len(digest)} bytes"
+        raise ValueError(message)
+    return digest
 
 
 def split_address(text: str) -> tuple[str, int]:
--- a/packages/clementineyoke-node/tests/edge/crashing_parts.feature
+++ b/packages/clementineyoke-node/tests/edge/crashing_parts.feature
@@ -44,3 +44,63 @@
     When a sound request is sent
     Then its answer is complete
     And the log says that its answer ended with its connection
+
+  Scenario: A node that has just started gets a request with the part
+    # Records in the memory of the nodes that saw the crashes are unknown to a new node.
+    Given a fleet of 2 nodes and 6 runners that restart after a crash
+    And a part of a prompt that crashes every runner that starts to answer
+    When 6 requests with that part are sent, beside sound ones with the same first part
+    And a third node starts while the store is unavailable
+    And 2 more requests with that part are sent to the newest node
+    Then none of these has reached a runner
+
+  Scenario: All nodes restart and get requests with the part
+    Given a fleet of 2 nodes and 6 runners that restart after a crash
+    And a part of a prompt that crashes every runner that starts to answer
+    When 6 requests with that part are sent, beside sound ones with the same first part
+    And all nodes end and restart
+    And 2 more requests with that part are sent to the newest node
+    Then none of these has reached a runner
+    When a sound request is sent
+    Then its answer is complete
+
+  Scenario: A request with the part waits for a slot until the part is known
+    # It arrived before the third crash, and would crash one more runner after it.
+    Given a fleet of 2 nodes and 6 runners that restart after a crash
+    And a part of a prompt that crashes every runner that starts to answer
+    When a request with that part waits for a slot while 6 others are sent
+    Then it was refused with 503 and has not reached a runner
+
+  Scenario: The refusal of a part is over at all nodes at the same moment
+    # Each node would let one request through, and a runner would crash for each.
+    Given a fleet of 3 nodes and 6 runners that restart after a crash
+    And a part of a prompt that crashes every runner that starts to answer
+    When 6 requests with that part are sent, beside sound ones with the same first part
+    And the crash records of the nodes have aged by 300 s
+    And one request with that part is sent to each node at the same moment
+    Then 1 of these has reached a runner
+    When one request with that part is sent to each node at the same moment
+    Then 0 of these has reached a runner
+
+  Scenario: The runners are mended while a part is refused
+    Given a fleet of 3 nodes and 6 runners that restart after a crash
+    And a part of a prompt that crashes every runner that starts to answer
+    When 6 requests with that part are sent, beside sound ones with the same first part
+    And the runners are mended
+    And the crash records of the nodes have aged by 300 s
+    And one request with that part is sent to each node at the same moment
+    Then within 2 s a request with that part is served at every node
+
+  Scenario Outline: Runners answer some requests with the part without serving them
+    # Only a complete, successful answer proves that a part crashes no runner.
+    Given a fleet of 3 nodes and 6 runners that restart after a crash
+    And a part of a prompt that crashes every runner that starts to answer
+    When 16 requests with that part are sent, and every second one is answered as "<answer>"
+    Then at most 5 runners have crashed
+    And the last request with that part was refused at once with 503 and a Retry-After
+
+    Examples:
+      | answer |
+      | refuse |
+      | fail   |
+      | cut    |
--- a/packages/clementineyoke-node/tests/steps/crashing_part_steps.py
+++ b/packages/clementineyoke-node/tests/steps/crashing_part_steps.py
@@ -171,3 +171,122 @@
 def check_end_logged(context):
     answered = decisions_of(context, 0, context.answer.call_id)[-1]
     assert answered["fields"]["ended_by"] == "connection", answered
+
+
+async def send_to(context, nodes, name):
+    """Send one request with the crashing part to each of the nodes."""
+    ids = [f"{name}{number:x}" for number in nodes]
+    context.answers = await asyncio.gather(
+        *(
+            send(context, call_id, *context.bad_parts, number=number)
+            for call_id, number in zip(ids, nodes, strict=True)
+        )
+    )
+    context.sent_ids = ids
+
+
+def received(context):
+    """Return the ids of the latest requests that have reached a runner."""
+    return {call.call_id for call in context.fleet.calls()} & set(context.sent_ids)
+
+
+@when("{count:d} more requests with that part are sent to the newest node")
+def send_to_newest(context, count):
+    newest = len(context.fleet.nodes) - 1
+    context.run(send_to(context, [newest] * count, "fe"))
+
+
+@then("none of these has reached a runner")
+def check_none_received(context):
+    assert not received(context), context.answers
+
+
+@when("a request with that part waits for a slot while {count:d} others are sent")
+def send_while_waiting(context, count):
+    broker = context.fleet.nodes[0].io.broker
+    acquire = broker.acquire
+    may_go_on = asyncio.Event()
+
+    async def wait_and_acquire(slot_request):
+        broker.acquire = acquire
+        await may_go_on.wait()
+        return await acquire(slot_request)
+
+    async def act():
+        broker.acquire = wait_and_acquire
+        waiting = asyncio.ensure_future(send_to(context, [0], "aa"))
+        await asyncio.sleep(INTERVAL_S)
+        for index in range(count):
+            await send(context, f"ba{index:02}", *context.bad_parts, number=1)
+            await asyncio.sleep(INTERVAL_S)
+        may_go_on.set()
+        await waiting
+
+    context.run(act())
+
+
+@then("it was refused with 503 and has not reached a runner")
+def check_waiting_refused(context):
+    assert not received(context), context.answers
+    assert [answer.status for answer in context.answers] == [503], context.answers
+
+
+@when("one request with that part is sent to each node at the same moment")
+def send_to_each(context):
+    async def act():
+        nodes = list(range(len(context.fleet.nodes)))
+        await send_to(context, nodes, f"{len(context.fleet.calls()):x}")
+        await asyncio.sleep(INTERVAL_S)
+
+    context.run(act())
+
+
+@then("{count:d} of these has reached a runner")
+def check_received(context, count):
+    assert len(received(context)) == count, (received(context), context.answers)
+
+
+@when("the runners are mended")
+def mend_runners(context):
+    async def act():
+        for runner in context.fleet.runners:
+            runner.crashing_parts = set()
+        await asyncio.gather(*context.restarts)
+        await asyncio.sleep(INTERVAL_S)
+
+    context.run(act())
+
+
+@then("within {limit_s:d} s a request with that part is served at every node")
+def check_mended(context, limit_s):
+    async def act():
+        deadline_s = time.monotonic() + limit_s
+        while True:
+            await send_to(context, list(range(len(context.fleet.nodes))), "ab")
+            if all(answer.is_whole for answer in context.answers):
+                return
+            assert time.monotonic() < deadline_s, context.answers
+            await asyncio.sleep(INTERVAL_S)
+
+    context.run(act())
+
+
+@when(
+    "{count:d} requests with that part are sent,"
+    ' and every second one is answered as "{answer}"'
+)
+def send_with_answers(context, count, answer):
+    async def act():
+        for index in range(count):
+            for runner in context.fleet.runners:
+                is_answered = index % 2
+                runner.crashing_parts = set() if is_answered else {CRASHING_PART}
+                runner.fallback_response = ScriptedResponse(
+                    answer if is_answered else "stream"
+                )
+            context.last_bad = await send(
+                context, f"ba{index:02}", *context.bad_parts, number=index
+            )
+            await asyncio.sleep(INTERVAL_S)
+
+    context.run(act())
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -46,10 +46,14 @@
     )
     RUNNER_ENDED = EventKind(216, "WARNING", "A runner crashed with calls in flight.")
     REQUEST_SUSPECTED = EventKind(
-        217, "WARNING", "Several runners crashed on one request."
+        217, "WARNING", "Runners crashed under one request or part of prompts."
+    )
+    REQUEST_BARRED = EventKind(
+        218, "WARNING", "A request was refused: it or a part crashes runners."
+    )
+    REQUEST_CLEARED = EventKind(
+        219, "INFO", "A suspected request or part was answered."
     )
-    REQUEST_BARRED = EventKind(218, "WARNING", "A suspected request was refused.")
-    REQUEST_CLEARED = EventKind(219, "INFO", "A suspected request was answered.")
     RUNNER_UNSURE = EventKind(220, "INFO", "It is unknown whether a runner crashed.")
     RUNNER_DRAINING = EventKind(221, "INFO", "A runner's response says it is draining.")
     RUNNER_BACKOFF = EventKind(
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -191,34 +191,67 @@
 
 
 class CrashNote(NamedTuple):
-    """The sender's record of a request whose runners crashed."""
+    """The sender's record of a factor of calls whose runners crashed."""
 
     digest: bytes
-    """Digest that identifies the request."""
+    """Digest that identifies the factor: a request or a part of prompts."""
     clears: int
-    """How often the request was cleared because a runner answered it."""
+    """How often the factor was cleared because a call with it was answered."""
     crashes: int
-    """Runners that crashed while running the request since it was last cleared."""
+    """Runners that crashed under calls with it since it was last cleared."""
     runners: list[str]
     """Lifetimes of the runners that crashed most recently."""
     age_ms: int
-    """Time since the last crash, or since the request was cleared."""
+    """Time since the last crash, or since the factor was cleared."""
+    companions: list[bytes] = []
+    """Other factors of these calls; nodes of an earlier release send none."""
+    companion_runners: list[int] = []
+    """For each of ``companions``, one bit for each of ``runners`` that it was on."""
+    teams: list[int] = []
+    """Hashes of the teams whose calls with the factor were on the runners."""
+    runner_ages_ms: list[int] = []
+    """Time since each of ``runners`` crashed."""
+    was_answered: bool = False
+    """Whether calls with the factor were answered before these crashes."""
 
 
 class CrashReport(NamedTuple):
-    """Report to a request's home nodes that a runner crashed while running it."""
+    """Report to the home nodes of a call's factors that its runner crashed."""
 
     digest: bytes
+    """Digest of the request."""
     runner: str
     """Lifetime of the runner that crashed."""
     sent_age_ms: int
     """Time since the request was sent to the runner."""
     ended_age_ms: int
     """Time since the runner crashed."""
+    parts: list[bytes] = []
+    """Digests of the parts of its prompt that other requests may share."""
+    team: int = 0
+    """Hash of the caller's team."""
+    answered_ages_ms: list[int] = []
+    """One more than the time since the sender last saw an answer to a call with the
+    request or, in their order, with the parts; 0 if it knows of none."""
+
+
+class TrialAsk(NamedTuple):
+    """Request to a factor's home node to try one call with it."""
+
+    ask_id: int
+    digest: bytes
+
+
+class TrialReply(NamedTuple):
+    """Whether a call may be tried and, if not, the time until another may."""
+
+    ask_id: int
+    is_granted: bool
+    wait_ms: int
 
 
 class CrashNews(NamedTuple):
-    """Update of records of requests whose runners crashed."""
+    """Update of records of factors of calls whose runners crashed."""
 
     crashes: list[CrashNote]
 
@@ -381,5 +414,7 @@
     | StreamNews
     | StreamAsk
     | StreamReply
+    | TrialAsk
+    | TrialReply
 )
 """Any message that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -17,9 +17,14 @@
 struct PoolLoad { pool @0 :UInt64; load @1 :Float32; runners @2 :Float32; }
 struct RumourNote { nodeId @0 :Text; incarnation @1 :UInt32; state @2 :UInt8; }
 struct CrashNote { digest @0 :Data; clears @1 :UInt32; crashes @2 :UInt32;
-  runners @3 :List(Text); ageMs @4 :UInt32; }
+  runners @3 :List(Text); ageMs @4 :UInt32; companions @5 :List(Data);
+  companionRunners @6 :List(UInt8); teams @7 :List(UInt64);
+  runnerAgesMs @8 :List(UInt32); wasAnswered @9 :Bool; }
 struct CrashReport { digest @0 :Data; runner @1 :Text; sentAgeMs @2 :UInt32;
-  endedAgeMs @3 :UInt32; }
+  endedAgeMs @3 :UInt32; parts @4 :List(Data); team @5 :UInt64;
+  answeredAgesMs @6 :List(UInt32); }
+struct TrialAsk { askId @0 :UInt32; digest @1 :Data; }
+struct TrialReply { askId @0 :UInt32; isGranted @1 :Bool; waitMs @2 :UInt32; }
 struct CrashNews { crashes @0 :List(CrashNote); }
 struct Gossip {
   sequence @0 :UInt32;
@@ -146,5 +151,7 @@
     streamNews @19 :StreamNews;
     streamAsk @20 :StreamAsk;
     streamReply @21 :StreamReply;
+    trialAsk @22 :TrialAsk;
+    trialReply @23 :TrialReply;
   }
 }
--- a/packages/clementineyoke-wire/tests/codec.feature
+++ b/packages/clementineyoke-wire/tests/codec.feature
@@ -10,6 +10,8 @@
     And a release of a slot without a time has the same bytes as in that release
     And a release of a slot with a time is read by that release
     And that release does not read a report of speed as another message
+    And a crash report by that release is read as one without parts of prompts
+    And a crash record with other factors is read by that release
 
   Scenario: Received bytes are not a valid message
     # An unexpected exception of the decoder on random or corrupted bytes would close the socket or end the node.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -36,6 +36,7 @@
 FLEET = f"{NODE}/tests/edge/fleet.feature"
 NEWS = f"{NODE}/tests/edge/news.feature"
 CRASHING_REQUESTS = f"{NODE}/tests/edge/crashing_requests.feature"
+CRASHING_PARTS = f"{NODE}/tests/edge/crashing_parts.feature"
 BRITTLE_RUNNERS = f"{NODE}/tests/edge/brittle_runners.feature"
 CUT_OFF_NODES = f"{NODE}/tests/edge/cut_off_nodes.feature"
 CORE_EDGE_TESTS = f"{CORE}/tests/edge"
@@ -350,8 +351,8 @@
     Mutation(
         "a truncated event is continued with the next runner's stream",
         f"{NODE_EDGE_SOURCE}/caller_stream.py",
-        "self._splitter = EventSplitter()\n        self.pace = EventPace()\n        if",
-        "self.pace = EventPace()\n        if",
+        "self._splitter = EventSplitter()\n        self.pace = EventPace()\n        s",
+        "self.pace = EventPace()\n        s",
         STREAMS,
     ),
     Mutation(
@@ -636,26 +637,103 @@
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
     Mutation(
-        "an answer does not clear a request's crash record",
+        "an answer does not clear a crash record",
         f"{CORE_SOURCE}/edge/crash_records.py",
-        "cleared = CrashRecord(clears=known.clears + 1, last_ms=now_ms)",
-        "cleared = known",
+        "record = _drop_before(known, now_ms)",
+        "record = known",
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
     Mutation(
-        "crashes explained by another request count against a request",
+        "an answer that a crash's report tells of does not clear a crash record",
         f"{CORE_SOURCE}/edge/crash_records.py",
-        "explained += max_crashes > record.crashes",
-        "explained += 0",
+        "record = _drop_before(record, min(answered_ms, record.last_ms - 1.0))",
+        "pass",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "crashes under one team's calls count for all teams",
+        f"{CORE_SOURCE}/edge/crash_records.py",
+        "return not self.teams or team in self.teams or len(self.teams) > 1",
+        "return True",
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
     Mutation(
-        "a contested request is refused after as few crashes as an uncontested one",
+        "an answer to any team clears a part",
         f"{CORE_SOURCE}/edge/crash_records.py",
-        "CRASHES_TO_REFUSE_CONTESTED if is_contested else CRASHES_TO_REFUSE",
-        "CRASHES_TO_REFUSE",
+        "if is_other_team or record.crashes == known.crashes:",
+        "if record.crashes == known.crashes:",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "crashes explained by another call's factor count against a factor",
+        f"{CORE_SOURCE}/edge/crash_judge.py",
+        "if other_weight > weight or not all(map(is_part, others)):",
+        "if not all(map(is_part, others)):",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "crashes explained by another part of the same calls count against a part",
+        f"{CORE_SOURCE}/edge/crash_judge.py",
+        "unexplained -= max(narrower.values(), default=0)",
+        "pass",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "a contested factor is refused after as few crashes as an uncontested one",
+        f"{CORE_SOURCE}/edge/crash_judge.py",
+        "needed = CRASHES_TO_REFUSE_CONTESTED",
+        "pass",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "a factor that was answered before is refused like any other",
+        f"{CORE_SOURCE}/edge/crash_judge.py",
+        "needed = CRASHES_TO_REFUSE_ANSWERED",
+        "pass",
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
+    Mutation(
+        "a factor is refused before the records of other factors have arrived",
+        f"{CORE_SOURCE}/edge/crash_judge.py",
+        "known_ms = record.last_ms + VERDICT_DELAY_MS",
+        "pass",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "each of thousands of parts gets a record",
+        f"{CORE_SOURCE}/edge/crash_factors.py",
+        "if len(ids) > MAX_PARTS:",
+        "if False:",
+        f"{CORE_EDGE_TESTS}/crash_records.feature",
+    ),
+    Mutation(
+        "an answer that ends with its connection is taken as complete",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "if body_end is not BodyEnd.CONNECTION or await self.lives_on(runner):",
+        "if True:",
+        CRASHING_PARTS,
+    ),
+    Mutation(
+        "only the request itself is held responsible for a crash",
+        f"{CORE_SOURCE}/edge/crash_factors.py",
+        'return CrashFactors(request, parts, hash_text(team or ""))',
+        'return CrashFactors(request, (), hash_text(team or ""))',
+        CRASHING_PARTS,
+    ),
+    Mutation(
+        "a call that waited for a slot is sent although it is refused by then",
+        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        "if self._is_refused(admitted, ledger, lease, stream):",
+        "if False:",
+        CRASHING_PARTS,
+    ),
+    Mutation(
+        "each node tries a factor once its refusal is over",
+        f"{NODE_EDGE_SOURCE}/crash_trials.py",
+        "if home is None or home == self._membership.local_node:",
+        "if True:",
+        CRASHING_PARTS,
+    ),
     Mutation(
         "a broken connection counts as a crash while the runner accepts connections",
         f"{NODE_EDGE_SOURCE}/crash_tracker.py",
@@ -778,7 +856,7 @@
     Mutation(
         "a suspected request is retried after a lost connection",
         f"{NODE_EDGE_SOURCE}/forwarder.py",
-        "if failure.is_connection_lost and self._crash_tracker.is_suspect(admitted):",
+        "if failure.is_connection_lost and self._crash_tracker.may_be_cause(admitted):",
         "if False:",
         CRASHING_REQUESTS,
     ),
