Let the soak send requests with a crashing part, and audit them

Each seed sends requests that share a part of their prompts with each other, and their first part with the sound ones, among other faults and once undisturbed; in every second seed answers end with their connections and crashed runners close in order. Sound calls have prompts. Kept seeds play without (has_crashing_parts).

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -33,6 +33,9 @@
     """Whether nodes lose their links to runners, and runners are brittle or silent."""
     has_versions: bool = True
     """Whether runners of two versions serve, and callers resume broken streams."""
+    has_crashing_parts: bool = True
+    """Whether runners crash on a part of prompts; in every second seed their answers
+    end with their connections."""
 
 
 def run(
@@ -59,6 +62,7 @@
                 entry.get("has_runner_signals", False),
                 entry.get("has_path_faults", False),
                 entry.get("has_versions", False),
+                entry.get("has_crashing_parts", False),
             )
             for entry in entries
         ]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/caller.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/caller.py
@@ -12,6 +12,7 @@
 from clementineyoke_standins.soak.operator_state import HOSTNAME, RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
     from clementineyoke_standins.soak.loopback import Endpoint
@@ -19,6 +20,7 @@
 
 MEAN_PAUSE_S = 0.06
 DEADLINE_MS = 2_000
+PART_TOKENS = 100
 ROUTE_KINDS = tuple(RouteKind)
 WITHDRAWN_KEY_FRACTION = 0.1
 """Share of calls that are sent with a key which the operator has withdrawn."""
@@ -39,7 +41,7 @@
     has_proof: bool
     reason: str = ""
     crashes_runners: bool = False
-    """Whether the call crashes each runner that starts to execute it."""
+    """Whether the call crashes each runner that starts to execute or answer it."""
 
 
 class Caller:
@@ -56,7 +58,10 @@
         endpoints: list[Endpoint],
         state: OperatorState,
         rng: Random,
+        prompts: Sequence[Sequence[str]] = (),
     ) -> None:
+        """Create a caller whose calls have one of ``prompts``, if there are any."""
+        self._prompts = prompts
         self._name = name
         self._endpoints = endpoints
         self._state = state
@@ -69,7 +74,9 @@
             while True:
                 node = self._rng.randrange(len(self._endpoints))
                 kind = self._rng.choice(ROUTE_KINDS)
-                await self.call(session, node=node, kind=kind, key=self._pick_key())
+                key = self._pick_key()
+                prompt = self._rng.choice(self._prompts) if self._prompts else ()
+                await self.call(session, node=node, kind=kind, key=key, prompt=prompt)
                 await asyncio.sleep(self._rng.uniform(0.2, 1.8) * MEAN_PAUSE_S)
 
     async def call(
@@ -80,9 +87,12 @@
         kind: RouteKind,
         key: str,
         request_body: bytes | None = None,
+        prompt: Sequence[str] = (),
+        crashes_runners: bool = False,
     ) -> CallRecord:
         """Make one call, record its result and return the record.
 
+        ``prompt`` are the parts of its prompt that other calls may share.
         A failure to connect and a timeout are recorded, not raised.
         """
         call_id = f"{self._name}-{len(self.records)}"
@@ -97,6 +107,7 @@
                     kind=kind,
                     key=key,
                     request_body=request_body,
+                    prompt=prompt,
                 )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = repr(error)
@@ -111,7 +122,7 @@
             body=body,
             has_proof=has_proof,
             reason=reason,
-            crashes_runners=request_body is not None,
+            crashes_runners=crashes_runners,
         )
         self.records.append(record)
         return record
@@ -125,9 +136,13 @@
         kind: RouteKind,
         key: str,
         request_body: bytes | None,
+        prompt: Sequence[str],
     ) -> tuple[int, str, bool]:
         method = "GET" if kind is RouteKind.IDEMPOTENT else "POST"
         headers = call_headers(call_id, key=key)
+        if prompt:
+            parts = [f"{part}:{PART_TOKENS}" for part in (*prompt, call_id)]
+            headers |= {names.MODEL: "model", names.PROMPT_PARTS: ",".join(parts)}
         url = f"http://{self._endpoints[node]}/{kind.value}/x"
         async with session.request(
             method, url, headers=headers, data=request_body
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import time
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -23,7 +24,12 @@
 from clementineyoke_standins.soak.loopback import node_address
 from clementineyoke_standins.soak.operator_state import COLD_CALLS_PER_S, RouteKind
 from clementineyoke_standins.soak.schedule import FaultKind
-from clementineyoke_standins.soak.soak_fleet import CRASHING_BODY, zone_name
+from clementineyoke_standins.soak.soak_fleet import (
+    CRASHING_BODY,
+    CRASHING_PART,
+    SHARED_PART,
+    zone_name,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -78,6 +84,22 @@
         kind=kind,
         key=caller.current_key,
         request_body=CRASHING_BODY,
+        crashes_runners=True,
+    )
+
+
+async def send_crashing_part(
+    caller: Caller, session: aiohttp.ClientSession, *, node: int, kind: RouteKind
+) -> CallRecord:
+    """Send a request alike to no other, with a part that crashes its runners."""
+    return await caller.call(
+        session,
+        node=node,
+        kind=kind,
+        key=caller.current_key,
+        request_body=f"request {len(caller.records)}".encode(),
+        prompt=(SHARED_PART, CRASHING_PART),
+        crashes_runners=True,
     )
 
 
@@ -109,7 +131,12 @@
             FaultKind.RUNNER_LEAVES: self._remove_runner,
             FaultKind.KEY_CHANGE: self._change_key,
             FaultKind.STATE_STORM: self._write_states_rapidly,
-            FaultKind.CRASHING_REQUEST: self._send_crashing_requests,
+            FaultKind.CRASHING_REQUEST: partial(
+                self._send_crashing_requests, send_crashing_request
+            ),
+            FaultKind.CRASHING_PART: partial(
+                self._send_crashing_requests, send_crashing_part
+            ),
             FaultKind.ZONE_EMPTIED: self._evacuate_zone,
             FaultKind.RUNNER_COLD: self._start_cold_phase,
             FaultKind.RUNNER_SHEDS: self._shed_calls,
@@ -315,8 +342,10 @@
                 available_since_s = time.monotonic()
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
 
-    async def _send_crashing_requests(self, fault: PlannedFault) -> None:
-        """Send a request that crashes its runners to random nodes again and again."""
+    async def _send_crashing_requests(
+        self, send: Callable[..., Awaitable[CallRecord]], fault: PlannedFault
+    ) -> None:
+        """Send requests that crash their runners to random nodes again and again."""
         end_s = time.monotonic() + fault.duration_s
         kind = CRASHING_ROUTE_KINDS[fault.selector % len(CRASHING_ROUTE_KINDS)]
         rng = Random(fault.selector)
@@ -324,7 +353,7 @@
         async with aiohttp.ClientSession() as session:
             while time.monotonic() < end_s:
                 node = rng.randrange(len(self._fleet.nodes))
-                await send_crashing_request(caller, session, node=node, kind=kind)
+                await send(caller, session, node=node, kind=kind)
                 await asyncio.sleep(CRASHING_INTERVAL_S)
 
     def new_crashing_caller(self) -> Caller:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
@@ -75,12 +75,17 @@
         if self._link_cuts.sources:
             self._link_cuts.filter_listener(self._server)
 
-    def stop(self) -> None:
-        """Stop listening and reset all connections, as if the target had crashed."""
+    def stop(self, *, is_orderly: bool = False) -> None:
+        """Stop listening, as if the target had crashed.
+
+        All connections are reset, unless ``is_orderly`` is set: then each of them ends
+        as the target ended it.
+        """
         if self._server is not None:
             self._server.close()
             self._server = None
-        self._reset_all()
+        if not is_orderly:
+            self._reset_all()
 
     def start_fault(self, fault: LinkFault) -> None:
         """Start a fault, which also affects open connections."""
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -42,6 +42,8 @@
     STATE_STORM = "state_storm"
     CRASHING_REQUEST = "crashing_request"
     """A request is sent that crashes each runner which starts to execute it."""
+    CRASHING_PART = "crashing_part"
+    """Requests share a part of their prompts that crashes each runner which answers."""
     ZONE_EMPTIED = "zone_emptied"
     """The operator evacuates an availability zone and later ends the evacuation."""
     RUNNER_COLD = "runner_cold"
@@ -93,6 +95,7 @@
 SEPARATELY_DRAWN = frozenset(
     (
         FaultKind.CRASHING_REQUEST,
+        FaultKind.CRASHING_PART,
         FaultKind.ZONE_EMPTIED,
         FaultKind.RUNNER_COLD,
         *RUNNER_SIGNALS,
@@ -130,6 +133,11 @@
     ]
 
 
+def plan_crashing_parts(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the requests with a crashing part of a seed."""
+    return _draw_once((FaultKind.CRASHING_PART,), Random(f"parts of {seed}"), length_s)
+
+
 def plan_zone_work(seed: int, *, length_s: float) -> list[PlannedFault]:
     """Return the zone evacuation and cold runner of a seed, for even seeds only."""
     if seed % 2:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
-from clementineyoke_standins.edge.edge_runner import EdgeRunner
+from clementineyoke_standins.edge.edge_runner import CrashManner, EdgeRunner
 from clementineyoke_standins.edge.edge_store import EdgeStore
 from clementineyoke_standins.soak.fault_proxy import FaultProxy
 from clementineyoke_standins.soak.loopback import Endpoint, free_ports, node_address
@@ -30,6 +30,10 @@
 RUNNER_RESTART_DELAY_S = 1.0
 """Time until a crashed runner accepts connections again."""
 CRASHING_BODY = b"ends whoever runs it"
+SHARED_PART = "5e0a"
+CRASHING_PART = "bad0"
+SOUND_PROMPTS = tuple((SHARED_PART, f"c0{number}") for number in range(3))
+"""Shared parts of sound requests; the first one is that of crashing requests, too."""
 
 
 def zone_name(number: int) -> str:
@@ -82,6 +86,7 @@
         await self._stack.enter_async_context(self._tasks)
         for runner, port in zip(self.runners, self._runner_ports, strict=True):
             runner.crashing_bodies.add(CRASHING_BODY)
+            runner.crashing_parts.add(CRASHING_PART)
             runner.on_crash = self._handle_crash
             await self._stack.enter_async_context(runner)
             link = FaultProxy(
@@ -113,7 +118,7 @@
     def _handle_crash(self, runner: EdgeRunner) -> None:
         """Stop the link of a crashed runner and schedule the restart of both."""
         link = self.runner_links[self.runners.index(runner)]
-        link.stop()
+        link.stop(is_orderly=runner.crash_manner is CrashManner.CLOSE)
         self._tasks.spawn(self._restart_runner(runner, link), name="start_runner")
 
     async def _restart_runner(self, runner: EdgeRunner, link: FaultProxy) -> None:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
-from clementineyoke_standins.edge.edge_runner import ScriptedResponse
+from clementineyoke_standins.edge.edge_runner import CrashManner, ScriptedResponse
 from clementineyoke_standins.soak.audit import (
     APPLY_DEADLINE_S,
     CRASH_CHECK_STEP,
@@ -21,7 +21,11 @@
     audit,
 )
 from clementineyoke_standins.soak.caller import Caller
-from clementineyoke_standins.soak.fault_acts import FaultInjector, send_crashing_request
+from clementineyoke_standins.soak.fault_acts import (
+    FaultInjector,
+    send_crashing_part,
+    send_crashing_request,
+)
 from clementineyoke_standins.soak.operator_state import RouteKind
 from clementineyoke_standins.soak.schedule import (
     INTERRUPTIONS,
@@ -32,17 +36,25 @@
     FaultKind,
     PlannedFault,
     plan_crashes,
+    plan_crashing_parts,
     plan_faults,
     plan_path_faults,
     plan_runner_signals,
     plan_zone_work,
 )
-from clementineyoke_standins.soak.soak_fleet import STOP_DEADLINE_S, SoakFleet
+from clementineyoke_standins.soak.soak_fleet import (
+    SOUND_PROMPTS,
+    STOP_DEADLINE_S,
+    SoakFleet,
+)
 from clementineyoke_standins.soak.stream_reader import TARGET, StreamReader
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from pathlib import Path
 
+    from clementineyoke_standins.soak.caller import CallRecord
+
 NODES = 4
 RUNNERS = 4
 CALLERS = 6
@@ -99,6 +111,7 @@
         has_runner_signals: bool = True,
         has_path_faults: bool = True,
         has_versions: bool = True,
+        has_crashing_parts: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
@@ -106,6 +119,7 @@
         self._has_runner_signals = has_runner_signals
         self._has_path_faults = has_path_faults
         self._has_versions = has_versions
+        self._has_crashing_parts = has_crashing_parts
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -119,6 +133,7 @@
                 endpoints=self._fleet.caller_endpoints,
                 state=self._fleet.state,
                 rng=Random(seed * CALLERS + number),
+                prompts=SOUND_PROMPTS if has_crashing_parts else (),
             )
             for number in range(CALLERS)
         ]
@@ -149,6 +164,10 @@
                 runner.tells_version = True
                 runner.break_every = STREAMS_PER_BREAK
                 runner.break_prefix = TARGET
+        if self._has_crashing_parts and self._seed % 2:
+            for runner in self._fleet.runners:
+                runner.frames_streams = False
+                runner.crash_manner = CrashManner.CLOSE
         async with self._fleet, aiohttp.ClientSession() as session:
             await self._wait_until_serving(session, START_TIMEOUT_S)
             for runner in self._fleet.runners:
@@ -162,6 +181,8 @@
                 planned = plan_faults(self._seed, length_s=self._length_s)
                 if self._has_crashes:
                     planned += plan_crashes(self._seed, length_s=self._length_s)
+                if self._has_crashing_parts:
+                    planned += plan_crashing_parts(self._seed, length_s=self._length_s)
                 if self._has_zone_work:
                     planned += plan_zone_work(self._seed, length_s=self._length_s)
                 if self._has_runner_signals:
@@ -175,7 +196,9 @@
                 await self._apply_changes_undisturbed()
                 await self._check_withdrawn_keys(session)
                 if self._has_crashes:
-                    await self._check_crashing_request(session)
+                    await self._check_crashes(session, send_crashing_request)
+                if self._has_crashing_parts:
+                    await self._check_crashes(session, send_crashing_part)
             for node in self._fleet.nodes:
                 await node.stop(timeout_s=self._stop_timeout_s)
                 self._violations += node.failures
@@ -251,10 +274,14 @@
                         f" {record.status}"
                     )
 
-    async def _check_crashing_request(self, session: aiohttp.ClientSession) -> None:
-        """Send a request that crashes its runners while no other fault is active.
+    async def _check_crashes(
+        self,
+        session: aiohttp.ClientSession,
+        send: Callable[..., Awaitable[CallRecord]],
+    ) -> None:
+        """Send requests that crash their runners while no other fault is active.
 
-        The limit on crashes holds only then: three runners may crash until the request
+        The limit on crashes holds only then: three runners may crash until their cause
         is known, and three more may crash through nodes that learn of it late.
         """
         before = self._count_crashes()
@@ -262,14 +289,14 @@
         for number in range(CRASHING_REQUESTS_PER_NODE * len(self._fleet.nodes)):
             node = number % len(self._fleet.nodes)
             kind = RouteKind.NON_IDEMPOTENT
-            record = await send_crashing_request(caller, session, node=node, kind=kind)
+            record = await send(caller, session, node=node, kind=kind)
             await asyncio.sleep(CRASHING_REQUEST_INTERVAL_S)
         crashes = self._count_crashes() - before
         is_refused = record.status == STATUS_REFUSED and CRASH_CHECK_STEP in record.body
         if crashes > MAX_UNDISTURBED_CRASHES or not is_refused:
             self._violations.append(
-                f"a request crashed {crashes} runners without other faults; the last"
-                f" response was {record.status} {record.body}"
+                f"{send.__name__}: {crashes} runners crashed without other faults;"
+                f" the last response was {record.status} {record.body}"
             )
 
     def _count_crashes(self) -> int:
