Guard answers before and between the crashes under a part by scenarios of their own

Two new mutations were missed: reports that tell of answers, and the higher number of crashes for what was answered before. Both are caught.

--- a/packages/clementineyoke-core/tests/edge/crash_records.feature
+++ b/packages/clementineyoke-core/tests/edge/crash_records.feature
@@ -196,9 +196,18 @@
     # Runners crash by chance, again and again. Its homes learn of the answers with the
     # next report of a crash.
     Given no runner has crashed yet
-    When runners a, b, c, d, e crash under answered calls with "popular", the last at 2100 ms
+    When runners a, b, c, d, e, f, g, h crash under answered calls with "popular", the last at 2100 ms
     Then a call with "popular" is not refused at 3300 ms
 
+  Scenario: No call with a popular part is answered for a while
+    # Most runners of the pool are down, and all of its calls break. It was answered before,
+    # so it takes more crashes to hold it responsible.
+    Given no runner has crashed yet
+    When runners a, b, c, d, e crash under calls with "popular", answered before, the last at 2100 ms
+    Then a call with "popular" is not refused at 3300 ms
+    When runners f crash under calls with "popular", the last at 3400 ms
+    Then a call with "popular" is refused at 4500 ms
+
   Scenario: A part of one team has the same id as one of another team
     # The id of a part is a caller's claim. A team that crashes runners must not get the
     # calls of other teams refused, nor clear a part that crashes theirs.
--- a/packages/clementineyoke-core/tests/steps/crash_records_steps.py
+++ b/packages/clementineyoke-core/tests/steps/crash_records_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
-from behave import given, then, when
+from behave import given, register_type, then, when
+from parse import with_pattern
 
 from clementineyoke_core.edge.crash_factors import CrashFactors, crash_factors
 from clementineyoke_core.edge.crash_judge import CrashJudge
@@ -11,6 +12,13 @@
 )
 from clementineyoke_core.edge.prompt_key import PromptPart
 
+
+@with_pattern(r'"[^"]+"(?:, "[^"]+")*')
+def parse_names(text):
+    return text
+
+
+register_type(Names=parse_names)
 TEAM = "team"
 TEAM_HASH = 1
 CRASH_INTERVAL_MS = 100
@@ -127,12 +135,12 @@
         )
 
 
-def crash_in_turn(context, runners, prompts, last, *, is_answered=False):
+def crash_in_turn(context, runners, prompts, last, *, is_answered=lambda _: False):
     names = runners.split(", ")
     for index, runner in enumerate(names):
         crashed = last - CRASH_INTERVAL_MS * (len(names) - 1 - index)
         factors = call_factors(prompts[index % len(prompts)], number=index)
-        answered = crashed - CRASH_INTERVAL_MS // 4 if is_answered else None
+        answered = crashed - CRASH_INTERVAL_MS // 4 if is_answered(index) else None
         crash_under(context, runner, factors, crashed=crashed, answered=answered)
 
 
@@ -140,7 +148,7 @@
     return [name.strip('" ') for name in text.split(",")]
 
 
-@when("runners {runners} crash under calls with {parts}, the last at {last:d} ms")
+@when("runners {runners} crash under calls with {parts:Names}, the last at {last:d} ms")
 def crash_under_parts(context, runners, parts, last):
     crash_in_turn(context, runners, [part_names(parts)], last)
 
@@ -159,7 +167,17 @@
     "runners {runners} crash under answered calls with {parts}, the last at {last:d} ms"
 )
 def crash_with_answers(context, runners, parts, last):
-    crash_in_turn(context, runners, [part_names(parts)], last, is_answered=True)
+    prompts = [part_names(parts)]
+    crash_in_turn(context, runners, prompts, last, is_answered=lambda _: True)
+
+
+@when(
+    "runners {runners} crash under calls with {part}, answered before,"
+    " the last at {last:d} ms"
+)
+def crash_after_answer(context, runners, part, last):
+    prompts = [part_names(part)]
+    crash_in_turn(context, runners, prompts, last, is_answered=lambda n: not n)
 
 
 @when("runners {runners} crash under calls of {count:d} parts, the last at {last:d} ms")
