Do not take a peer without runners for one that knows a single version

A node that has just started and has no list of runners answers with no versions. It counted towards the majority that excludes another version, so a stream without a record could go on at the wrong one. Only peers that know a runner of the pool count.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
@@ -111,11 +111,18 @@
             return False
         # If no node knows the whole time, all have started since: then only the runners
         # that are listed tell which versions there were.
-        return self._knows_whole_time() or len(self._answers) == self.asked + 1
+        return self._knows_whole_time() or self._informed_count() == self.asked + 1
 
     def _has_majority(self) -> bool:
-        """Return whether over half of the nodes have answered, this one included."""
-        return 2 * len(self._answers) > self.asked + 1
+        """Return whether over half of the nodes know versions, this one included."""
+        return 2 * self._informed_count() > self.asked + 1
+
+    def _informed_count(self) -> int:
+        """Return how many nodes know of any runner of the pool.
+
+        One that has just started and knows of none does not exclude any version.
+        """
+        return sum(bool(answer.versions) for answer in self._answers)
 
     def _knows_whole_time(self) -> bool:
         return any(a.observed_ms >= self._max_age_ms for a in self._answers)
