--- a/packages/clementineyoke-cli/src/clementineyoke_cli/request_timeline.py
+++ b/packages/clementineyoke-cli/src/clementineyoke_cli/request_timeline.py
@@ -26,6 +26,9 @@
 }
 """Events for what a node knows of a whole pool until a later event of the same kind."""
 
+FACTOR_FIELDS = ("request_digest", "part_digest")
+"""Fields that name what crashed runners may have had in common."""
+
 LogLine = dict[str, Any]
 
 
@@ -33,11 +36,11 @@
     """Return the log lines that explain a request, rendered and sorted by time.
 
     Besides the lines of the request these are events of its runners and nodes at that
-    time, lines of requests with the same digest, since a request may be refused for
-    crashes of earlier copies with other ids, lines of the request whose stream it
-    resumes, signals for which it passed over
-    runners, since these may come with responses to other requests, and the state of its
-    pool at its nodes, however long ago that began.
+    time, lines of requests with the same digest or with the part of prompts for which
+    it was refused, since it may be refused for crashes under other requests, lines of
+    the request whose stream it resumes, signals for which it passed over runners, since
+    these may come with responses to other requests, and the state of its pool at its
+    nodes, however long ago that began.
 
     Raises ``AdminError`` if a file cannot be read or no line contains the request.
     """
@@ -98,14 +101,22 @@
 
 
 def _copy_lines(request_lines: list[LogLine], lines: list[LogLine]) -> list[LogLine]:
-    """Return the lines of other requests with the same digest."""
-    digests = {
-        line["request_digest"] for line in request_lines if line.get("request_digest")
+    """Return the lines of other requests with the same digest or crashing part."""
+    factors = {
+        (field, line[field])
+        for line in request_lines
+        for field in FACTOR_FIELDS
+        if line.get(field)
     }
+    parts = {line["part"] for line in request_lines if line.get("part")}
     return [
         line
         for line in lines
-        if line.get("request_digest") in digests and line not in request_lines
+        if line not in request_lines
+        and (
+            any((field, line.get(field)) in factors for field in FACTOR_FIELDS)
+            or parts.intersection(line.get("prompt_parts") or ())
+        )
     ]
 
 
--- a/packages/clementineyoke-cli/tests/console/explain_logs.feature
+++ b/packages/clementineyoke-cli/tests/console/explain_logs.feature
@@ -18,6 +18,13 @@
     Then the timeline lists in order "runner_failed, runner_failed, request_suspected, request_barred, route_refused"
     And it does not contain the request "r-4"
 
+  Scenario: A request was refused because other requests with a part of its prompt crashed runners
+    # No two of the requests are alike: only the part that they share links them.
+    Given the logs of 2 nodes that refuse "r-3" because of the part that "r-1" and "r-2" share
+    When the operator runs explain for the request "r-3" on these logs
+    Then the timeline lists in order "runner_failed, runner_failed, request_suspected, request_barred, route_refused"
+    And it does not contain the request "r-4"
+
   Scenario: A request passed over runners because of signals in responses to other requests
     # The signals are logged under the ids of other requests, so that a search by id alone does not show them.
     Given the logs of 2 nodes in which "r-1" and "r-2" got signals of runners that "r-3" passed over
--- a/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -52,6 +52,29 @@
         make_line(8, "runner_failed", request_id=second, runner="b", **digest),
         make_line(8, "runner_failed", request_id="r-4", request_digest="bb22"),
     ]
+    write_logs(context, one, two)
+
+
+@given(
+    'the logs of 2 nodes that refuse "{last}" because of the part that "{first}" and '
+    '"{second}" share'
+)
+def given_part_logs(context, last, first, second):
+    factor = {"part_digest": "cc33"}
+    one = [
+        make_line(1, "runner_failed", request_id=first, prompt_parts=["5e", "bad"]),
+        make_line(9, "request_suspected", runners=["a", "b"], **factor),
+        make_line(20, "request_barred", request_id=last, part="bad", **factor),
+        make_line(20, "route_refused", request_id=last),
+    ]
+    two = [
+        make_line(8, "runner_failed", request_id=second, prompt_parts=["bad"]),
+        make_line(8, "runner_failed", request_id="r-4", prompt_parts=["5e"]),
+    ]
+    write_logs(context, one, two)
+
+
+def write_logs(context, one, two):
     context.files = []
     for name, lines in (("one", one), ("two", two)):
         file = context.directory / f"{name}.log"
