--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -136,6 +136,7 @@
                     )
                     return None
                 complete = await self._read_response(admitted, runner, response)
+                complete = complete._replace(ended_ms=self._timers.now_ms())
                 await self._liveness.check_end(
                     runner, response.head.body_end, step="read_body"
                 )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -445,7 +445,7 @@
         if response is None:
             time_ms = stream.pace.event_ms()
         elif response.head.status < MIN_REDIRECT_STATUS:
-            time_ms = self._timers.now_ms() - started_ms
+            time_ms = response.ended_ms - started_ms
         else:
             return 0
         kind = AnswerKind(admitted.pool, admitted.route.name, response is None)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -22,3 +22,5 @@
 
     head: ResponseHead
     body: bytes
+    ended_ms: float = 0.0
+    """Time at which the body was read to its end; 0 if it was not recorded."""
