--- a/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
+++ b/packages/clementineyoke-cli/tests/steps/explain_logs_steps.py
@@ -52,7 +52,7 @@
         make_line(8, "runner_failed", request_id=second, runner="b", **digest),
         make_line(8, "runner_failed", request_id="r-4", request_digest="bb22"),
     ]
-    write_logs(context, one, two)
+    write_logs(context, one=one, two=two)
 
 
 @given(
@@ -71,15 +71,7 @@
         make_line(8, "runner_failed", request_id=second, prompt_parts=["bad"]),
         make_line(8, "runner_failed", request_id="r-4", prompt_parts=["5e"]),
     ]
-    write_logs(context, one, two)
-
-
-def write_logs(context, one, two):
-    context.files = []
-    for name, lines in (("one", one), ("two", two)):
-        file = context.directory / f"{name}.log"
-        file.write_text("".join(f"{line}\n" for line in lines))
-        context.files.append(str(file))
+    write_logs(context, one=one, two=two)
 
 
 @given(
