Let popular parts explain the crashes of others only by their excess

A part that is answered again and again has a crash or two at most times. It explained those of a crashing part that comes after it, which took more crashes to refuse. The verdict's numbers have one type.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_judge.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_judge.py
@@ -12,7 +12,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Collection
 
     from clementineyoke_core.edge.crash_factors import CrashFactors
     from clementineyoke_core.edge.crash_records import CrashRecords
@@ -27,11 +27,6 @@
 CRASHES_TO_REFUSE_ANSWERED = 6
 """Crashes after which a factor is refused although it was answered before them. While
 most runners of a pool are down, a popular part may not be answered for seconds."""
-CRASHES_TO_EXPLAIN = {True: CRASHES_TO_SUSPECT, False: CRASHES_TO_REFUSE}
-"""Crashes from which on a part, or else a request, explains those of other factors of
-its calls. The node's own second attempt alone gives a request two crashes."""
-CRASHES_TO_EXPLAIN_SUSPECT = dict.fromkeys((True, False), CRASHES_TO_SUSPECT)
-"""The same before a factor is refused."""
 REFUSAL_MS = 300_000.0
 """How long a factor is refused after its latest crash. Then one more request is let
 through: the runners may have been fixed, or the factor was not the cause."""
@@ -43,6 +38,21 @@
 before: a popular part is on every runner, and is usually answered again by then."""
 
 
+class Proof(NamedTuple):
+    """Numbers of crashes that it takes to hold a factor responsible."""
+
+    unexplained: int
+    """Crashes of the factor that nothing else explains."""
+    by_part: int
+    """Crashes from which on a part explains those of other factors of its calls."""
+    by_request: int
+    """The same for a request, to which the node's own second attempt adds a crash."""
+
+
+TO_SUSPECT = Proof(CRASHES_TO_SUSPECT, CRASHES_TO_SUSPECT, CRASHES_TO_SUSPECT)
+TO_REFUSE = Proof(CRASHES_TO_REFUSE, CRASHES_TO_SUSPECT, CRASHES_TO_REFUSE)
+
+
 class Verdict(NamedTuple):
     """The factor for which a call is refused."""
 
@@ -69,12 +79,7 @@
         return [
             digest
             for digest in self._suspects(factors)
-            if self._is_cause(
-                digest,
-                factors.digests,
-                needed=CRASHES_TO_SUSPECT,
-                explains=CRASHES_TO_EXPLAIN_SUSPECT,
-            )
+            if self._is_cause(digest, factors.digests, TO_SUSPECT)
         ]
 
     def verdict(self, factors: CrashFactors, *, now_ms: float) -> Verdict | None:
@@ -82,7 +87,9 @@
         verdicts = []
         for digest in self._suspects(factors):
             record = self._records.get(digest)
-            if _is_known(record, now_ms) and self._is_cause(digest, factors.digests):
+            if _is_known(record, now_ms) and self._is_cause(
+                digest, factors.digests, TO_REFUSE
+            ):
                 left_ms = max(0.0, record.last_ms + REFUSAL_MS - now_ms)
                 verdicts.append(Verdict(digest, record, left_ms))
         return max(verdicts, key=lambda verdict: verdict.left_ms, default=None)
@@ -93,7 +100,9 @@
         if not _is_known(record, now_ms):
             return False
         held = {digest}.union(*record.companions)
-        return record.last_ms + REFUSAL_MS > now_ms and self._is_cause(digest, held)
+        return record.last_ms + REFUSAL_MS > now_ms and self._is_cause(
+            digest, held, TO_REFUSE
+        )
 
     def _suspects(self, factors: CrashFactors) -> list[bytes]:
         """Return the factors of a call under which several runners have crashed."""
@@ -106,51 +115,43 @@
             if record.crashes >= CRASHES_TO_SUSPECT and record.concerns(factors.team)
         ]
 
-    def _is_cause(
-        self,
-        digest: bytes,
-        held: Collection[bytes],
-        *,
-        needed: int = CRASHES_TO_REFUSE,
-        explains: Mapping[bool, int] = CRASHES_TO_EXPLAIN,
-    ) -> bool:
+    def _is_cause(self, digest: bytes, held: Collection[bytes], proof: Proof) -> bool:
         """Return whether a factor is the likely cause, rather than one next to it.
 
-        ``held`` are the factors of the call in question, ``needed`` the number of
-        crashes that nothing else explains, ``explains`` is described at
-        ``CRASHES_TO_EXPLAIN``.
+        ``held`` are the factors of the call in question: they explain nothing.
         """
         record = self._records.get(digest)
         weight = _weight(record)
         is_contested = False
         unexplained = 0
         narrower: Counter[bytes] = Counter()
-        for index, runner in enumerate(record.runners):
-            companions = (
-                record.companions[index] if index < len(record.companions) else ()
-            )
+        for runner, companions in record.companions_by_runner():
             other_weight = self._max_weight_of_others(runner, {*held, *companions})
             is_contested |= other_weight >= max(CRASHES_TO_SUSPECT, weight - 1)
-            others = [
+            explaining = [
                 other
                 for other in companions
-                if other not in held
-                and self._records.get(other).crashes >= explains[is_part(other)]
+                if other not in held and self._explains(other, proof)
             ]
-            if other_weight > weight or not all(map(is_part, others)):
+            if other_weight > weight or not all(map(is_part, explaining)):
                 continue
             unexplained += 1
-            narrower.update(others)
+            narrower.update(explaining)
         # Two parts each of which explains some of the crashes are less likely than one
         # that is common to all of them.
         unexplained -= max(narrower.values(), default=0)
-        if needed == CRASHES_TO_REFUSE:
-            if is_contested:
-                needed = CRASHES_TO_REFUSE_CONTESTED
-            if record.was_answered:
-                needed = CRASHES_TO_REFUSE_ANSWERED
+        needed = proof.unexplained
+        if proof is TO_REFUSE and is_contested:
+            needed = CRASHES_TO_REFUSE_CONTESTED
+        if proof is TO_REFUSE and record.was_answered:
+            needed = CRASHES_TO_REFUSE_ANSWERED
         return unexplained >= needed
 
+    def _explains(self, digest: bytes, proof: Proof) -> bool:
+        """Return whether a factor explains crashes of other factors of its calls."""
+        needed = proof.by_part if is_part(digest) else proof.by_request
+        return _weight(self._records.get(digest)) >= needed
+
     def _max_weight_of_others(self, runner: str, without: Collection[bytes]) -> int:
         return max(
             (
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_records.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_records.py
@@ -63,6 +63,12 @@
             return dict.fromkeys(self.runners, self.last_ms)
         return dict(zip(self.runners, self.times_ms, strict=True))
 
+    def companions_by_runner(self) -> list[tuple[str, tuple[bytes, ...]]]:
+        """Return the companions for each of ``runners``, if they are known."""
+        missing = len(self.runners) - len(self.companions)
+        companions = (*self.companions, *((),) * missing)
+        return list(zip(self.runners, companions, strict=False))
+
     @property
     def is_shared(self) -> bool:
         """Return whether every node should have the record."""
@@ -304,9 +310,7 @@
 
 
 def _companions(record: CrashRecord) -> tuple[tuple[bytes, ...], ...]:
-    """Return the companions for each runner; records of older nodes have none."""
-    missing = len(record.runners) - len(record.companions)
-    return (*record.companions, *((),) * missing)[: len(record.runners)]
+    return tuple(listed for _, listed in record.companions_by_runner())
 
 
 def _union(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
@@ -48,8 +48,6 @@
 factors, and the calls that break with it are reported at about the same time."""
 NOTES_PER_NEWS = 4
 """Records in a datagram, which should not be split on the way."""
-NOTES_PER_GOSSIP = 2
-"""Records attached to each gossip probe and its reply."""
 MAX_SNAPSHOT_NOTES = 256
 """Records sent to a node that has just started."""
 
@@ -221,16 +219,13 @@
         return [self._to_note(*known) for known in shared[:MAX_SNAPSHOT_NOTES]]
 
     def next_gossip_notes(self) -> list[CrashNote]:
-        """Return a few records in rotation, at least one suspect, for one message."""
+        """Return the next suspect and the next record of any kind, for one message."""
         shared = list(self._records.records_to_share())
         suspects = [known for known in shared if known[1].crashes >= CRASHES_TO_SUSPECT]
         self._next_note_index += 1
         chosen = {
-            known[index % len(known)]
-            for known, index in (
-                (suspects, self._next_note_index),
-                (shared, self._next_note_index * (NOTES_PER_GOSSIP - 1)),
-            )
+            known[self._next_note_index % len(known)]
+            for known in (suspects, shared)
             if known
         }
         return [self._to_note(*known) for known in chosen]
@@ -302,7 +297,10 @@
     async def _clear_answered(self, runner: Runner) -> None:
         """Clear the factors of answered calls if their runner lives on."""
         await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
-        lives_on = await self._connection_pool.accepts_connection(runner)
+        connections = self._connection_pool.open_connections
+        lives_on = connections.is_any_open(runner.address, runner.port)
+        if not lives_on:
+            lives_on = await self._connection_pool.accepts_connection(runner)
         answered = self._answered_calls.pop(runner.lifetime)
         if not lives_on:
             return
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -667,8 +667,8 @@
     Mutation(
         "crashes explained by another call's factor count against a factor",
         f"{CORE_SOURCE}/edge/crash_judge.py",
-        "if other_weight > weight or not all(map(is_part, others)):",
-        "if not all(map(is_part, others)):",
+        "if other_weight > weight or not all(map(is_part, explaining)):",
+        "if not all(map(is_part, explaining)):",
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
     Mutation(
