Attach one crash record to every second gossip message

News by datagram stays as it was, gossip replaces what is lost of it. Crash scenarios of the edge pass.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
@@ -48,6 +48,10 @@
 factors, and the calls that break with it are reported at about the same time."""
 NOTES_PER_NEWS = 4
 """Records in a datagram, which should not be split on the way."""
+MESSAGES_PER_NOTE = 2
+"""Gossip messages, probes and replies, for each record that is attached to one."""
+NOTES_PER_OTHER = 4
+"""Attached records for each one that may be of a factor without several crashes."""
 MAX_SNAPSHOT_NOTES = 256
 """Records sent to a node that has just started."""
 
@@ -108,7 +112,7 @@
         self._answered_calls: dict[str, list[CrashFactors]] = {}
         """Factors of answered calls by the lifetime of a runner that is checked."""
         self._unsent_news: dict[bytes, None] = {}
-        self._next_note_index = 0
+        self._gossip_count = 0
         socket.handle(CrashReport, self._receive_report)
         socket.handle(CrashNews, self._receive_news)
 
@@ -219,16 +223,18 @@
         return [self._to_note(*known) for known in shared[:MAX_SNAPSHOT_NOTES]]
 
     def next_gossip_notes(self) -> list[CrashNote]:
-        """Return the next suspect and the next record of any kind, for one message."""
+        """Return the record to attach to a gossip message, in rotation, if any.
+
+        Every second message has one, mostly of a suspect.
+        """
+        self._gossip_count += 1
+        if self._gossip_count % MESSAGES_PER_NOTE:
+            return []
+        number = self._gossip_count // MESSAGES_PER_NOTE
         shared = list(self._records.records_to_share())
         suspects = [known for known in shared if known[1].crashes >= CRASHES_TO_SUSPECT]
-        self._next_note_index += 1
-        chosen = {
-            known[self._next_note_index % len(known)]
-            for known in (suspects, shared)
-            if known
-        }
-        return [self._to_note(*known) for known in chosen]
+        known = shared if number % NOTES_PER_OTHER == 0 else suspects or shared
+        return [self._to_note(*known[number % len(known)])] if known else []
 
     def drop_expired(self) -> None:
         """Drop the records of factors without a recent crash."""
