Prolong a quarantine once for calls that time out together, too

A runner that was silent for a second stayed out of use for seconds more where calls had reached it before it was quarantined: each that timed out doubled the quarantine, as calls without a connection did before.

Now a quarantined runner is quarantined anew only by a call after its quarantine.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_health.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_health.py
@@ -65,14 +65,18 @@
         if not self._table.is_current(runner):
             return
         if outcome is AttemptOutcome.NOT_SENT:
-            if not self._table.is_quarantined(runner.runner_id):
-                self._table.quarantine(runner.runner_id, now_ms=now_ms)
+            self._quarantine(runner, now_ms=now_ms)
             return
         tally = self._tally(runner, now_ms)
         tally = tally._replace(failures=tally.failures + 1)
         self._tallies[runner.lifetime] = tally
         share = tally.failures / (tally.failures + tally.successes)
         if tally.failures >= MIN_FAILURES and share > MAX_FAILURE_SHARE:
+            self._quarantine(runner, now_ms=now_ms)
+
+    def _quarantine(self, runner: Runner, *, now_ms: float) -> None:
+        """Quarantine a runner; one that is quarantined has failed these calls, too."""
+        if not self._table.is_quarantined(runner.runner_id):
             self._table.quarantine(runner.runner_id, now_ms=now_ms)
 
     def retain(self, live_lifetimes: set[str]) -> None:
--- a/packages/clementineyoke-core/tests/edge/runner_choice.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_choice.feature
@@ -47,6 +47,15 @@
     When "a" answers calls at 1000 ms as "ok, failed, ok, failed"
     Then calls are routed to all but "a"
 
+  Scenario: Calls that a silent runner has got time out one after the other
+    # Each of them would double the quarantine that the first connections led to, and the
+    # runner would be out of use for seconds after it goes on.
+    Given a pool of the runners a, b, c
+    When "a" refuses a connection at 1000 ms
+    And "a" answers calls at 1350 ms as "lost, lost, lost, lost"
+    And expired quarantines are ended at 1600 ms
+    Then calls are routed to all of them
+
   Scenario: A service that fails a seventh of some calls is not quarantined
     Given a pool of the runners a, b, c
     When "a" answers calls at 1000 ms as "ok, ok, ok, ok, ok, ok, failed, ok, ok, ok, ok, ok, ok, failed"
