--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
@@ -64,6 +64,13 @@
     broke_ms: float
 
 
+class AnsweredCall(NamedTuple):
+    """A call whose answer clears its factors if the runner lives on."""
+
+    factors: CrashFactors
+    answered_ms: float
+
+
 class CrashTracker:
     """Keeps the node's records of what runners had in common when they crashed.
 
@@ -109,8 +116,8 @@
         self._fault_reports = fault_reports
         self._metrics = metrics
         self._broken_calls: dict[str, list[BrokenCall]] = {}
-        self._answered_calls: dict[str, list[CrashFactors]] = {}
-        """Factors of answered calls by the lifetime of a runner that is checked."""
+        self._answered_calls: dict[str, list[AnsweredCall]] = {}
+        """Answered calls by the lifetime of their runner, which is being checked."""
         self._unsent_news: dict[bytes, None] = {}
         self._gossip_count = 0
         socket.handle(CrashReport, self._receive_report)
@@ -179,13 +186,12 @@
         They are cleared once it is known that the runner lives on.
         """
         factors = admitted.crash_factors
-        self._answered.record(
-            factors, lifetime=runner.lifetime, now_ms=self._timers.now_ms()
-        )
+        now_ms = self._timers.now_ms()
+        self._answered.record(factors, lifetime=runner.lifetime, now_ms=now_ms)
         if not any(self._records.get(digest).crashes for digest in factors.digests):
             return
         calls = self._answered_calls.setdefault(runner.lifetime, [])
-        calls.append(factors)
+        calls.append(AnsweredCall(factors, now_ms))
         if len(calls) == 1:
             self._tasks.spawn(self._clear_answered(runner), name="clear_answered")
 
@@ -310,9 +316,9 @@
         answered = self._answered_calls.pop(runner.lifetime)
         if not lives_on:
             return
-        for factors in answered:
+        for factors, answered_ms in answered:
             for digest in factors.digests:
-                self._clear(digest, factors.team, answered_ms=self._timers.now_ms())
+                self._clear(digest, factors.team, answered_ms=answered_ms)
 
     def _clear(self, digest: bytes, team: int, *, answered_ms: float) -> None:
         """Clear a factor here and at its home nodes, which tell all others.
