Count unexpected exceptions at the own interface, and fail fault runs by them

A request to the own interface that ended with an exception nobody expected was answered with 500, and only a traceback without its id told of it. It is logged (call_failed) and counted like one at the edge, and `make faults` fails if a node's log has one, as the soak does.

--- a/packages/clementineyoke-node/src/clementineyoke_node/caller_server.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/caller_server.py
@@ -49,6 +49,7 @@
             timers=io.timers,
             decisions=state.decisions,
             on_outcome=state.metrics.record_outcome,
+            on_unexpected_error=state.metrics.record_unexpected_error,
         )
         dispatcher = Dispatcher(
             broker=io.broker,
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/gate.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/gate.py
@@ -40,13 +40,16 @@
         timers: TimerService,
         decisions: DecisionRing,
         on_outcome: Callable[[str, float], None],
+        on_unexpected_error: Callable[[Exception], None] = lambda _: None,
     ) -> None:
+        """Create a gate; ``on_unexpected_error`` counts errors that nobody expects."""
         self._authenticator = authenticator
         self._limiter = limiter
         self._in_flight = in_flight
         self._timers = timers
         self._decisions = decisions
         self._on_outcome = on_outcome
+        self._on_unexpected_error = on_unexpected_error
         self.is_leaving = False
         """Set while the node drains: responses then close keep-alive connections."""
 
@@ -91,6 +94,14 @@
         except ConnectionError:
             self._decisions.record(Event.CALLER_GONE, request_id=request_id)
             raise
+        except Exception as error:
+            # The request may have run, and the 500 that aiohttp sends says nothing of
+            # that.
+            self._decisions.record(
+                Event.CALL_FAILED, request_id=request_id, reason=repr(error)
+            )
+            self._on_unexpected_error(error)
+            raise
         self._decisions.record(Event.ANSWERED, request_id=request_id)
         return Outcome.RAN.value, response
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -135,7 +135,7 @@
             self._decisions.record(
                 Event.CALL_FAILED, request_id=call.call_id, reason=repr(error)
             )
-            self._metrics.unexpected_errors.inc({"error": type(error).__name__})
+            self._metrics.record_unexpected_error(error)
             raise
 
     async def _serve(
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -166,3 +166,7 @@
         """Record a completed request."""
         self.requests.inc({"outcome": outcome})
         self.latency_s.observe({"outcome": outcome}, elapsed_ms / 1000)
+
+    def record_unexpected_error(self, error: Exception) -> None:
+        """Record a request that ended with an exception that nobody expected."""
+        self.unexpected_errors.inc({"error": type(error).__name__})
--- a/packages/clementineyoke-node/tests/callers/isolation.feature
+++ b/packages/clementineyoke-node/tests/callers/isolation.feature
@@ -121,3 +121,10 @@
     Given a node with simulated runners
     When a plain call is sent to "lockers/a%2Fb%3Fc%20d?x=%26y"
     Then the service received the path "/lockers/a%2Fb%3Fc%20d?x=%26y"
+
+  Scenario: A request ends with an exception that nobody expected
+    # The caller got 500, and only a traceback on standard error, without the request's
+    # id, told of it.
+    Given a node with simulated runners
+    When the search for an engine raises an exception during a chat
+    Then the caller gets 500, and the node logs and counts the chat as failed
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -399,3 +399,21 @@
 @then("the engine never ran more than {count:d} concurrently")
 def check_peak(context, count):
     assert 2 <= context.fleet.engines[0].peak_running <= count
+
+
+@when("the search for an engine raises an exception during a chat")
+def fail_search(context):
+    async def fail(request):
+        raise KeyError(request.pool)
+
+    context.fleet.node.io.broker.acquire = fail
+    context.response = context.run(context.fleet.chat())
+
+
+@then("the caller gets 500, and the node logs and counts the chat as failed")
+def check_failed_chat(context):
+    assert context.response[0] == 500, context.response
+    state = context.fleet.node.state
+    logged = list(state.decisions._encoded_decisions)
+    assert any(b'"call_failed"' in entry for entry in logged), logged
+    assert state.metrics.unexpected_errors.get({"error": "KeyError"}) == 1
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/demo/fleet_processes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/demo/fleet_processes.py
@@ -22,6 +22,7 @@
     node_settings,
     runner_hosts,
 )
+from clementineyoke_standins.failed_calls import find_failed_calls
 
 if TYPE_CHECKING:
     import signal
@@ -129,6 +130,16 @@
         line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
         return int(line.split()[1]) * 1024
 
+    def failed_calls(self) -> list[str]:
+        """Return the nodes' log lines of calls that ended unexpectedly."""
+        return [
+            line
+            for host in self.nodes
+            for line in find_failed_calls(
+                host["host"], (self._folder / f"{host['host']}.log").read_bytes()
+            )
+        ]
+
     async def wait_exited(self, name: str) -> int:
         """Wait for a process to exit and return its exit code.
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/faults/fault_run.py
@@ -67,13 +67,15 @@
     late_work: int
     reverted: int
     differences: list[str]
+    failed_calls: list[str]
+    """Log lines of calls that ended with an exception that nobody expected."""
 
     @property
     def is_clean(self) -> bool:
         """Whether no guarantee was violated."""
         violations = self.doubled + self.false_not_run + self.crossed
         violations += self.cut + self.late_work + self.reverted
-        return violations == 0 and not self.differences
+        return violations == 0 and not self.differences and not self.failed_calls
 
 
 class FaultRun:
@@ -197,6 +199,7 @@
             late_work=self._late_work,
             reverted=monitor.reverts,
             differences=await monitor.find_differences(race.accepted),
+            failed_calls=fleet.failed_calls(),
         )
 
     @property
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -11,13 +11,13 @@
 
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
 from clementineyoke_standins.console.skewed_edge import SKEW_VARIABLE
+from clementineyoke_standins.failed_calls import find_failed_calls
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 NODE_MODULE = "clementineyoke_standins.console.skewed_edge"
 STARTED_LINE = b'"node_started"'
-FAILED_CALL_LINE = b'"call_failed"'
 
 
 class NodeProcess:
@@ -103,12 +103,8 @@
 
     def failed_calls(self) -> list[str]:
         """Return the log lines of calls that ended with an unexpected exception."""
-        lines = self._log_path.read_bytes()[self._first_offset :].splitlines()
-        return [
-            f"{self.name}: {line.decode(errors='replace')}"
-            for line in lines
-            if FAILED_CALL_LINE in line
-        ]
+        log = self._log_path.read_bytes()[self._first_offset :]
+        return find_failed_calls(self.name, log)
 
     def record_unexpected_exit(self) -> None:
         """Record the exit of the process if nobody requested it."""
