Keep one entry for each crash of a record, and clear records in one place

No behaviour that callers see is meant to change. Dropping the crashes before an answer stood twice, with rules of its own for telling peers in reports; now reports and answers clear alike, so a shared record that a report shortens always outranks the longer one. A call that waited is judged once, not twice. crash_factors takes the request's digest instead of hashing its arguments. Unused: the size of AnsweredFactors, a second look whether there are records.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/admission.py
@@ -86,11 +86,7 @@
     def crash_factors(self) -> CrashFactors:
         """Return what may be the cause if the call's runner crashes."""
         return crash_factors(
-            team=self.team,
-            method=self.call.method,
-            target=self.call.target,
-            body=self.call.body,
-            prompt_parts=self.call.prompt_parts,
+            request=self.digest, team=self.team, prompt_parts=self.call.prompt_parts
         )
 
 
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/answered_factors.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/answered_factors.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable
 
     from clementineyoke_core.edge.crash_factors import CrashFactors
+    from clementineyoke_core.edge.crash_records import Crash
 
 MAX_ANSWERS = 4_096
 SURVIVAL_MS = 250.0
@@ -43,18 +43,19 @@
                 del self._answers[next(iter(self._answers))]
 
     def answered_ms(
-        self, digest: bytes, team: int, *, crashes_ms: Mapping[str, float]
+        self, digest: bytes, team: int, *, crashes: Iterable[Crash]
     ) -> float | None:
         """Return the time of the latest answer to a team's call with a factor, if any.
 
-        ``crashes_ms`` are the times at which runners crashed, by their lifetime.
+        An answer does not count if it came just before its runner crashed, which is
+        then one of ``crashes``.
         """
         answer = self._answers.get((digest, team))
         if answer is None:
             return None
-        crashed_ms = crashes_ms.get(answer.lifetime, inf)
-        has_survived = crashed_ms - answer.answered_ms >= SURVIVAL_MS
+        has_survived = all(
+            crash.crashed_ms - answer.answered_ms >= SURVIVAL_MS
+            for crash in crashes
+            if crash.runner == answer.lifetime
+        )
         return answer.answered_ms if has_survived else None
-
-    def __len__(self) -> int:
-        return len(self._answers)
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_factors.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_factors.py
@@ -6,7 +6,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, NamedTuple
 
-from clementineyoke_core.edge.request_digest import LENGTH_BYTES, request_digest
+from clementineyoke_core.edge.request_digest import LENGTH_BYTES
 from clementineyoke_core.hashing import hash_text
 
 if TYPE_CHECKING:
@@ -42,18 +42,13 @@
 
 
 def crash_factors(
-    *,
-    team: str | None,
-    method: str,
-    target: str,
-    body: bytes,
-    prompt_parts: Sequence[PromptPart],
+    *, request: bytes, team: str | None, prompt_parts: Sequence[PromptPart]
 ) -> CrashFactors:
-    """Return the factors of a request; the same on every node.
+    """Return the factors of a call; the same on every node.
 
-    The last part of a prompt belongs to the request or its chat alone.
+    ``request`` is the digest of the request. The last part of a prompt belongs to the
+    request or its chat alone.
     """
-    request = request_digest(team=team, method=method, target=target, body=body)
     ids = dict.fromkeys(part.part_id for part in prompt_parts[:-1])
     if len(ids) > MAX_PARTS:
         parts: tuple[bytes, ...] = (_digest(_LONG_PROMPT_DOMAIN, team or ""),)
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_judge.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_judge.py
@@ -99,15 +99,13 @@
         record = self._records.get(digest)
         if not _is_known(record, now_ms):
             return False
-        held = {digest}.union(*record.companions)
+        held = {digest}.union(*(crash.companions for crash in record.history))
         return record.last_ms + REFUSAL_MS > now_ms and self._is_cause(
             digest, held, TO_REFUSE
         )
 
     def _suspects(self, factors: CrashFactors) -> list[bytes]:
         """Return the factors of a call under which several runners have crashed."""
-        if self._records.is_empty:
-            return []
         return [
             digest
             for digest in factors.digests
@@ -125,7 +123,7 @@
         is_contested = False
         unexplained = 0
         narrower: Counter[bytes] = Counter()
-        for runner, companions in record.companions_by_runner():
+        for runner, _, companions in record.history:
             other_weight = self._max_weight_of_others(runner, {*held, *companions})
             is_contested |= other_weight >= max(CRASHES_TO_SUSPECT, weight - 1)
             explaining = [
@@ -178,5 +176,5 @@
     if record.crashes == CRASHES_TO_REFUSE:
         known_ms = record.last_ms + VERDICT_DELAY_MS
     if record.was_answered:
-        known_ms = max(known_ms, min(record.crashes_ms.values()) + MIN_SPAN_MS)
+        known_ms = max(known_ms, record.history[0].crashed_ms + MIN_SPAN_MS)
     return now_ms >= known_ms
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_records.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/crash_records.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterator
+    from collections.abc import Collection, Iterator, Mapping
 
 CRASHES_TO_SUSPECT = 2
 """Successive runners that crashed while running calls with one factor. A single crash
@@ -31,6 +31,16 @@
 Item = TypeVar("Item")
 
 
+class Crash(NamedTuple):
+    """A runner that crashed under calls with a factor."""
+
+    runner: str
+    """Lifetime of the runner."""
+    crashed_ms: float
+    companions: tuple[bytes, ...] = ()
+    """Other factors of these calls; empty if they are not known."""
+
+
 class CrashRecord(NamedTuple):
     """Crash history of one factor."""
 
@@ -38,16 +48,12 @@
     """How often the factor was cleared because a call with it was answered."""
     crashes: int = 0
     """Successive runners that have crashed under the factor since it was cleared."""
-    runners: tuple[str, ...] = ()
-    """Lifetimes of the latest of these runners."""
+    history: tuple[Crash, ...] = ()
+    """The latest of these crashes, the newest one last."""
     last_ms: float = 0.0
     """Monotonic time of the latest crash or, without one, of the clearing."""
-    companions: tuple[tuple[bytes, ...], ...] = ()
-    """For each of ``runners``, other factors of the calls with this factor on it."""
     teams: tuple[int, ...] = ()
     """Teams whose calls with the factor were on the runners; empty for any team."""
-    times_ms: tuple[float, ...] = ()
-    """When each of ``runners`` crashed; empty if only ``last_ms`` is known."""
     was_answered: bool = False
     """Whether calls with the factor were answered before the first of the crashes."""
 
@@ -57,17 +63,9 @@
         return self.clears, self.crashes
 
     @property
-    def crashes_ms(self) -> dict[str, float]:
-        """Return when each of ``runners`` crashed, but not earlier than that."""
-        if len(self.times_ms) < len(self.runners):
-            return dict.fromkeys(self.runners, self.last_ms)
-        return dict(zip(self.runners, self.times_ms, strict=True))
-
-    def companions_by_runner(self) -> list[tuple[str, tuple[bytes, ...]]]:
-        """Return the companions for each of ``runners``, if they are known."""
-        missing = len(self.runners) - len(self.companions)
-        companions = (*self.companions, *((),) * missing)
-        return list(zip(self.runners, companions, strict=False))
+    def runners(self) -> tuple[str, ...]:
+        """Return the lifetimes of the runners that crashed most recently."""
+        return tuple(crash.runner for crash in self.history)
 
     @property
     def is_shared(self) -> bool:
@@ -164,12 +162,8 @@
             record = _add_crash(known, lifetime, crashed_ms)
         record = _add_call(record, lifetime, companions, team)
         if answered_ms is not None:
-            record = record._replace(was_answered=True)
-            record = _drop_before(record, min(answered_ms, record.last_ms - 1.0))
-            if known.crashes >= CRASHES_TO_SUSPECT and record.crashes <= known.crashes:
-                # Nodes that have the longer record must not return to it.
-                is_shorter = record.runners[:1] != known.runners[:1]
-                record = record._replace(clears=known.clears + is_shorter)
+            until_ms = min(answered_ms, record.last_ms - 1.0)
+            record = _clear(record, until_ms, was_shared=known.is_shared)
         if record == known:
             return None
         self._put(digest, record, now_ms=crashed_ms)
@@ -187,14 +181,12 @@
         """
         known = self.get(digest)
         is_other_team = 0 < len(known.teams) < MAX_TEAMS and team not in known.teams
-        record = _drop_before(known, now_ms)
+        record = _clear(known, now_ms, was_shared=known.is_shared)
         if is_other_team or record.crashes == known.crashes:
             return None
-        if not known.is_shared and not record.crashes:
+        if not record.is_shared and not record.crashes:
             self._delete(digest)
             return None
-        if known.is_shared:
-            record = record._replace(clears=known.clears + 1)
         self._put(digest, record, now_ms=now_ms)
         return record if known.crashes >= CRASHES_TO_SUSPECT else None
 
@@ -205,10 +197,12 @@
             return False
         if record.rank == known.rank:
             # Two home nodes may have heard of different calls on the same runners.
-            merged = _add_calls(known, record)
-            if merged == known:
+            companions = {crash.runner: crash.companions for crash in record.history}
+            was_answered = known.was_answered or record.was_answered
+            record = _add_calls(known, companions, record.teams)
+            record = record._replace(was_answered=was_answered)
+            if record == known:
                 return False
-            record = merged
         self._put(digest, record, now_ms=now_ms)
         return True
 
@@ -257,30 +251,27 @@
 
 
 def _add_crash(record: CrashRecord, lifetime: str, crashed_ms: float) -> CrashRecord:
+    history = (*record.history, Crash(lifetime, crashed_ms))
     return record._replace(
         crashes=record.crashes + 1,
-        runners=(*record.runners, lifetime)[-MAX_NAMED_RUNNERS:],
+        history=history[-MAX_NAMED_RUNNERS:],
         last_ms=crashed_ms,
-        companions=(*_companions(record), ())[-MAX_NAMED_RUNNERS:],
-        times_ms=(*record.crashes_ms.values(), crashed_ms)[-MAX_NAMED_RUNNERS:],
     )
 
 
-def _drop_before(record: CrashRecord, answered_ms: float) -> CrashRecord:
-    """Return a record without the crashes before an answer."""
-    times_ms = tuple(record.crashes_ms.values())
-    kept = [index for index, time_ms in enumerate(times_ms) if time_ms > answered_ms]
-    if not kept:
-        return CrashRecord(clears=record.clears, last_ms=answered_ms, was_answered=True)
-    if len(kept) == len(record.runners):
-        return record
-    companions = _companions(record)
+def _clear(record: CrashRecord, answered_ms: float, *, was_shared: bool) -> CrashRecord:
+    """Return a record without the crashes before an answer.
+
+    Nodes that have a longer one do not return to it, as one more clear outranks it.
+    """
+    history = tuple(crash for crash in record.history if crash.crashed_ms > answered_ms)
+    if len(history) == len(record.history):
+        return record._replace(was_answered=True)
+    clears = record.clears + was_shared
+    if not history:
+        return CrashRecord(clears=clears, last_ms=answered_ms, was_answered=True)
     return record._replace(
-        crashes=len(kept),
-        was_answered=True,
-        runners=tuple(record.runners[index] for index in kept),
-        companions=tuple(companions[index] for index in kept),
-        times_ms=tuple(times_ms[index] for index in kept),
+        clears=clears, crashes=len(history), history=history, was_answered=True
     )
 
 
@@ -288,29 +279,29 @@
     record: CrashRecord, lifetime: str, companions: Collection[bytes], team: int | None
 ) -> CrashRecord:
     """Return the record with one more call on one of its runners."""
-    lists = list(_companions(record))
-    index = record.runners.index(lifetime)
-    lists[index] = _union(lists[index], companions, MAX_COMPANIONS)
-    teams = record.teams if team is None else _union(record.teams, (team,), MAX_TEAMS)
-    return record._replace(companions=tuple(lists), teams=teams)
-
-
-def _add_calls(known: CrashRecord, other: CrashRecord) -> CrashRecord:
-    """Return a record with the calls that another one of the same rank lists."""
-    by_runner = dict(zip(other.runners, _companions(other), strict=True))
-    companions = tuple(
-        _union(companions, by_runner.get(runner, ()), MAX_COMPANIONS)
-        for runner, companions in zip(known.runners, _companions(known), strict=True)
-    )
-    return known._replace(
-        companions=companions,
-        teams=_union(known.teams, other.teams, MAX_TEAMS),
-        was_answered=known.was_answered or other.was_answered,
-    )
+    teams = () if team is None else (team,)
+    return _add_calls(record, {lifetime: companions}, teams)
 
 
-def _companions(record: CrashRecord) -> tuple[tuple[bytes, ...], ...]:
-    return tuple(listed for _, listed in record.companions_by_runner())
+def _add_calls(
+    record: CrashRecord,
+    companions_by_runner: Mapping[str, Collection[bytes]],
+    teams: Collection[int],
+) -> CrashRecord:
+    """Return the record with more calls on its runners."""
+    history = tuple(
+        crash._replace(
+            companions=_union(
+                crash.companions,
+                companions_by_runner.get(crash.runner, ()),
+                MAX_COMPANIONS,
+            )
+        )
+        for crash in record.history
+    )
+    return record._replace(
+        history=history, teams=_union(record.teams, teams, MAX_TEAMS)
+    )
 
 
 def _union(
--- a/packages/clementineyoke-core/tests/steps/crash_fleet.py
+++ b/packages/clementineyoke-core/tests/steps/crash_fleet.py
@@ -12,7 +12,11 @@
 from clementineyoke_core.edge.answered_factors import AnsweredFactors
 from clementineyoke_core.edge.crash_factors import CrashFactors, is_part, part_digest
 from clementineyoke_core.edge.crash_judge import CrashJudge
-from clementineyoke_core.edge.crash_records import CRASHES_TO_SUSPECT, CrashRecords
+from clementineyoke_core.edge.crash_records import (
+    CRASHES_TO_SUSPECT,
+    Crash,
+    CrashRecords,
+)
 from clementineyoke_core.hash_ring import HashRing
 
 HOMES = 3
@@ -253,9 +257,9 @@
     def report(self, call, lifetime):
         answered = self.nodes[call.node].answered
         team = call.factors.team
-        crashes_ms = {lifetime: self.now_ms}
+        crashes = [Crash(lifetime, self.now_ms)]
         ages = {
-            digest: answered.answered_ms(digest, team, crashes_ms=crashes_ms)
+            digest: answered.answered_ms(digest, team, crashes=crashes)
             for digest in call.factors.digests
         }
         for home in {h for d in call.factors.digests for h in self.homes_of(d)}:
@@ -304,7 +308,7 @@
         if record.crashes >= CRASHES_TO_SUSPECT:
             for team in record.teams:
                 answered_ms = receiver.answered.answered_ms(
-                    digest, team, crashes_ms=record.crashes_ms
+                    digest, team, crashes=record.history
                 )
                 if answered_ms is not None:
                     self.clear_factor(node, digest, team, answered_ms)
--- a/packages/clementineyoke-core/tests/steps/crash_records_steps.py
+++ b/packages/clementineyoke-core/tests/steps/crash_records_steps.py
@@ -7,10 +7,12 @@
 from clementineyoke_core.edge.crash_judge import CrashJudge
 from clementineyoke_core.edge.crash_records import (
     CRASHES_TO_SUSPECT,
+    Crash,
     CrashRecord,
     CrashRecords,
 )
 from clementineyoke_core.edge.prompt_key import PromptPart
+from clementineyoke_core.edge.request_digest import request_digest
 
 
 @with_pattern(r'"[^"]+"(?:, "[^"]+")*')
@@ -55,7 +57,8 @@
 @when('a peer reports late that "{request}" crashed {runners}, the last at {last:d} ms')
 def peer_reports(context, request, runners, last):
     names = tuple(runners.split(", "))
-    record = CrashRecord(0, len(names), names, last)
+    history = tuple(Crash(name, last) for name in names)
+    record = CrashRecord(0, len(names), history, last)
     context.crash_records.merge(request.encode(), record, now_ms=last + 50)
 
 
@@ -113,11 +116,10 @@
 
 def call_factors(parts, *, team=TEAM, number=0):
     """Return the factors of a call that is alike to no other."""
+    body = b"body %d" % number
     return crash_factors(
+        request=request_digest(team=team, method="POST", target="/", body=body),
         team=team,
-        method="POST",
-        target="/",
-        body=b"body %d" % number,
         prompt_parts=[PromptPart(part, 1) for part in (*parts, f"own-{number}")],
     )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/crash_tracker.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.edge.crash_factors import is_part, part_digest
-from clementineyoke_core.edge.crash_records import CRASHES_TO_SUSPECT
+from clementineyoke_core.edge.crash_records import CRASHES_TO_SUSPECT, Crash
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_core.runner_state import RunnerState
@@ -130,20 +130,12 @@
             return
         left_ms = verdict.left_ms or await self._trials.wait_ms(verdict.digest)
         if left_ms:
-            raise self._refuse(admitted, verdict, left_ms, may_have_run=False)
+            raise self.refuse(admitted, verdict._replace(left_ms=left_ms))
 
-    def check_again(self, admitted: AdmittedCall, *, may_have_run: bool) -> None:
-        """Raise ``RequestError`` if a call has been refused since it arrived."""
+    def refusal(self, admitted: AdmittedCall) -> Verdict | None:
+        """Return for which factor a call is refused at present, or None."""
         verdict = self._verdict(admitted)
-        if verdict is not None and verdict.left_ms:
-            raise self._refuse(
-                admitted, verdict, verdict.left_ms, may_have_run=may_have_run
-            )
-
-    def refused_for_ms(self, admitted: AdmittedCall) -> float:
-        """Return for how many more milliseconds a call is refused, or 0."""
-        verdict = self._verdict(admitted)
-        return 0.0 if verdict is None else verdict.left_ms
+        return verdict if verdict is not None and verdict.left_ms else None
 
     def may_be_cause(self, admitted: AdmittedCall) -> bool:
         """Return whether a call is a likely cause of the crashes of several runners."""
@@ -252,13 +244,8 @@
             return None
         return self._judge.verdict(admitted.crash_factors, now_ms=self._timers.now_ms())
 
-    def _refuse(
-        self,
-        admitted: AdmittedCall,
-        verdict: Verdict,
-        left_ms: float,
-        *,
-        may_have_run: bool,
+    def refuse(
+        self, admitted: AdmittedCall, verdict: Verdict, *, may_have_run: bool = False
     ) -> RequestError:
         """Log the refusal of a call and return its error."""
         record = verdict.record
@@ -272,7 +259,7 @@
             crashes=record.crashes,
             runners=record.runners,
             last_age_ms=round(self._timers.now_ms() - record.last_ms),
-            left_ms=round(left_ms),
+            left_ms=round(verdict.left_ms),
         )
         return RequestError(
             status=502 if may_have_run else 503,
@@ -283,7 +270,7 @@
                 if kind == "request"
                 else f"{record.crashes} runners ended under a part of this prompt"
             ),
-            retry_after_ms=round(left_ms),
+            retry_after_ms=round(verdict.left_ms),
         )
 
     async def _probe_runner(self, runner: Runner) -> None:
@@ -364,8 +351,9 @@
 
     def _answered_age_ms(self, digest: bytes, call: BrokenCall, runner: Runner) -> int:
         """Return one more than the time since an answer with a factor, or 0."""
+        crash = Crash(runner.lifetime, call.broke_ms)
         answered_ms = self._answered.answered_ms(
-            digest, call.factors.team, crashes_ms={runner.lifetime: call.broke_ms}
+            digest, call.factors.team, crashes=[crash]
         )
         if answered_ms is None:
             return 0
@@ -418,7 +406,7 @@
             return
         for team in record.teams:
             answered_ms = self._answered.answered_ms(
-                digest, team, crashes_ms=record.crashes_ms
+                digest, team, crashes=record.history
             )
             if answered_ms is not None:
                 self._clear(digest, team, answered_ms=answered_ms)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -354,11 +354,14 @@
 
         Raises ``RequestError`` for such a call if its stream has not started.
         """
-        if not self._crash_tracker.refused_for_ms(admitted):
+        refusal = self._crash_tracker.refusal(admitted)
+        if refusal is None:
             return False
         self._broker.record_unused(lease)
         if not stream.has_started:
-            self._crash_tracker.check_again(admitted, may_have_run=ledger.may_have_run)
+            raise self._crash_tracker.refuse(
+                admitted, refusal, may_have_run=ledger.may_have_run
+            )
         return True
 
     def _check_level(self, admitted: AdmittedCall) -> None:
@@ -502,9 +505,9 @@
         if ledger.may_have_run:
             status = 504 if is_late else 502
             outcome = Outcome.UNKNOWN
-            retry_after_ms = max(
-                FAILED_RETRY_MS, round(self._crash_tracker.refused_for_ms(admitted))
-            )
+            refusal = self._crash_tracker.refusal(admitted)
+            refused_ms = 0.0 if refusal is None else refusal.left_ms
+            retry_after_ms = max(FAILED_RETRY_MS, round(refused_ms))
         else:
             status = 503
             outcome = Outcome.NOT_RUN
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -12,6 +12,7 @@
     MAX_COMPANIONS,
     MAX_NAMED_RUNNERS,
     MAX_TEAMS,
+    Crash,
     CrashRecord,
 )
 from clementineyoke_core.edge.node_capacity import MAX_CALLS_PER_S
@@ -160,7 +161,7 @@
         "crashes": record.crashes,
         "runners": list(record.runners),
         "endedAt": ended_at_ms,
-        "companions": [[c.hex() for c in listed] for listed in record.companions],
+        "companions": [[c.hex() for c in crash.companions] for crash in record.history],
         "teams": list(record.teams),
         "wasAnswered": record.was_answered,
     }
@@ -174,10 +175,13 @@
     spec = _decode(entry, _CrashSpec, step="decode_crash")
     try:
         digest = _decode_digest(entry.name)
-        companions = [
-            tuple(_decode_digest(text) for text in listed[:MAX_COMPANIONS])
-            for listed in spec.companions
-        ]
+        runners = spec.runners[:MAX_NAMED_RUNNERS]
+        # Entries of an earlier release have no companions.
+        companions = [*spec.companions, *([[]] * len(runners))]
+        history = tuple(
+            Crash(runner, 0.0, tuple(map(_decode_digest, listed[:MAX_COMPANIONS])))
+            for runner, listed in zip(runners, companions, strict=False)
+        )
         for team in spec.teams:
             _check_range(team, 0, MAX_UINT64)
         _check_range(spec.crashes, 1, MAX_UINT32)
@@ -190,8 +194,7 @@
     age_ms = min(MAX_UINT32, max(0, wall_ms - spec.ended_at))
     record = CrashRecord(
         crashes=spec.crashes,
-        runners=tuple(spec.runners[:MAX_NAMED_RUNNERS]),
-        companions=tuple(companions[:MAX_NAMED_RUNNERS]),
+        history=history,
         teams=tuple(spec.teams[:MAX_TEAMS]),
         was_answered=spec.was_answered,
     )
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/work_slopes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/capacity/work_slopes.py
@@ -10,7 +10,7 @@
 from clementineyoke_core.edge.crash_judge import CrashJudge
 from clementineyoke_core.edge.crash_records import MAX_RECORDS, CrashRecords
 from clementineyoke_core.edge.prompt_key import PromptPart
-from clementineyoke_core.edge.request_digest import DIGEST_BYTES
+from clementineyoke_core.edge.request_digest import DIGEST_BYTES, request_digest
 from clementineyoke_core.hash_ring import HashRing
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.mean_load import MeanLoadEstimator
@@ -145,13 +145,10 @@
 
     def operation() -> None:
         for number in range(count):
-            factors = crash_factors(
-                team="team",
-                method="POST",
-                target=f"/path/{number}",
-                body=body,
-                prompt_parts=prompt,
+            request = request_digest(
+                team="team", method="POST", target=f"/path/{number}", body=body
             )
+            factors = crash_factors(request=request, team="team", prompt_parts=prompt)
             judge.verdict(factors, now_ms=2_000.0)
 
     return _measure_cpu_s(operation)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -639,14 +639,14 @@
     Mutation(
         "an answer does not clear a crash record",
         f"{CORE_SOURCE}/edge/crash_records.py",
-        "record = _drop_before(known, now_ms)",
+        "record = _clear(known, now_ms, was_shared=known.is_shared)",
         "record = known",
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
     Mutation(
         "an answer that a crash's report tells of does not clear a crash record",
         f"{CORE_SOURCE}/edge/crash_records.py",
-        "record = _drop_before(record, min(answered_ms, record.last_ms - 1.0))",
+        "record = _clear(record, until_ms, was_shared=known.is_shared)",
         "pass",
         f"{CORE_EDGE_TESTS}/crash_records.feature",
     ),
