--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,6 +6,7 @@
 import sys
 from collections import Counter
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
@@ -22,7 +23,10 @@
     run_case,
     send_request,
 )
-from standins import Runner, answer_fields  # noqa: E402
+from streams import encode_chunk, encode_piece, stream_head  # noqa: E402
+
+if TYPE_CHECKING:
+    from standins import Runner
 
 ROUTE = {
     "name": "r-fi6y7z5",
@@ -57,17 +61,6 @@
 _seen: Counter[str] = Counter()
 
 
-def _stream_head(status: str, request: Message) -> bytes:
-    fields = [*answer_fields(request), ("Content-Type", "text/event-stream")]
-    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in fields)]
-    lines.append("Transfer-Encoding: chunked")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def _fails(runner: Runner) -> bool:
     """Return whether a runner fails its present request: an even share of them."""
     if not has_trouble() or runner.runner_id != GREY_RUNNER:
@@ -86,13 +79,13 @@
     """
     await asyncio.sleep(PIECE_INTERVAL_S)
     if _fails(runner):
-        head = _stream_head("503 Service Unavailable", request)
-        writer.write(head + _chunk(FAILURE) + LAST_CHUNK)
+        head = stream_head("503 Service Unavailable", request)
+        writer.write(head + encode_chunk(FAILURE) + LAST_CHUNK)
         await writer.drain()
         return
-    writer.write(_stream_head("200 OK", request))
+    writer.write(stream_head("200 OK", request))
     for number in range(1, PIECES + 1):
-        writer.write(_chunk(f"id: {number}\ndata: piece {number}\n\n".encode()))
+        writer.write(encode_chunk(encode_piece(number)))
         await writer.drain()
         await asyncio.sleep(PIECE_INTERVAL_S)
     writer.write(LAST_CHUNK)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -160,11 +160,18 @@
         self.port = port
         self.runs: list[Run] = []
         self._answer = answer
+        self._channels: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Open the runner's port."""
         self.server = await serve(self._handle, self.host, self.port)
 
+    def crash(self) -> None:
+        """Close the port and reset all channels, as the end of a process does."""
+        self.server.close()
+        for writer in self._channels:
+            writer.transport.abort()
+
     def entry(self, zone: str, *, slots: int, is_engine: bool) -> dict[str, Any]:
         """Return the runner's entry in the store."""
         models = [{"name": "m", "version": 1, "adapters": []}] if is_engine else []
@@ -182,6 +189,7 @@
         }
 
     async def _handle(self, request: Message, writer: asyncio.StreamWriter) -> None:
+        self._channels.add(writer)
         if request.target == "/healthz":
             fields = [("X-Instance-Id", self.runner_id)]
             writer.write(encode("HTTP/1.1 200 OK", fields))
