--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,138 +1,169 @@
-"""REFUSED: a stream that ran and failed is answered with 503, "not run"."""
+"""RECOVER: with one unreadable entry in the store no node serves after a restart."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
-from collections import Counter
+import time
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from http_wire import LAST_CHUNK, Message  # noqa: E402
+from http_wire import Message, encode  # noqa: E402
 from scenario import (  # noqa: E402
     SERVICE,
     Deployment,
     Received,
     Record,
     has_trouble,
-    prompt_fields,
     request_fields,
     run_case,
     send_request,
 )
-from streams import encode_chunk, encode_piece, stream_head  # noqa: E402
+from standins import Runner, answer_fields  # noqa: E402
 
 if TYPE_CHECKING:
-    from standins import Runner
+    from collections.abc import Sequence
 
 ROUTE = {
-    "name": "r-fi6y7z5",
+    "name": "r-puxa403",
     "hostname": "ficu95.example",
-    "pathPrefix": "/pufi791/",
-    "kind": "streaming",
-    "timeoutMs": 12000,
+    "pathPrefix": "/puxa403/",
+    "kind": "non_idempotent",
+    "timeoutMs": 800,
     "targetLatencyMs": 400,
-    "priority": 0,
+    "priority": 2,
     "service": SERVICE,
     "maxAttempts": 1,
     "public": False,
-    "sticky": True,
-    "resumable": False,
-    "gapAimMs": 400,
 }
-RUNNERS = 5
-GREY_RUNNER = "i-0"
-"""One of five. The site has days on which all runners of a service are grey."""
-GREY_SHARE = 0.45
-"""Share of its requests that the grey runner fails, x of srv_grey in the site file."""
-REQUESTS = 60
-INTERVAL_S = 0.1
-TROUBLE_S = REQUESTS * INTERVAL_S
-"""6 s; srv_grey lasts 6.5 s in the site file."""
-PIECES = 12
-PIECE_INTERVAL_S = 0.05
-BUDGET_MS = 12_000
-PROMISES = (429, 503)
-FAILURE = b'event: error\ndata: {"error": "out of memory"}\n\n'
-
-_seen: Counter[str] = Counter()
-
-
-def _fails(runner: Runner) -> bool:
-    """Return whether a runner fails its present request: an even share of them."""
-    if not has_trouble() or runner.runner_id != GREY_RUNNER:
-        return False
-    _seen[runner.runner_id] += 1
-    count = _seen[runner.runner_id]
-    return int(count * GREY_SHARE) > int((count - 1) * GREY_SHARE)
+RUNNERS = 4
+BUDGET_MS = 1_500
+WORK_S = 0.05
+INTERVAL_S = 0.04
+FOREIGN_ENTRY = {"service": SERVICE, "address": "\ud800", "note": "another writer's"}
+"""A field of it is no text: half of a surrogate pair, which JSON writes as \\ud800."""
+FOREIGN_AT_S = 3.0
+DRAINING_AT_S = 8.0
+"""Longer than stableWindowMs after the foreign entry."""
+DRAIN_WITHIN_S = 2.0
+LINGER_S = 3.0
+"""How much longer than that the runner serves: "a little longer (at times many
+seconds)"."""
+KILLED_AT_S = 15.0
+DOWN_S = 0.5
+RECOVERY_S = 12.0
+MEASURED_S = 4.0
+MIN_SHARE = 0.25
+
+_leaving: set[str] = set()
 
 
 async def answer(
     runner: Runner, request: Message, writer: asyncio.StreamWriter
 ) -> None:
-    """Answer with a stream; a grey runner fails while it works on the prompt.
-
-    It doesn't say that it did not run the request, as it has begun to.
-    """
-    await asyncio.sleep(PIECE_INTERVAL_S)
-    if _fails(runner):
-        head = stream_head("503 Service Unavailable", request)
-        writer.write(head + encode_chunk(FAILURE) + LAST_CHUNK)
-        await writer.drain()
-        return
-    writer.write(stream_head("200 OK", request))
-    for number in range(1, PIECES + 1):
-        writer.write(encode_chunk(encode_piece(number)))
-        await writer.drain()
-        await asyncio.sleep(PIECE_INTERVAL_S)
-    writer.write(LAST_CHUNK)
+    """Answer after some work; a leaving runner also ends the channel."""
+    await asyncio.sleep(WORK_S)
+    fields = answer_fields(request)
+    if runner.runner_id in _leaving:
+        fields.append(("Connection", "close"))
+    writer.write(encode("HTTP/1.1 200 OK", fields, b"x" * 800))
     await writer.drain()
+    if runner.runner_id in _leaving:
+        writer.close()
+
+
+def _served(answers: Sequence[Received]) -> int:
+    return sum(a.status == 200 and a.is_complete for a in answers)
 
 
 async def case(record: Record) -> list[str]:
-    """Send streams that may run once, and look for promises that were not kept."""
+    """Write the entry, let a runner leave, kill all nodes, and see who is served."""
     async with Deployment(
-        net=81, routes=[ROUTE], runners=RUNNERS, answer=answer
+        net=87, routes=[ROUTE], runners=RUNNERS, answer=answer
     ) as deployment:
-        addresses = await deployment.resolve(deployment.fleet.nodes[0])
+        store, nodes = deployment.store, deployment.fleet.nodes
+        addresses = await deployment.resolve(nodes[0])
+        started_s = time.monotonic()
+        tasks: list[tuple[float, asyncio.Task[Received]]] = []
 
         async def request(number: int) -> Received:
             attempt_id = f"a{number:015x}"
-            fields = request_fields(attempt_id, BUDGET_MS) + prompt_fields(number)
             address = addresses[number % len(addresses)]
-            record.add("sent", id=attempt_id, to=address)
+            fields = request_fields(attempt_id, BUDGET_MS)
             received = await send_request(
-                address, "/pufi791/2f", fields, b"x" * 830, timeout_s=13.0
+                address, f"/puxa403/{number}", fields, b"x" * 600, timeout_s=2.0
             )
             record.add(
-                "answered",
+                "request",
                 id=attempt_id,
+                to=address,
                 status=received.status,
-                complete=received.is_complete,
                 ran_on=deployment.runs_of(attempt_id),
             )
             return received
 
-        tasks = []
-        for number in range(REQUESTS):
-            tasks.append(asyncio.ensure_future(request(number)))
-            await asyncio.sleep(INTERVAL_S)
-        answers = await asyncio.gather(*tasks)
-        served = sum(a.status == 200 and a.is_complete for a in answers)
-        record.add("served", count=served, of=len(answers))
-        if served < REQUESTS // 4:
-            message = f"only {served} of {REQUESTS} requests were served"
-            raise RuntimeError(message)
-        return [
-            f"{a.attempt_id} was answered {a.status} and ran on "
-            f"{deployment.runs_of(a.attempt_id)}"
-            for a in answers
-            if a.status in PROMISES and deployment.runs_of(a.attempt_id)
+        async def send_until(end_s: float) -> None:
+            while time.monotonic() < started_s + end_s:
+                at_s = time.monotonic() - started_s
+                tasks.append((at_s, asyncio.ensure_future(request(len(tasks)))))
+                await asyncio.sleep(INTERVAL_S)
+
+        async def answers(from_s: float, until_s: float) -> list[Received]:
+            return [await task for at_s, task in tasks if from_s <= at_s < until_s]
+
+        await send_until(FOREIGN_AT_S)
+        if has_trouble():
+            store.put("servers", "x-0", FOREIGN_ENTRY)
+            record.add("foreign entry", name="servers/x-0")
+        await send_until(DRAINING_AT_S)
+        leaving = max(deployment.runners, key=lambda r: len(r.runs))
+        entry = leaving.entry(deployment.zones[0], slots=64, is_engine=True)
+        zone = deployment.zones[deployment.runners.index(leaving) % 3]
+        _leaving.add(leaving.runner_id)
+        store.put(
+            "servers",
+            leaving.runner_id,
+            {**entry, "zone": zone, "state": "draining", "seq": 1},
+        )
+        confirmed_s = time.monotonic()
+        record.add("draining, confirmed by the store", runner=leaving.runner_id)
+        await send_until(DRAINING_AT_S + DRAIN_WITHIN_S + LINGER_S)
+        leaving.crash()
+        store.remove("servers", leaving.runner_id)
+        record.add("exits", runner=leaving.runner_id)
+        late = [
+            run.request.get("X-Attempt-Id")
+            for run in leaving.runs
+            if run.at_s > confirmed_s + DRAIN_WITHIN_S
         ]
+        record.add("also DRAIN: reached it later than drainMs", requests=late)
+        await send_until(KILLED_AT_S)
+        before = await answers(KILLED_AT_S - MEASURED_S, KILLED_AT_S)
+        record.add("served before the fault", share=f"{_served(before)}/{len(before)}")
+        if _served(before) < MIN_SHARE * len(before):
+            message = "less than a quarter of the requests was served before the fault"
+            raise RuntimeError(message)
+        for node in nodes:
+            node.send(signal.SIGKILL)
+            await node.wait(5.0)
+        record.add("all nodes killed")
+        await asyncio.sleep(DOWN_S)
+        await deployment.fleet.start()
+        record.add("all nodes started")
+        await asyncio.sleep(RECOVERY_S)
+        from_s = time.monotonic() - started_s
+        await send_until(from_s + MEASURED_S)
+        after = await answers(from_s, from_s + MEASURED_S)
+        share = f"{_served(after)}/{len(after)}"
+        record.add("served later than recoveryS after the nodes were back", share=share)
+        if _served(after) >= MIN_SHARE * len(after):
+            return []
+        return [f"{share} requests are served later than recoveryS after the fault"]
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, case, limit_s=100.0)
+    run_case(FOLDER, case, limit_s=110.0)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -80,6 +80,8 @@
     async def start(self) -> None:
         """Write the settings and start the process."""
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["node"]
+        if self._process is not None:
+            self._log.close()
         settings = self._folder / f"{self.name}.conf"
         template = (ROOT / role["template"]).read_text()
         settings.write_text(render(template, self.fields))
