--- a/review/common/scenario.py
+++ b/review/common/scenario.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import signal
 import sys
 import time
 import traceback
@@ -220,12 +221,17 @@
     record = Record(folder / "record.txt")
 
     async def limited() -> list[str]:
+        task = asyncio.current_task()
+        if task is not None:
+            # A script that is stopped ends its nodes as well.
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return list(await case(record))
 
     try:
         broken = asyncio.run(limited())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.add("the case could not run")
         record.write()
         traceback.print_exc()
