Tell why a stream was cut, when the loop stood still, and keep warnings in a full pipe

No logic of calls changes. The stand-in runner can fall silent without breaking off, for the test to come.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -177,6 +177,7 @@
                 peer=runner.runner_id,
                 reason="a stream without the runner's proof",
             )
+        stream.active_ms = self._timers.now_ms()
         await stream.start(response.head, is_leaving=self._membership.is_leaving)
         on_begin = partial(self._record_begin, admitted, runner, stream)
         is_first = True
@@ -193,7 +194,7 @@
                 is_first = False
                 self._record_holder(admitted, runner)
                 self._record_resumption(stream, runner)
-            received_ms = self._timers.now_ms()
+            received_ms = stream.active_ms = self._timers.now_ms()
             events = await stream.write_chunk(chunk, on_begin=on_begin)
             stream.pace.record(
                 events, received_ms=received_ms, written_ms=self._timers.now_ms()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
@@ -13,6 +13,9 @@
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.attempt_error import AttemptError
+    from clementineyoke_node.edge.caller_stream import CallerStream
+    from clementineyoke_node.edge.cut_cause import CutCause
+    from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
 
@@ -23,9 +26,12 @@
 class CallLog:
     """Records the decisions on a call that the forwarder takes."""
 
-    def __init__(self, *, decisions: DecisionRing, timers: TimerService) -> None:
+    def __init__(
+        self, *, decisions: DecisionRing, timers: TimerService, metrics: Metrics
+    ) -> None:
         self._decisions = decisions
         self._timers = timers
+        self._metrics = metrics
 
     def record_route(
         self,
@@ -122,13 +128,30 @@
             after_ms=self._age_ms(admitted),
         )
 
-    def record_cut(self, admitted: AdmittedCall, *, reason: str, events: int) -> None:
-        """Record that a stream was aborted after some events."""
+    def record_cut(
+        self,
+        admitted: AdmittedCall,
+        stream: CallerStream,
+        *,
+        cause: CutCause,
+        reason: str,
+        runners_used: int,
+    ) -> None:
+        """Record that a stream was aborted after it had begun.
+
+        ``reason`` is that of its last failure, ``cause`` why it could not go on.
+        """
+        self._metrics.answers_cut.inc({"pool": admitted.pool, "cause": cause.value})
         self._decisions.record(
             Event.ANSWER_CUT,
             request_id=admitted.call.call_id,
+            cause=cause.value,
             reason=reason,
-            events=events,
+            events=stream.sent_event_count,
+            silent_ms=round(self._timers.now_ms() - stream.active_ms),
+            runners_used=runners_used,
+            max_runners=admitted.route.max_runners,
+            version=admitted.version,
             after_ms=self._age_ms(admitted),
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -29,6 +29,8 @@
         self.sent_event_count = 0
         self.version: str | None = None
         """Software version of the runner that produced its events, None if unknown."""
+        self.active_ms = 0.0
+        """Time of the last data from a runner, or of the start."""
         self.pace = EventPace()
         """Pace of the runner that sends the stream at present."""
         self.body_end = BodyEnd.CHUNKS
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -439,6 +439,7 @@
             ),
             timers=self.timers,
             decisions=state.decisions,
+            metrics=state.metrics,
             count_nodes=lambda: len(state.membership.alive()),
             random_key=lambda: state.rng.getrandbits(RANDOM_KEY_BITS),
             cap_factor=config.cap_factor,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -18,6 +18,7 @@
 from clementineyoke_node.edge.peer_state_exchange import STATE_PATH
 from clementineyoke_node.node_state import NodeState
 from clementineyoke_node.platform import names
+from clementineyoke_node.timers.loop_monitor import LoopMonitor
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -82,6 +83,7 @@
         await self._serve_control()
         self._callers = await self._serve(self._caller_application(), [config.front])
         await self._stack.enter_async_context(self.io)
+        LoopMonitor(timers=self.io.timers, metrics=self.state.metrics).subscribe()
         log_event(
             Event.NODE_STARTED, node=config.node_id, zone=config.availability_zone
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -20,6 +20,7 @@
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.call_log import CallLog, describe_caller
 from clementineyoke_node.edge.caller_stream import CallerStream
+from clementineyoke_node.edge.cut_cause import CutCause
 from clementineyoke_node.edge.response_checks import MIN_REDIRECT_STATUS
 from clementineyoke_node.edge.return_policy import FixedReturns
 from clementineyoke_node.slots.slot_request import SlotRequest
@@ -44,6 +45,7 @@
     from clementineyoke_node.edge.runner_response import CompleteResponse
     from clementineyoke_node.edge.stream_registry import StreamRegistry
     from clementineyoke_node.edge.token_accounting import TokenAccounting
+    from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
@@ -81,6 +83,7 @@
         retry_window: RetryWindow,
         timers: TimerService,
         decisions: DecisionRing,
+        metrics: Metrics,
         count_nodes: Callable[[], int],
         random_key: Callable[[], int],
         cap_factor: float,
@@ -111,7 +114,7 @@
         self._crash_tracker = crash_tracker
         self._retry_window = retry_window
         self._timers = timers
-        self._call_log = CallLog(decisions=decisions, timers=timers)
+        self._call_log = CallLog(decisions=decisions, timers=timers, metrics=metrics)
         self._count_nodes = count_nodes
         self._random_key = random_key
         self._cap_factor = cap_factor
@@ -155,15 +158,19 @@
                 return await self._forward_to_peer(request, admitted, ledger, stream)
             lease = await self._acquire_slot(admitted, ledger, stream)
             if lease is None:
+                reason, cause = "no runner has a free slot", CutCause.NO_SLOT
                 return self._abort_stream(
-                    admitted, stream, reason="no runner has a free slot"
+                    admitted, ledger, stream, cause=cause, reason=reason
                 )
             runner = lease.runner
             started_ms = self._timers.now_ms()
             with self._broker.holding(lease):
                 if self._is_refused(admitted, ledger, lease, stream):
                     reason = "runners end under such calls"
-                    return self._abort_stream(admitted, stream, reason=reason)
+                    cause = CutCause.CRASHES_RUNNERS
+                    return self._abort_stream(
+                        admitted, ledger, stream, cause=cause, reason=reason
+                    )
                 try:
                     response = await self._attempt_executor.execute(
                         admitted,
@@ -196,8 +203,9 @@
                     if response is None or response.head.status < MIN_ERROR_STATUS:
                         self._returns.record_answer(admitted, granted_ms=started_ms)
                     return self._complete(admitted, stream, response)
-            if not self._may_retry(admitted, ledger, failure):
-                return self._fail(admitted, ledger, stream, failure)
+            denial = self._spend_retry(admitted, ledger, failure)
+            if denial is not None:
+                return self._fail(admitted, ledger, stream, failure, denial)
             if failure.is_silence:
                 await self._reach_monitor.settle(admitted.pool)
 
@@ -227,16 +235,23 @@
                 self._call_log.record_forward_failure(admitted, error)
                 if error.outcome is AttemptOutcome.LOST:
                     ledger.record(error.peer, error.outcome)
-                    return self._fail(admitted, ledger, stream, error)
+                    cause = CutCause.PEER_FAILED
+                    return self._fail(admitted, ledger, stream, error, cause)
                 continue
             if response is None:
                 return self._complete(admitted, stream, None)
             if stream.has_started:
                 reason = f"a peer answered {response.head.status} to its resumption"
-                return self._abort_stream(admitted, stream, reason=reason)
+                cause = CutCause.PEER_FAILED
+                return self._abort_stream(
+                    admitted, ledger, stream, cause=cause, reason=reason
+                )
             return self._complete(admitted, stream, response)
         if stream.has_started:
-            return self._abort_stream(admitted, stream, reason="no peer resumes it")
+            reason, cause = "no peer resumes it", CutCause.NO_PEER
+            return self._abort_stream(
+                admitted, ledger, stream, cause=cause, reason=reason
+            )
         raise RequestError(
             status=502 if ledger.may_have_run else 503,
             outcome=Outcome.UNKNOWN if ledger.may_have_run else Outcome.NOT_RUN,
@@ -474,20 +489,23 @@
             admitted.pool, node_count=self._count_nodes(), now_ms=self._timers.now_ms()
         )
 
-    def _may_retry(
+    def _spend_retry(
         self, admitted: AdmittedCall, ledger: AttemptLedger, failure: AttemptError
-    ) -> bool:
+    ) -> CutCause | None:
+        """Return None if a call may go to another runner, or what forbids it."""
         now_ms = self._timers.now_ms()
-        if admitted.deadline_ms <= now_ms or not ledger.may_retry():
-            return False
+        if admitted.deadline_ms <= now_ms:
+            return CutCause.NO_TIME
+        if not ledger.may_retry():
+            return CutCause.RUNNERS_USED
         if failure.is_connection_lost and self._crash_tracker.may_be_cause(admitted):
             # Other runners crashed during this request, and probably this one did too.
-            return False
-        if not ledger.sends:
-            return True
-        return self._retry_window.try_spend(
+            return CutCause.CRASHES_RUNNERS
+        if not ledger.sends or self._retry_window.try_spend(
             admitted.pool, node_count=self._count_nodes(), now_ms=now_ms
-        )
+        ):
+            return None
+        return CutCause.RETRY_BUDGET
 
     def _fail(
         self,
@@ -495,10 +513,13 @@
         ledger: AttemptLedger,
         stream: CallerStream,
         failure: AttemptError,
+        cause: CutCause,
     ) -> web.StreamResponse:
         """Abort the stream, return the runner's error response, or raise an error."""
         if stream.has_started:
-            return self._abort_stream(admitted, stream, reason=failure.reason)
+            return self._abort_stream(
+                admitted, ledger, stream, cause=cause, reason=failure.reason
+            )
         if failure.response is not None:
             return self._complete(admitted, stream, failure.response)
         is_late = admitted.deadline_ms <= self._timers.now_ms()
@@ -537,11 +558,17 @@
         return response
 
     def _abort_stream(
-        self, admitted: AdmittedCall, stream: CallerStream, *, reason: str
+        self,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        stream: CallerStream,
+        *,
+        cause: CutCause,
+        reason: str,
     ) -> web.StreamResponse:
         """Abort a stream that has started and cannot be completed."""
         self._call_log.record_cut(
-            admitted, reason=reason, events=stream.sent_event_count
+            admitted, stream, cause=cause, reason=reason, runners_used=ledger.sends
         )
         return stream.abort()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -38,6 +38,16 @@
             "Streams that went on at a runner, by pool, source and match of versions.",
             registry=self.registry,
         )
+        self.answers_cut = Counter(
+            "clementineyoke_answers_cut_total",
+            "Streams cut off after they had begun, by pool and cause.",
+            registry=self.registry,
+        )
+        self.loop_stalled_ms = Counter(
+            "clementineyoke_loop_stalled_milliseconds_total",
+            "Time for which the event loop stood still.",
+            registry=self.registry,
+        )
         self.stream_lookups = Counter(
             "clementineyoke_stream_lookups_total",
             "Resumed streams by whether their version was found.",
--- a/packages/clementineyoke-node/tests/edge/streams.feature
+++ b/packages/clementineyoke-node/tests/edge/streams.feature
@@ -39,3 +39,4 @@
     And the next 2 calls are answered as "cut"
     When the same "streaming" request is sent as "first" and as "second"
     Then both are explained as cut and not as answered, with the same digest
+    And 2 cuts are counted under "runners_used"
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -14,6 +14,7 @@
 from clementineyoke_standins.edge.edge_runner import EdgeRunner
 from clementineyoke_standins.edge.edge_store import EdgeStore
 from clementineyoke_standins.edge.written_specs import (
+    SLOTS,
     route_spec,
     runner_spec,
     state_spec,
@@ -59,6 +60,7 @@
         settings=None,
         has_own_sources=False,
         versions=("v1",),
+        slots=SLOTS,
     ):
         self.store = EdgeStore()
         self.runners = [
@@ -75,6 +77,8 @@
         """Settings of the nodes in addition to the usual ones."""
         self.has_own_sources = has_own_sources
         """Whether runners can tell the nodes apart by their addresses."""
+        self.slots = slots
+        """Slots of each runner."""
         self.nodes = []
         self.stop_tasks = []
         self._count = nodes
@@ -125,6 +129,7 @@
             born_ms=born_ms,
             cold_ms=cold_ms,
             version=standin.version,
+            slots=self.slots,
         )
         await self.store.put("servers", standin.runner_id, spec)
 
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -14,7 +14,7 @@
 import aiohttp
 import msgspec
 from behave import given, then, when
-from edge_fleet import CALL_ID_HEADER, KEY, EdgeFleet, make_route
+from edge_fleet import CALL_ID_HEADER, KEY, POOL, EdgeFleet, make_route
 
 from clementineyoke_node.config.config_file import (
     ConfigFile,
@@ -617,3 +617,10 @@
 @then("it ends in order")
 def check_ends_in_order(context):
     assert context.ended.returncode == 0, context.ended
+
+
+@then('{count:d} cuts are counted under "{cause}"')
+def check_cuts(context, count, cause):
+    metrics = context.fleet.nodes[0].state.metrics
+    labels = {"pool": POOL, "cause": cause}
+    assert metrics.answers_cut.get(labels) == count, metrics.answers_cut.values
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -133,6 +133,8 @@
         self.responses_by_prefix: dict[str, ScriptedResponse] = {}
         """Default responses by prefix of the request target."""
         self.calls: list[ReceivedCall] = []
+        self.event_count = EVENTS
+        """Events of a whole stream."""
         self.event_pause_s = 0.0
         self.slow_delay_s = SLOW_RESPONSE_DELAY_S
         self.resets_idle_connections = False
@@ -181,6 +183,8 @@
         """Most calls that the runner executed at once."""
         self._running = 0
         self._link_cuts = LinkCuts()
+        self._is_awake = asyncio.Event()
+        self._is_awake.set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -209,6 +213,17 @@
         """End a cut of the links to callers."""
         self.cut_links((), LinkCut.SILENT)
 
+    def fall_silent(self) -> None:
+        """Stop all work until ``go_on``, like a process that gets no processor time.
+
+        Connections stay open, and new ones are accepted.
+        """
+        self._is_awake.clear()
+
+    def go_on(self) -> None:
+        """End a silence."""
+        self._is_awake.set()
+
     @property
     def crashes(self) -> int:
         """Number of crashes so far."""
@@ -268,6 +283,7 @@
         first_byte: bytes,
     ) -> bool:
         call = await _read_call(reader, first_byte)
+        await self._is_awake.wait()
         has_room = self.max_running is None or self._running < self.max_running
         response = (
             self._next_response(call.target) if has_room else ScriptedResponse.REFUSE
@@ -397,6 +413,7 @@
             fields[names.SERVER_SIGNATURE] = PROOF
         if response in (ScriptedResponse.UNFRAMED, ScriptedResponse.UNFRAMED_RESET):
             return await self._send_unframed(writer, response, fields, body)
+        await self._is_awake.wait()
         await self._link_cuts.wait(writer)
         message = (
             _encode_head(status, {**fields, "Content-Length": str(len(body))}) + body
@@ -439,7 +456,7 @@
     ) -> bool:
         """Send a stream, which is cut within ``cut_event`` if that is not None."""
         writer.write(self._stream_head(call_id))
-        for number in range(first_event, EVENTS + 1):
+        for number in range(first_event, self.event_count + 1):
             event = self._make_event(number)
             if number == cut_event:
                 writer.write(self._frame(event[: len(event) // 2]))
@@ -447,6 +464,7 @@
                 await asyncio.sleep(LATE_RESPONSE_DELAY_S)
                 reset_connection(writer)
                 return False
+            await self._is_awake.wait()
             await self._link_cuts.wait(writer)
             writer.write(self._frame(event))
             await writer.drain()
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/written_specs.py
@@ -75,6 +75,7 @@
     born_ms: int | None = None,
     cold_ms: int = 0,
     version: str = "v1",
+    slots: int = SLOTS,
 ) -> dict[str, Any]:
     """Return a runner's entry, with its start time in ms only if one is given."""
     born = {} if born_ms is None else {"born": born_ms}
@@ -84,7 +85,7 @@
         "address": address,
         "zone": zone,
         "version": version,
-        "slots": SLOTS,
+        "slots": slots,
         "state": state,
         "coldRemainingMs": cold_ms,
         "seq": 1,
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -24,6 +24,9 @@
     NODE_STOPPED = EventKind(102, "INFO", "The node has drained and exits.")
     NODE_RELOADED = EventKind(104, "INFO", "The node reloaded its settings file.")
     LOG_DROPPED = EventKind(105, "INFO", "Log lines were dropped; gives their number.")
+    LOOP_STALLED = EventKind(
+        106, "WARNING", "The node's event loop stood still; gives for how long."
+    )
     DRAIN_CUT = EventKind(103, "ERROR", "The stop deadline cut off requests in flight.")
     ROUTED = EventKind(200, "INFO", "A request got a slot; gives runner and reason.")
     ROUTE_REFUSED = EventKind(201, "WARNING", "A request got no slot or was rejected.")
--- a/packages/clementineyoke-wire/tests/steps/bounded_stream_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/bounded_stream_steps.py
@@ -64,3 +64,24 @@
     os.close(context.writer)
     context.thread.join()
     assert b"".join(context.chunks).count(b"\n") <= max_lines
+
+
+@when("{count:d} lines of {size:d} bytes are logged at once, every {nth:d}th a warning")
+def log_warnings(context, count, size, nth):
+    for number in range(count):
+        is_warning = not number % nth
+        line = f"{'warning' if is_warning else 'info'} {number} ".ljust(size - 1, "x")
+        context.stream.write_line(line, is_important=is_warning)
+
+
+@when("the log pipe is read and another line is logged")
+def read_and_log(context):
+    context.lines = os.read(context.reader, 1_000_000).decode().splitlines()
+    context.stream.write_line("after")
+    context.lines += os.read(context.reader, 1_000_000).decode().splitlines()
+
+
+@then("all {count:d} warnings are written in their order")
+def check_warnings(context, count):
+    numbers = [int(n.split()[1]) for n in context.lines if n.startswith("warning")]
+    assert numbers == [100 * n for n in range(count)], numbers
