Keep a silent runner until another one has the call

Callers lost resumable streams with a closed connection while their runners were silent for a moment and went on by themselves (LOST).

Cause: at the timeout a call left its runner when a retry seemed possible, and asked for the retry, a slot and a connection only then. A runner that accepts no connection cost a retry, too, and its stream was cut at once.

Now the search for a successor runs beside the wait: a slot, a retry and a peer or another runner that was sent the call and has not refused it within 200 ms come first. If the runner goes on before, it keeps the call and the successor is dropped. Two runners work on one call for 200 ms at most; nothing more is sent than the budget allows, and a retry that reached no runner is given back. A timer that fires late has measured a stall of the node, not silence, and starts again. A stream that has begun waits until its deadline; one that has not waits as long as its caller does (two seconds or eight pauses, not only four times the objective).

Tried on the way: without a check of the node's reach before the search, a kept connection of a lost path took the call (cut_off_nodes.feature failed); with runners that accept no connection counted among those tried, streams found nobody once the links were back.

The forwarder's parts that search a slot, charge retries and record attempts are modules of their own.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_ledger.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_ledger.py
@@ -68,7 +68,13 @@
 
     def may_abandon_attempt(self) -> bool:
         """Return whether another runner may be tried if this attempt is abandoned."""
-        return self._may_repeat and self._sends + 1 < self._max_runners
+        if not self._may_repeat or self._sends + 1 >= self._max_runners:
+            return False
+        return self._connects < MAX_CONNECTS + self._sends
+
+    def tried_and(self, runner_id: str | None) -> list[str]:
+        """Return the runners tried so far, and the one that has the call, if any."""
+        return self.tried if runner_id is None else [*self.tried, runner_id]
 
     def may_retry(self) -> bool:
         """Return whether the call may be sent to another runner."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_timeouts.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/attempt_timeouts.py
@@ -29,8 +29,12 @@
 """Multiple of the objective after which a silent runner is abandoned if a second one
 can no longer answer in time. Callers leave after four times the objective."""
 LAST_ATTEMPT_FACTOR = 4.0
-"""Multiple of the objective for which a call waits for its last runner. Callers leave
-after that time; until then a late response is better than none."""
+"""Multiple of the objective for which a call waits for its last runner. Until callers
+leave, a late response is better than none."""
+MIN_STREAM_PATIENCE_MS = 2_000.0
+PAUSE_PATIENCE_FACTOR = 8.0
+"""Callers of streams leave after four times the objective, after eight times the pause
+objective or after two seconds, whichever is longest."""
 INITIAL_FIRST_EVENT_MS = 100.0
 """Time to a stream's first event, assumed until responses are seen. The medians of
 three kinds of prompts, of 700 to 9,000 tokens, lie between 90 and 110 ms."""
@@ -91,7 +95,11 @@
         if not route.may_repeat:
             return route.timeout_ms
         head_timeout_ms = self.head_timeout_ms(route, prompt_tokens=prompt_tokens)
-        return max(head_timeout_ms, LAST_ATTEMPT_FACTOR * route.objective_ms)
+        timeout_ms = max(head_timeout_ms, LAST_ATTEMPT_FACTOR * route.objective_ms)
+        if route.kind is not CallKind.STREAM:
+            return timeout_ms
+        pause_patience_ms = PAUSE_PATIENCE_FACTOR * route.pause_objective_ms
+        return max(timeout_ms, MIN_STREAM_PATIENCE_MS, pause_patience_ms)
 
     def overdue_after_ms(self, route: Route, *, prompt_tokens: int) -> float:
         """Return after how long a call without a response counts against its runner."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/retry_window.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/retry_window.py
@@ -38,6 +38,11 @@
         self._retries[pool].append(now_ms)
         return True
 
+    def refund(self, pool: str) -> None:
+        """Give back the latest retry of a pool, which reached no runner."""
+        if self._retries.get(pool):
+            self._retries[pool].pop()
+
     def has_budget(self, pool: str, *, node_count: int, now_ms: float) -> bool:
         """Return whether a pool has a retry left."""
         calls = self._calls.setdefault(pool, deque())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import math
+from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -12,14 +12,18 @@
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
-from clementineyoke_node.edge.response_checks import check_outcome, read_response
+from clementineyoke_node.edge.response_checks import (
+    check_outcome,
+    read_response,
+    unfit_resumption,
+)
 from clementineyoke_node.edge.runner_liveness import check_end
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
 from clementineyoke_node.platform.runner_codec import RoutingHeaders
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.attempt_timeouts import AttemptTimeouts
@@ -29,13 +33,16 @@
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.attempt import Attempt
     from clementineyoke_node.edge.caller_stream import CallerStream
+    from clementineyoke_node.edge.failover import Failover
     from clementineyoke_node.edge.fault_reports import FaultReports
     from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
     from clementineyoke_node.edge.stream_registry import StreamRegistry
     from clementineyoke_node.edge.token_accounting import TokenAccounting
     from clementineyoke_node.metrics import Metrics
+    from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
@@ -74,25 +81,21 @@
         self._metrics = metrics
         self._streams = streams
 
-    async def execute(
+    @asynccontextmanager
+    async def open(
         self,
         admitted: AdmittedCall,
-        runner: Runner,
+        lease: SlotLease,
         stream: CallerStream,
-        may_retry: Callable[[], bool],
-        *,
-        prefill_tokens: int = 0,
-        send_before_ms: float = math.inf,
-    ) -> CompleteResponse | None:
-        """Return the runner's complete response, or None when its stream was relayed.
+        failover: Failover,
+    ) -> AsyncIterator[OpenResponse]:
+        """Send a call to the runner of a lease, and yield the response once it begins.
 
-        ``may_retry`` returns whether the call may go to another runner if this one is
-        silent. ``prefill_tokens`` are the prompt tokens that the runner has to process,
-        0 if unknown. ``send_before_ms`` is the time until which the call may be sent.
-        Raises ``AttemptError`` when the attempt gave no valid response.
+        ``failover`` finds another runner while this one is silent. Raises
+        ``AttemptError`` when there is no response.
         """
-        now_ms = self._timers.now_ms()
-        left_ms = admitted.deadline_ms - now_ms
+        runner = lease.runner
+        left_ms = admitted.deadline_ms - self._timers.now_ms()
         if left_ms <= 0:
             raise AttemptError(
                 outcome=AttemptOutcome.NOT_SENT,
@@ -108,39 +111,41 @@
             last_event=stream.last_event_id,
             fetch_from=self._fetch_address(admitted, runner),
         )
-        head_timeout = self._head_timeout(admitted, may_retry)
+        async with self._connection_pool.send(
+            runner,
+            admitted.call,
+            routing,
+            runner_timeout=self._head_timeout(admitted, stream, failover),
+            may_repeat=admitted.route.may_repeat,
+            send_before_ms=lease.send_before_ms,
+        ) as response:
+            yield response
+
+    async def execute(
+        self,
+        admitted: AdmittedCall,
+        attempt: Attempt,
+        stream: CallerStream,
+        failover: Failover,
+    ) -> CompleteResponse | None:
+        """Return the runner's complete response, or None when its stream was relayed.
+
+        Raises ``AttemptError`` when the attempt gave no valid response.
+        """
+        runner = attempt.lease.runner
         with self._make_overdue_timer(admitted, runner) as overdue_timer:
-            async with self._connection_pool.send(
-                runner,
-                admitted.call,
-                routing,
-                runner_timeout=head_timeout,
-                may_repeat=admitted.route.may_repeat,
-                send_before_ms=send_before_ms,
-            ) as response:
+            async with attempt.opening as response:
                 if response.head.is_event_stream and not response.head.is_refusal:
                     await self._relay(
-                        admitted,
-                        runner,
-                        stream,
-                        response,
-                        overdue_timer,
-                        may_retry,
-                        started_ms=now_ms,
-                        prefill_tokens=prefill_tokens,
+                        admitted, attempt, stream, response, overdue_timer, failover
                     )
                     return None
                 complete = await self._read_response(admitted, runner, response)
                 complete = complete._replace(ended_ms=self._timers.now_ms())
                 await self._check_end(runner, response, step="read_body")
-        check_outcome(complete, runner=runner)
+        check_outcome(complete, peer=runner.runner_id)
         if stream.has_started:
-            raise AttemptError(
-                outcome=AttemptOutcome.FAILED,
-                step="resume",
-                peer=runner.runner_id,
-                reason=f"answered {complete.head.status} to a stream that goes on",
-            )
+            raise unfit_resumption(complete.head, peer=runner.runner_id)
         return complete
 
     async def _read_response(
@@ -161,15 +166,13 @@
     async def _relay(
         self,
         admitted: AdmittedCall,
-        runner: Runner,
+        attempt: Attempt,
         stream: CallerStream,
         response: OpenResponse,
         overdue_timer: OverdueTimer,
-        may_retry: Callable[[], bool],
-        *,
-        started_ms: float,
-        prefill_tokens: int,
+        failover: Failover,
     ) -> None:
+        runner = attempt.lease.runner
         if not response.head.has_signature:
             raise AttemptError(
                 outcome=AttemptOutcome.LOST,
@@ -182,14 +185,16 @@
         on_begin = partial(self._record_begin, admitted, runner, stream)
         is_first = True
         while chunk := await self._next_chunk(
-            admitted, runner, response, stream, may_retry
+            admitted, runner, response, stream, failover
         ):
             overdue_timer.stop()
             if is_first:
-                latency_ms = self._timers.now_ms() - started_ms
+                latency_ms = self._timers.now_ms() - attempt.started_ms
                 self._timeouts.record_first_event(admitted.route, latency_ms=latency_ms)
                 self._token_accounting.record_first_event(
-                    admitted, prefill_tokens=prefill_tokens, latency_ms=latency_ms
+                    admitted,
+                    prefill_tokens=attempt.lease.prefill_tokens,
+                    latency_ms=latency_ms,
                 )
                 is_first = False
                 self._record_holder(admitted, runner)
@@ -226,12 +231,12 @@
         runner: Runner,
         response: OpenResponse,
         stream: CallerStream,
-        may_retry: Callable[[], bool],
+        failover: Failover,
     ) -> bytes:
         if stream.sent_event_count:
-            timeout = self._next_event_timeout(admitted, may_retry)
+            timeout = self._next_event_timeout(admitted, failover)
         else:
-            timeout = self._head_timeout(admitted, may_retry)
+            timeout = self._head_timeout(admitted, stream, failover)
         try:
             async with timeout.enforce():
                 return await response.client_response.content.readany()
@@ -323,27 +328,28 @@
         )
 
     def _head_timeout(
-        self, admitted: AdmittedCall, may_retry: Callable[[], bool]
+        self, admitted: AdmittedCall, stream: CallerStream, failover: Failover
     ) -> RunnerTimeout:
         route, tokens = admitted.route, admitted.prompt_tokens
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
+        hard_timeout_ms = admitted.deadline_ms - self._timers.now_ms()
+        if not stream.has_started:
+            hard_timeout_ms = min(
+                hard_timeout_ms,
+                self._timeouts.last_attempt_timeout_ms(route, prompt_tokens=tokens),
+            )
         return RunnerTimeout(
             soft_timeout_ms=self._timeouts.head_timeout_ms(route, prompt_tokens=tokens),
-            hard_timeout_ms=min(
-                left_ms,
-                self._timeouts.last_attempt_timeout_ms(route, prompt_tokens=tokens),
-            ),
-            may_retry=may_retry,
+            hard_timeout_ms=hard_timeout_ms,
+            failover=failover,
         )
 
     def _next_event_timeout(
-        self, admitted: AdmittedCall, may_retry: Callable[[], bool]
+        self, admitted: AdmittedCall, failover: Failover
     ) -> RunnerTimeout:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
         return RunnerTimeout(
             soft_timeout_ms=self._timeouts.next_event_timeout_ms(admitted.route),
-            hard_timeout_ms=left_ms,
-            may_retry=may_retry,
+            hard_timeout_ms=admitted.deadline_ms - self._timers.now_ms(),
+            failover=failover,
         )
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
@@ -116,6 +116,18 @@
             reached_other_ms=reached_other_ms,
         )
 
+    def record_kept(
+        self, admitted: AdmittedCall, *, runner_id: str, dropped_id: str
+    ) -> None:
+        """Record that a silent runner went on; ``dropped_id`` is its successor."""
+        self._decisions.record(
+            Event.RUNNER_KEPT,
+            request_id=admitted.call.call_id,
+            runner=runner_id,
+            dropped=dropped_id,
+            after_ms=self._age_ms(admitted),
+        )
+
     def record_answered(
         self, admitted: AdmittedCall, *, status: int, ended_by: str
     ) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -2,42 +2,40 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from collections import Counter
-from functools import partial
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from clementineyoke_core.capacity.response_times import AnswerKind
 from clementineyoke_core.edge.attempt_ledger import AttemptLedger, AttemptOutcome
-from clementineyoke_core.edge.load_cap_share import load_cap_share
-from clementineyoke_core.grants.call_profile import CallProfile
-from clementineyoke_core.hashing import hash_text
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
+from clementineyoke_node.edge.attempt import Attempt, PeerAttempt
 from clementineyoke_node.edge.attempt_error import AttemptError
+from clementineyoke_node.edge.attempt_recorder import AttemptRecorder
 from clementineyoke_node.edge.call_log import CallLog, describe_caller
 from clementineyoke_node.edge.caller_stream import CallerStream
 from clementineyoke_node.edge.cut_cause import CutCause
-from clementineyoke_node.edge.response_checks import MIN_REDIRECT_STATUS
+from clementineyoke_node.edge.failover import FailoverService
+from clementineyoke_node.edge.retry_spender import RetrySpender
 from clementineyoke_node.edge.return_policy import FixedReturns
-from clementineyoke_node.slots.slot_request import SlotRequest
+from clementineyoke_node.edge.slot_finder import SlotFinder
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from clementineyoke_core.capacity.response_times import AnswerKind
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.retry_window import RetryWindow
     from clementineyoke_core.edge.runner_health import RunnerHealth
     from clementineyoke_core.edge.runner_reach import RunnerReach
     from clementineyoke_core.grants.refusal_reason import RefusalReason
-    from clementineyoke_core.runner import Runner
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.admission_control import AdmissionControl
     from clementineyoke_node.edge.attempt_executor import AttemptExecutor
     from clementineyoke_node.edge.crash_tracker import CrashTracker
+    from clementineyoke_node.edge.failover import Failover
     from clementineyoke_node.edge.fault_reports import FaultReports
     from clementineyoke_node.edge.peer_relay import PeerRelay
     from clementineyoke_node.edge.reach_monitor import ReachMonitor
@@ -58,16 +56,9 @@
 all runners of a pool are in backoff: callers that return all at once would be refused
 again."""
 FAILED_RETRY_MS = 200
-RESUMPTION_QUEUE_MS = 1_500
-"""Longest wait for a slot of a call that only runners of one version may serve: callers
-give up a stream after a gap of two seconds."""
 REACH_STEP = "reach_runner"
 """Step of the error of a call that neither this node nor a peer can send to a runner.
 """
-MIN_ERROR_STATUS = 400
-"""From this status on, the time of an answer says nothing about a route's work."""
-REACHABLE_OUTCOMES = frozenset((AttemptOutcome.FAILED, AttemptOutcome.REFUSED))
-"""Outcomes that show that the runner is reachable."""
 
 
 class Forwarder:
@@ -110,24 +101,59 @@
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
-        self._health = health
         self._crash_tracker = crash_tracker
-        self._retry_window = retry_window
         self._timers = timers
         self._call_log = CallLog(decisions=decisions, timers=timers, metrics=metrics)
-        self._count_nodes = count_nodes
         self._random_key = random_key
-        self._cap_factor = cap_factor
-        self._describes_calls = describes_calls
         self._admission = admission
         self._token_accounting = token_accounting
-        self._compare_time = compare_time
-        self._reach = reach
         self._reach_monitor = reach_monitor
         self._peer_relay = peer_relay
-        self._fault_reports = fault_reports
         self._streams = streams
         self._returns = returns or FixedReturns(timers=timers)
+        self._retries = RetrySpender(
+            window=retry_window, count_nodes=count_nodes, timers=timers
+        )
+        self._slots = SlotFinder(
+            broker=broker,
+            admission=admission,
+            crash_tracker=crash_tracker,
+            token_accounting=token_accounting,
+            streams=streams,
+            returns=self._returns,
+            timers=timers,
+            random_key=lambda: self._random_key(),
+            cap_factor=cap_factor,
+            describes_calls=describes_calls,
+        )
+        self._recorder = AttemptRecorder(
+            broker=broker,
+            health=health,
+            crash_tracker=crash_tracker,
+            retries=self._retries,
+            timers=timers,
+            call_log=self._call_log,
+            token_accounting=token_accounting,
+            compare_time=compare_time,
+            reach=reach,
+            reach_monitor=reach_monitor,
+            fault_reports=fault_reports,
+            streams=streams,
+            returns=self._returns,
+        )
+        self._failovers = FailoverService(
+            broker=broker,
+            slots=self._slots,
+            retries=self._retries,
+            admission=admission,
+            crash_tracker=crash_tracker,
+            reach_monitor=reach_monitor,
+            peer_relay=peer_relay,
+            timers=timers,
+            call_log=self._call_log,
+            start_attempt=attempt_executor.open,
+            recorder=self._recorder,
+        )
 
     async def forward(
         self, request: web.Request, admitted: AdmittedCall
@@ -141,7 +167,7 @@
         self._token_accounting.check_size(admitted)
         if admitted.hop is None:
             # The node that forwarded a call has counted it.
-            self._retry_window.record_call(admitted.pool, now_ms=self._timers.now_ms())
+            self._retries.record_call(admitted.pool)
         stream = CallerStream(request=request, last_event_id=admitted.call.last_event)
         admitted = await self._resume_stream(admitted, stream)
         self._returns.check_time_left(
@@ -153,59 +179,63 @@
             max_runners=admitted.route.max_runners,
             runners_used=0 if admitted.hop is None else admitted.hop.runners_used,
         )
+        async with self._failovers.begin(request, admitted, ledger, stream) as failover:
+            return await self._run_attempts(request, admitted, ledger, stream, failover)
+
+    async def _run_attempts(
+        self,
+        request: web.Request,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        stream: CallerStream,
+        failover: Failover,
+    ) -> web.StreamResponse:
+        attempt: Attempt | None = None
+        is_paid = False
         while True:
-            if self._reach_monitor.is_isolated(admitted.pool):
-                return await self._forward_to_peer(request, admitted, ledger, stream)
-            lease = await self._acquire_slot(admitted, ledger, stream)
-            if lease is None:
-                reason, cause = "no runner has a free slot", CutCause.NO_SLOT
-                return self._abort_stream(
-                    admitted, ledger, stream, cause=cause, reason=reason
-                )
-            runner = lease.runner
-            started_ms = self._timers.now_ms()
-            with self._broker.holding(lease):
+            if attempt is None:
+                if self._reach_monitor.is_isolated(admitted.pool):
+                    return await self._forward_to_peer(
+                        request, admitted, ledger, stream
+                    )
+                lease = await self._acquire_slot(admitted, ledger, stream)
+                if lease is None:
+                    reason, cause = "no runner has a free slot", CutCause.NO_SLOT
+                    return self._abort_stream(
+                        admitted, ledger, stream, cause=cause, reason=reason
+                    )
                 if self._is_refused(admitted, ledger, lease, stream):
                     reason = "runners end under such calls"
                     cause = CutCause.CRASHES_RUNNERS
                     return self._abort_stream(
                         admitted, ledger, stream, cause=cause, reason=reason
                     )
+                attempt = self._start_attempt(
+                    admitted, lease, stream, failover, is_paid=is_paid
+                )
+            failover.current_runner = attempt.lease.runner.runner_id
+            with self._broker.holding(attempt.lease):
                 try:
                     response = await self._attempt_executor.execute(
-                        admitted,
-                        runner,
-                        stream,
-                        partial(self._may_abandon, admitted, ledger, stream, runner),
-                        prefill_tokens=lease.prefill_tokens,
-                        send_before_ms=lease.send_before_ms,
+                        admitted, attempt, stream, failover
                     )
                 except AttemptError as error:
-                    self._record_failure(
-                        admitted, ledger, lease, error, started_ms=started_ms
-                    )
+                    ledger.record(error.peer, error.outcome)
+                    self._recorder.record_failure(admitted, attempt, error)
                     failure = error
                 else:
-                    self._health.record_success(runner, now_ms=self._timers.now_ms())
-                    if response is None:
-                        self._streams.record_complete(admitted)
-                        self._token_accounting.record_answer(
-                            admitted, events=stream.sent_event_count
-                        )
-                    self._broker.record_answer(
-                        lease,
-                        time_percent=self._measure_time(
-                            admitted, stream, response, started_ms=started_ms
-                        ),
-                    )
-                    if response is None or response.head.status < MIN_REDIRECT_STATUS:
-                        self._crash_tracker.record_answer(admitted, runner)
-                    if response is None or response.head.status < MIN_ERROR_STATUS:
-                        self._returns.record_answer(admitted, granted_ms=started_ms)
+                    self._recorder.record_answer(admitted, attempt, stream, response)
                     return self._complete(admitted, stream, response)
-            denial = self._spend_retry(admitted, ledger, failure)
+            successor = await failover.take()
+            if isinstance(successor, PeerAttempt):
+                return await self._finish_at_peer(admitted, ledger, stream, successor)
+            attempt = successor
+            if attempt is not None:
+                continue
+            denial = self._check_retry(admitted, ledger, failure)
             if denial is not None:
                 return self._fail(admitted, ledger, stream, failure, denial)
+            is_paid = ledger.sends > 0
             if failure.is_silence:
                 await self._reach_monitor.settle(admitted.pool)
 
@@ -238,15 +268,7 @@
                     cause = CutCause.PEER_FAILED
                     return self._fail(admitted, ledger, stream, error, cause)
                 continue
-            if response is None:
-                return self._complete(admitted, stream, None)
-            if stream.has_started:
-                reason = f"a peer answered {response.head.status} to its resumption"
-                cause = CutCause.PEER_FAILED
-                return self._abort_stream(
-                    admitted, ledger, stream, cause=cause, reason=reason
-                )
-            return self._complete(admitted, stream, response)
+            return self._complete_from_peer(admitted, ledger, stream, response)
         if stream.has_started:
             reason, cause = "no peer resumes it", CutCause.NO_PEER
             return self._abort_stream(
@@ -261,6 +283,39 @@
             details={"peers": [peer.node_id for peer in peers]},
         )
 
+    async def _finish_at_peer(
+        self,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        stream: CallerStream,
+        attempt: PeerAttempt,
+    ) -> web.StreamResponse:
+        """Return the rest of a response that has begun at a peer."""
+        try:
+            async with attempt.opening as opened:
+                response = await self._peer_relay.receive(
+                    admitted, attempt.peer, stream, opened
+                )
+        except AttemptError as error:
+            self._call_log.record_forward_failure(admitted, error)
+            ledger.record(error.peer, error.outcome)
+            cause = CutCause.PEER_FAILED
+            return self._fail(admitted, ledger, stream, error, cause)
+        return self._complete_from_peer(admitted, ledger, stream, response)
+
+    def _complete_from_peer(
+        self,
+        admitted: AdmittedCall,
+        ledger: AttemptLedger,
+        stream: CallerStream,
+        response: CompleteResponse | None,
+    ) -> web.StreamResponse:
+        if response is None or not stream.has_started:
+            return self._complete(admitted, stream, response)
+        reason = f"a peer answered {response.head.status} to its resumption"
+        cause = CutCause.PEER_FAILED
+        return self._abort_stream(admitted, ledger, stream, cause=cause, reason=reason)
+
     async def _resume_stream(
         self, admitted: AdmittedCall, stream: CallerStream
     ) -> AdmittedCall:
@@ -284,40 +339,11 @@
 
         Raises ``RequestError`` if there is none for any other call.
         """
-        key = self._crash_tracker.isolation_key(admitted)
-        if key is None:
-            key = admitted.prompt_key
         started_ms = self._timers.now_ms()
         refusals: dict[str, RefusalReason] = {}
-        is_bound = stream.version is not None and self._streams.is_mixed(admitted.pool)
-        slot_request = SlotRequest(
-            pool=admitted.pool,
-            key=self._random_key() if key is None else key,
-            profile=self._profile(admitted, is_resumption=is_bound),
-            wait_ms=self._queue_ms(admitted, ledger, is_bound=is_bound),
-            load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
-            tried=ledger.tried,
-            version=stream.version,
-            refusals=refusals,
-        )
-        try:
-            lease = await self._broker.acquire(slot_request)
-        except asyncio.CancelledError:
-            # The caller disconnected while it waited for a slot.
-            if not ledger.tried:
-                self._record_abandoned_search(admitted, started_ms=started_ms)
-            raise
-        if not ledger.tried:
-            self._record_search(admitted, lease, started_ms=started_ms)
+        lease = await self._slots.find(admitted, ledger, stream, refusals=refusals)
         if lease is not None:
-            self._returns.record_slot(admitted, asked_ms=started_ms)
-            self._call_log.record_route(
-                admitted,
-                lease,
-                last_event=stream.last_event_id,
-                attempt=len(ledger.tried) + 1,
-                evacuated_zones=self._broker.evacuated_zones(),
-            )
+            self._recorder.record_route(admitted, ledger, stream, lease)
             return lease
         if stream.has_started:
             return None
@@ -344,20 +370,6 @@
             },
         )
 
-    def _queue_ms(
-        self, admitted: AdmittedCall, ledger: AttemptLedger, *, is_bound: bool
-    ) -> int:
-        """Return how long a call may queue for a slot.
-
-        ``is_bound`` is whether only runners of one version may serve it. If such a call
-        is refused, the events that its caller has are lost.
-        """
-        queue_ms = self._returns.queue_ms(admitted, was_searched=bool(ledger.tried))
-        if not is_bound:
-            return queue_ms
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        return max(queue_ms, int(min(RESUMPTION_QUEUE_MS, max(0.0, left_ms))))
-
     def _is_refused(
         self,
         admitted: AdmittedCall,
@@ -395,44 +407,6 @@
                 | describe_caller(admitted),
             )
 
-    def _record_search(
-        self, admitted: AdmittedCall, lease: SlotLease | None, *, started_ms: float
-    ) -> None:
-        now_ms = self._timers.now_ms()
-        self._admission.record_search(
-            admitted.pool,
-            admitted.priority,
-            is_granted=lease is not None,
-            took_ms=now_ms - started_ms,
-            objective_ms=admitted.route.objective_ms,
-            now_ms=now_ms,
-        )
-
-    def _record_abandoned_search(
-        self, admitted: AdmittedCall, *, started_ms: float
-    ) -> None:
-        now_ms = self._timers.now_ms()
-        self._admission.record_abandoned_search(
-            admitted.pool,
-            admitted.priority,
-            took_ms=now_ms - started_ms,
-            objective_ms=admitted.route.objective_ms,
-            now_ms=now_ms,
-        )
-
-    def _profile(self, admitted: AdmittedCall, *, is_resumption: bool) -> CallProfile:
-        """Return what the runner's home is told of a call."""
-        team = hash_text(admitted.team or "")
-        if not self._describes_calls(admitted.pool):
-            return CallProfile(team, admitted.priority, is_resumption=is_resumption)
-        return CallProfile(
-            team,
-            self._admission.asked_priority(admitted.pool, admitted.priority),
-            max(1, round(admitted.route.objective_ms)),
-            self._token_accounting.describe(admitted),
-            is_resumption,
-        )
-
     def _not_run_retry_ms(
         self, admitted: AdmittedCall, stream: CallerStream | None = None
     ) -> int:
@@ -448,62 +422,40 @@
             return NO_RUNNER_RETRY_MS
         return math.ceil(backoff_ms) + self._random_key() % RETRY_JITTER_MS
 
-    def _measure_time(
+    def _start_attempt(
         self,
         admitted: AdmittedCall,
+        lease: SlotLease,
         stream: CallerStream,
-        response: CompleteResponse | None,
+        failover: Failover,
         *,
-        started_ms: float,
-    ) -> int:
-        """Return the time of an answer in percent of the usual one, or 0 if unknown.
-
-        Only successes count: a fast error says nothing about a runner's speed.
-        """
-        if response is None:
-            time_ms = stream.pace.event_ms()
-        elif response.head.status < MIN_REDIRECT_STATUS:
-            time_ms = response.ended_ms - started_ms
-        else:
-            return 0
-        kind = AnswerKind(admitted.pool, admitted.route.name, response is None)
-        return self._compare_time(kind, time_ms) if time_ms > 0.0 else 0
+        is_paid: bool,
+    ) -> Attempt:
+        return Attempt(
+            lease,
+            self._timers.now_ms(),
+            self._attempt_executor.open(admitted, lease, stream, failover),
+            is_paid,
+        )
 
-    def _may_abandon(
+    def _check_retry(
         self,
         admitted: AdmittedCall,
         ledger: AttemptLedger,
-        stream: CallerStream,
-        runner: Runner,
-    ) -> bool:
-        """Return whether a call may abandon a silent runner and try another one."""
-        if not ledger.may_abandon_attempt():
-            return False
-        if self._admission.is_short(admitted.pool):
-            # Another runner would answer no sooner.
-            return False
-        tried = {*ledger.tried, runner.runner_id}
-        return self._broker.has_untried_runner(
-            admitted.pool, tried, version=stream.version
-        ) and self._retry_window.has_budget(
-            admitted.pool, node_count=self._count_nodes(), now_ms=self._timers.now_ms()
-        )
-
-    def _spend_retry(
-        self, admitted: AdmittedCall, ledger: AttemptLedger, failure: AttemptError
+        failure: AttemptError,
     ) -> CutCause | None:
-        """Return None if a call may go to another runner, or what forbids it."""
-        now_ms = self._timers.now_ms()
-        if admitted.deadline_ms <= now_ms:
+        """Return None if a call may go to another runner, or what forbids it.
+
+        Charges the retry to the budget.
+        """
+        if admitted.deadline_ms <= self._timers.now_ms():
             return CutCause.NO_TIME
         if not ledger.may_retry():
             return CutCause.RUNNERS_USED
         if failure.is_connection_lost and self._crash_tracker.may_be_cause(admitted):
             # Other runners crashed during this request, and probably this one did too.
             return CutCause.CRASHES_RUNNERS
-        if not ledger.sends or self._retry_window.try_spend(
-            admitted.pool, node_count=self._count_nodes(), now_ms=now_ms
-        ):
+        if not ledger.sends or self._retries.try_spend(admitted.pool):
             return None
         return CutCause.RETRY_BUDGET
 
@@ -572,52 +524,6 @@
         )
         return stream.abort()
 
-    def _record_failure(
-        self,
-        admitted: AdmittedCall,
-        ledger: AttemptLedger,
-        lease: SlotLease,
-        error: AttemptError,
-        *,
-        started_ms: float,
-    ) -> None:
-        now_ms = self._timers.now_ms()
-        runner = lease.runner
-        ledger.record(error.peer, error.outcome)
-        if error.outcome in REACHABLE_OUTCOMES:
-            self._broker.record_answer(lease, is_rejected=error.is_rejection)
-        elif error.outcome is AttemptOutcome.NOT_SENT:
-            self._broker.record_unused(lease)
-        if admitted.deadline_ms > now_ms and error.is_runner_fault:
-            # A failure after the call's deadline is no evidence against the runner: the
-            # operator's timeout may be shorter than the work.
-            if not self._reach_monitor.is_isolated(runner.pool):
-                self._health.record_failure(
-                    runner, outcome=error.outcome, now_ms=now_ms
-                )
-            if error.is_silence:
-                self._reach_monitor.check(runner.pool)
-            if error.outcome is AttemptOutcome.NOT_SENT:
-                took_ms = now_ms - started_ms
-                self._reach_monitor.record_unreachable(runner, took_ms=took_ms)
-                self._fault_reports.record_unreachable(runner)
-            elif error.is_connection_lost:
-                self._crash_tracker.record_broken_call(
-                    admitted, runner, sent_ms=started_ms
-                )
-        self._call_log.record_failure(
-            admitted,
-            lease,
-            error,
-            started_ms=started_ms,
-            reached_other_ms=self._reached_other_age_ms(runner),
-        )
-
-    def _reached_other_age_ms(self, runner: Runner) -> int | None:
-        """Return how long ago a connection to another runner of its pool was opened."""
-        reached_ms = self._reach.reached_other_ms(runner)
-        return None if reached_ms is None else round(self._timers.now_ms() - reached_ms)
-
 
 def _describe_runners(pool: str, version: str | None) -> str:
     return repr(pool) if version is None else f"{pool!r} at version {version!r}"
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -108,25 +108,29 @@
         Raises ``AttemptError``; its outcome is ``NOT_SENT`` or ``REFUSED`` if the call
         did not run and another peer may get it.
         """
-        try:
-            async with self._open(
-                request, admitted, peer, stream, runners_used=runners_used
-            ) as response:
-                if response.head.is_event_stream and response.head.has_signature:
-                    await self._relay(admitted, peer, stream, response)
-                    return None
-                return await self._read(admitted, peer, response)
-        except AttemptError as error:
-            now_ms = self._timers.now_ms()
-            if error.outcome is AttemptOutcome.NOT_SENT:
-                self._peer_reach.record_failure(peer.node_id, now_ms=now_ms)
-            elif error.outcome is AttemptOutcome.REFUSED:
-                pool = hash_text(admitted.pool)
-                self._peer_reach.record_refusal(peer.node_id, pool, now_ms=now_ms)
-            raise
+        async with self.open(
+            request, admitted, peer, stream, runners_used=runners_used
+        ) as response:
+            return await self.receive(admitted, peer, stream, response)
+
+    async def receive(
+        self,
+        admitted: AdmittedCall,
+        peer: Node,
+        stream: CallerStream,
+        response: OpenResponse,
+    ) -> CompleteResponse | None:
+        """Return a peer's complete response, or None when its stream was relayed.
+
+        Raises ``AttemptError`` if the response breaks off.
+        """
+        if response.head.is_event_stream and response.head.has_signature:
+            await self._relay(admitted, peer, stream, response)
+            return None
+        return await self._read(admitted, peer, response)
 
     @asynccontextmanager
-    async def _open(
+    async def open(
         self,
         request: web.Request,
         admitted: AdmittedCall,
@@ -135,6 +139,10 @@
         *,
         runners_used: int,
     ) -> AsyncIterator[OpenResponse]:
+        """Send a call to a peer, and yield the response once it begins.
+
+        Raises ``AttemptError`` like ``execute``.
+        """
         if self._session is None:
             message = "the relay is closed"
             raise RuntimeError(message)
@@ -168,6 +176,8 @@
                     allow_redirects=False,
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            now_ms = self._timers.now_ms()
+            self._peer_reach.record_failure(peer.node_id, now_ms=now_ms)
             raise _error(AttemptOutcome.NOT_SENT, "connect", peer, error) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise _error(AttemptOutcome.LOST, "read_head", peer, error) from error
@@ -175,6 +185,8 @@
             head = decode_relayed_head(response.status, response.headers)
             check_call_id(call, head, peer=peer.node_id)
             if is_hop_refused(response.headers):
+                pool, now_ms = hash_text(admitted.pool), self._timers.now_ms()
+                self._peer_reach.record_refusal(peer.node_id, pool, now_ms=now_ms)
                 reason = "the peer cannot serve the call either"
                 raise _error(AttemptOutcome.REFUSED, "read_head", peer, reason)
             yield OpenResponse(head, response)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -12,7 +12,6 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.edge.edge_call import EdgeCall
-    from clementineyoke_core.runner import Runner
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
 MIN_SERVER_ERROR_STATUS = 500
@@ -37,7 +36,7 @@
     return CompleteResponse(response.head, body)
 
 
-def check_outcome(response: CompleteResponse, *, runner: Runner) -> None:
+def check_outcome(response: CompleteResponse, *, peer: str) -> None:
     """Raise ``AttemptError`` unless the response may be returned to the caller.
 
     It may not if it is a refusal, a server error, a status that tells the caller "not
@@ -48,7 +47,7 @@
         raise AttemptError(
             outcome=AttemptOutcome.REFUSED,
             step="read_head",
-            peer=runner.runner_id,
+            peer=peer,
             reason=f"refused with {head.status}",
             is_rejection=head.status in NO_ROOM_STATUSES,
         )
@@ -57,14 +56,14 @@
         raise AttemptError(
             outcome=AttemptOutcome.FAILED,
             step="read_head",
-            peer=runner.runner_id,
+            peer=peer,
             reason=f"answered {head.status} without a word that it did not run",
         )
     if head.status >= MIN_SERVER_ERROR_STATUS:
         raise AttemptError(
             outcome=AttemptOutcome.FAILED,
             step="read_head",
-            peer=runner.runner_id,
+            peer=peer,
             reason=f"failed with {head.status}",
             response=response if head.has_signature else None,
         )
@@ -72,11 +71,46 @@
         raise AttemptError(
             outcome=AttemptOutcome.LOST,
             step="check_proof",
-            peer=runner.runner_id,
+            peer=peer,
             reason="a success without the runner's proof",
         )
 
 
+def check_begun(head: ResponseHead, *, peer: str, is_resumption: bool) -> None:
+    """Raise ``AttemptError`` if a response that has begun will not be of use.
+
+    ``is_resumption`` is whether a stream is to go on with it.
+    """
+    check_outcome(CompleteResponse(head, b""), peer=peer)
+    if is_resumption and not head.is_event_stream:
+        raise unfit_resumption(head, peer=peer)
+
+
+def check_peer_begun(head: ResponseHead, *, peer: str, is_resumption: bool) -> None:
+    """Raise ``AttemptError`` like ``check_begun`` for the response of a peer.
+
+    A peer that answers itself that a call did not run has not sent it to a runner.
+    """
+    if head.status in NOT_RUN_STATUSES and not head.has_signature:
+        raise AttemptError(
+            outcome=AttemptOutcome.REFUSED,
+            step="read_head",
+            peer=peer,
+            reason=f"a peer refused with {head.status}",
+        )
+    check_begun(head, peer=peer, is_resumption=is_resumption)
+
+
+def unfit_resumption(head: ResponseHead, *, peer: str) -> AttemptError:
+    """Return the error of a response with which a stream cannot go on."""
+    return AttemptError(
+        outcome=AttemptOutcome.FAILED,
+        step="resume",
+        peer=peer,
+        reason=f"answered {head.status} to a stream that goes on",
+    )
+
+
 def check_call_id(call: EdgeCall, head: ResponseHead, *, peer: str) -> None:
     """Raise ``AttemptError`` for a response that carries another call's id."""
     if head.call_id == call.call_id:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_timeout.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_timeout.py
@@ -7,42 +7,73 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator
+
+    from clementineyoke_node.edge.failover import Failover
 
 MS_PER_S = 1000.0
 MIN_TIMEOUT_MS = 1.0
+MAX_TIMER_DELAY_MS = 100.0
+"""A timer that fires later than this has not measured the runner's silence: the event
+loop stood still, and has not read what the runner sent meanwhile."""
+BUSY_RETRY_MS = 100.0
 
 
 class RunnerTimeout(NamedTuple):
     """The timeouts of a wait for the next data from a runner."""
 
     soft_timeout_ms: float
-    """After this the runner is abandoned if ``may_retry`` returns true."""
+    """After this another runner is sought. The runner is left once that has the call.
+    """
     hard_timeout_ms: float
     """After this the runner is abandoned in any case."""
-    may_retry: Callable[[], bool]
-    """Returns whether another runner may be tried now."""
+    failover: Failover
 
     @asynccontextmanager
     async def enforce(self) -> AsyncIterator[None]:
-        """Raise ``TimeoutError`` in the block when the runner is abandoned.
-
-        ``may_retry`` is called when the soft timeout expires, not before: what is left
-        of the retry budget changes while the runner is silent.
-        """
-        loop = asyncio.get_running_loop()
+        """Raise ``TimeoutError`` in the block when the runner is left."""
         hard_timeout_ms = max(MIN_TIMEOUT_MS, self.hard_timeout_ms)
         async with asyncio.timeout(hard_timeout_ms / MS_PER_S) as scope:
-
-            def on_soft_timeout() -> None:
-                if self.may_retry():
-                    scope.reschedule(loop.time())
-
             if self.soft_timeout_ms >= hard_timeout_ms:
                 yield
                 return
-            timer = loop.call_later(self.soft_timeout_ms / MS_PER_S, on_soft_timeout)
-            try:
+            with _SoftTimer(self, scope) as timer:
                 yield
-            finally:
-                timer.cancel()
+        if timer.has_started_search:
+            await self.failover.stop()
+
+
+class _SoftTimer:
+    """Starts the failover of a runner that is silent for the soft timeout."""
+
+    def __init__(self, timeout: RunnerTimeout, scope: asyncio.Timeout) -> None:
+        self._timeout = timeout
+        self._scope = scope
+        self._loop = asyncio.get_running_loop()
+        self._is_over = False
+        self.has_started_search = False
+
+    def __enter__(self) -> _SoftTimer:
+        self._schedule(self._timeout.soft_timeout_ms)
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._is_over = True
+        self._timer.cancel()
+
+    def _schedule(self, delay_ms: float) -> None:
+        self._due_s = self._loop.time() + delay_ms / MS_PER_S
+        self._timer = self._loop.call_at(self._due_s, self._fire)
+
+    def _fire(self) -> None:
+        late_ms = (self._loop.time() - self._due_s) * MS_PER_S
+        if late_ms > MAX_TIMER_DELAY_MS:
+            self._schedule(self._timeout.soft_timeout_ms)
+        elif self._timeout.failover.start(self._leave):
+            self.has_started_search = True
+        else:
+            self._schedule(BUSY_RETRY_MS)
+
+    def _leave(self) -> None:
+        if not self._is_over:
+            self._scope.reschedule(self._loop.time())
--- a/packages/clementineyoke-node/tests/steps/resumption_load_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumption_load_steps.py
@@ -22,8 +22,8 @@
 from clementineyoke_core.slot_ledger import SlotHolder, SlotLedger
 from clementineyoke_core.slot_search import SlotSearch
 from clementineyoke_node.edge.edge_io import QUEUE_SHARE, SLACK_SLOTS
-from clementineyoke_node.edge.forwarder import RESUMPTION_QUEUE_MS
 from clementineyoke_node.edge.return_policy import MAX_QUEUE_MS
+from clementineyoke_node.edge.slot_finder import RESUMPTION_QUEUE_MS
 from clementineyoke_node.slots.slot_home import SlotHome
 
 SLOTS = 8
--- a/packages/clementineyoke-node/tests/steps/returns_steps.py
+++ b/packages/clementineyoke-node/tests/steps/returns_steps.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import msgspec
 from behave import given, then, when
@@ -73,12 +74,13 @@
     context.policy.publish()
     context.forwarder = Forwarder(
         broker=PoolBroker(state),
-        attempt_executor=None,
+        attempt_executor=Mock(),
         health=None,
         crash_tracker=None,
         retry_window=None,
         timers=context.timers,
         decisions=None,
+        metrics=None,
         count_nodes=lambda: 1,
         random_key=lambda: state.rng.getrandbits(64),
         cap_factor=1.5,
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -121,6 +121,9 @@
     POOL_VERSIONS = EventKind(
         245, "INFO", "The recent software versions of a pool's runners changed."
     )
+    RUNNER_KEPT = EventKind(
+        246, "INFO", "A silent runner went on before another one took its call."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
