Relay a response as a stream only if it is a success

Cause: whether a response is the stream was told by its content type alone, and failures may have that type, too. Now it has to be a success as well; everything else is read and checked like any response, also one that a peer forwards. Looked at: the own interface relays by status and asks for an end mark.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -135,7 +135,7 @@
         runner = attempt.lease.runner
         with self._make_overdue_timer(admitted, runner) as overdue_timer:
             async with attempt.opening as response:
-                if response.head.is_event_stream and not response.head.is_refusal:
+                if response.head.begins_stream:
                     await self._relay(
                         admitted, attempt, stream, response, overdue_timer, failover
                     )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
@@ -6,7 +6,7 @@
 
 from clementineyoke_core.capacity.response_times import AnswerKind
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
-from clementineyoke_node.edge.response_checks import MIN_REDIRECT_STATUS
+from clementineyoke_node.platform.runner_codec import MIN_REDIRECT_STATUS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -124,7 +124,7 @@
 
         Raises ``AttemptError`` if the response breaks off.
         """
-        if response.head.is_event_stream and response.head.has_signature:
+        if response.head.begins_stream and response.head.has_signature:
             await self._relay(admitted, peer, stream, response)
             return None
         return await self._read(admitted, peer, response)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -9,13 +9,13 @@
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
+from clementineyoke_node.platform.runner_codec import MIN_REDIRECT_STATUS
 
 if TYPE_CHECKING:
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
 MIN_SERVER_ERROR_STATUS = 500
-MIN_REDIRECT_STATUS = 300
 NO_ROOM_STATUSES = frozenset((429, 503))
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its call did not run and never will."""
@@ -82,7 +82,7 @@
     ``is_resumption`` is whether a stream is to go on with it.
     """
     check_outcome(CompleteResponse(head, b""), peer=peer)
-    if is_resumption and not head.is_event_stream:
+    if is_resumption and not head.begins_stream:
         raise unfit_resumption(head, peer=peer)
 
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -16,6 +16,8 @@
     from clementineyoke_core.edge.edge_call import EdgeCall
 
 MS_PER_S = 1000.0
+MIN_SUCCESS_STATUS = 200
+MIN_REDIRECT_STATUS = 300
 STATUS_MISDIRECTED = 421
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 BACKOFF_STATUSES = frozenset((429, 503))
@@ -84,6 +86,15 @@
     body_end: BodyEnd
     forwarded_headers: list[tuple[str, str]]
 
+    @property
+    def begins_stream(self) -> bool:
+        """Whether the body is the events that the caller asked for.
+
+        Failures and refusals may have the content type of a stream as well.
+        """
+        is_success = MIN_SUCCESS_STATUS <= self.status < MIN_REDIRECT_STATUS
+        return self.is_event_stream and is_success and not self.is_refusal
+
 
 def encode_call_headers(
     call: EdgeCall, routing: RoutingHeaders
--- a/packages/clementineyoke-node/tests/edge/streams.feature
+++ b/packages/clementineyoke-node/tests/edge/streams.feature
@@ -40,3 +40,31 @@
     When the same "streaming" request is sent as "first" and as "second"
     Then both are explained as cut and not as answered, with the same digest
     And 2 cuts are counted under "runners_used"
+
+  Scenario Outline: A broken stream is resumed at a runner that fails in the type of a stream
+    # Relayed by its content type, the error is appended, and a part of the stream ends as whole.
+    Given a fleet of 1 node and 3 runners
+    And the runners stream
+    And the next calls are answered as "cut, <failure>, <failure>"
+    When a caller makes a "streaming" call that breaks
+    Then the caller sees that the response is incomplete
+
+    Examples:
+      | failure        |
+      | fail as stream |
+      | busy as stream |
+
+  Scenario Outline: A runner fails a stream in the type of a stream
+    # A 503 that is handed on tells the caller "not run" of a call that has run.
+    Given a fleet of 1 node and 2 runners
+    And streams are not resumable
+    And the runners stream
+    And the next calls are answered as "<failure>"
+    When a caller makes a "streaming" call
+    Then the caller gets <status>
+    And the runners received 1 call
+
+    Examples:
+      | failure        | status |
+      | fail as stream | 500    |
+      | busy as stream | 502    |
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -50,6 +50,11 @@
     set_script(context, *[ScriptedResponse(act)] * count)
 
 
+@given('the next calls are answered as "{acts}"')
+def given_acts(context, acts):
+    set_script(context, *map(ScriptedResponse, acts.split(", ")))
+
+
 def set_script(context, *acts):
     """Answer the next calls by these acts in order, whichever runners get them."""
     script = list(acts)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -52,6 +52,10 @@
     """Refuses the call with status 503 and declares it not executed."""
     BUSY = "busy"
     """Executes the call and answers with status 503, not declaring whether it ran."""
+    FAIL_AS_STREAM = "fail as stream"
+    """Like ``FAIL``, with the content type of a stream."""
+    BUSY_AS_STREAM = "busy as stream"
+    """Like ``BUSY``, with the content type of a stream."""
     HANG = "hang"
     """Never responds."""
     SLOW = "slow"
@@ -76,7 +80,12 @@
     ScriptedResponse.FAIL: "500 Failed",
     ScriptedResponse.REFUSE: "503 Busy",
     ScriptedResponse.BUSY: "503 Busy",
+    ScriptedResponse.FAIL_AS_STREAM: "500 Failed",
+    ScriptedResponse.BUSY_AS_STREAM: "503 Busy",
 }
+FAILURES_AS_STREAM = frozenset(
+    (ScriptedResponse.FAIL_AS_STREAM, ScriptedResponse.BUSY_AS_STREAM)
+)
 
 
 class ReceivedCall(NamedTuple):
@@ -405,6 +414,9 @@
             call_id = "another-call"
         status = STATUS_LINES.get(response, "200 OK")
         fields = {names.CALL_ID: call_id, **self._signal_headers()}
+        if response in FAILURES_AS_STREAM:
+            fields["Content-Type"] = "text/event-stream"
+            body = b"data: %s\n\n" % body
         if response is ScriptedResponse.REFUSE:
             fields[names.NOT_EXECUTED] = "1"
             if self.retry_after_s:
