Let a leaving node send what it has answered before it exits

A call counted as done when its handler returned, and the bytes that still waited in the connection went with the process.

Waits for a reply of a peer or a slot use asyncio.timeout, which loses no cancellation (all three uses of wait_for in the node; start-up and tests have others). drain_cut tells how many answers were not sent.

--- a/packages/clementineyoke-node/src/clementineyoke_node/claims/claim_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/claims/claim_client.py
@@ -13,6 +13,7 @@
 from clementineyoke_node.claims.claim_home import shard_name
 from clementineyoke_node.claims.shard_task import PendingClaim
 from clementineyoke_node.peers.peer_socket import PeerAddress
+from clementineyoke_node.timers.bounded_wait import wait_for_result
 from clementineyoke_wire.messages import ClaimReply, ClaimRequest, ClaimResult
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
     from clementineyoke_node.peers.peer_socket import PeerSocket
     from clementineyoke_node.timers.timer_service import TimerService
 
-MS_PER_S = 1000.0
 KEY_DIGEST_BYTES = 12
 """With 96 bits, the chance of a collision among a million live keys is 1 in 10**17."""
 REQUEST_DIGEST_BYTES = 6
@@ -116,7 +116,7 @@
         deadline_ms = self._timers.now_ms() + self._timeout_ms
         attempt = ClaimAttempt(claim.key, claim.holder, claim.request_digest)
         self._home.submit(claim.shard, PendingClaim(attempt, deadline_ms, resolve))
-        return await asyncio.wait_for(future, self._timeout_ms / MS_PER_S)
+        return await wait_for_result(future, timeout_ms=self._timeout_ms)
 
     async def _acquire_remotely(self, home: Node, claim: Claim) -> ClaimDecision:
         ask_id = self._socket.next_ask_id()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -13,6 +13,7 @@
 from clementineyoke_node.console.early_start import BACKLOG
 from clementineyoke_node.edge.address_api import AddressApi
 from clementineyoke_node.edge.caller_api import CallerApi
+from clementineyoke_node.edge.caller_drain import CallerDrain
 from clementineyoke_node.edge.edge_io import EdgeIo
 from clementineyoke_node.edge.operator_api import OperatorApi
 from clementineyoke_node.edge.peer_state_exchange import STATE_PATH
@@ -116,23 +117,22 @@
     async def _drain_calls(self, requested_ms: float) -> None:
         deadline_ms = requested_ms + self._config.stop_deadline_s * MS_PER_S
         deadline_ms -= CLEANUP_RESERVE_MS
+        drain = CallerDrain(
+            connections=self._caller_connections, is_busy=self._caller_api.is_busy
+        )
         while self.io.timers.now_ms() < deadline_ms:
-            self._close_idle_connections()
-            if not self.state.in_flight.count:
+            if drain.run_round() and not self.state.in_flight.count:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / MS_PER_S)
-        log_event(Event.DRAIN_CUT, in_flight=self.state.in_flight.count)
-
-    def _close_idle_connections(self) -> None:
-        """Close the callers' connections that carry no call.
+        log_event(
+            Event.DRAIN_CUT,
+            in_flight=self.state.in_flight.count,
+            unsent=drain.unsent_count,
+        )
 
-        aiohttp's own shutdown stops reading idle connections and leaves them open until
-        the process ends: a call that arrived on one was accepted and never answered.
-        """
+    def _caller_connections(self) -> list[web.RequestHandler]:
         server = self._callers.server
-        for connection in [] if server is None else list(server.connections):
-            if not self._caller_api.is_busy(connection):
-                connection.force_close()
+        return [] if server is None else list(server.connections)
 
     def _is_serving(self) -> bool:
         return self.io.view.ready.is_set() and not self.state.membership.is_leaving
--- a/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple, Self, TypeVar
 
+from clementineyoke_node.timers.bounded_wait import wait_for_result
 from clementineyoke_wire.codec import decode, encode, message_kind
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.wire_error import WireError
@@ -28,7 +29,6 @@
 
     Request = SlotAsk | ClaimRequest | ShareAsk | ReachAsk | StreamAsk | TrialAsk
 
-MS_PER_S = 1000.0
 ReplyT = TypeVar("ReplyT")
 ASK_ID_BITS = 32
 DATAGRAM_OVERHEAD_BYTES = 28
@@ -150,7 +150,7 @@
         self._pending_replies[key] = future
         try:
             self.send(PeerAddress.of(node), message)
-            return await asyncio.wait_for(future, timeout_ms / MS_PER_S)
+            return await wait_for_result(future, timeout_ms=timeout_ms)
         finally:
             del self._pending_replies[key]
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -17,6 +17,7 @@
 from clementineyoke_core.slot_search import MAX_REQUESTS, SlotAttempt, SlotSearch
 from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_node.slots.slot_lease import SkippedRunner, SlotLease
+from clementineyoke_node.timers.bounded_wait import wait_for_result
 from clementineyoke_node.timers.timer_service import TimerService
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import (
@@ -42,7 +43,6 @@
     from clementineyoke_node.slots.slot_request import SlotRequest
 
 
-MS_PER_S = 1000.0
 MAX_WAIT_MS = 60_000
 """Fits the ``wait_ms`` field of ``SlotAsk``; settings allow no longer wait."""
 MAX_TOKENS = 2**32 - 1
@@ -389,7 +389,7 @@
             wait_ms=request.wait_ms,
             on_result=resolve,
         )
-        return await asyncio.wait_for(future, request.wait_ms / MS_PER_S)
+        return await wait_for_result(future, timeout_ms=request.wait_ms)
 
     async def _wait_remotely(
         self, home: Node, runner: Runner, ask_id: int, request: SlotRequest
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -145,6 +145,8 @@
         self.event_count = EVENTS
         """Events of a whole stream."""
         self.event_pause_s = 0.0
+        self.padding_bytes = 0
+        """Bytes that are added to each complete answer."""
         self.slow_delay_s = SLOW_RESPONSE_DELAY_S
         self.resets_idle_connections = False
         """Whether a connection is reset when it is reused after being idle."""
@@ -409,7 +411,7 @@
         if response is ScriptedResponse.RESET:
             reset_connection(writer)
             return False
-        body = f"answer to {call_id}".encode()
+        body = f"answer to {call_id}".encode() + b"." * self.padding_bytes
         if response is ScriptedResponse.CROSSED:
             call_id = "another-call"
         status = STATUS_LINES.get(response, "200 OK")
