--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -154,6 +154,8 @@
     async def _serve(self, app: web.Application, addresses: list[str]) -> web.AppRunner:
         runner = web.AppRunner(
             app,
+            # Runners get a body as the caller sent it, with its content coding.
+            auto_decompress=False,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
--- a/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
+++ b/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
@@ -12,13 +12,13 @@
 RECEIVE_BUFFER_BYTES = 32_768
 
 
-def encode_request(call_id):
+def encode_request(call_id, *, method="GET", kind="idempotent", fields="", body=b""):
     head = (
-        f"GET /idempotent/x HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
+        f"{method} /{kind}/x HTTP/1.1\r\nHost: {HOSTNAME}\r\n"
         f"{CALL_ID_HEADER}: {call_id}\r\nAuthorization: Token {KEY}\r\n"
-        "X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n"
+        f"X-Deadline-Ms: 3000\r\nContent-Length: {len(body)}\r\n{fields}\r\n"
     )
-    return head.encode()
+    return head.encode() + body
 
 
 async def connect(fleet):
