--- a/packages/clementineyoke-node/tests/edge/store_entries.feature
+++ b/packages/clementineyoke-node/tests/edge/store_entries.feature
@@ -36,6 +36,29 @@
     When a page has a valid entry and one that is not strict JSON
     Then the valid entry describes a runner, and the other one is rejected
 
+  Scenario Outline: An entry of another writer that the parser rejects
+    # A page that fails as a whole for one entry hides every runner from every node.
+    When a page and a watch have a valid entry and one with <fault>
+    Then both have the valid entry, and <unreadable> unreadable object
+
+    Examples:
+      | fault                         | unreadable |
+      | half of a surrogate pair      | 0          |
+      | such a half as its name       | 0          |
+      | 3000 levels of nesting        | 1          |
+      | 3000 levels in an unused text | 0          |
+      | a number of 5000 digits       | 1          |
+
+  Scenario: Another writer adds an entry that the parser rejects while nodes serve
+    # Nodes that miss all later changes go on calling runners that leave, and a node that starts
+    # serves nobody.
+    Given a fleet of 1 node and 2 runners
+    When another writer adds an entry with half of a surrogate pair
+    And runner 0 leaves
+    Then the node knows 1 runner that takes calls within 2 s
+    When a second node starts and reads the store
+    Then it serves calls within 3 s
+
   Scenario: The store holds arbitrary data
     Then no input makes a decoder raise any error but the one it declares
     And no object next to a valid entry hides it
--- a/packages/clementineyoke-node/tests/steps/store_entries_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_entries_steps.py
@@ -205,3 +205,68 @@
 @then("the caller gets 200 on a connection of the new lifetime")
 def check_new_connection(context):
     assert context.answer[0] == 200, context.answer
+
+
+NESTED = "[" * 3_000 + "]" * 3_000
+REJECTED_ITEMS = {
+    "half of a surrogate pair": item("bad", {**GOOD, "zone": "\ud800"}),
+    "such a half as its name": item("\udc00", GOOD),
+    "3000 levels of nesting": item("bad", "DEEP").replace('"DEEP"', NESTED),
+    "3000 levels in an unused text": item("bad", {**GOOD, "note": NESTED + "\ud800"}),
+    "a number of 5000 digits": item("bad", "BIG").replace('"BIG"', "NaN" + "7" * 5_000),
+}
+
+
+@when("a page and a watch have a valid entry and one with {fault}")
+def decode_rejected(context, fault):
+    bad, good = REJECTED_ITEMS[fault], item("good", GOOD)
+    context.page = decode_page(page(bad, good).encode())
+    events = ",".join(f'{{"object":{entry},"deleted":false}}' for entry in (bad, good))
+    context.changes = decode_events(
+        f'{{"storeRevision":9,"events":[{events}]}}'.encode()
+    )
+
+
+@then("both have the valid entry, and {count:d} unreadable object")
+def check_both(context, count):
+    assert context.page.revision == context.changes.revision == 9
+    assert context.page.unreadable_count == context.changes.unreadable_count == count
+    entries = [context.page.entries[-1], context.changes.changes[-1].entry]
+    for entry in entries:
+        assert decode_runner(entry, region="region").runner.runner_id == "good", entry
+
+
+@when("another writer adds an entry with half of a surrogate pair")
+def add_rejected(context):
+    spec = {**GOOD, "service": "\ud800"}
+    context.run(context.fleet.store.put("servers", "foreign", spec))
+
+
+@when("runner 0 leaves")
+def leave(context):
+    runner = context.fleet.runners[0]
+    context.run(context.fleet.register_runner(runner, state="draining"))
+
+
+@then("the node knows {count:d} runner that takes calls within {limit_s:d} s")
+def check_ready_count(context, count, limit_s):
+    table = context.fleet.nodes[0].state.table
+    ids = [runner.runner_id for runner in context.fleet.runners]
+    context.run(wait_until(lambda: sum(map(table.is_ready, ids)) == count, limit_s))
+
+
+@when("a second node starts and reads the store")
+def start_second(context):
+    context.run(context.fleet.nodes[0].__aexit__(None, None, None))
+    context.fleet.nodes.clear()
+    context.run(context.fleet.start_node(1, wait=False))
+
+
+@then("it serves calls within {limit_s:d} s")
+def check_serves(context, limit_s):
+    async def act():
+        (node,) = context.fleet.nodes
+        await asyncio.wait_for(node.io.view.ready.wait(), limit_s)
+        return await context.fleet.call("idempotent", number=1)
+
+    assert context.run(act())[0] == 200
