Leave a silent runner only while another one is reached, and check the overlap

Each round of the search first opens a connection to a few runners, as an abandoned call did before.

The stand-in runner notes until when it worked on a call.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
@@ -177,9 +177,6 @@
 
     async def _run(self, on_ready: Callable[[], None]) -> None:
         await asyncio.sleep(SETTLE_MS / MS_PER_S)
-        # A kept connection to another runner may have lost its path as well.
-        self._service.reach_monitor.check(self._admitted.pool)
-        await self._service.reach_monitor.settle(self._admitted.pool)
         tried_count = len(self._ledger.tried)
         while not await self._find_successor():
             if tried_count == len(self._ledger.tried):
@@ -194,8 +191,13 @@
         """
         if not self._ledger.may_abandon_attempt():
             return False
+        # Kept connections to other runners may have lost their path as well.
+        check = self._service.reach_monitor.check(self._admitted.pool)
+        reaches_runner = await asyncio.shield(check)
         if not self._service.reach_monitor.is_isolated(self._admitted.pool):
-            return self._may_try_another() and await self._try_another()
+            if not reaches_runner or not self._may_try_another():
+                return False
+            return await self._try_another()
         if self._admitted.hop is not None:
             return False
         for peer in self._service.peer_relay.choose_peers(self._admitted.pool):
@@ -256,8 +258,6 @@
                 self._ledger.record(error.peer, error.outcome)
             recorder.record_failure(self._admitted, attempt, error)
             await self._drop_successor()
-            if error.is_silence:
-                await self._service.reach_monitor.settle(self._admitted.pool)
             return False
         return True
 
--- a/packages/clementineyoke-node/tests/steps/runner_silence_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_silence_steps.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import time
 from collections import Counter
+from itertools import combinations
 from typing import NamedTuple
 
 import aiohttp
@@ -99,6 +101,40 @@
         runner.heal_links() if is_unreachable else runner.go_on()
 
 
+@given("all runners but the first refuse calls after {wait_s:g} s")
+def given_refusals(context, wait_s):
+    def refuse():
+        for runner in context.fleet.runners[1:]:
+            runner.is_shedding = True
+
+    context.runner.get_loop().call_later(wait_s, refuse)
+
+
+@given("the runners begin a stream {delay_s:g} s after they get it")
+def given_delay(context, delay_s):
+    for runner in context.fleet.runners:
+        runner.stream_delay_s = delay_s
+
+
+@when(
+    "{count:d} runners are silent for {silent_s:g} s before {streams:d} streams begin"
+)
+def silence_before(context, count, silent_s, streams):
+    async def act():
+        runners = context.fleet.runners[:count]
+        silent = asyncio.ensure_future(silence(runners, silent_s))
+        await asyncio.sleep(0)
+        reads = await read_amid(context.fleet, streams, do_nothing)
+        await silent
+        return reads
+
+    context.reads = context.run(act())
+
+
+async def do_nothing():
+    pass
+
+
 @when("nodes and runners stand still for {stall_s:g} s amid {streams:d} streams")
 def stall_all(context, stall_s, streams):
     async def disturb():
@@ -152,3 +188,32 @@
     ]
     kinds = Counter((read.status, read.end) for read in broken)
     assert not broken, f"{len(broken)} of {len(context.reads)}: {kinds}"
+
+
+@then("no two runners had one stream for longer than {limit_s:g} s")
+def check_overlap(context, limit_s):
+    spans = {}
+    for runner in context.fleet.runners:
+        for call in runner.calls:
+            end_s = runner.worked_until_s[call.call_id]
+            spans.setdefault(call.call_id, []).append((call.received_s, end_s))
+    for call_id, worked in spans.items():
+        for one, other in combinations(worked, 2):
+            together_s = min(one[1], other[1]) - max(one[0], other[0])
+            assert together_s <= limit_s, (call_id, together_s)
+
+
+@then("streams were sent to further runners at most {limit:d} times")
+def check_further(context, limit):
+    ids = Counter(call.call_id for call in context.fleet.calls())
+    assert ids.total() - len(ids) <= limit, ids.total() - len(ids)
+
+
+@then("at least {count:d} stream stayed with its runner")
+def check_kept(context, count):
+    events = [
+        json.loads(encoded)["event"]
+        for node in context.fleet.nodes
+        for encoded in node.state.decisions._encoded_decisions
+    ]
+    assert events.count("runner_kept") >= count, Counter(events)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -9,6 +9,7 @@
 
 from clementineyoke_node.platform import names
 from clementineyoke_standins.edge.source_filter import (
+    LINK_POLL_S,
     LinkCut,
     LinkCuts,
     reset_connection,
@@ -144,6 +145,8 @@
         self.calls: list[ReceivedCall] = []
         self.event_count = EVENTS
         """Events of a whole stream."""
+        self.stream_delay_s = 0.0
+        """Time from a call to the head of its stream."""
         self.event_pause_s = 0.0
         self.padding_bytes = 0
         """Bytes that are added to each complete answer."""
@@ -194,6 +197,8 @@
         """Most calls that the runner executed at once."""
         self._running = 0
         self._link_cuts = LinkCuts()
+        self.worked_until_s: dict[str, float] = {}
+        """Monotonic time at which the work on each call ended, by the call's ID."""
         self._is_awake = asyncio.Event()
         self._is_awake.set()
         self._server: asyncio.Server | None = None
@@ -294,7 +299,7 @@
         first_byte: bytes,
     ) -> bool:
         call = await _read_call(reader, first_byte)
-        await self._is_awake.wait()
+        await self._wait_awake(reader, call)
         has_room = self.max_running is None or self._running < self.max_running
         response = (
             self._next_response(call.target) if has_room else ScriptedResponse.REFUSE
@@ -327,12 +332,23 @@
         self._running += not is_refused
         self.most_running = max(self.most_running, self._running)
         try:
-            return await self._respond(writer, call, response)
+            return await self._respond(reader, writer, call, response)
         finally:
             self._running -= not is_refused
+            self.worked_until_s.setdefault(call.call_id, time.monotonic())
+
+    async def _wait_awake(
+        self, reader: asyncio.StreamReader, call: ReceivedCall
+    ) -> None:
+        """Wait for the end of a silence, and note if the caller leaves before it."""
+        while not self._is_awake.is_set():
+            if reader.at_eof():
+                self.worked_until_s.setdefault(call.call_id, time.monotonic())
+            await asyncio.sleep(LINK_POLL_S)
 
     async def _respond(
         self,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         call: ReceivedCall,
         response: ScriptedResponse,
@@ -346,7 +362,7 @@
             elif self._breaks_stream(call):
                 cut_event = first_event + EVENTS_BEFORE_BREAK
             return await self._send_stream(
-                writer, call_id, first_event=first_event, cut_event=cut_event
+                reader, writer, call, first_event=first_event, cut_event=cut_event
             )
         return await self._send_response(writer, response, call_id)
 
@@ -462,14 +478,16 @@
 
     async def _send_stream(
         self,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        call_id: str,
+        call: ReceivedCall,
         *,
         first_event: int,
         cut_event: int | None,
     ) -> bool:
         """Send a stream, which is cut within ``cut_event`` if that is not None."""
-        writer.write(self._stream_head(call_id))
+        await asyncio.sleep(self.stream_delay_s)
+        writer.write(self._stream_head(call.call_id))
         for number in range(first_event, self.event_count + 1):
             event = self._make_event(number)
             if number == cut_event:
@@ -478,7 +496,7 @@
                 await asyncio.sleep(LATE_RESPONSE_DELAY_S)
                 reset_connection(writer)
                 return False
-            await self._is_awake.wait()
+            await self._wait_awake(reader, call)
             await self._link_cuts.wait(writer)
             writer.write(self._frame(event))
             await writer.drain()
