Teach the soak pauses of runners, slow callers and foreign entries

Each seed pauses one to all runners for a second, adds an entry to the store that no strict parser takes, and has a caller that reads answers of 2 MB slowly through stops of nodes. A call that a node ends before seven tenths of its time while its runner was paused breaks it. Kept seeds play without these unless they say has_pauses.

--- a/packages/clementineyoke-node/tests/edge/cut_off_nodes.feature
+++ b/packages/clementineyoke-node/tests/edge/cut_off_nodes.feature
@@ -27,14 +27,19 @@
     When nodes "0" lose their links to all runners, "silent" amid 3 streams
     Then each stream is complete and has every event once
 
-  Scenario: The resumption of a stream fails at a peer
+  Scenario Outline: The resumption of a stream fails at a peer
     # The peer's error response, written after the head of the stream, is no valid answer.
     Given 3 nodes and 3 runners, whose links to nodes can be cut
     And callers use all nodes
     And the runners stream slowly
-    When a stream loses its node's links, and its resumption fails at a peer
+    When a stream loses its node's links, "<how>", and its resumption fails at a peer
     Then the caller reads one response, which is incomplete
 
+    Examples:
+      | how    |
+      | silent |
+      | reset  |
+
   Scenario: A peer gets no answer from the runner
     # The call may have run. A second peer, or a status that means "not run", would lead to
     # a double booking.
--- a/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/cut_off_nodes_steps.py
@@ -142,12 +142,12 @@
     context.run(wait_until(is_over, limit_s))
 
 
-@when("a stream loses its node's links, and its resumption fails at a peer")
-def fail_resumption(context):
-    context.raw = context.run(read_raw_stream(context))
+@when('a stream loses its node\'s links, "{how}", and its resumption fails at a peer')
+def fail_resumption(context, how):
+    context.raw = context.run(read_raw_stream(context, how))
 
 
-async def read_raw_stream(context):
+async def read_raw_stream(context, how):
     fleet = context.fleet
     reader, writer = await asyncio.open_connection("127.0.0.2", fleet.ports[0])
     writer.write(
@@ -156,7 +156,7 @@
         b"Authorization: Token key-one\r\nContent-Length: 0\r\n\r\n"
     )
     raw = await reader.read(100)
-    cut_links(context, "0", "silent")
+    cut_links(context, "0", how)
     set_script(context, *[ScriptedResponse.FAIL] * 4)
     while chunk := await reader.read(65_536):
         raw += chunk
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -36,6 +36,9 @@
     has_crashing_parts: bool = True
     """Whether runners crash on a part of prompts; in every second seed their answers
     end with their connections."""
+    has_pauses: bool = True
+    """Whether runners stop working for a second, another writer adds an entry that no
+    node can read, and a caller reads long answers slowly."""
 
 
 def run(
@@ -63,6 +66,7 @@
                 entry.get("has_path_faults", False),
                 entry.get("has_versions", False),
                 entry.get("has_crashing_parts", False),
+                entry.get("has_pauses", False),
             )
             for entry in entries
         ]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -22,6 +22,8 @@
 EVENTS = 6
 EVENTS_BEFORE_BREAK = 2
 """Complete events of a stream before it is cut."""
+PADDING = "."
+LONG_PADDING_BYTES = 2_000_000
 HANG_S = 3600.0
 SLOW_RESPONSE_DELAY_S = 0.6
 CRASH_DELAY_S = 0.03
@@ -150,6 +152,8 @@
         self.event_pause_s = 0.0
         self.padding_bytes = 0
         """Bytes that are added to each complete answer."""
+        self.padded_target = ""
+        """Request target whose answers are padded in any case."""
         self.slow_delay_s = SLOW_RESPONSE_DELAY_S
         self.resets_idle_connections = False
         """Whether a connection is reset when it is reused after being idle."""
@@ -364,7 +368,13 @@
             return await self._send_stream(
                 reader, writer, call, first_event=first_event, cut_event=cut_event
             )
-        return await self._send_response(writer, response, call_id)
+        is_padded = call.target == self.padded_target
+        return await self._send_response(
+            writer,
+            response,
+            call_id,
+            padding_bytes=LONG_PADDING_BYTES if is_padded else self.padding_bytes,
+        )
 
     def _breaks_stream(self, call: ReceivedCall) -> bool:
         """Return whether it is the turn of a call's stream to be cut."""
@@ -418,7 +428,12 @@
         return self.fallback_response
 
     async def _send_response(
-        self, writer: asyncio.StreamWriter, response: ScriptedResponse, call_id: str
+        self,
+        writer: asyncio.StreamWriter,
+        response: ScriptedResponse,
+        call_id: str,
+        *,
+        padding_bytes: int,
     ) -> bool:
         if response is ScriptedResponse.HANG:
             await asyncio.sleep(HANG_S)
@@ -427,7 +442,7 @@
         if response is ScriptedResponse.RESET:
             reset_connection(writer)
             return False
-        body = f"answer to {call_id}".encode() + b"." * self.padding_bytes
+        body = f"answer to {call_id}{PADDING * padding_bytes}".encode()
         if response is ScriptedResponse.CROSSED:
             call_id = "another-call"
         status = STATUS_LINES.get(response, "200 OK")
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/audit.py
@@ -39,6 +39,8 @@
 MIN_CUT_OFF_SHARE = 2 / 3
 CUT_OFF_SLACK_CALLS = 10
 CUT_OFF_SLACK_SHARE = 1 / 50
+MIN_TIME_USED_S = 1.4
+"""Seven tenths of the time that a call has; later it may be ended for lack of time."""
 RUNNER_FALL_SLACK = 2
 RUNNER_FALL_SHARE = 0.1
 CLOCK_TOLERANCE_S = 0.5
@@ -117,6 +119,10 @@
     """Requests of callers that resume broken streams."""
     runner_link_faults: list[Span]
     """Periods in which the path to a runner failed."""
+    runner_pauses: list[Span]
+    """Periods in which runners stopped working and broke off nothing."""
+    pauses_only: list[Span]
+    """Periods with such pauses, orderly work and state changes at most."""
 
 
 def audit(evidence: Evidence, *, is_timed: bool) -> list[str]:
@@ -137,6 +143,7 @@
     violations += check_versions(evidence.calls, evidence.stream_tries)
     if is_timed:
         violations += _check_interrupted_calls(evidence, executions)
+        violations += _check_pauses(evidence, executions)
         violations += _check_keys(evidence, executions)
         violations += _check_leaving_runners(evidence)
         violations += _check_evacuations(evidence)
@@ -205,6 +212,25 @@
             yield f"{call.call_id}: interrupted by planned work: {call.reason}"
 
 
+def _check_pauses(
+    evidence: Evidence, executions: dict[str, list[RunnerObservation]]
+) -> Iterable[str]:
+    """Find calls that a node ended early because their runner had stopped working."""
+    for call in evidence.calls:
+        seen = executions.get(call.call_id)
+        if call.status is not None or not seen:
+            continue
+        has_used_its_time = call.ended_s - call.sent_s >= MIN_TIME_USED_S
+        if has_used_its_time or not _overlaps(
+            evidence.runner_pauses, call.sent_s, call.ended_s
+        ):
+            continue
+        if any(_has_crashed(evidence, item, call.ended_s) for item in seen):
+            continue
+        if _is_within(evidence.pauses_only, call.sent_s, call.ended_s):
+            yield f"{call.call_id}: cut while runners were paused: {call.reason}"
+
+
 def _has_crashed(
     evidence: Evidence, observation: RunnerObservation, until_s: float
 ) -> bool:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/caller.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/caller.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from clementineyoke_node.platform import names
+from clementineyoke_standins.edge.edge_runner import PADDING
 from clementineyoke_standins.soak.operator_state import HOSTNAME, RouteKind
 
 if TYPE_CHECKING:
@@ -26,6 +27,12 @@
 """Share of calls that are sent with a key which the operator has withdrawn."""
 
 
+LONG_TARGET = f"/{RouteKind.IDEMPOTENT.value}/long"
+"""Target of calls whose answers are padded."""
+SLOW_READ_BYTES = 65_536
+SLOW_READ_PAUSE_S = 0.03
+
+
 class CallRecord(NamedTuple):
     """Result of one call as its caller observed it."""
 
@@ -162,6 +169,37 @@
         return self._state.current_key
 
 
+class SlowCaller(Caller):
+    """Read long answers slowly, each over a connection of its own."""
+
+    async def run(self) -> None:
+        """Make calls until cancelled."""
+        while True:
+            async with aiohttp.ClientSession(read_bufsize=SLOW_READ_BYTES) as session:
+                node = self._rng.randrange(len(self._endpoints))
+                kind, key = RouteKind.IDEMPOTENT, self.current_key
+                await self.call(session, node=node, kind=kind, key=key)
+            await asyncio.sleep(MEAN_PAUSE_S)
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        call_id: str,
+        *,
+        node: int,
+        **call: object,
+    ) -> tuple[int, str, bool]:
+        headers = call_headers(call_id, key=self.current_key)
+        url = f"http://{self._endpoints[node]}{LONG_TARGET}"
+        body = b""
+        async with session.get(url, headers=headers) as response:
+            while chunk := await response.content.read(SLOW_READ_BYTES):
+                body += chunk
+                await asyncio.sleep(SLOW_READ_PAUSE_S)
+            text = body.decode().rstrip(PADDING)
+            return response.status, text, names.SERVER_SIGNATURE in response.headers
+
+
 def call_headers(call_id: str, *, key: str) -> dict[str, str]:
     """Return the headers of a caller's request."""
     return {
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -18,6 +18,7 @@
     APPLY_DEADLINE_S,
     CUT_DETECTION_S,
     NodeCut,
+    Span,
 )
 from clementineyoke_standins.soak.caller import Caller
 from clementineyoke_standins.soak.fault_proxy import LinkFault
@@ -72,6 +73,7 @@
 """Time for which runners say that they are brittle before they are."""
 BRITTLE_ROOM = 3
 SILENCE_S = 1.1
+FOREIGN_NAME = "foreign"
 
 
 async def send_crashing_request(
@@ -113,6 +115,8 @@
         self.node_cuts: list[NodeCut] = []
         self.brittle_spans: list[float] = []
         """Length of each time in which runners were brittle."""
+        self.pauses: list[Span] = []
+        """Times in which runners stopped working."""
         self.crashing_callers: list[Caller] = []
         """Callers of requests that crash runners, one for each such fault."""
         self._handlers: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
@@ -144,6 +148,8 @@
             FaultKind.NODE_CUT: self._cut_off_nodes,
             FaultKind.RUNNERS_BRITTLE: self._make_brittle,
             FaultKind.RUNNER_SILENT: self._silence_runner,
+            FaultKind.RUNNERS_PAUSE: self._pause_runners,
+            FaultKind.FOREIGN_ENTRY: self._add_foreign_entry,
         }
 
     async def inject(self, fault: PlannedFault) -> None:
@@ -299,6 +305,22 @@
         await asyncio.sleep(SILENCE_S)
         link.cut_links((), LinkCut.SILENT)
 
+    async def _pause_runners(self, fault: PlannedFault) -> None:
+        count = 1 + fault.selector % len(self._fleet.runners)
+        runners = self._fleet.runners[:count]
+        start_s = time.monotonic()
+        for runner in runners:
+            runner.fall_silent()
+        await asyncio.sleep(SILENCE_S)
+        for runner in runners:
+            runner.go_on()
+        self.pauses.append(Span(start_s, time.monotonic()))
+
+    async def _add_foreign_entry(self, fault: PlannedFault) -> None:
+        await self._fleet.state.write_foreign_entry(FOREIGN_NAME)
+        await asyncio.sleep(APPLY_DEADLINE_S + fault.duration_s)
+        await self._fleet.state.remove_foreign_entry(FOREIGN_NAME)
+
     async def _change_key(self, fault: PlannedFault) -> None:
         async with self._lock:
             await self._fleet.state.change_key()
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -122,6 +122,14 @@
         if state != "ready":
             self.runner_left_s.setdefault(runner.runner_id, time.monotonic())
 
+    async def write_foreign_entry(self, name: str) -> None:
+        """Write an entry with half of a surrogate pair in a text."""
+        await self._store.put(names.RUNNERS_KIND, name, {"service": "\ud800"})
+
+    async def remove_foreign_entry(self, name: str) -> None:
+        """Remove such an entry."""
+        await self._store.remove(names.RUNNERS_KIND, name)
+
     async def remove_entry(self, runner: EdgeRunner) -> None:
         """Remove the entry of a runner that has left."""
         await self._store.remove(names.RUNNERS_KIND, runner.runner_id)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -59,6 +59,10 @@
     """All runners have little room and fall over if they reject too many calls."""
     RUNNER_SILENT = "runner_silent"
     """A runner sends and receives nothing for a second."""
+    RUNNERS_PAUSE = "runners_pause"
+    """Some or all runners stop working for a second; their connections stay open."""
+    FOREIGN_ENTRY = "foreign_entry"
+    """Another writer adds an entry of a runner that the nodes' parser rejects."""
 
 
 NON_DISRUPTIVE = frozenset(
@@ -71,6 +75,7 @@
         FaultKind.RUNNER_COLD,
         FaultKind.RUNNER_SHEDS,
         FaultKind.RUNNER_DRAINS_UNLISTED,
+        FaultKind.FOREIGN_ENTRY,
     )
 )
 """Faults during which every guarantee must hold."""
@@ -92,6 +97,7 @@
     FaultKind.RUNNERS_BRITTLE,
     FaultKind.RUNNER_SILENT,
 )
+PAUSES = (FaultKind.RUNNERS_PAUSE, FaultKind.FOREIGN_ENTRY)
 SEPARATELY_DRAWN = frozenset(
     (
         FaultKind.CRASHING_REQUEST,
@@ -100,6 +106,7 @@
         FaultKind.RUNNER_COLD,
         *RUNNER_SIGNALS,
         *PATH_FAULTS,
+        *PAUSES,
     )
 )
 """Faults with random generators of their own, so that older seeds keep their faults."""
@@ -156,6 +163,11 @@
     return _draw_once(PATH_FAULTS, Random(f"paths of {seed}"), length_s)
 
 
+def plan_pauses(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the pauses of runners and the foreign entry of a seed."""
+    return _draw_once(PAUSES, Random(f"pauses of {seed}"), length_s)
+
+
 def _draw_once(
     kinds: tuple[FaultKind, ...], rng: Random, length_s: float
 ) -> list[PlannedFault]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -20,7 +20,7 @@
     Span,
     audit,
 )
-from clementineyoke_standins.soak.caller import Caller
+from clementineyoke_standins.soak.caller import LONG_TARGET, Caller, SlowCaller
 from clementineyoke_standins.soak.fault_acts import (
     FaultInjector,
     send_crashing_part,
@@ -31,6 +31,7 @@
     INTERRUPTIONS,
     NON_DISRUPTIVE,
     PATH_FAULTS,
+    PAUSES,
     PLANNED_WORK,
     RUNNER_SIGNALS,
     FaultKind,
@@ -39,6 +40,7 @@
     plan_crashing_parts,
     plan_faults,
     plan_path_faults,
+    plan_pauses,
     plan_runner_signals,
     plan_zone_work,
 )
@@ -112,6 +114,7 @@
         has_path_faults: bool = True,
         has_versions: bool = True,
         has_crashing_parts: bool = True,
+        has_pauses: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
@@ -120,6 +123,7 @@
         self._has_path_faults = has_path_faults
         self._has_versions = has_versions
         self._has_crashing_parts = has_crashing_parts
+        self._has_pauses = has_pauses
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -143,6 +147,12 @@
             state=self._fleet.state,
             rng=Random(seed),
         )
+        self._slow_caller = SlowCaller(
+            name=f"s{seed}slow",
+            endpoints=self._fleet.caller_endpoints,
+            state=self._fleet.state,
+            rng=Random(f"slow caller of {seed}"),
+        )
         self._readers = [
             StreamReader(
                 name=f"s{seed}r{number}",
@@ -172,8 +182,11 @@
             await self._wait_until_serving(session, START_TIMEOUT_S)
             for runner in self._fleet.runners:
                 runner.responses_by_prefix = {"/streaming/": ScriptedResponse.STREAM}
+                runner.padded_target = LONG_TARGET
             run_start_s = time.monotonic()
             async with BackgroundTasks() as tasks:
+                if self._has_pauses:
+                    tasks.spawn(self._slow_caller.run(), name="soak_slow_caller")
                 for caller in self._callers:
                     tasks.spawn(caller.run(), name="soak_caller")
                 for reader in self._readers:
@@ -189,6 +202,8 @@
                     planned += plan_runner_signals(self._seed, length_s=self._length_s)
                 if self._has_path_faults:
                     planned += plan_path_faults(self._seed, length_s=self._length_s)
+                if self._has_pauses:
+                    planned += plan_pauses(self._seed, length_s=self._length_s)
                 await asyncio.gather(
                     *(self._inject(fault, run_start_s) for fault in planned)
                 )
@@ -257,7 +272,8 @@
             await self._injector.inject(
                 PlannedFault(0.0, kind, self._seed, OBSERVATION_S)
             )
-        for kind in PATH_FAULTS if self._has_path_faults else ():
+        undrawn = PATH_FAULTS if self._has_path_faults else ()
+        for kind in (*undrawn, *(PAUSES if self._has_pauses else ())):
             await self._inject(PlannedFault(0.0, kind, self._seed, PATH_FAULT_S), 0.0)
         await asyncio.sleep(APPLY_DEADLINE_S + OBSERVATION_S)
 
@@ -306,7 +322,7 @@
         self, planned: list[PlannedFault], run_start_s: float, recovery_s: float
     ) -> SoakReport:
         calls = [record for caller in self._callers for record in caller.records]
-        calls += self._probe.records
+        calls += self._probe.records + self._slow_caller.records
         calls += [
             call
             for caller in self._injector.crashing_callers
@@ -346,6 +362,10 @@
             path_faults_only=self._spans_without(
                 NON_DISRUPTIVE | frozenset(PATH_FAULTS), run_start_s
             ),
+            runner_pauses=self._injector.pauses,
+            pauses_only=self._spans_without(
+                PLANNED_WORK | {FaultKind.RUNNERS_PAUSE}, run_start_s
+            ),
             interruptions=self._interruptions,
             stream_tries=[t for reader in self._readers for t in reader.tries],
             runner_link_faults=[
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -48,6 +48,11 @@
 NODE_COLD_RUNNERS = f"{NODE}/tests/edge/cold_runners.feature"
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
+RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
+LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
+CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
+STORE_ENTRIES = f"{NODE}/tests/edge/store_entries.feature"
+NODE_PLATFORM_SOURCE = f"{NODE}/src/clementineyoke_node/platform"
 CORE_STREAM_VERSIONS = f"{CORE_EDGE_TESTS}/stream_versions.feature"
 
 MUTATIONS = (
@@ -322,7 +327,7 @@
     ),
     Mutation(
         "callers' idle connections stay open when a node shuts down",
-        f"{NODE_EDGE_SOURCE}/edge_service.py",
+        f"{NODE_EDGE_SOURCE}/caller_drain.py",
         "connection.force_close()",
         "connection.close()",
         FLEET,
@@ -576,8 +581,8 @@
     Mutation(
         "an attempt is abandoned at the soft timeout although no retry is left",
         f"{NODE_EDGE_SOURCE}/runner_timeout.py",
-        "if self.may_retry():",
-        "if True:",
+        "elif self._timeout.failover.start(self._leave):",
+        "elif self._leave() is None:",
         CALLS,
     ),
     Mutation(
@@ -835,8 +840,8 @@
     Mutation(
         "a stream that has started gets a peer's error response",
         f"{NODE_EDGE_SOURCE}/forwarder.py",
-        '            if stream.has_started:\n                reason = f"a peer',
-        '            if False:\n                reason = f"a peer',
+        "if response is None or not stream.has_started:",
+        "if True:",
         CUT_OFF_NODES,
     ),
     Mutation(
@@ -883,7 +888,7 @@
     ),
     Mutation(
         "a suspected request is routed by its prompt",
-        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        f"{NODE_EDGE_SOURCE}/slot_finder.py",
         "key = self._crash_tracker.isolation_key(admitted)",
         "key = None",
         CRASHING_REQUESTS,
@@ -946,7 +951,7 @@
     ),
     Mutation(
         "a stream goes on at any version within one answer",
-        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        f"{NODE_EDGE_SOURCE}/slot_finder.py",
         "            version=stream.version,\n            refusals",
         "            version=None,\n            refusals",
         VERSIONS,
@@ -1042,6 +1047,72 @@
         "        # orders",
         f"{CORE}/tests/hash_ring.feature",
     ),
+    Mutation(
+        "a silent runner is left before another one has the call",
+        f"{NODE_EDGE_SOURCE}/runner_timeout.py",
+        "elif self._timeout.failover.start(self._leave):",
+        "elif self._leave() is None:",
+        RUNNER_SILENCE,
+    ),
+    Mutation(
+        "the successor of a runner that goes on is kept",
+        f"{NODE_EDGE_SOURCE}/runner_timeout.py",
+        "        if timer.has_started_search:",
+        "        if False:",
+        RUNNER_SILENCE,
+    ),
+    Mutation(
+        "a runner that refuses a call counts as a successor",
+        f"{NODE_EDGE_SOURCE}/failover.py",
+        "        except AttemptError as error:\n"
+        "            if error.outcome is not AttemptOutcome.NOT_SENT:",
+        "        except AttemptError as error:\n"
+        "            return True\n"
+        "            if error.outcome is not AttemptOutcome.NOT_SENT:",
+        RUNNER_SILENCE,
+    ),
+    Mutation(
+        "a call waits for its last runner for a shorter time than its caller",
+        f"{CORE_SOURCE}/edge/attempt_timeouts.py",
+        "return max(timeout_ms, MIN_STREAM_PATIENCE_MS, pause_patience_ms)",
+        "return timeout_ms",
+        RUNNER_SILENCE,
+    ),
+    Mutation(
+        "a failure with the type of a stream is relayed as one",
+        f"{NODE_PLATFORM_SOURCE}/runner_codec.py",
+        "return self.is_event_stream and is_success and not self.is_refusal",
+        "return self.is_event_stream and not self.is_refusal",
+        STREAMS,
+    ),
+    Mutation(
+        "a leaving node closes connections with unsent answers",
+        f"{NODE_EDGE_SOURCE}/caller_drain.py",
+        "if not self._is_busy(connection) and not _has_unsent(connection)",
+        "if not self._is_busy(connection)",
+        LEAVING_NODE,
+    ),
+    Mutation(
+        "a connection is closed although it has read a request",
+        f"{NODE_EDGE_SOURCE}/caller_drain.py",
+        "            if connection in self._closing:",
+        "            if connection not in self._closing:",
+        LEAVING_NODE,
+    ),
+    Mutation(
+        "bodies with a content coding are decompressed",
+        f"{NODE_EDGE_SOURCE}/edge_service.py",
+        "auto_decompress=False",
+        "auto_decompress=True",
+        CONTENT_CODINGS,
+    ),
+    Mutation(
+        "a page of the store is decoded leniently as a whole",
+        f"{NODE_PLATFORM_SOURCE}/store_page.py",
+        "        frame, elements = _split_array(content, array)\n",
+        "        frame, elements = _to_strict(content), []\n",
+        STORE_ENTRIES,
+    ),
 )
 
 
