--- a/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
@@ -5,6 +5,8 @@
 
 from behave import then, when
 
+from clementineyoke_node.timers.bounded_wait import wait_for_result
+
 TICK_S = 0.15
 
 
@@ -22,3 +24,43 @@
 def check_stall(context, least_ms, most_ms):
     counter = context.fleet.nodes[0].state.metrics.loop_stalled_ms
     assert least_ms <= counter.get({}) <= most_ms, counter.get({})
+
+
+@when(
+    "a request with a timeout of {timeout_ms:d} ms meets a stall of {stall_ms:d} ms, and {event}"
+)
+def wait_amid_stall(context, timeout_ms, stall_ms, event):
+    class Receiver(asyncio.DatagramProtocol):
+        def datagram_received(self, data, addr):
+            if not future.done():
+                future.set_result("reply")
+
+    async def act():
+        nonlocal future
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        transport, _ = await loop.create_datagram_endpoint(
+            Receiver, local_addr=("127.0.0.1", 0)
+        )
+        wait = wait_for_result(future, timeout_ms=timeout_ms)
+        task = asyncio.ensure_future(wait)
+        await asyncio.sleep(0)
+        if event == "its caller leaves with the reply":
+            future.set_result("reply")
+            task.cancel()
+        elif event == "its reply arrives meanwhile":
+            transport.sendto(b"x", transport.get_extra_info("sockname"))
+        time.sleep(stall_ms / 1000)
+        await asyncio.wait({task})
+        transport.close()
+        if task.cancelled():
+            return "cancelled"
+        return "timeout" if task.exception() else task.result()
+
+    future = None
+    context.end = context.run(act())
+
+
+@then('the request ends as "{end}"')
+def check_end(context, end):
+    assert context.end == end, context.end
