--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/bounded_wait.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/bounded_wait.py
@@ -17,8 +17,8 @@
     """Return the result of a future; raises ``TimeoutError`` if it takes too long.
 
     ``asyncio.wait_for`` of Python 3.11 loses a cancellation that comes in the same turn
-    of the loop as the result, and ``asyncio.timeout`` loses such a result. After a stall
-    of the loop, timers expire before anything is read.
+    of the loop as the result, and ``asyncio.timeout`` loses such a result. After a
+    stall of the loop, timers expire before anything is read.
     """
     await asyncio.wait({future}, timeout=timeout_ms / MS_PER_S)
     if not future.done():
--- a/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
@@ -27,7 +27,8 @@
 
 
 @when(
-    "a request with a timeout of {timeout_ms:d} ms meets a stall of {stall_ms:d} ms, and {event}"
+    "a request with a timeout of {timeout_ms:d} ms meets a stall of {stall_ms:d} ms, "
+    "and {event}"
 )
 def wait_amid_stall(context, timeout_ms, stall_ms, event):
     class Receiver(asyncio.DatagramProtocol):
