--- a/tools/check.py
+++ b/tools/check.py
@@ -113,11 +113,13 @@
 def _error_messages(element: dict[str, Any]) -> str:
     """Return the error messages of a scenario's failed steps."""
     messages = [
-        "\n".join(step["result"].get("error_message", []))
+        step["result"].get("error_message", [])
         for step in element["steps"]
         if step.get("result")
     ]
-    return "\n".join(message for message in messages if message)
+    # behave gives a message as one text or as its lines.
+    texts = [text if isinstance(text, str) else "\n".join(text) for text in messages]
+    return "\n".join(text for text in texts if text)
 
 
 def _known_failures() -> set[str]:
