Log failures of a search for a successor, and give the audit of pauses its examples

An exception in a search would have shown at the garbage collection of its task only, and the errors of dropped attempts as well.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt.py
@@ -65,5 +65,6 @@
     async def close(self) -> None:
         """End the call, whether its head has arrived or not."""
         self._task.cancel()
-        await asyncio.wait({self._task})
+        # The error of an attempt that is dropped matters to nobody.
+        await asyncio.gather(self._task, return_exceptions=True)
         await self._stack.aclose()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
@@ -9,6 +9,7 @@
 from clementineyoke_node.edge.attempt import Attempt, PeerAttempt, PendingResponse
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.response_checks import check_begun, check_peer_begun
+from clementineyoke_node.timers.background_tasks import BackgroundTasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,6 +88,8 @@
         self.call_log = call_log
         self.start_attempt = start_attempt
         self.recorder = recorder
+        self.tasks = BackgroundTasks()
+        """The searches, which end with their calls."""
 
     def begin(
         self,
@@ -145,7 +148,8 @@
         is_searching = self._search is not None and not self._search.done()
         if is_searching or self._successor is not None:
             return False
-        self._search = asyncio.ensure_future(self._run(on_ready))
+        search = self._run(on_ready)
+        self._search = self._service.tasks.spawn(search, name="find_successor")
         return True
 
     async def stop(self) -> None:
--- a/packages/clementineyoke-standins/tests/soak_audit.feature
+++ b/packages/clementineyoke-standins/tests/soak_audit.feature
@@ -55,6 +55,19 @@
       | 4     | 2     | nothing |
       | 5     | 2     | a fault |
 
+  Scenario Outline: Calls whose runner pauses
+    # Guards against an audit that passes although nodes end calls that would have gone on.
+    Given a runner that pauses from 10 s to 11.1 s
+    When a call that it has from <sent> s on ends at <ended> s with <end>
+    Then the audit finds <found>
+
+    Examples:
+      | sent | ended | end     | found   |
+      | 9.7  | 10.9  | a break | a fault |
+      | 9.7  | 11.1  | a break | nothing |
+      | 9.7  | 10.9  | 502     | nothing |
+      | 12   | 12.5  | a break | nothing |
+
   Scenario Outline: Streams over a caller's tries
     # Guards against an audit that passes although streams mix versions or lose events.
     Given a caller that gets events <events>
--- a/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
+++ b/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
@@ -87,6 +87,19 @@
     context.falls, context.brittle_spans = falls, spans
 
 
+@given("a runner that pauses from {start_s:g} s to {end_s:g} s")
+def given_pause(context, start_s, end_s):
+    context.calls, context.observations, context.interruptions = [], [], []
+    context.pauses, context.planned = [Span(start_s, end_s)], []
+
+
+@when("a call that it has from {sent_s:g} s on ends at {ended_s:g} s with {status}")
+def end_call(context, sent_s, ended_s, status):
+    add_call(context, node=0, at_s=sent_s)
+    answer = None if status == "a break" else int(status)
+    context.calls[-1] = context.calls[-1]._replace(ended_s=ended_s, status=answer)
+
+
 @then("the audit finds {what}")
 def check_found(context, what):
     evidence = Evidence(
@@ -103,10 +116,12 @@
         path_faults_only=[Span(0.0, 60.0)],
         crash_times_s={RUNNER: []},
         undisturbed=[Span(0.0, 60.0)],
-        planned_work_only=[Span(0.0, 60.0)],
+        planned_work_only=getattr(context, "planned", [Span(0.0, 60.0)]),
         interruptions=context.interruptions,
         stream_tries=getattr(context, "stream_tries", []),
         runner_link_faults=[],
+        runner_pauses=getattr(context, "pauses", []),
+        pauses_only=[Span(0.0, 60.0)],
     )
     violations = audit(evidence, is_timed=True)
     assert bool(violations) == (what == "a fault"), violations
