Go on with a stream only where its first runner broke off

Callers got streams that ended as complete with a part of their pieces, pieces twice, or an error, when a broken stream was resumed at a runner that answered in another form.

Cause: what follows the head of a resumed stream was taken for its rest if it was a success of the type of a stream. So 204, 206 and 202, a rest with a content coding, one that leaves out events and one that ends before the break all ended the stream as complete; events without a number came twice from a runner that starts again at 1; lines that end with CR LF were never told apart and cut the stream; a number of 5,000 digits ended the call with an unexpected error; a whole stream with a content coding was cut, as its bytes were split.

Now the rest has to have the status that the caller was sent and events that can be told apart (StreamSequence): a run may repeat events, but neither leave out any, where the ids of the stream have been consecutive, nor end before the break. A response with a content coding is passed on as a whole. The relay of a peer makes the same checks. Comments are no events and go out with the next one.

The own interface was looked at, not run: it relays by status and asks for an end mark.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/event_splitter.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/event_splitter.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
-EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+COMMENT = b":"
+MAX_ID_DIGITS = 18
+"""Longer ids are no event numbers; Python refuses to parse thousands of digits."""
+_EVENT_END = re.compile(rb"\n\r?\n")
+"""The end of a line and an empty one; lines end with LF or CRLF."""
 
 
 class StreamEvent(NamedTuple):
     """One complete event as received, with its id."""
 
     body: bytes
+    """The event with its end, and the comments before it."""
     event_id: int | None
-    """Id of the event; None for an event without a numeric id, such as a comment."""
+    """Id of the event; None for an event without a numeric id."""
 
 
 class EventSplitter:
@@ -21,29 +27,59 @@
 
     A runner may fail in the middle of an event. If the incomplete event were forwarded,
     its bytes would run into the first event of the runner that continues the stream,
-    and the caller would get a garbled event.
+    and the caller would get a garbled event. Comments and empty lines are no events:
+    they are kept until the next event.
     """
 
     def __init__(self) -> None:
-        self._partial = b""
+        self._pending = b""
+        self._block_start = 0
+        """Where in the pending bytes the block begins that has not ended."""
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the bytes so far end within an event."""
-        return bool(self._partial)
+        return len(self._pending) > self._block_start
+
+    @property
+    def pending_bytes(self) -> int:
+        """The number of bytes after the last complete event."""
+        return len(self._pending)
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that they complete."""
-        *complete, self._partial = (self._partial + chunk).split(EVENT_END)
-        return [
-            StreamEvent(body + EVENT_END, _parse_event_id(body)) for body in complete
-        ]
+        data = self._pending + chunk
+        event_start, block_start = 0, self._block_start
+        # The end of a block may have begun in the bytes before.
+        search_start = max(block_start, len(self._pending) - 2)
+        events: list[StreamEvent] = []
+        for end in _EVENT_END.finditer(data, search_start):
+            block = data[block_start : end.start()]
+            block_start = end.end()
+            if _is_event(block):
+                body = data[event_start:block_start]
+                events.append(StreamEvent(body, _parse_event_id(block)))
+                event_start = block_start
+        self._pending = data[event_start:]
+        self._block_start = block_start - event_start
+        return events
+
+    def take_comments(self) -> bytes:
+        """Return the complete comments after the last event, and forget them."""
+        comments = self._pending[: self._block_start]
+        self._pending, self._block_start = self._pending[self._block_start :], 0
+        return comments
+
+
+def _is_event(block: bytes) -> bool:
+    return any(line and not line.startswith(COMMENT) for line in block.splitlines())
 
 
-def _parse_event_id(body: bytes) -> int | None:
-    for line in body.split(b"\n"):
+def _parse_event_id(block: bytes) -> int | None:
+    for line in block.split(b"\n"):
         if not line.startswith(ID_FIELD):
             continue
         text = line[len(ID_FIELD) :].strip()
-        return int(text) if text.isdigit() else None
+        is_number = text.isdigit() and len(text) <= MAX_ID_DIGITS
+        return int(text) if is_number else None
     return None
--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_sequence.py
@@ -0,0 +1,69 @@
+"""The order of a stream's events across the runners that produce it in turn."""
+
+from __future__ import annotations
+
+
+class StreamGapError(ValueError):
+    """Raised when a runner goes on with a stream later than where it broke off."""
+
+    def __init__(self, *, last_event_id: int, event_id: int) -> None:
+        super().__init__(f"goes on at event {event_id} of a stream at {last_event_id}")
+
+
+class StreamSequence:
+    """Select the events that the caller does not have yet.
+
+    A runner that goes on with a stream may repeat events that the caller has, but it
+    may neither leave out any nor end before them. Ids need not be consecutive, so that
+    a gap is only told where those of the stream have been.
+    """
+
+    def __init__(self, *, last_event_id: int | None) -> None:
+        self.last_event_id = last_event_id
+        """The id of the last event that the caller has."""
+        self._resumed_at = last_event_id
+        self._run_id: int | None = None
+        """Id of the last event of the present run."""
+        self._has_unit_steps = False
+        self._has_other_steps = False
+
+    @property
+    def ends_early(self) -> bool:
+        """Whether the present run has not come as far as the caller is."""
+        if self._run_id is None or self.last_event_id is None:
+            return False
+        return self._run_id < self.last_event_id
+
+    def begin_run(self) -> None:
+        """Record that another runner goes on with the stream."""
+        self._resumed_at = self.last_event_id
+        self._run_id = None
+
+    def accept(self, event_id: int | None) -> bool:
+        """Return whether the caller does not have an event of the present run yet.
+
+        Raises ``StreamGapError`` if the run has left out events.
+        """
+        if event_id is None:
+            # It belongs to the event before it, which the caller may have.
+            return not self.ends_early
+        self._check_gap(event_id)
+        if self._run_id is not None and event_id > self._run_id:
+            is_unit = event_id == self._run_id + 1
+            self._has_unit_steps |= is_unit
+            self._has_other_steps |= not is_unit
+        self._run_id = event_id
+        if self.last_event_id is not None and event_id <= self.last_event_id:
+            return False
+        self.last_event_id = event_id
+        return True
+
+    def _check_gap(self, event_id: int) -> None:
+        last_id = self._resumed_at
+        if last_id is None or self.last_event_id != last_id:
+            return
+        if self._run_id is not None and self._run_id >= last_id:
+            return
+        is_consecutive = self._has_unit_steps and not self._has_other_steps
+        if is_consecutive and event_id > last_id + 1:
+            raise StreamGapError(last_event_id=last_id, event_id=event_id)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -14,11 +14,12 @@
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
 from clementineyoke_node.edge.response_checks import (
     check_outcome,
+    check_resumption,
     read_response,
-    unfit_resumption,
 )
 from clementineyoke_node.edge.runner_liveness import check_end
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
+from clementineyoke_node.edge.stream_checks import check_stream_end, write_events
 from clementineyoke_node.platform.runner_codec import RoutingHeaders
 from clementineyoke_wire.events import Event
 
@@ -144,8 +145,9 @@
                 complete = complete._replace(ended_ms=self._timers.now_ms())
                 await self._check_end(runner, response, step="read_body")
         check_outcome(complete, peer=runner.runner_id)
-        if stream.has_started:
-            raise unfit_resumption(complete.head, peer=runner.runner_id)
+        check_resumption(
+            complete.head, peer=runner.runner_id, stream_status=stream.status
+        )
         return complete
 
     async def _read_response(
@@ -180,6 +182,9 @@
                 peer=runner.runner_id,
                 reason="a stream without the runner's proof",
             )
+        check_resumption(
+            response.head, peer=runner.runner_id, stream_status=stream.status
+        )
         stream.active_ms = self._timers.now_ms()
         await stream.start(response.head, is_leaving=self._membership.is_leaving)
         on_begin = partial(self._record_begin, admitted, runner, stream)
@@ -200,18 +205,13 @@
                 self._record_holder(admitted, runner)
                 self._record_resumption(stream, runner)
             received_ms = stream.active_ms = self._timers.now_ms()
-            events = await stream.write_chunk(chunk, on_begin=on_begin)
+            events = await write_events(
+                stream, chunk, peer=runner.runner_id, on_begin=on_begin
+            )
             stream.pace.record(
                 events, received_ms=received_ms, written_ms=self._timers.now_ms()
             )
-        if stream.has_partial_event:
-            raise AttemptError(
-                outcome=AttemptOutcome.LOST,
-                step="relay",
-                peer=runner.runner_id,
-                reason="the stream stopped within an event",
-                is_connection_lost=True,
-            )
+        check_stream_end(stream, peer=runner.runner_id)
         await self._check_end(runner, response, step="relay")
         await stream.finish()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -8,12 +8,12 @@
 
 from clementineyoke_core.capacity.event_pace import EventPace
 from clementineyoke_core.edge.event_splitter import EventSplitter
+from clementineyoke_core.edge.stream_sequence import StreamSequence
 from clementineyoke_node.platform.runner_codec import BodyEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from clementineyoke_core.edge.event_splitter import StreamEvent
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
 
@@ -24,8 +24,7 @@
         self._request = request
         self._response: web.StreamResponse | None = None
         self._splitter = EventSplitter()
-        self.last_event_id = last_event_id
-        """The id of the last event that the caller has."""
+        self._sequence = StreamSequence(last_event_id=last_event_id)
         self.sent_event_count = 0
         self.version: str | None = None
         """Software version of the runner that produced its events, None if unknown."""
@@ -42,13 +41,28 @@
         return self._response is not None
 
     @property
-    def has_partial_event(self) -> bool:
-        """Whether the runner's data ends within an event."""
-        return self._splitter.has_partial_event
+    def status(self) -> int | None:
+        """The status that the caller has been sent; None before the head."""
+        return None if self._response is None else self._response.status
+
+    @property
+    def last_event_id(self) -> int | None:
+        """The id of the last event that the caller has."""
+        return self._sequence.last_event_id
+
+    @property
+    def end_fault(self) -> str | None:
+        """Why the runner's data so far is not the rest of the stream, or None."""
+        if self._splitter.has_partial_event:
+            return "the stream stopped within an event"
+        if self._sequence.ends_early:
+            return "the stream stopped before the event at which it was to go on"
+        return None
 
     async def start(self, head: ResponseHead, *, is_leaving: bool) -> None:
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
+        self._sequence.begin_run()
         self.pace = EventPace()
         self.body_end = head.body_end
         if self._response is not None:
@@ -66,9 +80,14 @@
     ) -> int:
         """Write the events that a chunk completes, and return their number.
 
-        ``on_begin`` is called before the first event of the response is written.
+        ``on_begin`` is called before the first event of the response is written. Raises
+        ``StreamGapError`` if the runner has left out events.
         """
-        events = [event for event in self._splitter.feed(chunk) if self._is_new(event)]
+        events = [
+            event
+            for event in self._splitter.feed(chunk)
+            if self._sequence.accept(event.event_id)
+        ]
         if events and not self.sent_event_count:
             on_begin()
         if events and self._response is not None:
@@ -86,19 +105,10 @@
 
     async def finish(self) -> None:
         """End the response as complete."""
-        await self.response.write_eof()
+        await self.response.write_eof(self._splitter.take_comments())
 
     def abort(self) -> web.StreamResponse:
         """Abort the connection, so that the caller sees an incomplete response."""
         if self._request.transport is not None:
             self._request.transport.abort()
         return self.response
-
-    def _is_new(self, event: StreamEvent) -> bool:
-        if event.event_id is None:
-            return True
-        if self.last_event_id is not None and event.event_id <= self.last_event_id:
-            # A runner that resumes a stream may repeat events that the caller has.
-            return False
-        self.last_event_id = event.event_id
-        return True
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
@@ -254,7 +254,7 @@
                 check_begun(
                     response.head,
                     peer=lease.runner.runner_id,
-                    is_resumption=self._stream.has_started,
+                    stream_status=self._stream.status,
                 )
         except AttemptError as error:
             if error.outcome is not AttemptOutcome.NOT_SENT:
@@ -286,7 +286,7 @@
                 check_peer_begun(
                     response.head,
                     peer=peer.node_id,
-                    is_resumption=self._stream.has_started,
+                    stream_status=self._stream.status,
                 )
         except AttemptError as error:
             service.call_log.record_forward_failure(admitted, error)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -14,9 +14,14 @@
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 from clementineyoke_node.edge.attempt_error import AttemptError
-from clementineyoke_node.edge.response_checks import check_call_id, read_response
+from clementineyoke_node.edge.response_checks import (
+    check_call_id,
+    check_resumption,
+    read_response,
+)
 from clementineyoke_node.edge.runner_connection_pool import make_session
 from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
+from clementineyoke_node.edge.stream_checks import check_stream_end, write_events
 from clementineyoke_node.platform.relay_codec import (
     decode_relayed_head,
     encode_relayed_headers,
@@ -210,12 +215,11 @@
         stream: CallerStream,
         response: OpenResponse,
     ) -> None:
+        check_resumption(response.head, peer=peer.node_id, stream_status=stream.status)
         await stream.start(response.head, is_leaving=self._membership.is_leaving)
         while chunk := await self._next_chunk(admitted, peer, response):
-            await stream.write_chunk(chunk)
-        if stream.has_partial_event:
-            reason = "the stream stopped within an event"
-            raise _error(AttemptOutcome.LOST, "relay", peer, reason)
+            await write_events(stream, chunk, peer=peer.node_id)
+        check_stream_end(stream, peer=peer.node_id)
         await stream.finish()
 
     async def _next_chunk(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -76,17 +76,37 @@
         )
 
 
-def check_begun(head: ResponseHead, *, peer: str, is_resumption: bool) -> None:
+def check_begun(head: ResponseHead, *, peer: str, stream_status: int | None) -> None:
     """Raise ``AttemptError`` if a response that has begun will not be of use.
 
-    ``is_resumption`` is whether a stream is to go on with it.
+    ``stream_status`` is the status of the stream that is to go on with it, if any.
     """
     check_outcome(CompleteResponse(head, b""), peer=peer)
-    if is_resumption and not head.begins_stream:
-        raise unfit_resumption(head, peer=peer)
+    check_resumption(head, peer=peer, stream_status=stream_status)
 
 
-def check_peer_begun(head: ResponseHead, *, peer: str, is_resumption: bool) -> None:
+def check_resumption(
+    head: ResponseHead, *, peer: str, stream_status: int | None
+) -> None:
+    """Raise ``AttemptError`` if a stream that has begun cannot go on with a response.
+
+    The caller has the head of the first runner. A response with another status is not
+    the rest of that stream, even if it is a success.
+    """
+    if stream_status is None:
+        return
+    if not head.begins_stream or head.status != stream_status:
+        raise AttemptError(
+            outcome=AttemptOutcome.FAILED,
+            step="resume",
+            peer=peer,
+            reason=f"answered {head.status} to a stream that goes on",
+        )
+
+
+def check_peer_begun(
+    head: ResponseHead, *, peer: str, stream_status: int | None
+) -> None:
     """Raise ``AttemptError`` like ``check_begun`` for the response of a peer.
 
     A peer that answers itself that a call did not run has not sent it to a runner.
@@ -98,17 +118,7 @@
             peer=peer,
             reason=f"a peer refused with {head.status}",
         )
-    check_begun(head, peer=peer, is_resumption=is_resumption)
-
-
-def unfit_resumption(head: ResponseHead, *, peer: str) -> AttemptError:
-    """Return the error of a response with which a stream cannot go on."""
-    return AttemptError(
-        outcome=AttemptOutcome.FAILED,
-        step="resume",
-        peer=peer,
-        reason=f"answered {head.status} to a stream that goes on",
-    )
+    check_begun(head, peer=peer, stream_status=stream_status)
 
 
 def check_call_id(call: EdgeCall, head: ResponseHead, *, peer: str) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -19,7 +19,7 @@
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
 STATUS_MISDIRECTED = 421
-STATUSES_WITHOUT_BODY = frozenset((204, 304))
+STATUSES_WITHOUT_BODY = frozenset((204, 205, 304))
 BACKOFF_STATUSES = frozenset((429, 503))
 """Statuses of responses that may carry a backoff time."""
 MAX_BACKOFF_MS = 3_600_000.0
@@ -75,6 +75,7 @@
     retry_after_ms: float
     """Time for which the runner asks for backoff; 0 if it does not."""
     is_event_stream: bool
+    has_content_coding: bool
     speed: SpeedReport | None
     """The runner's report of its speed; None without a valid one."""
     has_malformed_load: bool
@@ -90,10 +91,13 @@
     def begins_stream(self) -> bool:
         """Whether the body is the events that the caller asked for.
 
-        Failures and refusals may have the content type of a stream as well.
+        Failures and refusals may have the content type of a stream as well, and events
+        cannot be told apart in a body with a content coding.
         """
+        has_events = self.is_event_stream and not self.has_content_coding
         is_success = MIN_SUCCESS_STATUS <= self.status < MIN_REDIRECT_STATUS
-        return self.is_event_stream and is_success and not self.is_refusal
+        has_body = self.status not in STATUSES_WITHOUT_BODY
+        return has_events and is_success and has_body and not self.is_refusal
 
 
 def encode_call_headers(
@@ -127,6 +131,7 @@
         is_draining=_is_draining(status, fields),
         retry_after_ms=_decode_retry_after_ms(status, fields),
         is_event_stream=fields.get("Content-Type", "").startswith(EVENT_STREAM),
+        has_content_coding=_has_content_coding(fields),
         speed=speed,
         has_malformed_load=speed is None and len(load_fields) >= SPEED_FIELDS,
         rejections_per_s=_decode_rejections(fields),
@@ -138,6 +143,11 @@
     )
 
 
+def _has_content_coding(fields: CIMultiDictProxy[str]) -> bool:
+    coding = fields.get("Content-Encoding", "").strip().lower()
+    return coding not in ("", "identity")
+
+
 def _decode_body_end(status: int, fields: CIMultiDictProxy[str]) -> BodyEnd:
     codings = fields.get("Transfer-Encoding", "").lower().split(",")
     if codings[-1].strip() == "chunked":
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import asyncio
+import gzip
+from functools import partial
+from types import SimpleNamespace
+
+from behave import given, then
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
+from clementineyoke_node.edge.attempt_error import AttemptError
+from clementineyoke_node.edge.caller_stream import CallerStream
+from clementineyoke_node.edge.response_checks import check_peer_begun
+from clementineyoke_node.edge.stream_checks import check_stream_end, write_events
+from clementineyoke_node.platform.relay_codec import decode_relayed_head
+from clementineyoke_node.platform.runner_codec import BodyEnd
+from clementineyoke_standins.edge.edge_runner import EVENTS
+from clementineyoke_standins.edge.raw_answers import (
+    encode_event,
+    encode_raw_head,
+    encode_raw_stream,
+)
+
+BROKEN_AFTER = 3
+MISSING = [encode_event(number) for number in range(BROKEN_AFTER + 1, EVENTS + 1)]
+WHOLE = [encode_event(number) for number in range(1, EVENTS + 1)]
+UNNUMBERED = b"data: unnumbered\n\n"
+
+
+async def send(*parts):
+    for part in parts:
+        yield part
+
+
+async def begin_stream(call, events):
+    """Send the head and some events in chunks, and break off within the next one."""
+    whole = encode_raw_stream(call, [*events, b"id: "])
+    yield whole[: -len(b"0\r\n\r\n")]
+    await asyncio.sleep(0.05)
+    raise ConnectionResetError
+
+
+def encode_document(call, status="200 OK", body=b"a document", **fields):
+    length = str(len(body))
+    return encode_raw_head(call, status, Content_Length=length, **fields) + body
+
+
+RESTS = {
+    "an empty response": lambda call: encode_raw_head(
+        call, "204 No Content", Content_Type="text/event-stream"
+    ),
+    "part of a document": lambda call: encode_raw_stream(
+        call, MISSING, "206 Partial Content"
+    ),
+    "a stream accepted for later": lambda call: encode_raw_stream(
+        call, MISSING, "202 Accepted"
+    ),
+    "events with a content coding": lambda call: encode_raw_stream(
+        call, [gzip.compress(b"".join(MISSING))], Content_Encoding="gzip"
+    ),
+    "a document": encode_document,
+    "a stream that leaves out one": lambda call: encode_raw_stream(call, MISSING[1:]),
+    "a stream that ends before": lambda call: encode_raw_stream(call, WHOLE[:2]),
+    "a stream that ends in an event": lambda call: encode_raw_stream(
+        call, [*MISSING, b"id: 7\ndata"]
+    ),
+    "the events that are missing": lambda call: encode_raw_stream(call, MISSING),
+    "the whole stream from event 1": lambda call: encode_raw_stream(call, WHOLE),
+    "a stream with lines of its own": lambda call: encode_raw_stream(
+        call, [WHOLE[0], UNNUMBERED, *WHOLE[1:]]
+    ),
+    "a stream with comments": lambda call: encode_raw_stream(
+        call, [b": ping\n\n", *MISSING, b": ping\n\n"]
+    ),
+    "lines that end with CR LF": lambda call: encode_raw_stream(
+        call, [encode_event(n, line_end=b"\r\n") for n in range(4, EVENTS + 1)]
+    ),
+    "a last event without its number": lambda call: encode_raw_stream(
+        call, [*MISSING[:-1], b"data: piece 6\n\n"]
+    ),
+}
+
+
+@given('a stream breaks after {count:d} events, and goes on as "{rest}"')
+def given_rest(context, count, rest):
+    def answer(call):
+        if len(context.fleet.calls()) == 1:
+            return begin_stream(call, WHOLE[:count])
+        return send(RESTS[rest](call))
+
+    for runner in context.fleet.runners:
+        runner.raw_answer = answer
+
+
+@then("the caller gets {count:d} events, each once")
+def check_events(context, count):
+    assert context.answer[0] == 200, context.answer
+    body = context.answer[2].replace("\r\n", "\n")
+    pieces = [line for line in body.split("\n") if line.startswith("data: ")]
+    assert pieces == [f"data: piece {n}" for n in range(1, count + 1)], body
+
+
+def answer_with(context, status, body, **fields):
+    context.body = body
+
+    def answer(call):
+        head = {"Content_Type": "text/event-stream", **fields}
+        return send(encode_document(call, status, body, **head))
+
+    for runner in context.fleet.runners:
+        runner.raw_answer = answer
+
+
+@given("the runners stream events with numbers of {digits:d} digits")
+def given_long_numbers(context, digits):
+    body = b"id: %s\ndata: a\n\n" % (b"7" * digits)
+    answer_with(context, "200 OK", body)
+
+
+@given("the runners stream events with a content coding")
+def given_coded(context):
+    body = gzip.compress(b"".join(WHOLE), mtime=0)
+    answer_with(context, "200 OK", body, Content_Encoding="gzip")
+
+
+@then("the caller gets the runner's body")
+def check_body(context):
+    status, headers, body = context.answer
+    assert status == 200, context.answer
+    wanted = context.body
+    if headers.get("Content-Encoding") == "gzip":
+        wanted = gzip.decompress(wanted)
+    assert body.encode() == wanted, (body, headers)
+
+
+class WrittenResponse(SimpleNamespace):
+    """Collects what is written to the caller."""
+
+    async def write(self, data):
+        self.body += data
+
+    async def prepare(self, request):
+        pass
+
+
+def make_peer_head(status, **fields):
+    fields = {
+        "X-Server-Signature": "proof",
+        "Content-Type": "text/event-stream",
+        "Transfer-Encoding": "chunked",
+        **fields,
+    }
+    return decode_relayed_head(status, CIMultiDictProxy(CIMultiDict(fields)))
+
+
+def find_failure(act):
+    try:
+        act()
+    except AttemptError as error:
+        return error.outcome
+    return None
+
+
+@then("a stream that comes from a peer is refused as one that comes from a runner")
+def check_peer(context):
+    heads = (
+        make_peer_head(204),
+        make_peer_head(206),
+        make_peer_head(200, **{"Content-Encoding": "gzip"}),
+    )
+    for head in heads:
+        check = partial(check_peer_begun, head, peer="p", stream_status=200)
+        assert find_failure(check) is AttemptOutcome.FAILED, head
+    stream = CallerStream(request=None, last_event_id=None)
+    stream._response = WrittenResponse(status=200, body=b"")
+    stream.body_end = BodyEnd.CHUNKS
+
+    async def begin(events):
+        await stream.start(make_peer_head(200), is_leaving=False)
+        await write_events(stream, b"".join(events), peer="p")
+
+    context.run(begin(WHOLE[:3]))
+    failure = find_failure(lambda: context.run(begin(MISSING[1:])))
+    assert failure is AttemptOutcome.FAILED, failure
+    context.run(begin(WHOLE[:2]))
+    failure = find_failure(lambda: check_stream_end(stream, peer="p"))
+    assert failure is AttemptOutcome.LOST, failure
+    assert stream.response.body == b"".join(WHOLE[:3]), stream.response.body
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -16,7 +16,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import AsyncIterator, Callable, Collection
+
+    RawAnswer = Callable[["ReceivedCall"], AsyncIterator[bytes] | None]
 
 PROOF = "proof-of-the-runner"
 EVENTS = 6
@@ -118,6 +120,14 @@
         return self.headers.get(names.CALL_ID.lower(), "")
 
 
+class RawSend(NamedTuple):
+    """How many bytes of a raw answer a connection took, and when it ended."""
+
+    sent_bytes: int
+    ended_s: float
+    """Monotonic time."""
+
+
 class EdgeRunner:
     """Listen on a socket and respond to each call with the next item of the script."""
 
@@ -201,6 +211,11 @@
         """Most calls that the runner executed at once."""
         self._running = 0
         self._link_cuts = LinkCuts()
+        self.raw_answer: (
+            Callable[[ReceivedCall], AsyncIterator[bytes] | None] | None
+        ) = None
+        """Returns the bytes to send in place of the scripted response, or None."""
+        self.raw_sends: list[RawSend] = []
         self.worked_until_s: dict[str, float] = {}
         """Monotonic time at which the work on each call ended, by the call's ID."""
         self._is_awake = asyncio.Event()
@@ -358,6 +373,9 @@
         response: ScriptedResponse,
     ) -> bool:
         call_id = call.call_id
+        raw_answer = None if self.raw_answer is None else self.raw_answer(call)
+        if raw_answer is not None:
+            return await self._send_raw(writer, raw_answer)
         if response in (ScriptedResponse.STREAM, ScriptedResponse.CUT):
             first_event = int(call.headers.get(names.LAST_EVENT.lower(), "0")) + 1
             cut_event = None
@@ -376,6 +394,20 @@
             padding_bytes=LONG_PADDING_BYTES if is_padded else self.padding_bytes,
         )
 
+    async def _send_raw(
+        self, writer: asyncio.StreamWriter, parts: AsyncIterator[bytes]
+    ) -> bool:
+        """Send bytes for as long as the node takes them; keep the connection after."""
+        sent_bytes = 0
+        try:
+            async for part in parts:
+                writer.write(part)
+                await writer.drain()
+                sent_bytes += len(part)
+        finally:
+            self.raw_sends.append(RawSend(sent_bytes, time.monotonic()))
+        return True
+
     def _breaks_stream(self, call: ReceivedCall) -> bool:
         """Return whether it is the turn of a call's stream to be cut."""
         if not self.break_every or not call.target.startswith(self.break_prefix):
