Refuse store objects that no parser reads by their names

Cause: what neither parser takes lost its name with its content. Now the name and revision are found without parsing the rest, and the object counts as one that describes no runner, as other malformed entries do.

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -226,5 +226,5 @@
 def _decode(entry: StoredEntry, kind: type[_Spec], *, step: str) -> _Spec:
     try:
         return msgspec.json.decode(entry.spec, type=kind)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise FormatError(step=step, peer=entry.name, reason=str(error)) from error
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
@@ -43,6 +43,7 @@
         ValueError,
         AttributeError,
         OverflowError,
+        RecursionError,
     ) as error:
         raise FormatError(
             step="decode_state", peer="store", reason=repr(error)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -91,7 +91,8 @@
             # Later pages may have later revisions; a watch from the first page's
             # revision misses no change between them.
             revision = revision or page.revision
-            if not page.has_more:
+            # A name that could not be read as it is may lead back to the same page.
+            if not page.has_more or page.last_name == after:
                 return EntryList(entries, revision)
             after = page.last_name
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_page.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_page.py
@@ -5,15 +5,28 @@
 import json
 import re
 from contextlib import suppress
-from typing import NamedTuple, TypeVar
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import msgspec
 
 from clementineyoke_node.platform.format_error import FormatError
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MEMBER_DEPTH = 1
+"""Depth of nesting within an object, where the keys of its members are."""
 ARRAY_DEPTH = 2
 """Depth of nesting within the array of a response's objects."""
-_STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[][{},]', re.DOTALL)
+UNREADABLE_SPEC = b"null"
+MAX_LENIENT_BYTES = 65_536
+"""Larger objects that the strict parser rejects are not parsed in any other way, which
+takes a second for a megabyte."""
+_STRING = rb'"(?:[^"\\]++|\\.)*+"'
+"""Possessive: backtracking would take a hundred bytes for each of the string."""
+_STRUCTURE = re.compile(_STRING + rb"|[][{},]", re.DOTALL)
+_DEEP_STRUCTURE = re.compile(_STRING + rb"|[\[{]+|[\]}]+", re.DOTALL)
+"""For nesting that is only skipped; a run of brackets is one token."""
 
 
 class StoredEntry(NamedTuple):
@@ -22,7 +35,8 @@
     name: str
     revision: int
     spec: bytes
-    """JSON as received; content from other writers may be malformed."""
+    """JSON as received; content from other writers may be malformed. ``null`` if no
+    parser reads the object."""
 
 
 class EntryChange(NamedTuple):
@@ -79,7 +93,7 @@
 
 
 _Document = TypeVar("_Document", _Page, _Events)
-_Element = TypeVar("_Element", _Item, _Event)
+_Element = TypeVar("_Element", _Item, _Event, _Metadata)
 
 
 def decode_page(content: bytes) -> EntryPage:
@@ -111,21 +125,37 @@
 
 def _decode_event(raw: bytes) -> EntryChange | None:
     event = _decode_element(raw, _Event)
-    entry = None if event is None else _decode_item(event.object)
-    return None if event is None or entry is None else EntryChange(entry, event.deleted)
+    if event is None:
+        content = _find_member(raw, "object")
+        rest = bytes(raw).replace(content, UNREADABLE_SPEC, 1) if content else b""
+        event = _decode_element(rest, _Event)
+        if event is None:
+            return None
+        event.object = msgspec.Raw(content)
+    entry = _decode_item(event.object)
+    return None if entry is None else EntryChange(entry, event.deleted)
 
 
 def _decode_item(raw: bytes) -> StoredEntry | None:
-    """Return an object, or None if its name or revision cannot be read."""
+    """Return an object, or None if its name or revision cannot be read.
+
+    An object that no parser reads still has its name: the runner that it replaces is no
+    longer described.
+    """
     item = _decode_element(raw, _Item)
-    if item is None:
+    if item is not None:
+        return StoredEntry(item.metadata.name, item.metadata.revision, bytes(item.spec))
+    metadata = _decode_element(_find_member(raw, "metadata"), _Metadata)
+    if metadata is None:
         return None
-    return StoredEntry(item.metadata.name, item.metadata.revision, bytes(item.spec))
+    return StoredEntry(metadata.name, metadata.revision, UNREADABLE_SPEC)
 
 
 def _decode_element(raw: bytes, kind: type[_Element]) -> _Element | None:
     with suppress(ValueError, RecursionError):
         return msgspec.json.decode(raw, type=kind)
+    if len(raw) > MAX_LENIENT_BYTES:
+        return None
     with suppress(ValueError, TypeError, RecursionError):
         return msgspec.json.decode(_to_strict(bytes(raw)), type=kind)
     return None
@@ -160,31 +190,71 @@
     return document
 
 
+def _find_member(raw: bytes, name: str) -> bytes:
+    """Return the object or array that is a member of a JSON object; empty if none is.
+
+    It works at any depth of nesting, and without parsing the other members.
+    """
+    content = bytes(raw)
+    key, last_string, begin = f'"{name}"'.encode(), b"", 0
+    for mark, start, depth in _walk(content, max_depth=MEMBER_DEPTH):
+        if mark[:1] == b'"':
+            last_string = mark
+        elif mark in b"{[" and depth == MEMBER_DEPTH + 1 and last_string == key:
+            begin = start
+        elif mark in b"}]" and depth == MEMBER_DEPTH and begin:
+            return content[begin : start + 1]
+    return b""
+
+
 def _split_array(content: bytes, name: str) -> tuple[bytes, list[bytes]]:
     """Return a JSON object with a field's array emptied, and the array's elements.
 
     It works at any depth of nesting. Raises ``ValueError`` if there is no such array.
     """
-    key = f'"{name}"'.encode()
-    depth, last_string, begin, element = 0, b"", 0, 0
+    key, last_string, begin, element = f'"{name}"'.encode(), b"", 0, 0
     elements: list[bytes] = []
-    for token in _STRUCTURE.finditer(content):
-        mark = token.group()
+    for mark, start, depth in _walk(content, max_depth=ARRAY_DEPTH):
         if mark[:1] == b'"':
-            last_string = mark if depth == 1 else last_string
+            last_string = mark if depth == MEMBER_DEPTH else last_string
         elif mark in b"{[":
-            depth += 1
             if depth == ARRAY_DEPTH and mark == b"[" and last_string == key:
-                begin = element = token.end()
+                begin = element = start + 1
         elif mark == b",":
             if begin and depth == ARRAY_DEPTH:
-                elements.append(content[element : token.start()])
-                element = token.end()
-        else:
-            depth -= 1
-            if begin and depth < ARRAY_DEPTH:
-                elements.append(content[element : token.start()])
-                frame = content[:begin] + content[token.start() :]
-                return frame, [item for item in elements if item.strip()]
+                elements.append(content[element:start])
+                element = start + 1
+        elif begin and depth < ARRAY_DEPTH:
+            elements.append(content[element:start])
+            frame = content[:begin] + content[start:]
+            return frame, [item for item in elements if item.strip()]
     message = f"the response has no whole array {name!r}"
     raise ValueError(message)
+
+
+def _walk(content: bytes, *, max_depth: int) -> Iterator[tuple[bytes, int, int]]:
+    """Yield strings, brackets and commas, where they start, and the depth after each.
+
+    What is nested deeper than ``max_depth`` is skipped but for its outermost brackets.
+    """
+    depth = position = 0
+    while True:
+        is_skipped = depth > max_depth
+        pattern = _DEEP_STRUCTURE if is_skipped else _STRUCTURE
+        token = pattern.search(content, position)
+        if token is None:
+            return
+        mark, start, position = token.group(), token.start(), token.end()
+        if mark[:1] in b"{[":
+            depth += len(mark)
+        elif mark[:1] in b"}]":
+            # The rest of a run may end what is not skipped.
+            closed = min(len(mark), depth - max_depth) if is_skipped else 1
+            depth -= closed
+            position = start + closed
+            start = position - 1
+            if is_skipped and depth == max_depth:
+                yield mark[:1], start, depth
+                continue
+        if not is_skipped:
+            yield mark, start, depth
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -50,6 +51,7 @@
         """IP addresses of callers whose calls are rejected with 503."""
         self.calls: list[str] = []
         self._items: dict[str, dict[str, dict[str, Any]]] = {}
+        self._raw_specs: dict[str, str] = {}
         self._history: list[Change] = []
         self._history_start = 0
         self._changed = asyncio.Condition()
@@ -63,7 +65,7 @@
         app.router.add_delete("/v1/objects/{kind}/{name}", self._delete_object)
         return app
 
-    async def put(self, kind: str, name: str, spec: dict[str, Any]) -> int:
+    async def put(self, kind: str, name: str, spec: dict[str, Any] | str) -> int:
         """Create or replace an object and return the store's revision."""
         existing = self._items.setdefault(kind, {}).get(name)
         if existing is not None and existing["spec"] == spec:
@@ -84,6 +86,12 @@
         await self._record_change(Change(self.revision, kind, item, is_deleted=False))
         return self.revision
 
+    async def put_raw(self, kind: str, name: str, spec: str) -> int:
+        """Create or replace an object whose spec is sent as this text."""
+        placeholder = f"raw spec {len(self._raw_specs)}"
+        self._raw_specs[placeholder] = spec
+        return await self.put(kind, name, placeholder)
+
     async def remove(self, kind: str, name: str) -> None:
         """Remove an object if it exists."""
         item = self._items.get(kind, {}).pop(name, None)
@@ -115,7 +123,7 @@
         after = request.query.get("afterRev", "")
         names = [name for name in self.names(kind) if name > after]
         items = [self._items[kind][name] for name in names[:MAX_ITEMS_PER_PAGE]]
-        return web.json_response(
+        return self._encode(
             {
                 "items": items,
                 "more": len(names) > MAX_ITEMS_PER_PAGE,
@@ -123,6 +131,12 @@
             }
         )
 
+    def _encode(self, document: dict[str, Any]) -> web.Response:
+        text = json.dumps(document)
+        for placeholder, spec in self._raw_specs.items():
+            text = text.replace(json.dumps(placeholder), spec)
+        return web.Response(text=text, content_type="application/json")
+
     async def _watch(self, request: web.Request) -> web.Response:
         if self.suspends_watches:
             await asyncio.sleep(HANG_S)
@@ -143,7 +157,7 @@
             {"object": change.item, "deleted": change.is_deleted}
             for change in self._changes_since(kind, since)
         ]
-        return web.json_response({"events": events, "storeRevision": self.revision})
+        return self._encode({"events": events, "storeRevision": self.revision})
 
     def _changes_since(self, kind: str, revision: int) -> list[Change]:
         return [
