--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -48,6 +48,7 @@
 NODE_COLD_RUNNERS = f"{NODE}/tests/edge/cold_runners.feature"
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
+RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
 LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
 CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
@@ -356,8 +357,8 @@
     Mutation(
         "a truncated event is continued with the next runner's stream",
         f"{NODE_EDGE_SOURCE}/caller_stream.py",
-        "self._splitter = EventSplitter()\n        self.pace = EventPace()\n        s",
-        "self.pace = EventPace()\n        s",
+        "self._splitter = EventSplitter()\n        self._sequence.begin_run()",
+        "self._sequence.begin_run()",
         STREAMS,
     ),
     Mutation(
@@ -1081,8 +1082,8 @@
     Mutation(
         "a failure with the type of a stream is relayed as one",
         f"{NODE_PLATFORM_SOURCE}/runner_codec.py",
-        "return self.is_event_stream and is_success and not self.is_refusal",
-        "return self.is_event_stream and not self.is_refusal",
+        "return has_events and is_success and has_body and not self.is_refusal",
+        "return has_events and has_body and not self.is_refusal",
         STREAMS,
     ),
     Mutation(
@@ -1113,6 +1114,41 @@
         "        frame, elements = _to_strict(content), []\n",
         STORE_ENTRIES,
     ),
+    Mutation(
+        "an object that no parser reads is left out",
+        f"{NODE_PLATFORM_SOURCE}/store_page.py",
+        "    if metadata is None:\n        return None\n",
+        "    return None\n",
+        STORE_ENTRIES,
+    ),
+    Mutation(
+        "nesting that the stack does not bear ends a decoder",
+        f"{NODE_PLATFORM_SOURCE}/entry_codec.py",
+        "except (ValueError, RecursionError) as error",
+        "except ValueError as error",
+        STORE_ENTRIES,
+    ),
+    Mutation(
+        "a stream goes on with a response of another status",
+        f"{NODE_EDGE_SOURCE}/response_checks.py",
+        "if not head.begins_stream or head.status != stream_status:",
+        "if not head.begins_stream:",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "a runner may leave out events of a stream",
+        f"{CORE_SOURCE}/edge/stream_sequence.py",
+        "if is_consecutive and event_id > last_id + 1:",
+        "if False:",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "a stream may end before the event at which it broke off",
+        f"{CORE_SOURCE}/edge/stream_sequence.py",
+        "return self._run_id < self.last_event_id",
+        "return False",
+        RESUMED_STREAMS,
+    ),
 )
 
 
