--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/event_splitter.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/event_splitter.py
@@ -6,11 +6,13 @@
 from typing import NamedTuple
 
 ID_FIELD = b"id:"
-COMMENT = b":"
 MAX_ID_DIGITS = 18
 """Longer ids are no event numbers; Python refuses to parse thousands of digits."""
 _EVENT_END = re.compile(rb"\n\r?\n")
 """The end of a line and an empty one; lines end with LF or CRLF."""
+MAX_END_BYTES = 3
+_COMMENTS = re.compile(rb"(?:(?::[^\r\n]*+)?\r?\n)*+")
+"""Whole lines that are comments or empty."""
 
 
 class StreamEvent(NamedTuple):
@@ -49,17 +51,17 @@
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Append bytes and return the events that they complete."""
         data = self._pending + chunk
-        event_start, block_start = 0, self._block_start
-        # The end of a block may have begun in the bytes before.
-        search_start = max(block_start, len(self._pending) - 2)
+        # The end of an event may have begun in the bytes before.
+        searched = max(0, len(self._pending) - MAX_END_BYTES)
+        event_start = 0
         events: list[StreamEvent] = []
-        for end in _EVENT_END.finditer(data, search_start):
+        block_start = _skip_comments(data, self._block_start)
+        while end := _EVENT_END.search(data, max(block_start, searched)):
             block = data[block_start : end.start()]
-            block_start = end.end()
-            if _is_event(block):
-                body = data[event_start:block_start]
-                events.append(StreamEvent(body, _parse_event_id(block)))
-                event_start = block_start
+            body = data[event_start : end.end()]
+            events.append(StreamEvent(body, _parse_event_id(block)))
+            event_start = end.end()
+            block_start = _skip_comments(data, event_start)
         self._pending = data[event_start:]
         self._block_start = block_start - event_start
         return events
@@ -71,8 +73,10 @@
         return comments
 
 
-def _is_event(block: bytes) -> bool:
-    return any(line and not line.startswith(COMMENT) for line in block.splitlines())
+def _skip_comments(data: bytes, start: int) -> int:
+    """Return where the next event begins."""
+    comments = _COMMENTS.match(data, start)
+    return start if comments is None else comments.end()
 
 
 def _parse_event_id(block: bytes) -> int | None:
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -0,0 +1,149 @@
+"""An aiohttp client protocol that ends responses which bring bytes but no progress."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import TCPConnector
+from aiohttp.client_proto import ResponseHandler
+
+from clementineyoke_node.bounds.byte_limit_error import ByteKind
+from clementineyoke_node.runners.keep_alive_socket import open_socket
+
+if TYPE_CHECKING:
+    from aiohttp import StreamReader
+    from aiohttp.http import RawResponseMessage
+
+    from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
+
+MAX_HEADS_BYTES = 131_072
+"""All heads of a response, informational ones included."""
+MAX_FRAMING_BYTES = 65_536
+"""Bytes of a body without any of its content: sizes of chunks, extensions, trailers."""
+HEAD_END = b"\r\n\r\n"
+MIN_FINAL_STATUS = 200
+
+
+class BoundedProtocol(ResponseHandler):
+    """Close the connection at once when a response exceeds a bound.
+
+    aiohttp skips empty lines, informational heads and chunk extensions for as long as
+    they come, and keeps what comes while there is no request.
+    """
+
+    def __init__(
+        self, *, loop: asyncio.AbstractEventLoop, byte_limits: ByteLimits
+    ) -> None:
+        super().__init__(loop=loop)
+        self._byte_limits = byte_limits
+        self._refusal: ByteLimitError | None = None
+        self._is_head_due = False
+        self._head_tail = b""
+        self._heads_bytes = 0
+        self._framing_bytes = 0
+        self._content_bytes = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the response to a request that is about to be sent."""
+        self._is_head_due = True
+        self._head_tail = b""
+        self._heads_bytes = self._framing_bytes = self._content_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on the bytes of the response that is expected, within the bounds."""
+        if not data:
+            # Reading goes on after a pause, with what the parser has kept.
+            super().data_received(data)
+            return
+        while data and self._is_head_due and not self._is_ended():
+            data = self._pass_head(data)
+        payload = self._payload
+        if not data or self._is_ended():
+            return
+        if payload is None or payload.is_eof():
+            self._refuse(ByteKind.UNREQUESTED, size_bytes=len(data))
+            return
+        super().data_received(data)
+        if payload.is_eof() and self._is_ended():
+            # What follows the whole response in the same bytes is none.
+            self._refuse(ByteKind.UNREQUESTED, size_bytes=len(data))
+        else:
+            self._check_framing(payload, len(data))
+
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Note that the head is complete, unless it is an informational one."""
+        if data[0].code >= MIN_FINAL_STATUS:
+            self._is_head_due = False
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Keep the reason of a response that was refused."""
+        payload = self._payload
+        super().connection_lost(exc)
+        is_cut = payload is not None and not payload.is_eof()
+        if payload is not None and is_cut and self._refusal is not None:
+            payload.set_exception(self._refusal)
+
+    def _pass_head(self, data: bytes) -> bytes:
+        """Pass on bytes up to the end of a head, and return the rest.
+
+        The parser drops a whole response if what follows it in the same bytes is none.
+        """
+        tail = self._head_tail
+        if tail in (b"", HEAD_END[1:]):
+            # The parser skips empty lines before a head as well, but one by one.
+            begun = data.lstrip(HEAD_END)
+            self._heads_bytes += len(data) - len(begun)
+            data = begun
+        end = (tail + data).find(HEAD_END)
+        size_bytes = len(data) if end < 0 else end + len(HEAD_END) - len(tail)
+        self._heads_bytes += size_bytes
+        if self._heads_bytes > MAX_HEADS_BYTES:
+            self._refuse(ByteKind.HEAD, size_bytes=self._heads_bytes)
+            return b""
+        head = data[:size_bytes]
+        self._head_tail = (tail + head)[1 - len(HEAD_END) :]
+        super().data_received(head)
+        return data[size_bytes:]
+
+    def _refuse(self, kind: ByteKind, *, size_bytes: int) -> None:
+        """Fail the response, unless it is complete, and close the connection."""
+        payload, transport = self._payload, self.transport
+        peer = None if transport is None else transport.get_extra_info("peername")
+        error = self._byte_limits.refuse(kind, size_bytes=size_bytes, peer=str(peer))
+        self._refusal = error
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+    def _is_ended(self) -> bool:
+        return self._exception is not None or self.transport is None
+
+    def _check_framing(self, payload: StreamReader, size_bytes: int) -> None:
+        if payload.is_eof() or self._reading_paused:
+            return
+        if payload.total_bytes > self._content_bytes:
+            self._content_bytes, self._framing_bytes = payload.total_bytes, 0
+            return
+        self._framing_bytes += size_bytes
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._refuse(ByteKind.FRAMING, size_bytes=self._framing_bytes)
+
+
+def make_bounded_connector(byte_limits: ByteLimits, **options: Any) -> TCPConnector:
+    """Return a connector whose connections are bounded."""
+    loop = asyncio.get_running_loop()
+    connector = TCPConnector(limit=0, socket_factory=open_socket, **options)
+    # aiohttp has no public way to set the protocol class of a connector.
+    connector._factory = partial(  # type: ignore[assignment]
+        BoundedProtocol, loop=loop, byte_limits=byte_limits
+    )
+    return connector
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
@@ -0,0 +1,95 @@
+"""The bounds of a node on what it holds of others, and records of what exceeds them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.edge.held_bytes import HeldBytes, HoldLimitError
+from clementineyoke_node.bounds.byte_limit_error import ByteKind, ByteLimitError
+from clementineyoke_wire.events import Event, log_event
+
+if TYPE_CHECKING:
+    from aiohttp import StreamReader
+
+    from clementineyoke_core.edge.held_bytes import Holding
+    from clementineyoke_node.metrics import Metrics
+
+DEFAULT_MAX_ANSWER_BYTES = 4_194_304
+DEFAULT_MAX_HELD_BYTES = 25_165_824
+
+
+class ByteLimits:
+    """Share the bounds on held bytes between all connections of a node."""
+
+    def __init__(
+        self, *, max_answer_bytes: int, max_held_bytes: int, metrics: Metrics
+    ) -> None:
+        """Create the limits; raises ``ValueError`` if they do not fit together.
+
+        ``max_answer_bytes`` bounds what is held for one response, ``max_held_bytes``
+        what is held for all.
+        """
+        self.held = HeldBytes(
+            max_each_bytes=max_answer_bytes, max_total_bytes=max_held_bytes
+        )
+        self._metrics = metrics
+
+    @property
+    def max_answer_bytes(self) -> int:
+        """What is held for one response at most."""
+        return self.held.max_each_bytes
+
+    def resize(
+        self,
+        holding: Holding,
+        size_bytes: int,
+        *,
+        peer: str,
+        kind: ByteKind = ByteKind.BODY,
+    ) -> None:
+        """Resize a holding; raises ``ByteLimitError`` if that is too much."""
+        try:
+            holding.resize(size_bytes)
+        except HoldLimitError as error:
+            exceeded = ByteKind.TOTAL if error.is_total else kind
+            raise self.refuse(
+                exceeded, size_bytes=error.size_bytes, peer=peer
+            ) from error
+
+    def refuse(self, kind: ByteKind, *, size_bytes: int, peer: str) -> ByteLimitError:
+        """Log and count a response that exceeds a bound, and return its error."""
+        self._metrics.bytes_refused.inc({"kind": kind.value})
+        log_event(
+            Event.BYTES_REFUSED, kind=kind.value, peer=peer, size_bytes=size_bytes
+        )
+        return ByteLimitError(kind, size_bytes=size_bytes)
+
+    async def read(self, content: StreamReader, *, peer: str) -> bytes:
+        """Read a body that is decoded at once.
+
+        Raises ``ByteLimitError`` if it is too long to hold.
+        """
+        with self.held.open() as holding:
+            return b"".join(await self.read_parts(content, holding, peer=peer))
+
+    async def read_parts(
+        self, content: StreamReader, holding: Holding, *, peer: str
+    ) -> list[bytes]:
+        """Read a body to its end, and hold it; raises ``ByteLimitError`` like above."""
+        parts: list[bytes] = []
+        size_bytes = 0
+        while part := await content.readany():
+            size_bytes += len(part)
+            self.resize(holding, size_bytes, peer=peer)
+            parts.append(part)
+        return parts
+
+
+async def read_at_most(content: StreamReader, max_bytes: int) -> bytes:
+    """Read a body that is held alone; raises ``ByteLimitError`` if it is longer."""
+    body = bytearray()
+    while part := await content.readany():
+        body += part
+        if len(body) > max_bytes:
+            raise ByteLimitError(ByteKind.BODY, size_bytes=len(body))
+    return bytes(body)
--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Annotated
+
 import msgspec
 
+from clementineyoke_core.edge.held_bytes import FREE_BYTES
 from clementineyoke_core.edge.node_capacity import capacity_calls_per_s
 from clementineyoke_core.overload.overload_features import OverloadFeatures
+from clementineyoke_node.bounds.byte_limits import (
+    DEFAULT_MAX_ANSWER_BYTES,
+    DEFAULT_MAX_HELD_BYTES,
+    ByteLimits,
+)
 from clementineyoke_node.config.config_error import ConfigError
 from clementineyoke_node.config.json_file import read_json
 from clementineyoke_node.platform.feature_decoder import decode_features
 
+if TYPE_CHECKING:
+    from clementineyoke_node.metrics import Metrics
+
 
 class EdgeConfig(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Addresses of a node and the limits that the operator sets."""
@@ -85,9 +96,33 @@
     fallback."""
     gossip_interval_ms: int = 250
     """A probe counts as missed if it is unanswered when the next one is sent."""
+    max_answer_bytes: Annotated[int, msgspec.Meta(ge=FREE_BYTES)] = (
+        DEFAULT_MAX_ANSWER_BYTES
+    )
+    """Longest response that is held as a whole; longer ones are relayed if their length
+    is known, and refused else."""
+    max_held_bytes: int = DEFAULT_MAX_HELD_BYTES
+    """What is held of all responses at most; above it only short ones are held."""
     max_requests: int = 1_000
     """Maximum calls in flight; at 60 kB per stream, 60 MB. More are refused."""
 
+    def make_byte_limits(self, metrics: Metrics) -> ByteLimits:
+        """Return the bounds on what the node holds of others."""
+        return ByteLimits(
+            max_answer_bytes=self.max_answer_bytes,
+            max_held_bytes=self.max_held_bytes,
+            metrics=metrics,
+        )
+
+    def __post_init__(self) -> None:
+        """Raise ``ValueError`` if the bounds on held bytes do not fit together."""
+        if self.max_answer_bytes > self.max_held_bytes:
+            message = (
+                f"max_answer_bytes of {self.max_answer_bytes} exceeds max_held_bytes of"
+                f" {self.max_held_bytes}"
+            )
+            raise ValueError(message)
+
     @property
     def caller_port(self) -> int:
         """TCP port for callers, the same on every node."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -27,6 +27,7 @@
         is_connection_lost: bool = False,
         is_runner_fault: bool = True,
         is_rejection: bool = False,
+        is_final: bool = False,
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.outcome = outcome
@@ -39,6 +40,8 @@
         """Whether the failure counts against the runner."""
         self.is_rejection = is_rejection
         """Whether the runner stated that it had no room for the call."""
+        self.is_final = is_final
+        """Whether the caller has a part of this answer, which no other can go on."""
         self.response = response
         """The runner's signed error response, returned if no retry succeeds."""
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -2,24 +2,25 @@
 
 from __future__ import annotations
 
-import asyncio
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
+from clementineyoke_node.edge.answer_reader import AnswerReader
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
 from clementineyoke_node.edge.response_checks import (
     check_outcome,
     check_resumption,
-    read_response,
 )
 from clementineyoke_node.edge.runner_liveness import check_end
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
-from clementineyoke_node.edge.stream_checks import check_stream_end, write_events
+from clementineyoke_node.edge.stream_reader import (
+    EventReader,
+    check_stream_end,
+    check_time,
+)
 from clementineyoke_node.platform.runner_codec import RoutingHeaders
 from clementineyoke_wire.events import Event
 
@@ -33,6 +34,7 @@
     from clementineyoke_core.pool_rings import PoolRings
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.attempt import Attempt
     from clementineyoke_node.edge.caller_stream import CallerStream
@@ -46,9 +48,6 @@
     from clementineyoke_node.slots.slot_lease import SlotLease
     from clementineyoke_node.timers.timer_service import TimerService
 
-MS_PER_S = 1000.0
-MIN_TIMEOUT_S = 0.001
-
 
 class AttemptExecutor:
     """Sends a call to a runner, and relays the stream or returns the response."""
@@ -68,6 +67,7 @@
         token_accounting: TokenAccounting,
         metrics: Metrics,
         streams: StreamRegistry,
+        byte_limits: ByteLimits,
     ) -> None:
         self._fault_reports = fault_reports
         self._connection_pool = connection_pool
@@ -81,6 +81,12 @@
         self._token_accounting = token_accounting
         self._metrics = metrics
         self._streams = streams
+        self._byte_limits = byte_limits
+        self._answers = AnswerReader(
+            byte_limits=byte_limits,
+            timers=timers,
+            is_leaving=lambda: membership.is_leaving,
+        )
 
     @asynccontextmanager
     async def open(
@@ -137,11 +143,21 @@
         with self._make_overdue_timer(admitted, runner) as overdue_timer:
             async with attempt.opening as response:
                 if response.head.begins_stream:
-                    await self._relay(
-                        admitted, attempt, stream, response, overdue_timer, failover
-                    )
+                    with EventReader(
+                        response=response,
+                        stream=stream,
+                        peer=runner.runner_id,
+                        byte_limits=self._byte_limits,
+                    ) as reader:
+                        await self._relay(
+                            admitted, attempt, stream, reader, overdue_timer, failover
+                        )
                     return None
-                complete = await self._read_response(admitted, runner, response)
+                complete = await self._answers.read(
+                    admitted, response, stream, peer=runner.runner_id
+                )
+                if complete.is_relayed:
+                    return complete
                 complete = complete._replace(ended_ms=self._timers.now_ms())
                 await self._check_end(runner, response, step="read_body")
         check_outcome(complete, peer=runner.runner_id)
@@ -150,31 +166,16 @@
         )
         return complete
 
-    async def _read_response(
-        self, admitted: AdmittedCall, runner: Runner, response: OpenResponse
-    ) -> CompleteResponse:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        try:
-            async with asyncio.timeout(max(MIN_TIMEOUT_S, left_ms / MS_PER_S)):
-                return await read_response(response, peer=runner.runner_id)
-        except TimeoutError as error:
-            raise AttemptError(
-                outcome=AttemptOutcome.LOST,
-                step="read_body",
-                peer=runner.runner_id,
-                reason="the time is up",
-            ) from error
-
     async def _relay(
         self,
         admitted: AdmittedCall,
         attempt: Attempt,
         stream: CallerStream,
-        response: OpenResponse,
+        reader: EventReader,
         overdue_timer: OverdueTimer,
         failover: Failover,
     ) -> None:
-        runner = attempt.lease.runner
+        runner, response = attempt.lease.runner, reader.response
         if not response.head.has_signature:
             raise AttemptError(
                 outcome=AttemptOutcome.LOST,
@@ -189,9 +190,11 @@
         await stream.start(response.head, is_leaving=self._membership.is_leaving)
         on_begin = partial(self._record_begin, admitted, runner, stream)
         is_first = True
-        while chunk := await self._next_chunk(
-            admitted, runner, response, stream, failover
-        ):
+        while True:
+            timeout = self._event_timeout(admitted, stream, failover)
+            events = await reader.next_events(timeout.enforce())
+            if events is None:
+                break
             overdue_timer.stop()
             if is_first:
                 latency_ms = self._timers.now_ms() - attempt.started_ms
@@ -205,11 +208,16 @@
                 self._record_holder(admitted, runner)
                 self._record_resumption(stream, runner)
             received_ms = stream.active_ms = self._timers.now_ms()
-            events = await write_events(
-                stream, chunk, peer=runner.runner_id, on_begin=on_begin
-            )
+            await stream.write_events(events, on_begin=on_begin)
+            written_ms = self._timers.now_ms()
             stream.pace.record(
-                events, received_ms=received_ms, written_ms=self._timers.now_ms()
+                len(events), received_ms=received_ms, written_ms=written_ms
+            )
+            check_time(
+                stream,
+                deadline_ms=admitted.deadline_ms,
+                now_ms=written_ms,
+                peer=runner.runner_id,
             )
         check_stream_end(stream, peer=runner.runner_id)
         await self._check_end(runner, response, step="relay")
@@ -225,29 +233,16 @@
             step=step,
         )
 
-    async def _next_chunk(
-        self,
-        admitted: AdmittedCall,
-        runner: Runner,
-        response: OpenResponse,
-        stream: CallerStream,
-        failover: Failover,
-    ) -> bytes:
-        if stream.sent_event_count:
-            timeout = self._next_event_timeout(admitted, failover)
-        else:
-            timeout = self._head_timeout(admitted, stream, failover)
-        try:
-            async with timeout.enforce():
-                return await response.client_response.content.readany()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise AttemptError(
-                outcome=AttemptOutcome.LOST,
-                step="relay",
-                peer=runner.runner_id,
-                reason=repr(error),
-                is_connection_lost=not isinstance(error, TimeoutError),
-            ) from error
+    def _event_timeout(
+        self, admitted: AdmittedCall, stream: CallerStream, failover: Failover
+    ) -> RunnerTimeout:
+        if not stream.sent_event_count:
+            return self._head_timeout(admitted, stream, failover)
+        return RunnerTimeout(
+            soft_timeout_ms=self._timeouts.next_event_timeout_ms(admitted.route),
+            hard_timeout_ms=admitted.deadline_ms - self._timers.now_ms(),
+            failover=failover,
+        )
 
     def _fetch_address(self, admitted: AdmittedCall, runner: Runner) -> str | None:
         """Return the address of another runner that probably has the prompt cached.
@@ -343,15 +338,6 @@
             failover=failover,
         )
 
-    def _next_event_timeout(
-        self, admitted: AdmittedCall, failover: Failover
-    ) -> RunnerTimeout:
-        return RunnerTimeout(
-            soft_timeout_ms=self._timeouts.next_event_timeout_ms(admitted.route),
-            hard_timeout_ms=admitted.deadline_ms - self._timers.now_ms(),
-            failover=failover,
-        )
-
 
 def _may_fetch(runner: Runner, holder: Runner) -> bool:
     """Return whether a runner can use the cache of another one."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -11,6 +11,7 @@
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.edge.forwarder import REACH_STEP
+from clementineyoke_node.edge.held_response import send_held
 from clementineyoke_node.platform.call_decoder import decode_call
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.node_responses import encode_error, error_headers
@@ -115,7 +116,11 @@
                 status=400, body=encode_error(step=error.step, reason=error.reason)
             )
         try:
-            return await self._serve(request, call, arrived_ms)
+            response = await self._serve(request, call, arrived_ms)
+            if self._membership.is_leaving and not response.prepared:
+                response.force_close()
+            await send_held(response, request)
+            return response
         except RequestError as error:
             return self._error_response(
                 call, error, arrived_ms, is_forwarded=HOP in request.headers
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -12,10 +13,13 @@
 from clementineyoke_node.platform.runner_codec import BodyEnd
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
+    from clementineyoke_core.edge.event_splitter import StreamEvent
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
+MS_PER_S = 1000.0
+
 
 class CallerStream:
     """Writes a streamed response to a caller: complete events, in order, each once."""
@@ -26,6 +30,8 @@
         self._splitter = EventSplitter()
         self._sequence = StreamSequence(last_event_id=last_event_id)
         self.sent_event_count = 0
+        self.write_wait_ms = 0.0
+        """Time for which the caller has kept the stream waiting."""
         self.version: str | None = None
         """Software version of the runner that produced its events, None if unknown."""
         self.active_ms = 0.0
@@ -67,33 +73,62 @@
         self.body_end = head.body_end
         if self._response is not None:
             return
+        await self._start_response(head, length_bytes=None, is_leaving=is_leaving)
+
+    async def _start_response(
+        self, head: ResponseHead, *, length_bytes: int | None, is_leaving: bool
+    ) -> None:
         response = web.StreamResponse(status=head.status)
         for name, value in head.forwarded_headers:
             response.headers.add(name, value)
+        if length_bytes is not None:
+            response.content_length = length_bytes
         if is_leaving:
             response.force_close()
         self._response = response
         await response.prepare(self._request)
 
-    async def write_chunk(
-        self, chunk: bytes, *, on_begin: Callable[[], None] = lambda: None
-    ) -> int:
-        """Write the events that a chunk completes, and return their number.
+    @property
+    def pending_bytes(self) -> int:
+        """The number of bytes that the runner has sent since its last whole event."""
+        return self._splitter.pending_bytes
+
+    def feed(self, chunk: bytes) -> list[StreamEvent] | None:
+        """Return those events that a chunk completes and the caller does not have.
 
-        ``on_begin`` is called before the first event of the response is written. Raises
-        ``StreamGapError`` if the runner has left out events.
+        Returns None if the chunk completes no event. Raises ``StreamGapError`` if the
+        runner has left out events.
         """
-        events = [
-            event
-            for event in self._splitter.feed(chunk)
-            if self._sequence.accept(event.event_id)
-        ]
-        if events and not self.sent_event_count:
+        events = self._splitter.feed(chunk)
+        if not events:
+            return None
+        return [event for event in events if self._sequence.accept(event.event_id)]
+
+    async def start_whole(
+        self, head: ResponseHead, *, length_bytes: int | None, is_leaving: bool
+    ) -> None:
+        """Start to relay a response of a known length, which no other one can go on."""
+        self.body_end = head.body_end
+        await self._start_response(
+            head, length_bytes=length_bytes, is_leaving=is_leaving
+        )
+
+    async def write_events(
+        self,
+        events: Sequence[StreamEvent],
+        *,
+        on_begin: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Write events; ``on_begin`` is called before the first one of the response."""
+        if not events:
+            return
+        if not self.sent_event_count:
             on_begin()
-        if events and self._response is not None:
+        if self._response is not None:
+            started_s = time.monotonic()
             await self._response.write(b"".join(event.body for event in events))
+            self.write_wait_ms += (time.monotonic() - started_s) * MS_PER_S
         self.sent_event_count += len(events)
-        return len(events)
 
     @property
     def response(self) -> web.StreamResponse:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -12,7 +12,6 @@
 from clementineyoke_core.edge.peer_reach import PeerReach
 from clementineyoke_core.edge.pool_versions import PoolVersions
 from clementineyoke_core.edge.prompt_holders import PromptHolders
-from clementineyoke_core.edge.reach_verdict import ReachVerdict
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
 from clementineyoke_core.edge.runner_reach import RunnerReach
@@ -32,6 +31,7 @@
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
 from clementineyoke_node.edge.node_registration import NodeRegistration
+from clementineyoke_node.edge.pause_verifier import PauseVerifier
 from clementineyoke_node.edge.peer_relay import PeerRelay
 from clementineyoke_node.edge.peer_state_exchange import PeerStateExchange
 from clementineyoke_node.edge.reach_monitor import ReachMonitor
@@ -109,7 +109,8 @@
         self._is_apply_scheduled = False
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
-        self.store = StoreClient(address=config.store)
+        self.byte_limits = config.make_byte_limits(state.metrics)
+        self.store = StoreClient(address=config.store, byte_limits=self.byte_limits)
         self.socket = PeerSocket(
             signer=state.signer,
             address=PeerAddress(config.address, config.peer_port),
@@ -143,6 +144,7 @@
             signals=self.signals,
             metrics=state.metrics,
             on_connected=self.reach_monitor.record_connected,
+            byte_limits=self.byte_limits,
             source_address=config.runner_source_address,
         )
         self.runner_health = RunnerHealth(table=state.table)
@@ -167,6 +169,12 @@
             fleet_calls_per_s=self.fleet_calls_per_s,
         )
         self.peer_reach = PeerReach(rng=state.rng)
+        self.pause_verifier = PauseVerifier(
+            table=state.table,
+            tasks=self.tasks,
+            witnesses=lambda: self.witnesses,
+            slot_home=lambda: self.slot_home,
+        )
         self._create_slot_components()
         self.witnesses = ReachWitnesses(
             monitor=self.reach_monitor,
@@ -209,6 +217,7 @@
             signer=state.signer,
             timers=self.timers,
             state_revision=lambda: self.view.state_revision,
+            byte_limits=self.byte_limits,
         )
         self.forwarder = self._make_forwarder()
 
@@ -340,7 +349,7 @@
             prefill_tokens=self.token_accounting.prefill_tokens,
             load_weight=self.speed_exchange.load_weight,
             on_pause=self._record_pause,
-            on_unreachable=self._verify_unreachable,
+            on_unreachable=self.pause_verifier.verify,
             on_response_time=self.speed_exchange.record_response_time,
         )
         self.broker = SlotBroker(
@@ -364,6 +373,7 @@
             pool_versions=self.pool_versions,
             timers=self.timers,
             signer=state.signer,
+            byte_limits=self.byte_limits,
         )
         self.introducer = Introducer(
             socket=self.socket,
@@ -426,6 +436,7 @@
             token_accounting=self.token_accounting,
             metrics=state.metrics,
             streams=self.streams,
+            byte_limits=self.byte_limits,
         )
         return Forwarder(
             broker=self.broker,
@@ -544,22 +555,6 @@
             self.broadcaster.send_to(home, changes)
         return True
 
-    def _verify_unreachable(self, runner_id: str, reporters: list[str]) -> None:
-        entry = self._state.table.get(runner_id)
-        if entry is not None:
-            verification = self._verify_pause(entry.runner, reporters)
-            self.tasks.spawn(verification, name="verify_pause")
-
-    async def _verify_pause(self, runner: Runner, reporters: list[str]) -> None:
-        """End a runner's pause if a node other than the reporters reaches it."""
-        verdict = await self.witnesses.ask(runner, without=reporters)
-        if not self._state.table.is_current(runner):
-            return
-        if verdict is ReachVerdict.REACHED:
-            self.slot_home.record_reached(runner.runner_id)
-        elif verdict is ReachVerdict.UNREACHABLE:
-            self.slot_home.record_ended(runner.runner_id)
-
     def _record_pause(self, reason: str) -> None:
         self._state.metrics.runner_pauses.inc({"reason": reason})
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -6,8 +6,6 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
 from clementineyoke_core.edge.attempt_ledger import AttemptLedger, AttemptOutcome
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
@@ -18,6 +16,8 @@
 from clementineyoke_node.edge.caller_stream import CallerStream
 from clementineyoke_node.edge.cut_cause import CutCause
 from clementineyoke_node.edge.failover import FailoverService
+from clementineyoke_node.edge.failure_texts import describe_failure
+from clementineyoke_node.edge.held_response import make_response
 from clementineyoke_node.edge.retry_spender import RetrySpender
 from clementineyoke_node.edge.return_policy import FixedReturns
 from clementineyoke_node.edge.slot_finder import SlotFinder
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from aiohttp import web
+
     from clementineyoke_core.capacity.response_times import AnswerKind
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.retry_window import RetryWindow
@@ -450,7 +452,7 @@
         """
         if admitted.deadline_ms <= self._timers.now_ms():
             return CutCause.NO_TIME
-        if not ledger.may_retry():
+        if failure.is_final or not ledger.may_retry():
             return CutCause.RUNNERS_USED
         if failure.is_connection_lost and self._crash_tracker.may_be_cause(admitted):
             # Other runners crashed during this request, and probably this one did too.
@@ -490,9 +492,9 @@
             outcome=outcome,
             step=failure.step,
             peer=failure.peer,
-            reason=failure.reason,
+            reason=describe_failure(failure),
             retry_after_ms=retry_after_ms,
-            details=self._returns.describe(admitted.pool),
+            details=self._returns.describe(admitted.pool) | {"cause": failure.reason},
         ) from failure
 
     def _complete(
@@ -503,7 +505,10 @@
     ) -> web.StreamResponse:
         """Return the complete response, or the stream if there is none."""
         body_end = stream.body_end if complete is None else complete.head.body_end
-        response = stream.response if complete is None else _to_response(complete)
+        if complete is None or complete.is_relayed:
+            response = stream.response
+        else:
+            response = make_response(complete)
         self._call_log.record_answered(
             admitted, status=response.status, ended_by=body_end.value
         )
@@ -527,13 +532,3 @@
 
 def _describe_runners(pool: str, version: str | None) -> str:
     return repr(pool) if version is None else f"{pool!r} at version {version!r}"
-
-
-def _to_response(complete: CompleteResponse) -> web.Response:
-    response = web.Response(status=complete.head.status, body=complete.body)
-    for name, value in complete.head.forwarded_headers:
-        if name.lower() == "content-type":
-            response.headers[name] = value
-        else:
-            response.headers.add(name, value)
-    return response
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -13,15 +13,16 @@
 from clementineyoke_core.edge.hop import Hop
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
+from clementineyoke_node.edge.answer_reader import AnswerReader
 from clementineyoke_node.edge.attempt_error import AttemptError
-from clementineyoke_node.edge.response_checks import (
-    check_call_id,
-    check_resumption,
-    read_response,
-)
+from clementineyoke_node.edge.response_checks import check_call_id, check_resumption
 from clementineyoke_node.edge.runner_connection_pool import make_session
 from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
-from clementineyoke_node.edge.stream_checks import check_stream_end, write_events
+from clementineyoke_node.edge.stream_reader import (
+    EventReader,
+    check_stream_end,
+    check_time,
+)
 from clementineyoke_node.platform.relay_codec import (
     decode_relayed_head,
     encode_relayed_headers,
@@ -38,6 +39,7 @@
     from clementineyoke_core.edge.peer_reach import PeerReach
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.node import Node
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.edge.caller_stream import CallerStream
     from clementineyoke_node.timers.timer_service import TimerService
     from clementineyoke_wire.message_signer import MessageSigner
@@ -67,19 +69,30 @@
         signer: MessageSigner,
         timers: TimerService,
         state_revision: Callable[[], int],
+        byte_limits: ByteLimits,
     ) -> None:
         self._membership = membership
         self._peer_reach = peer_reach
         self._signer = signer
         self._timers = timers
         self._state_revision = state_revision
+        self._byte_limits = byte_limits
+        self._answers = AnswerReader(
+            byte_limits=byte_limits,
+            timers=timers,
+            is_leaving=lambda: membership.is_leaving,
+        )
         self._stack = AsyncExitStack()
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         """Open the session for connections to peers."""
         self._session = await self._stack.enter_async_context(
-            make_session(keeps_alive=False, address_lifetimes=AddressLifetimes())
+            make_session(
+                keeps_alive=False,
+                byte_limits=self._byte_limits,
+                address_lifetimes=AddressLifetimes(),
+            )
         )
         return self
 
@@ -130,9 +143,15 @@
         Raises ``AttemptError`` if the response breaks off.
         """
         if response.head.begins_stream and response.head.has_signature:
-            await self._relay(admitted, peer, stream, response)
+            with EventReader(
+                response=response,
+                stream=stream,
+                peer=peer.node_id,
+                byte_limits=self._byte_limits,
+            ) as reader:
+                await self._relay(admitted, peer, stream, reader)
             return None
-        return await self._read(admitted, peer, response)
+        return await self._answers.read(admitted, response, stream, peer=peer.node_id)
 
     @asynccontextmanager
     async def open(
@@ -198,40 +217,32 @@
         finally:
             response.close()
 
-    async def _read(
-        self, admitted: AdmittedCall, peer: Node, response: OpenResponse
-    ) -> CompleteResponse:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        try:
-            async with asyncio.timeout(max(MIN_TIMEOUT_S, left_ms / MS_PER_S)):
-                return await read_response(response, peer=peer.node_id)
-        except TimeoutError as error:
-            raise _error(AttemptOutcome.LOST, "read_body", peer, error) from error
-
     async def _relay(
         self,
         admitted: AdmittedCall,
         peer: Node,
         stream: CallerStream,
-        response: OpenResponse,
+        reader: EventReader,
     ) -> None:
-        check_resumption(response.head, peer=peer.node_id, stream_status=stream.status)
-        await stream.start(response.head, is_leaving=self._membership.is_leaving)
-        while chunk := await self._next_chunk(admitted, peer, response):
-            await write_events(stream, chunk, peer=peer.node_id)
+        head = reader.response.head
+        check_resumption(head, peer=peer.node_id, stream_status=stream.status)
+        await stream.start(head, is_leaving=self._membership.is_leaving)
+        while True:
+            left_ms = admitted.deadline_ms - self._timers.now_ms()
+            timeout = asyncio.timeout(max(MIN_TIMEOUT_S, left_ms / MS_PER_S))
+            events = await reader.next_events(timeout)
+            if events is None:
+                break
+            await stream.write_events(events)
+            check_time(
+                stream,
+                deadline_ms=admitted.deadline_ms,
+                now_ms=self._timers.now_ms(),
+                peer=peer.node_id,
+            )
         check_stream_end(stream, peer=peer.node_id)
         await stream.finish()
 
-    async def _next_chunk(
-        self, admitted: AdmittedCall, peer: Node, response: OpenResponse
-    ) -> bytes:
-        left_ms = admitted.deadline_ms - self._timers.now_ms()
-        try:
-            async with asyncio.timeout(max(MIN_TIMEOUT_S, left_ms / MS_PER_S)):
-                return await response.client_response.content.readany()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _error(AttemptOutcome.LOST, "relay", peer, error) from error
-
 
 def _error(
     outcome: AttemptOutcome, step: str, peer: Node, reason: Exception | str
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
@@ -14,7 +14,7 @@
 from clementineyoke_core.edge.pool_versions import VersionHistory
 from clementineyoke_core.edge.runner_directory import DirectoryView  # noqa: TC001 - msgspec reads it
 from clementineyoke_core.edge.store_freshness import StoreAges  # noqa: TC001 - msgspec reads it
-from clementineyoke_node.runners.keep_alive_socket import open_socket
+from clementineyoke_node.bounds.bounded_protocol import make_bounded_connector
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import CrashNote  # noqa: TC001 - msgspec reads it
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from clementineyoke_core.edge.pool_versions import PoolVersions
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.edge.crash_tracker import CrashTracker
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.timers.timer_service import TimerService
@@ -39,7 +40,8 @@
 COMPRESSION_LEVEL = 1
 """States are repetitive: 127 kB for 1,400 similar routes compress to 8 kB in 0.7 ms, so
 that all nodes of a zone can fetch them at once from a node with a slow link."""
-DECOMPRESS_BUFFER_BYTES = 65_536
+MAX_STATE_BYTES = 16_777_216
+"""Compressed bytes may swell a thousandfold."""
 
 
 class PeerState(NamedTuple):
@@ -73,21 +75,21 @@
         pool_versions: PoolVersions,
         timers: TimerService,
         signer: MessageSigner,
+        byte_limits: ByteLimits,
     ) -> None:
         self._view = view
         self._crash_tracker = crash_tracker
         self._pool_versions = pool_versions
         self._timers = timers
         self._signer = signer
+        self._byte_limits = byte_limits
         self._tasks = BackgroundTasks()
         self._session: aiohttp.ClientSession | None = None
         self._pending: set[str] = set()
 
     async def __aenter__(self) -> Self:
         """Open the HTTP session for peers."""
-        connector = aiohttp.TCPConnector(
-            limit=0, force_close=True, socket_factory=open_socket
-        )
+        connector = make_bounded_connector(self._byte_limits, force_close=True)
         self._session = aiohttp.ClientSession(connector=connector)
         await self._tasks.__aenter__()
         return self
@@ -190,12 +192,18 @@
             ),
         ) as response:
             response.raise_for_status()
-            compressed = self._signer.verify(await response.read(), peer=address)
+            content = await self._byte_limits.read(response.content, peer=address)
+            compressed = self._signer.verify(content, peer=address)
         return msgspec.msgpack.decode(_decompress(compressed, address), type=PeerState)
 
 
 def _decompress(compressed: bytes, address: str) -> bytes:
     try:
-        return zlib.decompress(compressed, bufsize=DECOMPRESS_BUFFER_BYTES)
+        decompressor = zlib.decompressobj()
+        state = decompressor.decompress(compressed, MAX_STATE_BYTES)
     except zlib.error as error:
         raise WireError(step="unpack_state", peer=address, reason=str(error)) from error
+    if not decompressor.eof:
+        reason = f"more than {MAX_STATE_BYTES} bytes, or truncated"
+        raise WireError(step="unpack_state", peer=address, reason=reason)
+    return state
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -4,11 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.edge.attempt_error import AttemptError
-from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
+from clementineyoke_node.edge.runner_response import CompleteResponse
 from clementineyoke_node.platform.runner_codec import MIN_REDIRECT_STATUS
 
 if TYPE_CHECKING:
@@ -21,21 +19,6 @@
 """Statuses that tell a caller that its call did not run and never will."""
 
 
-async def read_response(response: OpenResponse, *, peer: str) -> CompleteResponse:
-    """Read a response to its end; raises ``AttemptError`` if it is truncated."""
-    try:
-        body = await response.client_response.read()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise AttemptError(
-            outcome=AttemptOutcome.LOST,
-            step="read_body",
-            peer=peer,
-            reason=repr(error),
-            is_connection_lost=not isinstance(error, TimeoutError),
-        ) from error
-    return CompleteResponse(response.head, body)
-
-
 def check_outcome(response: CompleteResponse, *, peer: str) -> None:
     """Raise ``AttemptError`` unless the response may be returned to the caller.
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -31,6 +31,7 @@
 
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_core.runner import Runner
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.edge.runner_signals import RunnerSignals
     from clementineyoke_node.edge.runner_timeout import RunnerTimeout
     from clementineyoke_node.metrics import Metrics
@@ -88,6 +89,7 @@
         signals: RunnerSignals,
         metrics: Metrics,
         on_connected: Callable[[Runner], None],
+        byte_limits: ByteLimits,
         source_address: str = "",
     ) -> None:
         """Create a pool.
@@ -100,6 +102,7 @@
         self._signals = signals
         self._on_connected = on_connected
         self._metrics = metrics
+        self._byte_limits = byte_limits
         self._idle_policy = IdleConnectionPolicy()
         self._address_lifetimes = AddressLifetimes()
         self._stack = AsyncExitStack()
@@ -207,6 +210,7 @@
     def _make_session(self, *, keeps_alive: bool) -> aiohttp.ClientSession:
         return make_session(
             keeps_alive=keeps_alive,
+            byte_limits=self._byte_limits,
             address_lifetimes=self._address_lifetimes,
             local_address=self._local_address,
             trace_configs=[_make_trace_config()],
@@ -307,6 +311,7 @@
 def make_session(
     *,
     keeps_alive: bool,
+    byte_limits: ByteLimits,
     address_lifetimes: AddressLifetimes,
     local_address: tuple[str, int] | None = None,
     trace_configs: Sequence[aiohttp.TraceConfig] = (),
@@ -316,6 +321,7 @@
         connector=make_connector(
             asyncio.get_running_loop(),
             keeps_alive=keeps_alive,
+            byte_limits=byte_limits,
             address_lifetimes=address_lifetimes,
             local_address=local_address,
         ),
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Any
 
 from aiohttp import ClientPayloadError, TCPConnector
-from aiohttp.client_proto import ResponseHandler
 
+from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
 from clementineyoke_node.runners.keep_alive_socket import open_socket
 
 if TYPE_CHECKING:
@@ -16,6 +16,7 @@
     from aiohttp import StreamReader
     from aiohttp.http import RawResponseMessage
 
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 
 MAX_IDLE_S = 4.0
@@ -28,13 +29,17 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})\b", re.IGNORECASE)
 
 
-class RunnerProtocol(ResponseHandler):
+class RunnerProtocol(BoundedProtocol):
     """Detects resets in responses without a length, and data that was not requested."""
 
     def __init__(
-        self, *, loop: asyncio.AbstractEventLoop, address_lifetimes: AddressLifetimes
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        byte_limits: ByteLimits,
+        address_lifetimes: AddressLifetimes,
     ) -> None:
-        super().__init__(loop=loop)
+        super().__init__(loop=loop, byte_limits=byte_limits)
         self._address_lifetimes = address_lifetimes
         self._peer: tuple[str, int] = ("", 0)
         self._connected_s = 0.0
@@ -96,6 +101,7 @@
     loop: asyncio.AbstractEventLoop,
     *,
     keeps_alive: bool,
+    byte_limits: ByteLimits,
     address_lifetimes: AddressLifetimes,
     local_address: tuple[str, int] | None = None,
 ) -> TCPConnector:
@@ -108,6 +114,6 @@
     )
     # aiohttp has no public way to set the protocol class of a connector.
     connector._factory = lambda: RunnerProtocol(  # type: ignore[assignment]
-        loop=loop, address_lifetimes=address_lifetimes
+        loop=loop, byte_limits=byte_limits, address_lifetimes=address_lifetimes
     )
     return connector
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     import aiohttp
 
+    from clementineyoke_core.edge.held_bytes import Holding
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
 
@@ -17,6 +18,18 @@
     client_response: aiohttp.ClientResponse
 
 
+class HeldBody:
+    """A long body, which is accounted for as long as it is referred to."""
+
+    def __init__(self, parts: list[bytes], holding: Holding) -> None:
+        self.parts = parts
+        self.holding = holding
+
+    def __del__(self) -> None:
+        """Release the body."""
+        self.holding.close()
+
+
 class CompleteResponse(NamedTuple):
     """A response that was read to its end."""
 
@@ -24,3 +37,7 @@
     body: bytes
     ended_ms: float = 0.0
     """Time at which the body was read to its end; 0 if it was not recorded."""
+    held: HeldBody | None = None
+    """The body if it is long; ``body`` is empty then."""
+    is_relayed: bool = False
+    """Whether the caller has got the body as it came."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_timeout.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_timeout.py
@@ -4,12 +4,10 @@
 
 import asyncio
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-    from clementineyoke_node.edge.failover import Failover
+    from collections.abc import AsyncIterator, Callable
 
 MS_PER_S = 1000.0
 MIN_TIMEOUT_MS = 1.0
@@ -19,6 +17,19 @@
 BUSY_RETRY_MS = 100.0
 
 
+class SuccessorSearch(Protocol):
+    """Finds another runner for a call while its runner is silent."""
+
+    def start(self, on_ready: Callable[[], None]) -> bool:
+        """Start, and call ``on_ready`` when the runner may be left.
+
+        Returns False while an earlier search goes on.
+        """
+
+    async def stop(self) -> None:
+        """End the search: the runner goes on."""
+
+
 class RunnerTimeout(NamedTuple):
     """The timeouts of a wait for the next data from a runner."""
 
@@ -27,7 +38,7 @@
     """
     hard_timeout_ms: float
     """After this the runner is abandoned in any case."""
-    failover: Failover
+    failover: SuccessorSearch
 
     @asynccontextmanager
     async def enforce(self) -> AsyncIterator[None]:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -21,7 +21,11 @@
 from clementineyoke_node.platform.entry_codec import decode_born_ms, decode_runner
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.state_decoder import decode_state
-from clementineyoke_node.platform.store_error import HistoryGoneError, StoreError
+from clementineyoke_node.platform.store_error import (
+    HistoryGoneError,
+    ResponseTooLongError,
+    StoreError,
+)
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event, log_failure
 
@@ -177,6 +181,10 @@
                 continue
             except StoreError as error:
                 self._record_failure(kind, error)
+                if isinstance(error, ResponseTooLongError):
+                    # Changes that are too long for one watch are listed page by page.
+                    self._revisions.pop(kind, None)
+                    retry_delay_ms = MAX_RETRY_DELAY_MS
                 self._interrupt_others(kind)
                 await self._wait_before_retry(retry_delay_ms)
                 retry_delay_ms = min(
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -43,6 +43,11 @@
             "Streams cut off after they had begun, by pool and cause.",
             registry=self.registry,
         )
+        self.bytes_refused = Counter(
+            "clementineyoke_bytes_refused_total",
+            "Responses of runners, peers and the store over a bound, by kind.",
+            registry=self.registry,
+        )
         self.loop_stalled_ms = Counter(
             "clementineyoke_loop_stalled_milliseconds_total",
             "Time for which the event loop stood still.",
--- a/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import base64
+import json
 from typing import Any, Self
 
 import aiohttp
 
+from clementineyoke_node.bounds.byte_limits import read_at_most
 from clementineyoke_node.objects.host_list import HostChanges
 from clementineyoke_node.objects.object_api import StoredObject, WatchResult
 from clementineyoke_node.objects.platform_error import (
@@ -16,6 +18,8 @@
 
 WATCH_WAIT_MS = 30_000
 MS_PER_S = 1000.0
+MAX_RESPONSE_BYTES = 33_554_432
+"""A page of objects of up to a megabyte each, in base64."""
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 412
 STATUS_ERROR = 400
@@ -107,7 +111,8 @@
                 **options,
             ) as response:
                 self._check_status(method, path, response.status)
-                return response.status, await response.json()
+                body = await read_at_most(response.content, MAX_RESPONSE_BYTES)
+                return response.status, json.loads(body)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise PlatformError(
                 step=f"{method} {path}", peer=self._url, reason=repr(error)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -8,10 +8,13 @@
 import aiohttp
 import msgspec
 
+from clementineyoke_node.bounds.bounded_protocol import make_bounded_connector
+from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.store_error import (
     HistoryGoneError,
     ObjectMissingError,
+    ResponseTooLongError,
     RevisionConflictError,
     StoreError,
 )
@@ -22,12 +25,13 @@
     decode_events,
     decode_page,
 )
-from clementineyoke_node.runners.keep_alive_socket import open_socket
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
+
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_MS = 500
 """The store responds in 4 ms. TCP resends a lost SYN only after a second; a new
@@ -56,15 +60,16 @@
 class StoreClient:
     """Call the store over HTTP; owns the connections to it."""
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(self, *, address: str, byte_limits: ByteLimits) -> None:
         self._address = address
+        self._byte_limits = byte_limits
         self._session: aiohttp.ClientSession | None = None
         self.calls = 0
         """Calls since the start; the platform charges for each."""
 
     async def __aenter__(self) -> Self:
         """Open the connection pool."""
-        connector = aiohttp.TCPConnector(limit=0, socket_factory=open_socket)
+        connector = make_bounded_connector(self._byte_limits)
         self._session = aiohttp.ClientSession(connector=connector)
         return self
 
@@ -145,7 +150,11 @@
                 headers={"Content-Type": "application/json"} if data else None,
                 timeout=timeout,
             ) as response:
-                content = await response.read()
+                content = await self._byte_limits.read(response.content, peer=step)
+        except ByteLimitError as error:
+            raise ResponseTooLongError(
+                step=step, peer=self._address, reason=str(error)
+            ) from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreError(
                 step=step, peer=self._address, reason=repr(error)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_error.py
@@ -20,6 +20,10 @@
     """The store no longer has the changes since a watch's revision."""
 
 
+class ResponseTooLongError(StoreError):
+    """The response exceeds a bound on what this node holds or takes."""
+
+
 class RevisionConflictError(StoreError):
     """A conditional write found another revision, or the object to create exists."""
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/settings/peer_settings.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/settings/peer_settings.py
@@ -9,6 +9,7 @@
 
 from clementineyoke_core.settings.change import SettingsChange
 from clementineyoke_core.settings.snapshot import SettingsSnapshot
+from clementineyoke_node.bounds.byte_limits import read_at_most
 from clementineyoke_node.objects.platform_error import PlatformError
 from clementineyoke_wire.wire_error import WireError
 
@@ -19,6 +20,8 @@
 FETCH_TIMEOUT_S = 5.0
 CHANGES_PATH = "/peer/settings/changes"
 SNAPSHOT_PATH = "/peer/settings/snapshot"
+MAX_SETTINGS_BYTES = 33_554_432
+"""The whole tree of 35,000 teams takes some 7 MB."""
 STATUS_OK = 200
 STATUS_GONE = 410
 T = TypeVar("T")
@@ -79,7 +82,7 @@
                 aiohttp.ClientSession(timeout=timeout) as session,
                 session.get(url) as response,
             ):
-                body = await response.read()
+                body = await read_at_most(response.content, MAX_SETTINGS_BYTES)
                 if response.status == STATUS_GONE:
                     return None
                 if response.status != STATUS_OK:
--- a/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -9,10 +9,12 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
+from clementineyoke_node.bounds.byte_limits import ByteLimits
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.caller_stream import CallerStream
 from clementineyoke_node.edge.response_checks import check_peer_begun
-from clementineyoke_node.edge.stream_checks import check_stream_end, write_events
+from clementineyoke_node.edge.stream_reader import EventReader, check_stream_end
+from clementineyoke_node.metrics import Metrics
 from clementineyoke_node.platform.relay_codec import decode_relayed_head
 from clementineyoke_node.platform.runner_codec import BodyEnd
 from clementineyoke_standins.edge.edge_runner import EVENTS
@@ -134,6 +136,17 @@
     assert body.encode() == wanted, (body, headers)
 
 
+class Body:
+    """The body of a response that has arrived as a whole."""
+
+    def __init__(self, parts):
+        self.parts = [*parts, b""]
+        self.content = self
+
+    async def readany(self):
+        return self.parts.pop(0)
+
+
 class WrittenResponse(SimpleNamespace):
     """Collects what is written to the caller."""
 
@@ -176,9 +189,18 @@
     stream._response = WrittenResponse(status=200, body=b"")
     stream.body_end = BodyEnd.CHUNKS
 
+    limits = ByteLimits(
+        max_answer_bytes=1_000_000, max_held_bytes=1_000_000, metrics=Metrics()
+    )
+
     async def begin(events):
         await stream.start(make_peer_head(200), is_leaving=False)
-        await write_events(stream, b"".join(events), peer="p")
+        response = SimpleNamespace(client_response=Body(events))
+        with EventReader(
+            response=response, stream=stream, peer="p", byte_limits=limits
+        ) as reader:
+            while (read := await reader.next_events(asyncio.timeout(1))) is not None:
+                await stream.write_events(read)
 
     context.run(begin(WHOLE[:3]))
     failure = find_failure(lambda: context.run(begin(MISSING[1:])))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from clementineyoke_standins.edge.endless_answers import BYTES_PER_S, FILLER
+
 MAX_ITEMS_PER_PAGE = 500
 MS_PER_S = 1000.0
 HANG_S = 3600.0
@@ -52,6 +54,10 @@
         self.calls: list[str] = []
         self._items: dict[str, dict[str, dict[str, Any]]] = {}
         self._raw_specs: dict[str, str] = {}
+        self.is_endless = False
+        """Whether lists and watches are answered with bytes without end."""
+        self.endless_bytes: list[int] = []
+        """Bytes that each such answer sent until the node closed the connection."""
         self._history: list[Change] = []
         self._history_start = 0
         self._changed = asyncio.Condition()
@@ -115,10 +121,24 @@
         async with self._changed:
             self._changed.notify_all()
 
-    async def _list_or_watch(self, request: web.Request) -> web.Response:
+    async def _send_endless(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        sent_bytes = 0
+        try:
+            while True:
+                await response.write(FILLER)
+                sent_bytes += len(FILLER)
+                await asyncio.sleep(len(FILLER) / BYTES_PER_S)
+        finally:
+            self.endless_bytes.append(sent_bytes)
+
+    async def _list_or_watch(self, request: web.Request) -> web.StreamResponse:
         await self._apply_fault(request)
         if "watch" in request.query:
             return await self._watch(request)
+        if self.is_endless:
+            return await self._send_endless(request)
         kind = request.match_info["kind"]
         after = request.query.get("afterRev", "")
         names = [name for name in self.names(kind) if name > after]
@@ -137,7 +157,7 @@
             text = text.replace(json.dumps(placeholder), spec)
         return web.Response(text=text, content_type="application/json")
 
-    async def _watch(self, request: web.Request) -> web.Response:
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
         if self.suspends_watches:
             await asyncio.sleep(HANG_S)
         kind = request.match_info["kind"]
@@ -153,6 +173,8 @@
             pass  # no change within the requested wait
         if since < self._history_start:
             return web.json_response({}, status=410)
+        if self.is_endless:
+            return await self._send_endless(request)
         events = [
             {"object": change.item, "deleted": change.is_deleted}
             for change in self._changes_since(kind, since)
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -124,6 +124,9 @@
     RUNNER_KEPT = EventKind(
         246, "INFO", "A silent runner went on before another one took its call."
     )
+    BYTES_REFUSED = EventKind(
+        247, "WARNING", "Bytes without end, or an answer too long to hold, were cut."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
