Teach the soak bytes without end, and measure what a sound answer costs a node

Kept seeds play without it unless they say has_endless_bytes.

make answer-cost: processor time of a node a call, µs, old and new in turn beside three plays.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEEDS ?= 1-50
 PACKAGES := core wire node cli standins
 
-.PHONY: setup demo test bench capacity model lint events faults soak mutations experiment profile clean
+.PHONY: answer-cost setup demo test bench capacity model lint events faults soak mutations experiment profile clean
 
 setup: $(VENV)/.ready
 
@@ -56,3 +56,7 @@
 # Usage: make experiment ARGS="--bench=BENCH --arms=old=DIR,new=DIR --sites=SITE --days=DAY --why=..."
 experiment: setup
 	$(BIN)/python -m clementineyoke_standins.console.experiment $(ARGS)
+
+# Processor time of a node for a sound answer, to compare two builds.
+answer-cost: setup
+	$(BIN)/python -m clementineyoke_standins.console.answer_cost
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
@@ -86,6 +86,8 @@
 
     def _hold_pending(self) -> None:
         pending_bytes, kind = self._stream.pending_bytes, ByteKind.EVENT
+        if not pending_bytes and not self._holding.size_bytes:
+            return
         if pending_bytes > MAX_EVENT_BYTES:
             raise self._byte_limits.refuse(
                 kind, size_bytes=pending_bytes, peer=self._peer
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -39,6 +39,8 @@
     has_pauses: bool = True
     """Whether runners stop working for a second, another writer adds an entry that no
     node can read, and a caller reads long answers slowly."""
+    has_endless_bytes: bool = True
+    """Whether a runner and the store send bytes without end."""
 
 
 def run(
@@ -67,6 +69,7 @@
                 entry.get("has_versions", False),
                 entry.get("has_crashing_parts", False),
                 entry.get("has_pauses", False),
+                entry.get("has_endless_bytes", False),
             )
             for entry in entries
         ]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -216,6 +216,7 @@
         ) = None
         """Returns the bytes to send in place of the scripted response, or None."""
         self.raw_sends: list[RawSend] = []
+        self.open_raw_answers = 0
         self.worked_until_s: dict[str, float] = {}
         """Monotonic time at which the work on each call ended, by the call's ID."""
         self._is_awake = asyncio.Event()
@@ -399,12 +400,14 @@
     ) -> bool:
         """Send bytes for as long as the node takes them; keep the connection after."""
         sent_bytes = 0
+        self.open_raw_answers += 1
         try:
             async for part in parts:
                 writer.write(part)
                 await writer.drain()
                 sent_bytes += len(part)
         finally:
+            self.open_raw_answers -= 1
             self.raw_sends.append(RawSend(sent_bytes, time.monotonic()))
         return True
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
@@ -130,6 +130,8 @@
                 await response.write(FILLER)
                 sent_bytes += len(FILLER)
                 await asyncio.sleep(len(FILLER) / BYTES_PER_S)
+        except ConnectionError:
+            return response
         finally:
             self.endless_bytes.append(sent_bytes)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -13,6 +13,7 @@
 
 from clementineyoke_standins.edge.edge_runner import ScriptedResponse
 from clementineyoke_standins.edge.edge_store import StoreFault
+from clementineyoke_standins.edge.endless_answers import ENDLESS_ANSWERS
 from clementineyoke_standins.edge.source_filter import LinkCut
 from clementineyoke_standins.soak.audit import (
     APPLY_DEADLINE_S,
@@ -74,6 +75,8 @@
 BRITTLE_ROOM = 3
 SILENCE_S = 1.1
 FOREIGN_NAME = "foreign"
+ENDLESS_KINDS = [name for name in ENDLESS_ANSWERS if "whole" not in name]
+"""Without whole answers, which would not be those of their calls."""
 
 
 async def send_crashing_request(
@@ -150,6 +153,8 @@
             FaultKind.RUNNER_SILENT: self._silence_runner,
             FaultKind.RUNNERS_PAUSE: self._pause_runners,
             FaultKind.FOREIGN_ENTRY: self._add_foreign_entry,
+            FaultKind.RUNNER_ENDLESS: self._answer_without_end,
+            FaultKind.STORE_ENDLESS: self._store_without_end,
         }
 
     async def inject(self, fault: PlannedFault) -> None:
@@ -321,6 +326,18 @@
         await asyncio.sleep(APPLY_DEADLINE_S + fault.duration_s)
         await self._fleet.state.remove_foreign_entry(FOREIGN_NAME)
 
+    async def _answer_without_end(self, fault: PlannedFault) -> None:
+        runner = self._fleet.runners[fault.selector % len(self._fleet.runners)]
+        name = ENDLESS_KINDS[fault.selector // 16 % len(ENDLESS_KINDS)]
+        runner.raw_answer = ENDLESS_ANSWERS[name].send
+        await asyncio.sleep(fault.duration_s)
+        runner.raw_answer = None
+
+    async def _store_without_end(self, fault: PlannedFault) -> None:
+        self._fleet.store.is_endless = True
+        await asyncio.sleep(fault.duration_s)
+        self._fleet.store.is_endless = False
+
     async def _change_key(self, fault: PlannedFault) -> None:
         async with self._lock:
             await self._fleet.state.change_key()
@@ -360,7 +377,8 @@
         store = self._fleet.store
         available_since_s = time.monotonic()
         while time.monotonic() < available_since_s + APPLY_DEADLINE_S:
-            if store.fault is not None or store.suspends_watches:
+            is_away = store.fault is not None or store.is_endless
+            if is_away or store.suspends_watches:
                 available_since_s = time.monotonic()
             await asyncio.sleep(STORE_POLL_INTERVAL_S)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -7,16 +7,15 @@
 import os
 import signal
 import sys
-from typing import IO, TYPE_CHECKING, Any, Self
+from pathlib import Path
+from typing import IO, Any, Self
 
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
 from clementineyoke_standins.console.skewed_edge import SKEW_VARIABLE
 from clementineyoke_standins.failed_calls import find_failed_calls
 
-if TYPE_CHECKING:
-    from pathlib import Path
-
 NODE_MODULE = "clementineyoke_standins.console.skewed_edge"
+BYTES_PER_MB = 1_000_000
 STARTED_LINE = b'"node_started"'
 
 
@@ -59,6 +58,22 @@
         """Whether the process is running."""
         return self._process is not None and self._process.returncode is None
 
+    def resident_mb(self) -> tuple[int | None, float]:
+        """Return the id of the running process, if any, and its resident memory."""
+        if self._process is None or not self.is_running:
+            return None, 0.0
+        pid = self._process.pid
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+        return pid, pages * os.sysconf("SC_PAGE_SIZE") / BYTES_PER_MB
+
+    def cpu_s(self) -> float:
+        """Return the processor time of the running process; 0 if there is none."""
+        if self._process is None or not self.is_running:
+            return 0.0
+        fields = Path(f"/proc/{self._process.pid}/stat").read_text().split(")")[1]
+        user, system = fields.split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     def _has_started(self) -> bool:
         """Return whether the process has opened its listeners, according to its log."""
         return STARTED_LINE in self._log_path.read_bytes()[self._log_offset :]
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -63,6 +63,10 @@
     """Some or all runners stop working for a second; their connections stay open."""
     FOREIGN_ENTRY = "foreign_entry"
     """Another writer adds an entry of a runner that the nodes' parser rejects."""
+    RUNNER_ENDLESS = "runner_endless"
+    """A runner answers with bytes without end."""
+    STORE_ENDLESS = "store_endless"
+    """The store answers lists and watches with bytes without end."""
 
 
 NON_DISRUPTIVE = frozenset(
@@ -98,6 +102,7 @@
     FaultKind.RUNNER_SILENT,
 )
 PAUSES = (FaultKind.RUNNERS_PAUSE, FaultKind.FOREIGN_ENTRY)
+ENDLESS_BYTES = (FaultKind.RUNNER_ENDLESS, FaultKind.STORE_ENDLESS)
 SEPARATELY_DRAWN = frozenset(
     (
         FaultKind.CRASHING_REQUEST,
@@ -107,6 +112,7 @@
         *RUNNER_SIGNALS,
         *PATH_FAULTS,
         *PAUSES,
+        *ENDLESS_BYTES,
     )
 )
 """Faults with random generators of their own, so that older seeds keep their faults."""
@@ -168,6 +174,11 @@
     return _draw_once(PAUSES, Random(f"pauses of {seed}"), length_s)
 
 
+def plan_endless_bytes(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the bytes without end of a seed, from a runner and from the store."""
+    return _draw_once(ENDLESS_BYTES, Random(f"bytes of {seed}"), length_s)
+
+
 def _draw_once(
     kinds: tuple[FaultKind, ...], rng: Random, length_s: float
 ) -> list[PlannedFault]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -26,8 +26,10 @@
     send_crashing_part,
     send_crashing_request,
 )
+from clementineyoke_standins.soak.memory_watch import MemoryWatch, check_taken
 from clementineyoke_standins.soak.operator_state import RouteKind
 from clementineyoke_standins.soak.schedule import (
+    ENDLESS_BYTES,
     INTERRUPTIONS,
     NON_DISRUPTIVE,
     PATH_FAULTS,
@@ -38,6 +40,7 @@
     PlannedFault,
     plan_crashes,
     plan_crashing_parts,
+    plan_endless_bytes,
     plan_faults,
     plan_path_faults,
     plan_pauses,
@@ -115,6 +118,7 @@
         has_versions: bool = True,
         has_crashing_parts: bool = True,
         has_pauses: bool = True,
+        has_endless_bytes: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
@@ -124,6 +128,7 @@
         self._has_versions = has_versions
         self._has_crashing_parts = has_crashing_parts
         self._has_pauses = has_pauses
+        self._has_endless_bytes = has_endless_bytes
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -204,6 +209,8 @@
                     planned += plan_path_faults(self._seed, length_s=self._length_s)
                 if self._has_pauses:
                     planned += plan_pauses(self._seed, length_s=self._length_s)
+                if self._has_endless_bytes:
+                    planned += plan_endless_bytes(self._seed, length_s=self._length_s)
                 await asyncio.gather(
                     *(self._inject(fault, run_start_s) for fault in planned)
                 )
@@ -275,7 +282,18 @@
         undrawn = PATH_FAULTS if self._has_path_faults else ()
         for kind in (*undrawn, *(PAUSES if self._has_pauses else ())):
             await self._inject(PlannedFault(0.0, kind, self._seed, PATH_FAULT_S), 0.0)
+        if self._has_endless_bytes:
+            await self._check_endless_bytes()
         await asyncio.sleep(APPLY_DEADLINE_S + OBSERVATION_S)
+        self._violations += check_taken(self._fleet.runners)
+
+    async def _check_endless_bytes(self) -> None:
+        """Send bytes without end while no other fault is active; watch the nodes."""
+        async with MemoryWatch(self._fleet.nodes) as watch:
+            for kind in ENDLESS_BYTES:
+                fault = PlannedFault(0.0, kind, 16 * self._seed, PATH_FAULT_S)
+                await self._inject(fault, 0.0)
+        self._violations += watch.violations()
 
     async def _check_withdrawn_keys(self, session: aiohttp.ClientSession) -> None:
         """Check that no node has reverted to a state with a withdrawn key."""
