--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -49,6 +49,8 @@
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
+ENDLESS_BYTES = f"{NODE}/tests/edge/endless_bytes.feature"
+BOUNDS_SOURCE = f"{NODE}/src/clementineyoke_node/bounds"
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
 LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
 CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
@@ -1149,6 +1151,104 @@
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "heads of a response have no bound",
+        f"{BOUNDS_SOURCE}/bounded_protocol.py",
+        "if self._heads_bytes > MAX_HEADS_BYTES:",
+        "if False:",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "framing without content has no bound",
+        f"{BOUNDS_SOURCE}/bounded_protocol.py",
+        "if self._framing_bytes > MAX_FRAMING_BYTES:",
+        "if False:",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "a head is parsed with what follows it",
+        f"{BOUNDS_SOURCE}/bounded_protocol.py",
+        "size_bytes = len(data) if end < 0 else end + len(HEAD_END) - len(tail)",
+        "size_bytes = len(data)",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "what a node holds of one response has no bound",
+        f"{CORE_SOURCE}/edge/held_bytes.py",
+        "if size_bytes > self.max_each_bytes:",
+        "if False:",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "what a node holds of all has no bound",
+        f"{CORE_SOURCE}/edge/held_bytes.py",
+        "if size_bytes > FREE_BYTES and total_bytes > self._max_total_bytes:",
+        "if False:",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "a stream without a whole event has no bound",
+        f"{NODE_EDGE_SOURCE}/stream_reader.py",
+        "if pending_bytes > MAX_EVENT_BYTES:",
+        "if False:",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "comments end a stream's timeout",
+        f"{NODE_EDGE_SOURCE}/stream_reader.py",
+        "                    if events is not None:\n                        return events",
+        "                    return events or []",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "a stream goes on after its deadline",
+        f"{NODE_EDGE_SOURCE}/stream_reader.py",
+        "if now_ms - stream.write_wait_ms > deadline_ms + LATE_END_MS:",
+        "if False:",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "long answers are held as a whole",
+        f"{NODE_EDGE_SOURCE}/answer_reader.py",
+        "        if length_bytes is None or stream.has_started:\n",
+        "        if True:\n",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "an answer whose part the caller has goes to another runner",
+        f"{NODE_EDGE_SOURCE}/forwarder.py",
+        "if failure.is_final or not ledger.may_retry():",
+        "if not ledger.may_retry():",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "what is held of a long answer is not released",
+        f"{NODE_EDGE_SOURCE}/held_response.py",
+        "                holding.resize(holding.size_bytes - len(part))\n",
+        "                holding.resize(holding.size_bytes)\n",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "the bytes of the store have no bound",
+        f"{NODE_PLATFORM_SOURCE}/store_client.py",
+        "await self._byte_limits.read(response.content, peer=step)",
+        "await response.read()",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "the bytes of a peer have no bound",
+        f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
+        "await self._byte_limits.read(response.content, peer=address)",
+        "await response.read()",
+        ENDLESS_BYTES,
+    ),
+    Mutation(
+        "callers are told exceptions",
+        f"{NODE_EDGE_SOURCE}/failure_texts.py",
+        "    text = _BY_OUTCOME.get(error.outcome)\n",
+        "    return error.reason\n    text = _BY_OUTCOME.get(error.outcome)\n",
+        ENDLESS_BYTES,
+    ),
 )
 
 
