--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -807,8 +807,8 @@
     ),
     Mutation(
         "pauses are not verified",
-        f"{NODE_EDGE_SOURCE}/edge_io.py",
-        "self.slot_home.record_reached(runner.runner_id)",
+        f"{NODE_EDGE_SOURCE}/pause_verifier.py",
+        "self._slot_home().record_reached(runner.runner_id)",
         "pass",
         CUT_OFF_NODES,
     ),
@@ -1196,8 +1196,9 @@
     Mutation(
         "comments end a stream's timeout",
         f"{NODE_EDGE_SOURCE}/stream_reader.py",
-        "                    if events is not None:\n                        return events",
-        "                    return events or []",
+        "                    if events is not None:\n                        return",
+        "                    if events is None:\n                        return []\n"
+        "                    if events is not None:\n                        return",
         ENDLESS_BYTES,
     ),
     Mutation(
