One bound for an unfinished event and for an answer that is held

The mutation that lifts the separate bound of a megabyte was missed, as that of one response caught what it let through. A second bound adds nothing: an event of up to max_answer_bytes may be whole. Now lifting it is caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
@@ -19,8 +19,6 @@
     from clementineyoke_node.edge.caller_stream import CallerStream
     from clementineyoke_node.edge.runner_response import OpenResponse
 
-MAX_EVENT_BYTES = 1_048_576
-"""Bytes that a runner may send without a whole event."""
 LATE_END_MS = 500.0
 """How long after its deadline a stream may still get what its runner had ready."""
 
@@ -85,16 +83,11 @@
         return None
 
     def _hold_pending(self) -> None:
-        pending_bytes, kind = self._stream.pending_bytes, ByteKind.EVENT
-        if not pending_bytes and not self._holding.size_bytes:
-            return
-        if pending_bytes > MAX_EVENT_BYTES:
-            raise self._byte_limits.refuse(
-                kind, size_bytes=pending_bytes, peer=self._peer
+        pending_bytes = self._stream.pending_bytes
+        if pending_bytes or self._holding.size_bytes:
+            self._byte_limits.resize(
+                self._holding, pending_bytes, peer=self._peer, kind=ByteKind.EVENT
             )
-        self._byte_limits.resize(
-            self._holding, pending_bytes, peer=self._peer, kind=kind
-        )
 
 
 def check_time(
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1189,7 +1189,7 @@
     Mutation(
         "a stream without a whole event has no bound",
         f"{NODE_EDGE_SOURCE}/stream_reader.py",
-        "if pending_bytes > MAX_EVENT_BYTES:",
+        "if pending_bytes or self._holding.size_bytes:",
         "if False:",
         ENDLESS_BYTES,
     ),
