Streams of slow comments and of endless events in the feature of bytes without end

Two mutations were missed: comments that end a stream's timeout, as no scenario had a stream of slow comments, and streams that go on after their deadline, as the events came with pauses that ended the call anyway. The one that kept what a caller has taken of a long answer is replaced by one that releases nothing, which is caught.

--- a/packages/clementineyoke-node/tests/edge/endless_bytes.feature
+++ b/packages/clementineyoke-node/tests/edge/endless_bytes.feature
@@ -66,6 +66,14 @@
     And the call ended within 1 s of its deadline
     And all connections to runner 0 are closed within 1 s
 
+  Scenario: A stream of comments alone
+    # Comments that keep the timeout from running out have the call wait for its deadline.
+    Given a fleet of 1 node and 2 runners
+    And the other runners answer "streaming" calls, and runner 0 sends comments slowly
+    When a caller makes 12 "streaming" calls or more, 4 at a time, until runner 0 has got one
+    Then all are answered by other runners
+    And no call waits for its deadline
+
   Scenario: Many runners send bytes without end at once
     # Each is within the bound of a connection, and together they take the node's memory.
     Given a fleet of 1 node and 8 runners
--- a/packages/clementineyoke-node/tests/steps/endless_bytes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/endless_bytes_steps.py
@@ -22,6 +22,7 @@
 from clementineyoke_standins.edge.endless_answers import (
     ENDLESS_ANSWERS,
     PART_BYTES,
+    send_comments_slowly,
     send_events_forever,
 )
 from clementineyoke_standins.edge.raw_answers import encode_raw_head
@@ -55,6 +56,15 @@
         runner.raw_answer = ENDLESS_ANSWERS[name].send
 
 
+@given(
+    'the other runners answer "streaming" calls, and runner {number:d} sends comments'
+    " slowly"
+)
+def given_slow_comments(context, number):
+    given_streams(context)
+    context.fleet.runners[number].raw_answer = send_comments_slowly
+
+
 @given("runner {number:d} sends events without end")
 def given_endless_events(context, number):
     context.fleet.runners[number].raw_answer = send_events_forever
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1223,10 +1223,10 @@
         ENDLESS_BYTES,
     ),
     Mutation(
-        "what is held of a long answer is not released",
-        f"{NODE_EDGE_SOURCE}/held_response.py",
-        "                holding.resize(holding.size_bytes - len(part))\n",
-        "                holding.resize(holding.size_bytes)\n",
+        "what a node holds is not released",
+        f"{CORE_SOURCE}/edge/held_bytes.py",
+        "        self.resize(0)",
+        "        pass",
         ENDLESS_BYTES,
     ),
     Mutation(
