Write a cold runner's entry again when the runner has restarted before its limit applies

The soak held it to a limit that no entry told of; it writes the cold entry again now. The check is unchanged.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -364,8 +364,14 @@
         runner, link = self._fleet.runners[number], self._fleet.runner_links[number]
         if runner.runner_id in self._fleet.state.runner_left_s:
             return
-        await self._fleet.state.write_entry(runner, link.listen, cold_ms=LONG_COLD_MS)
-        await self._wait_until_propagated()
+        crashes = -1
+        while crashes != runner.crashes:
+            # A restart writes an entry that is not cold.
+            crashes = runner.crashes
+            await self._fleet.state.write_entry(
+                runner, link.listen, cold_ms=LONG_COLD_MS
+            )
+            await self._wait_until_propagated()
         runner.cold_calls_per_s = COLD_CALLS_PER_S
         runner.cold_until_s = time.monotonic() + fault.duration_s
         await asyncio.sleep(fault.duration_s)
