Account for an unfinished event only once the events before it have been written

Whole events that came in the same bytes as the beginning of one that is too long counted as sent, and were dropped with the error; the next runner left them out (ORDER).

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -65,6 +65,11 @@
             return "the stream stopped before the event at which it was to go on"
         return None
 
+    @property
+    def pending_bytes(self) -> int:
+        """The number of bytes that the runner has sent since its last whole event."""
+        return self._splitter.pending_bytes
+
     async def start(self, head: ResponseHead, *, is_leaving: bool) -> None:
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
@@ -75,23 +80,14 @@
             return
         await self._start_response(head, length_bytes=None, is_leaving=is_leaving)
 
-    async def _start_response(
+    async def start_whole(
         self, head: ResponseHead, *, length_bytes: int | None, is_leaving: bool
     ) -> None:
-        response = web.StreamResponse(status=head.status)
-        for name, value in head.forwarded_headers:
-            response.headers.add(name, value)
-        if length_bytes is not None:
-            response.content_length = length_bytes
-        if is_leaving:
-            response.force_close()
-        self._response = response
-        await response.prepare(self._request)
-
-    @property
-    def pending_bytes(self) -> int:
-        """The number of bytes that the runner has sent since its last whole event."""
-        return self._splitter.pending_bytes
+        """Start to relay a response of a known length, which no other one can go on."""
+        self.body_end = head.body_end
+        await self._start_response(
+            head, length_bytes=length_bytes, is_leaving=is_leaving
+        )
 
     def feed(self, chunk: bytes) -> list[StreamEvent] | None:
         """Return those events that a chunk completes and the caller does not have.
@@ -104,15 +100,6 @@
             return None
         return [event for event in events if self._sequence.accept(event.event_id)]
 
-    async def start_whole(
-        self, head: ResponseHead, *, length_bytes: int | None, is_leaving: bool
-    ) -> None:
-        """Start to relay a response of a known length, which no other one can go on."""
-        self.body_end = head.body_end
-        await self._start_response(
-            head, length_bytes=length_bytes, is_leaving=is_leaving
-        )
-
     async def write_events(
         self,
         events: Sequence[StreamEvent],
@@ -147,3 +134,16 @@
         if self._request.transport is not None:
             self._request.transport.abort()
         return self.response
+
+    async def _start_response(
+        self, head: ResponseHead, *, length_bytes: int | None, is_leaving: bool
+    ) -> None:
+        response = web.StreamResponse(status=head.status)
+        for name, value in head.forwarded_headers:
+            response.headers.add(name, value)
+        if length_bytes is not None:
+            response.content_length = length_bytes
+        if is_leaving:
+            response.force_close()
+        self._response = response
+        await response.prepare(self._request)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
@@ -62,9 +62,9 @@
             async with timeout:
                 while chunk := await self._content.readany():
                     events = self._stream.feed(chunk)
-                    self._hold_pending()
                     if events is not None:
                         return events
+                    self._hold_pending()
         except StreamGapError as error:
             raise AttemptError(
                 outcome=AttemptOutcome.FAILED,
--- a/packages/clementineyoke-node/tests/edge/resumed_streams.feature
+++ b/packages/clementineyoke-node/tests/edge/resumed_streams.feature
@@ -38,6 +38,10 @@
     # The bytes of a peer are another runner's, and are checked like them.
     Then a stream that comes from a peer is refused as one that comes from a runner
 
+  Scenario: Whole events come together with one that is too long
+    # They count as sent and are not written, so that the next runner leaves them out.
+    Then events that come with the beginning of one that is too long reach the caller
+
   Scenario: A stream of events whose numbers have thousands of digits
     # An id that Python refuses to parse ends the call with an unexpected error.
     Given a fleet of 1 node and 2 runners
--- a/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -175,6 +175,30 @@
     return None
 
 
+@then("events that come with the beginning of one that is too long reach the caller")
+def check_events_before_long_one(context):
+    stream = CallerStream(request=None, last_event_id=None)
+    stream._response = WrittenResponse(status=200, body=b"")
+    limits = ByteLimits(
+        max_answer_bytes=65_536, max_held_bytes=65_536, metrics=Metrics()
+    )
+    long_event = b"id: 3\ndata: " + b"x" * 70_000
+    response = SimpleNamespace(
+        client_response=Body([WHOLE[0] + WHOLE[1] + long_event, b"x"])
+    )
+
+    async def read(reader):
+        return await reader.next_events(asyncio.timeout(1))
+
+    with EventReader(
+        response=response, stream=stream, peer="p", byte_limits=limits
+    ) as reader:
+        events = context.run(read(reader))
+        assert [event.event_id for event in events] == [1, 2], events
+        failure = find_failure(lambda: context.run(read(reader)))
+    assert failure is AttemptOutcome.LOST, failure
+
+
 @then("a stream that comes from a peer is refused as one that comes from a runner")
 def check_peer(context):
     heads = (
