Scenarios of settings for held bytes that are refused

A max_answer_bytes above max_held_bytes, or below 65536, was refused without a test that says so: the error names the setting with its values. Only tests and their steps change.

--- a/packages/clementineyoke-node/tests/edge/endless_bytes.feature
+++ b/packages/clementineyoke-node/tests/edge/endless_bytes.feature
@@ -162,6 +162,17 @@
     Then the caller sees that the response is incomplete
     And the runners received 1 call
 
+  Scenario Outline: Bounds that do not fit together
+    # A node with such settings refuses sound answers, or holds more than its operator allows.
+    When a node's settings have max_answer_bytes <answer> and max_held_bytes <held>
+    Then they are refused with "<error>"
+
+    Examples:
+      | answer  | held    | error                                                              |
+      | 2000000 | 1000000 | max_answer_bytes of 2000000 exceeds max_held_bytes of 1000000      |
+      | 65535   | 1000000 | Expected `int` >= 65536 - at `$.max_answer_bytes`                  |
+      | many    | 1000000 | Expected `int`, got `str` - at `$.max_answer_bytes`                |
+
   Scenario: The store sends bytes without end
     # The lists and watches of a node take its memory; it has to keep what it knows.
     Given a fleet of 1 node and 2 runners
--- a/packages/clementineyoke-node/tests/steps/endless_bytes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/endless_bytes_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import tempfile
 import time
 from functools import partial
 
@@ -11,9 +12,12 @@
 from behave import given, then, when
 from edge_fleet import CALL_ID_HEADER, HOSTNAME, KEY, STORE_HOST
 from edge_steps import given_streams, wait_until
+from overload_settings_steps import make_settings
 
 from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
 from clementineyoke_node.bounds.byte_limits import ByteLimits
+from clementineyoke_node.config.config_error import ConfigError
+from clementineyoke_node.config.edge_config import load_edge_config
 from clementineyoke_node.edge.peer_state_exchange import (
     STATE_PATH,
     PeerStateExchange,
@@ -330,6 +334,26 @@
         runner.raw_answer = send
 
 
+@when("a node's settings have max_answer_bytes {answer} and max_held_bytes {held}")
+def load_settings(context, answer, held):
+    fields = {"max_answer_bytes": answer, "max_held_bytes": held}
+    document = make_settings()
+    for name, text in fields.items():
+        document[name] = int(text) if text.isdigit() else text
+    with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+        json.dump(document, file)
+        file.flush()
+        try:
+            load_edge_config(file.name)
+        except ConfigError as error:
+            context.error = error
+
+
+@then('they are refused with "{text}"')
+def check_settings_error(context, text):
+    assert text in str(context.error), context.error
+
+
 @when("the store answers lists and watches without end for {length_s:d} s")
 def run_endless_store(context, length_s):
     async def act():
--- a/packages/clementineyoke-node/tests/steps/overload_settings_steps.py
+++ b/packages/clementineyoke-node/tests/steps/overload_settings_steps.py
@@ -24,12 +24,16 @@
 )
 
 
-@given('the rule sets "{contracts}" and priority_admission {setting}')
-def given_settings(context, contracts, setting):
+def make_settings():
     document = dict.fromkeys(ADDRESS_FIELDS, "127.0.0.1:1")
     document |= dict.fromkeys(TEXT_FIELDS, "a")
     document |= dict.fromkeys(NUMBER_FIELDS, 1.0)
-    document |= {"peer_port": 1, "seeds": [], "peer_keys": ["key"]}
+    return document | {"peer_port": 1, "seeds": [], "peer_keys": ["key"]}
+
+
+@given('the rule sets "{contracts}" and priority_admission {setting}')
+def given_settings(context, contracts, setting):
+    document = make_settings()
     document["contracts"] = contracts.split(",")
     if setting != "unset":
         document["priority_admission"] = setting == "true"
