Leave a stall of the event loop out of the time that a connection may take to open

Cause: a node that stands still for 150 ms while it connects finds the 120 ms of the connect timeout expired when it goes on, before it reads that the runner has accepted. The call counts as not sent, the runner as unreachable, and with no other runner the call is refused; probes take listening runners for crashed in the same way.

Both new scenarios fail without it, and two mutations are caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -2,18 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import TCPConnector
 from aiohttp.client_proto import ResponseHandler
 
 from clementineyoke_node.bounds.byte_limit_error import ByteKind
-from clementineyoke_node.runners.keep_alive_socket import open_socket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    import asyncio
 
     from aiohttp import StreamReader
     from aiohttp.http import RawResponseMessage
@@ -138,19 +134,3 @@
         self._framing_bytes += size_bytes
         if self._framing_bytes > MAX_FRAMING_BYTES:
             self._refuse(ByteKind.FRAMING, size_bytes=self._framing_bytes)
-
-
-def make_bounded_connector(
-    byte_limits: ByteLimits,
-    *,
-    protocol: Callable[..., BoundedProtocol] = BoundedProtocol,
-    **options: Any,
-) -> TCPConnector:
-    """Return a connector whose connections are bounded, by one ``protocol`` each."""
-    loop = asyncio.get_running_loop()
-    connector = TCPConnector(limit=0, socket_factory=open_socket, **options)
-    # aiohttp has no public way to set the protocol class of a connector.
-    connector._factory = partial(  # type: ignore[assignment]
-        protocol, loop=loop, byte_limits=byte_limits
-    )
-    return connector
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -88,6 +88,7 @@
                 keeps_alive=False,
                 byte_limits=self._byte_limits,
                 address_lifetimes=AddressLifetimes(),
+                connect_timeout_ms=PEER_CONNECT_TIMEOUT_MS,
             )
         )
         return self
@@ -192,9 +193,7 @@
                     url,
                     headers=headers,
                     data=call.body or None,
-                    timeout=aiohttp.ClientTimeout(
-                        total=None, sock_connect=PEER_CONNECT_TIMEOUT_MS / MS_PER_S
-                    ),
+                    timeout=aiohttp.ClientTimeout(total=None),
                     allow_redirects=False,
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
@@ -14,7 +14,7 @@
 from clementineyoke_core.edge.pool_versions import VersionHistory
 from clementineyoke_core.edge.runner_directory import DirectoryView  # noqa: TC001 - msgspec reads it
 from clementineyoke_core.edge.store_freshness import StoreAges  # noqa: TC001 - msgspec reads it
-from clementineyoke_node.bounds.bounded_protocol import make_bounded_connector
+from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import CrashNote  # noqa: TC001 - msgspec reads it
@@ -32,7 +32,7 @@
 FETCH_TIMEOUT_S = 1.0
 """Peers answer in milliseconds. After a timeout the next peer whose gossip reports a
 newer revision is asked."""
-CONNECT_TIMEOUT_S = 0.25
+CONNECT_TIMEOUT_MS = 250
 """Several round trips between regions. An unreachable peer would otherwise delay the
 fetch from the next one by FETCH_TIMEOUT_S."""
 MAX_CONCURRENT_FETCHES = 4
@@ -89,7 +89,9 @@
 
     async def __aenter__(self) -> Self:
         """Open the HTTP session for peers."""
-        connector = make_bounded_connector(self._byte_limits, force_close=True)
+        connector = make_bounded_connector(
+            self._byte_limits, connect_timeout_ms=CONNECT_TIMEOUT_MS, force_close=True
+        )
         self._session = aiohttp.ClientSession(connector=connector)
         await self._tasks.__aenter__()
         return self
@@ -187,9 +189,7 @@
                 "runners": str(self._view.runners_revision),
                 "evacuations": str(self._view.evacuations.view.revision),
             },
-            timeout=aiohttp.ClientTimeout(
-                total=FETCH_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
-            ),
+            timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S),
         ) as response:
             response.raise_for_status()
             content = await self._byte_limits.read(response.content, peer=address)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -23,6 +23,7 @@
     decode_response_head,
     encode_call_headers,
 )
+from clementineyoke_node.timers.bounded_wait import settled_timeout
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -198,7 +199,7 @@
     async def _try_connection(self, runner: Runner) -> OSError | None:
         """Open and close a connection; return the error if that fails."""
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+            async with settled_timeout(CONNECT_TIMEOUT_MS):
                 _, writer = await asyncio.open_connection(
                     runner.address, runner.port, local_addr=self._local_address
                 )
@@ -212,6 +213,7 @@
             keeps_alive=keeps_alive,
             byte_limits=self._byte_limits,
             address_lifetimes=self._address_lifetimes,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
             local_address=self._local_address,
             trace_configs=[_make_trace_config()],
         )
@@ -243,10 +245,6 @@
         trace: ConnectionTrace,
     ) -> aiohttp.ClientResponse:
         url = URL(f"http://{runner.address}:{runner.port}{call.target}", encoded=True)
-        timeout = aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
-        )
         try:
             async with runner_timeout.enforce():
                 return await session.request(
@@ -254,7 +252,7 @@
                     url,
                     headers=encode_call_headers(call, routing),
                     data=call.body or None,
-                    timeout=timeout,
+                    timeout=aiohttp.ClientTimeout(total=None),
                     allow_redirects=False,
                     trace_request_ctx=trace,
                 )
@@ -308,6 +306,7 @@
     keeps_alive: bool,
     byte_limits: ByteLimits,
     address_lifetimes: AddressLifetimes,
+    connect_timeout_ms: float,
     local_address: tuple[str, int] | None = None,
     trace_configs: Sequence[aiohttp.TraceConfig] = (),
 ) -> aiohttp.ClientSession:
@@ -317,6 +316,7 @@
             keeps_alive=keeps_alive,
             byte_limits=byte_limits,
             address_lifetimes=address_lifetimes,
+            connect_timeout_ms=connect_timeout_ms,
             local_address=local_address,
         ),
         auto_decompress=False,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -8,10 +8,8 @@
 
 from aiohttp import ClientPayloadError
 
-from clementineyoke_node.bounds.bounded_protocol import (
-    BoundedProtocol,
-    make_bounded_connector,
-)
+from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
+from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
 
 if TYPE_CHECKING:
     import asyncio
@@ -105,6 +103,7 @@
     keeps_alive: bool,
     byte_limits: ByteLimits,
     address_lifetimes: AddressLifetimes,
+    connect_timeout_ms: float,
     local_address: tuple[str, int] | None = None,
 ) -> TCPConnector:
     """Return a connector to runners that keeps idle connections, or closes each one."""
@@ -114,6 +113,7 @@
     return make_bounded_connector(
         byte_limits,
         protocol=partial(RunnerProtocol, address_lifetimes=address_lifetimes),
+        connect_timeout_ms=connect_timeout_ms,
         local_addr=local_address,
         **options,
     )
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -8,7 +8,7 @@
 import aiohttp
 import msgspec
 
-from clementineyoke_node.bounds.bounded_protocol import make_bounded_connector
+from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.store_error import (
@@ -69,7 +69,9 @@
 
     async def __aenter__(self) -> Self:
         """Open the connection pool."""
-        connector = make_bounded_connector(self._byte_limits)
+        connector = make_bounded_connector(
+            self._byte_limits, connect_timeout_ms=CONNECT_TIMEOUT_MS
+        )
         self._session = aiohttp.ClientSession(connector=connector)
         return self
 
@@ -137,8 +139,7 @@
             raise StoreError(step=step, peer=self._address, reason="is closed")
         self.calls += 1
         timeout = aiohttp.ClientTimeout(
-            total=(wait_ms + WATCH_SLACK_MS if wait_ms else CALL_TIMEOUT_MS) / MS_PER_S,
-            sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
+            total=(wait_ms + WATCH_SLACK_MS if wait_ms else CALL_TIMEOUT_MS) / MS_PER_S
         )
         data = None if body is None else msgspec.json.encode(body)
         try:
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/bounded_wait.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/bounded_wait.py
@@ -1,9 +1,13 @@
-"""Waits for a future for a limited time."""
+"""Waits for a limited time that a stall of the event loop does not use up."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TypeVar
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
 
 MS_PER_S = 1000.0
 LATE_READ_MS = 5.0
@@ -27,3 +31,22 @@
         future.cancel()
         raise TimeoutError
     return future.result()
+
+
+@asynccontextmanager
+async def settled_timeout(timeout_ms: float) -> AsyncIterator[None]:
+    """Raise ``TimeoutError`` in a block that takes too long.
+
+    Like ``asyncio.timeout``, but what arrived during a stall is read before it expires.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as scope:
+
+        def settle() -> None:
+            scope.reschedule(loop.time() + LATE_READ_MS / MS_PER_S)
+
+        timer = loop.call_later(timeout_ms / MS_PER_S, settle)
+        try:
+            yield
+        finally:
+            timer.cancel()
--- a/packages/clementineyoke-node/tests/edge/loop_stalls.feature
+++ b/packages/clementineyoke-node/tests/edge/loop_stalls.feature
@@ -6,6 +6,18 @@
     When the event loop stands still for 0.5 s
     Then the node has counted a stall of 250 to 700 ms
 
+  Scenario: A node stands still while it opens connections
+    # Its runner has accepted them meanwhile, counts as unreachable, and its calls are refused.
+    Given a fleet of 1 node and 1 runner
+    When the node stands still for 0.3 s while it opens connections for 4 calls
+    Then all of these calls are answered, and no connection has failed
+
+  Scenario: A node stands still while it probes a runner
+    # A runner that listens counts as crashed, and its whole answer without a length as cut.
+    Given a fleet of 1 node and 1 runner
+    When the node stands still for 0.3 s while it probes runner 0
+    Then the runner is found to listen
+
   Scenario Outline: A reply arrives while the event loop stands still
     # The timeout of a request expires before the reply is read, and the peer seems silent.
     When a request with a timeout of 100 ms meets a stall of 300 ms, and <event>
--- a/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
@@ -26,6 +26,63 @@
     assert least_ms <= counter.get({}) <= most_ms, counter.get({})
 
 
+@when(
+    "the node stands still for {stall_s:g} s while it opens connections for"
+    " {count:d} calls"
+)
+def stall_amid_connecting(context, stall_s, count):
+    fleet = context.fleet
+    session = fleet.nodes[0].io.connection_pool._keepalive_session
+    open_socket = session.connector._socket_factory
+    stalls = [stall_s]
+
+    def open_before_stall(address):
+        opened = open_socket(address)
+        if stalls:
+            # The connection is asked for in this turn of the loop.
+            asyncio.get_running_loop().call_soon(time.sleep, stalls.pop())
+        return opened
+
+    async def act():
+        session.connector._socket_factory = open_before_stall
+        return await asyncio.gather(
+            *(
+                fleet.call(
+                    "idempotent", call_id=f"c-{n}", session=fleet.concurrent_session
+                )
+                for n in range(count)
+            )
+        )
+
+    context.answers = context.run(act())
+    assert not stalls
+
+
+@then("all of these calls are answered, and no connection has failed")
+def check_connected(context):
+    assert [status for status, _, _ in context.answers] == [200] * 4, context.answers
+    counter = context.fleet.nodes[0].state.metrics.runner_connections
+    counts = {tuple(sorted(labels.items())): n for labels, n in counter.get_all()}
+    assert not any("failed" in dict(labels).values() for labels in counts), counts
+
+
+@when("the node stands still for {stall_s:g} s while it probes runner {number:d}")
+def stall_amid_probe(context, stall_s, number):
+    node = context.fleet.nodes[0]
+    (entry,) = node.state.table.entries()
+
+    async def act():
+        asyncio.get_running_loop().call_soon(time.sleep, stall_s)
+        return await node.io.connection_pool.is_listening(entry.runner)
+
+    context.is_listening = context.run(act())
+
+
+@then("the runner is found to listen")
+def check_listening(context):
+    assert context.is_listening
+
+
 @when(
     "a request with a timeout of {timeout_ms:d} ms meets a stall of {stall_ms:d} ms, "
     "and {event}"
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -49,6 +49,7 @@
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
+LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
 ENDLESS_BYTES = f"{NODE}/tests/edge/endless_bytes.feature"
 BOUNDS_SOURCE = f"{NODE}/src/clementineyoke_node/bounds"
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
@@ -1173,6 +1174,20 @@
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "a stall uses up the time to open a connection",
+        f"{BOUNDS_SOURCE}/bounded_connector.py",
+        "async with settled_timeout(self._connect_timeout_ms):",
+        "async with asyncio.timeout(self._connect_timeout_ms / 1000.0):",
+        LOOP_STALLS,
+    ),
+    Mutation(
+        "a stall uses up the time of a probe",
+        f"{NODE_EDGE_SOURCE}/runner_connection_pool.py",
+        "async with settled_timeout(CONNECT_TIMEOUT_MS):",
+        "async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):",
+        LOOP_STALLS,
+    ),
     Mutation(
         "heads of a response have no bound",
         f"{BOUNDS_SOURCE}/bounded_protocol.py",
