One reader of responses for runners and peers, made once

Without a change of what callers get; found at the reading of the whole change: - executor and peer relay each made a reader of answers and readers of events from the same parts; they share one now, which opens both - the loop that reads a body within a bound stood twice - the bounds were checked by the settings, with their names, and again by the account - a leaving node's close of a connection was decided twice; a long held answer is sent where the short ones are finished. A caller who leaves it is no longer logged as gone, as with short answers, which aiohttp sends.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/held_bytes.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/held_bytes.py
@@ -20,18 +20,9 @@
 
 
 class HeldBytes:
-    """The bytes that all holders of a node hold.
-
-    Raises ``ValueError`` unless a single holder fits into the total.
-    """
+    """The bytes that all holders of a node hold."""
 
     def __init__(self, *, max_each_bytes: int, max_total_bytes: int) -> None:
-        if not FREE_BYTES <= max_each_bytes <= max_total_bytes:
-            message = (
-                f"a holder's bound of {max_each_bytes} bytes is not between"
-                f" {FREE_BYTES} and the total of {max_total_bytes}"
-            )
-            raise ValueError(message)
         self.max_each_bytes = max_each_bytes
         self._max_total_bytes = max_total_bytes
         self.total_bytes = 0
--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.held_bytes import HeldBytes, HoldLimitError
@@ -9,6 +10,8 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp import StreamReader
 
     from clementineyoke_core.edge.held_bytes import Holding
@@ -26,7 +29,7 @@
     def __init__(
         self, *, max_answer_bytes: int, max_held_bytes: int, metrics: Metrics
     ) -> None:
-        """Create the limits; raises ``ValueError`` if they do not fit together.
+        """Create the limits.
 
         ``max_answer_bytes`` bounds what is held for one response, ``max_held_bytes``
         what is held for all callers. The store and peers have a total of their own:
@@ -83,20 +86,26 @@
         self, content: StreamReader, holding: Holding, *, peer: str
     ) -> list[bytes]:
         """Read a body to its end, and hold it; raises ``ByteLimitError`` like above."""
-        parts: list[bytes] = []
-        size_bytes = 0
-        while part := await content.readany():
-            size_bytes += len(part)
-            self.resize(holding, size_bytes, peer=peer)
-            parts.append(part)
-        return parts
+        return await _read_parts(content, partial(self.resize, holding, peer=peer))
 
 
 async def read_at_most(content: StreamReader, max_bytes: int) -> bytes:
     """Read a body that is held alone; raises ``ByteLimitError`` if it is longer."""
-    body = bytearray()
+
+    def check_size(size_bytes: int) -> None:
+        if size_bytes > max_bytes:
+            raise ByteLimitError(ByteKind.BODY, size_bytes=size_bytes)
+
+    return b"".join(await _read_parts(content, check_size))
+
+
+async def _read_parts(
+    content: StreamReader, check_size: Callable[[int], None]
+) -> list[bytes]:
+    parts: list[bytes] = []
+    size_bytes = 0
     while part := await content.readany():
-        body += part
-        if len(body) > max_bytes:
-            raise ByteLimitError(ByteKind.BODY, size_bytes=len(body))
-    return bytes(body)
+        size_bytes += len(part)
+        check_size(size_bytes)
+        parts.append(part)
+    return parts
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_reader.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_reader.py
@@ -1,4 +1,4 @@
-"""Reads responses that are no streams: held as a whole, or relayed as they come."""
+"""Reads responses of runners and peers: streams, and others, held or relayed."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.response_checks import is_answer
 from clementineyoke_node.edge.runner_response import CompleteResponse, HeldBody
+from clementineyoke_node.edge.stream_reader import EventReader
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -32,9 +33,10 @@
 class AnswerReader:
     """Reads a runner's or a peer's response for one call.
 
-    What is shorter than the bound on one response is held until it is whole, so that a
-    call that may be repeated can still go to another runner. A longer one is relayed as
-    it comes if its length is known; else its end may never come, and it fails.
+    What is no stream and shorter than the bound on one response is held until it is
+    whole, so that a call that may be repeated can still go to another runner. A longer
+    one is relayed as it comes if its length is known; else its end may never come, and
+    it fails.
     """
 
     def __init__(
@@ -73,6 +75,24 @@
             async with asyncio.timeout(timeout_s):
                 return await self._hold(response, peer=peer)
 
+    def open_events(
+        self,
+        admitted: AdmittedCall,
+        response: OpenResponse,
+        stream: CallerStream,
+        *,
+        peer: str,
+    ) -> EventReader:
+        """Return a reader of a stream's events, to be entered while they are read."""
+        return EventReader(
+            response=response,
+            stream=stream,
+            peer=peer,
+            byte_limits=self._byte_limits,
+            deadline_ms=admitted.deadline_ms,
+            timers=self._timers,
+        )
+
     def _is_relayed(
         self, admitted: AdmittedCall, response: OpenResponse, stream: CallerStream
     ) -> bool:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -7,13 +7,11 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
-from clementineyoke_node.edge.answer_reader import AnswerReader
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
 from clementineyoke_node.edge.response_checks import check_outcome, check_resumption
 from clementineyoke_node.edge.runner_liveness import check_end
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
-from clementineyoke_node.edge.stream_reader import EventReader
 from clementineyoke_node.platform.runner_codec import RoutingHeaders
 from clementineyoke_wire.events import Event
 
@@ -27,14 +25,15 @@
     from clementineyoke_core.pool_rings import PoolRings
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
-    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.answer_reader import AnswerReader
     from clementineyoke_node.edge.attempt import Attempt
     from clementineyoke_node.edge.caller_stream import CallerStream
     from clementineyoke_node.edge.failover import Failover
     from clementineyoke_node.edge.fault_reports import FaultReports
     from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
+    from clementineyoke_node.edge.stream_reader import EventReader
     from clementineyoke_node.edge.stream_registry import StreamRegistry
     from clementineyoke_node.edge.token_accounting import TokenAccounting
     from clementineyoke_node.metrics import Metrics
@@ -60,7 +59,7 @@
         token_accounting: TokenAccounting,
         metrics: Metrics,
         streams: StreamRegistry,
-        byte_limits: ByteLimits,
+        answers: AnswerReader,
     ) -> None:
         self._fault_reports = fault_reports
         self._connection_pool = connection_pool
@@ -74,12 +73,7 @@
         self._token_accounting = token_accounting
         self._metrics = metrics
         self._streams = streams
-        self._byte_limits = byte_limits
-        self._answers = AnswerReader(
-            byte_limits=byte_limits,
-            timers=timers,
-            is_leaving=lambda: membership.is_leaving,
-        )
+        self._answers = answers
 
     @asynccontextmanager
     async def open(
@@ -136,13 +130,8 @@
         with self._make_overdue_timer(admitted, runner) as overdue_timer:
             async with attempt.opening as response:
                 if response.head.begins_stream:
-                    with EventReader(
-                        response=response,
-                        stream=stream,
-                        peer=runner.runner_id,
-                        byte_limits=self._byte_limits,
-                        deadline_ms=admitted.deadline_ms,
-                        timers=self._timers,
+                    with self._answers.open_events(
+                        admitted, response, stream, peer=runner.runner_id
                     ) as reader:
                         await self._relay(
                             admitted, attempt, stream, reader, overdue_timer, failover
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -92,10 +93,13 @@
         try:
             with self._in_flight.track():
                 response = await self._respond(request, arrived_ms)
+            if self._membership.is_leaving and not response.prepared:
+                response.force_close()
+            with suppress(ConnectionError):
+                # aiohttp ends the connection of a caller who has left.
+                await send_held(response, request)
         finally:
             self._active_connections.discard(connection)
-        if self._membership.is_leaving and not response.prepared:
-            response.force_close()
         elapsed_ms = self._timers.now_ms() - arrived_ms
         self._metrics.record_outcome(str(response.status), elapsed_ms)
         return response
@@ -116,11 +120,7 @@
                 status=400, body=encode_error(step=error.step, reason=error.reason)
             )
         try:
-            response = await self._serve(request, call, arrived_ms)
-            if self._membership.is_leaving and not response.prepared:
-                response.force_close()
-            await send_held(response, request)
-            return response
+            return await self._serve(request, call, arrived_ms)
         except RequestError as error:
             return self._error_response(
                 call, error, arrived_ms, is_forwarded=HOP in request.headers
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -23,6 +23,7 @@
 from clementineyoke_core.edge.stream_records import StreamRecords
 from clementineyoke_core.load_bound import LoadBound
 from clementineyoke_node.edge.admission_control import AdmissionControl
+from clementineyoke_node.edge.answer_reader import AnswerReader
 from clementineyoke_node.edge.attempt_executor import AttemptExecutor
 from clementineyoke_node.edge.crash_archive import CrashArchive
 from clementineyoke_node.edge.crash_components import make_crash_tracker
@@ -211,6 +212,11 @@
         self.pool_versions = PoolVersions()
         self.streams = self._make_stream_registry()
         self._create_fleet_components()
+        self.answers = AnswerReader(
+            byte_limits=self.byte_limits,
+            timers=self.timers,
+            is_leaving=lambda: state.membership.is_leaving,
+        )
         self.peer_relay = PeerRelay(
             membership=state.membership,
             peer_reach=self.peer_reach,
@@ -218,6 +224,7 @@
             timers=self.timers,
             state_revision=lambda: self.view.state_revision,
             byte_limits=self.byte_limits,
+            answers=self.answers,
         )
         self.forwarder = self._make_forwarder()
 
@@ -348,7 +355,7 @@
             ),
             prefill_tokens=self.token_accounting.prefill_tokens,
             load_weight=self.speed_exchange.load_weight,
-            on_pause=self._record_pause,
+            on_pause=lambda reason: state.metrics.runner_pauses.inc({"reason": reason}),
             on_unreachable=self.pause_verifier.verify,
             on_response_time=self.speed_exchange.record_response_time,
         )
@@ -436,7 +443,7 @@
             token_accounting=self.token_accounting,
             metrics=state.metrics,
             streams=self.streams,
-            byte_limits=self.byte_limits,
+            answers=self.answers,
         )
         return Forwarder(
             broker=self.broker,
@@ -555,9 +562,6 @@
             self.broadcaster.send_to(home, changes)
         return True
 
-    def _record_pause(self, reason: str) -> None:
-        self._state.metrics.runner_pauses.inc({"reason": reason})
-
     def _set_gossip_keys(self) -> None:
         keys = {entry.runner.pool for entry in self._state.table.entries()}
         keys |= self.token_accounting.gossip_keys(keys)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -13,12 +13,10 @@
 from clementineyoke_core.edge.hop import Hop
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
-from clementineyoke_node.edge.answer_reader import AnswerReader
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.response_checks import check_call_id, check_resumption
 from clementineyoke_node.edge.runner_connection_pool import make_session
 from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
-from clementineyoke_node.edge.stream_reader import EventReader
 from clementineyoke_node.platform.relay_codec import (
     decode_relayed_head,
     encode_relayed_headers,
@@ -36,7 +34,9 @@
     from clementineyoke_core.membership import Membership
     from clementineyoke_core.node import Node
     from clementineyoke_node.bounds.byte_limits import ByteLimits
+    from clementineyoke_node.edge.answer_reader import AnswerReader
     from clementineyoke_node.edge.caller_stream import CallerStream
+    from clementineyoke_node.edge.stream_reader import EventReader
     from clementineyoke_node.timers.timer_service import TimerService
     from clementineyoke_wire.message_signer import MessageSigner
 
@@ -66,6 +66,7 @@
         timers: TimerService,
         state_revision: Callable[[], int],
         byte_limits: ByteLimits,
+        answers: AnswerReader,
     ) -> None:
         self._membership = membership
         self._peer_reach = peer_reach
@@ -73,11 +74,7 @@
         self._timers = timers
         self._state_revision = state_revision
         self._byte_limits = byte_limits
-        self._answers = AnswerReader(
-            byte_limits=byte_limits,
-            timers=timers,
-            is_leaving=lambda: membership.is_leaving,
-        )
+        self._answers = answers
         self._stack = AsyncExitStack()
         self._session: aiohttp.ClientSession | None = None
 
@@ -140,13 +137,8 @@
         Raises ``AttemptError`` if the response breaks off.
         """
         if response.head.begins_stream and response.head.has_signature:
-            with EventReader(
-                response=response,
-                stream=stream,
-                peer=peer.node_id,
-                byte_limits=self._byte_limits,
-                deadline_ms=admitted.deadline_ms,
-                timers=self._timers,
+            with self._answers.open_events(
+                admitted, response, stream, peer=peer.node_id
             ) as reader:
                 await self._relay(admitted, peer, stream, reader)
             return None
