--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A runner leaves while the store cuts off watches that have waited for half a second."""
+"""A runner leaves while the store cuts off watches that have waited for 0.5 s."""
 
 from __future__ import annotations
 
