--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -565,6 +565,16 @@
                 stderr=log,
             )
 
+    def resident_bytes(self) -> int:
+        """Return the memory that the process takes; 0 if it does not run."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            text = Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            return 0
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     def log(self) -> str:
         """Return what the process has written so far."""
         return (self._folder / f"{self.name}.log").read_text(errors="replace")
@@ -614,16 +624,8 @@
     try:
         async with asyncio.timeout(budget_ms / 1000.0 + 0.7):
             reader, writer = await asyncio.open_connection(*front)
-            message = encode(
-                f"{method} {path} HTTP/1.1",
-                {
-                    "Host": HOST,
-                    "X-Attempt-Id": attempt,
-                    "X-Deadline-Ms": str(budget_ms),
-                    "Authorization": f"Token {key}",
-                    **(fields or {}),
-                },
-                body,
+            message = encode_call(
+                attempt, path, budget_ms, body, method=method, key=key, fields=fields
             )
             writer.write(message)
             start, answer.fields = await read_head(reader)
@@ -641,6 +643,71 @@
     return answer
 
 
+class Channel:
+    """A channel that is kept for one request after the other."""
+
+    def __init__(self, front: tuple[str, int]) -> None:
+        self._front = front
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def ask(
+        self, *, attempt: str, path: str, budget_ms: int = 1500, body: bytes = b""
+    ) -> Answer:
+        """Send a request and read its answer; a channel that is gone is opened anew."""
+        answer = Answer(attempt)
+        try:
+            async with asyncio.timeout(budget_ms / 1000.0 + 0.7):
+                if self._streams is None:
+                    self._streams = await asyncio.open_connection(*self._front)
+                reader, writer = self._streams
+                answer.end = "sent"
+                writer.write(encode_call(attempt, path, budget_ms, body))
+                start, answer.fields = await read_head(reader)
+                answer.body = await read_body(reader, answer.fields)
+                answer.status = int(start.split(" ")[1])
+                answer.end = "whole"
+                if answer.fields.get("connection", "").lower() == "close":
+                    self.close()
+        except TimeoutError:
+            answer.end = "no answer in time"
+            self.close()
+        except (OSError, asyncio.IncompleteReadError) as error:
+            answer.end = f"{'cut' if answer.end else 'no channel'}: {error!r}"
+            self.close()
+        answer.done_s = time.monotonic()
+        return answer
+
+    def close(self) -> None:
+        """Close the channel."""
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+
+def encode_call(
+    attempt: str,
+    path: str,
+    budget_ms: int,
+    body: bytes,
+    *,
+    method: str = "POST",
+    key: str = KEY,
+    fields: dict[str, str] | None = None,
+) -> bytes:
+    """Return a request as a caller sends it."""
+    return encode(
+        f"{method} {path} HTTP/1.1",
+        {
+            "Host": HOST,
+            "X-Attempt-Id": attempt,
+            "X-Deadline-Ms": str(budget_ms),
+            "Authorization": f"Token {key}",
+            **(fields or {}),
+        },
+        body,
+    )
+
+
 class Fleet:
     """A store, nodes of several zones, and runners."""
 
