--- a/review/5/case.py
+++ b/review/5/case.py
@@ -109,4 +109,4 @@
         return 1 if len(late) > 3 else 0
 
 
-sys.exit(asyncio.run(main()))
+world.play(main)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -18,6 +18,10 @@
 import time
 import tomllib
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 STORE_ADDRESS = "127.0.0.1"
@@ -221,6 +225,7 @@
             answer = await self._watch(node, kind, query)
             if answer is None:
                 self.cuts += 1
+                self.record.write(f"cut off the watch of {node} on {kind}")
                 writer.close()
                 return False
             status, document = answer
@@ -794,3 +799,13 @@
 def has_trouble() -> bool:
     """Return whether the disruption is wanted."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def play(main: Callable[[], Awaitable[int]]) -> None:
+    """Run a case and exit with its status, or with 2 if it could not run."""
+    try:
+        status = asyncio.run(main())
+    except Exception as error:
+        print(f"the case could not run: {error!r}", file=sys.stderr)
+        status = 2
+    sys.exit(status)
