--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -802,7 +802,11 @@
 
 
 def play(main: Callable[[], Awaitable[int]]) -> None:
-    """Run a case and exit with its status, or with 2 if it could not run."""
+    """Run a case and exit with its status, or with 2 if it could not run.
+
+    A script that is stopped by SIGTERM ends its nodes as well.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = asyncio.run(main())
     except Exception as error:
