--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/pool_versions.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/pool_versions.py
@@ -77,6 +77,17 @@
         """Return whether streams of several versions may be resumed in a pool."""
         return len(self.recent(pool, now_ms=now_ms)) > 1
 
+    def all_recent(self, *, now_ms: float) -> dict[str, list[str]]:
+        """Return the versions of all pools that may have begun streams."""
+        pools = sorted(self._listed.keys() | self._last_seen_ms.keys())
+        recent = {pool: self.recent(pool, now_ms=now_ms) for pool in pools}
+        return {pool: versions for pool, versions in recent.items() if versions}
+
+    def mixed_pools(self, *, now_ms: float) -> list[str]:
+        """Return the pools in which streams of several versions may be resumed."""
+        recent = self.all_recent(now_ms=now_ms)
+        return [pool for pool, versions in recent.items() if len(versions) > 1]
+
     def observed_ms(self, *, now_ms: float) -> float:
         """Return for how long the versions are known, up to the retention time."""
         return max(0.0, min(RETENTION_MS, now_ms - self._observed_since_ms))
@@ -84,13 +95,20 @@
     def history(self, *, now_ms: float) -> VersionHistory:
         """Return what a node that has just started needs to know.
 
-        Of pools with a single version it is the length of the history only.
+        The listed versions are part of it: their runners may have gone before that
+        node reads its first list.
         """
         versions = [
+            SeenVersion(pool, version, 0)
+            for pool, listed in self._listed.items()
+            for version in sorted(listed)
+        ]
+        versions += [
             SeenVersion(pool, version, round(now_ms - seen_ms))
             for pool, former in self._last_seen_ms.items()
             for version, seen_ms in former.items()
             if now_ms - seen_ms < RETENTION_MS
+            and version not in self._listed.get(pool, frozenset())
         ]
         return VersionHistory(round(self.observed_ms(now_ms=now_ms)), tuple(versions))
 
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
@@ -34,7 +34,8 @@
 class StreamLookup:
     """Combine the answers of nodes until the version of a stream is known.
 
-    A stream without a record may only go on where no other version can have begun it.
+    A stream without a record may only go on where no other version can have begun it:
+    a node must know the versions for as long as the stream can have lasted.
     A node that is cut off from its peers and from the store may have missed a version,
     so that its own word does not suffice for that.
     """
@@ -91,7 +92,7 @@
         return (
             self._is_view_current
             and self._has_majority()
-            and self._knows_whole_time()
+            and self.knows_whole_time
             and self.only_version is not None
         )
 
@@ -109,9 +110,7 @@
         """Return whether an unknown version would have shown in the answers."""
         if not (self._has_majority() or self._is_view_current):
             return False
-        # If no node knows the whole time, all have started since: then only the runners
-        # that are listed tell which versions there were.
-        return self._knows_whole_time() or self._informed_count() == self.asked + 1
+        return self.knows_whole_time
 
     def _has_majority(self) -> bool:
         """Return whether over half of the nodes know versions, this one included."""
@@ -124,5 +123,7 @@
         """
         return sum(bool(answer.versions) for answer in self._answers)
 
-    def _knows_whole_time(self) -> bool:
+    @property
+    def knows_whole_time(self) -> bool:
+        """Whether a node knows the versions for as long as the stream has lasted."""
         return any(a.observed_ms >= self._max_age_ms for a in self._answers)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -10,7 +10,6 @@
 from clementineyoke_core.edge.attempt_timeouts import AttemptTimeouts
 from clementineyoke_core.edge.load_cap_share import NO_PROMPT_CAP_SHARE
 from clementineyoke_core.edge.peer_reach import PeerReach
-from clementineyoke_core.edge.pool_versions import PoolVersions
 from clementineyoke_core.edge.prompt_holders import PromptHolders
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
@@ -20,7 +19,6 @@
     StoreFreshness,
     ViewPart,
 )
-from clementineyoke_core.edge.stream_records import StreamRecords
 from clementineyoke_core.load_bound import LoadBound
 from clementineyoke_node.edge.admission_control import AdmissionControl
 from clementineyoke_node.edge.answer_reader import AnswerReader
@@ -42,7 +40,7 @@
 from clementineyoke_node.edge.scheduled_returns import make_return_policy
 from clementineyoke_node.edge.speed_exchange import SpeedExchange
 from clementineyoke_node.edge.store_watcher import StoreWatcher
-from clementineyoke_node.edge.stream_registry import StreamRegistry
+from clementineyoke_node.edge.stream_components import StreamComponents
 from clementineyoke_node.edge.token_accounting import TokenAccounting
 from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
 from clementineyoke_node.fleet.gossiper import Gossiper
@@ -209,8 +207,15 @@
             timers=self.timers,
             is_watcher=self._is_watcher,
         )
-        self.pool_versions = PoolVersions()
-        self.streams = self._make_stream_registry()
+        self.stream_components = StreamComponents(
+            state=state,
+            store=self.store,
+            socket=self.socket,
+            timers=self.timers,
+            is_view_current=lambda: not self.view.is_stale(ViewPart.RUNNERS),
+        )
+        self.streams = self.stream_components.registry
+        self.pool_versions = self.stream_components.versions
         self._create_fleet_components()
         self.answers = AnswerReader(
             byte_limits=self.byte_limits,
@@ -242,6 +247,7 @@
         ):
             await self._stack.enter_async_context(component)
         self._start_timers()
+        self.stream_components.start_timers()
         self.tasks.spawn(self.registration.register(), name="enter_roster")
         self.tasks.spawn(
             self.crash_archive.load_after(self.registration.registered),
@@ -474,21 +480,6 @@
             streams=self.streams,
         )
 
-    def _make_stream_registry(self) -> StreamRegistry:
-        state = self._state
-        return StreamRegistry(
-            records=StreamRecords(),
-            versions=self.pool_versions,
-            homes=state.stream_homes,
-            membership=state.membership,
-            table=state.table,
-            socket=self.socket,
-            timers=self.timers,
-            decisions=state.decisions,
-            metrics=state.metrics,
-            is_view_current=lambda: not self.view.is_stale(ViewPart.RUNNERS),
-        )
-
     def _make_token_accounting(self) -> TokenAccounting:
         self._pool_memory = PoolMemory(state=self._read_desired_state)
         engines = EngineView(
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_archive.py
@@ -0,0 +1,160 @@
+"""Keeps the streams that are under way in pools of several versions in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.edge.stream_records import MAX_TTL_MS, StreamRecord
+from clementineyoke_node.platform import names
+from clementineyoke_node.platform.format_error import FormatError
+from clementineyoke_node.platform.store_error import (
+    ObjectMissingError,
+    RevisionConflictError,
+    StoreError,
+)
+from clementineyoke_node.platform.stream_codec import (
+    ArchivedStream,
+    decode_streams,
+    encode_streams,
+)
+from clementineyoke_wire.events import Event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from clementineyoke_core.edge.stream_records import StreamRecords
+    from clementineyoke_node.platform.store_client import StoreClient
+    from clementineyoke_node.timers.timer_service import TimerService
+
+MS_PER_S = 1000.0
+MIN_WRITE_INTERVAL_MS = 500.0
+MAX_WRITES_PER_S = 100.0
+"""By all nodes together: a quarter of what the store takes from them."""
+RELOAD_INTERVAL_MS = 10_000.0
+"""Shortest time between two reads for streams that no node knows."""
+RETENTION_MS = 20_000.0
+"""How long a stream that broke off stays in the store, for its caller to resume it."""
+MAX_STREAMS = 4_096
+"""Streams in a node's object, 200 kB; the latest ones."""
+
+
+class StreamArchive:
+    """Write a node's streams in batches, and read those of all nodes when needed.
+
+    The object of a node is replaced as a whole; no answer waits for that. A starting
+    node first reads what it wrote before, as callers may not have resumed it yet.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        node_id: str,
+        records: StreamRecords,
+        timers: TimerService,
+        mixed_pools: Callable[[], set[int]],
+        count_nodes: Callable[[], int],
+    ) -> None:
+        """Create an archive; ``mixed_pools`` returns the hashes of the pools' names."""
+        self._store = store
+        self._node_id = node_id
+        self._records = records
+        self._timers = timers
+        self._mixed_pools = mixed_pools
+        self._count_nodes = count_nodes
+        self._open: dict[int, float] = {}
+        """Streams that this node carries or carried, and until when they are kept."""
+        self._written: list[ArchivedStream] = []
+        self._exists = False
+        self._loaded_ms: float | None = None
+        self._next_write_ms = 0.0
+
+    def add(self, key: int) -> None:
+        """Keep a stream that this node carries."""
+        self._open.pop(key, None)
+        self._open[key] = self._timers.now_ms() + RETENTION_MS
+        if len(self._open) > MAX_STREAMS:
+            del self._open[next(iter(self._open))]
+
+    def discard(self, key: int) -> None:
+        """Drop a stream that is complete."""
+        self._open.pop(key, None)
+
+    async def load(self) -> bool:
+        """Read the streams of all nodes unless this was done lately.
+
+        Return whether they were read; raises ``StoreError``.
+        """
+        now_ms = self._timers.now_ms()
+        loaded_ms = self._loaded_ms
+        if loaded_ms is not None and now_ms - loaded_ms < RELOAD_INTERVAL_MS:
+            return False
+        listed = await self._store.list_all(names.STREAMS_KIND)
+        is_first = self._loaded_ms is None
+        self._loaded_ms = now_ms
+        for entry in listed.entries:
+            try:
+                streams = decode_streams(entry)
+            except FormatError as error:
+                log_event(Event.HOST_REFUSED, host=error.peer, reason=error.reason)
+                continue
+            is_own = entry.name == self._node_id
+            self._exists = self._exists or is_own
+            for stream in streams:
+                self._adopt(stream)
+                if is_own and is_first:
+                    self.add(stream.key)
+        return True
+
+    async def run_round(self) -> None:
+        """Write this node's streams if they have changed since the last time."""
+        now_ms = self._timers.now_ms()
+        if now_ms < self._next_write_ms:
+            return
+        streams = self._streams(now_ms)
+        if streams == self._written:
+            return
+        interval_ms = self._count_nodes() * MS_PER_S / MAX_WRITES_PER_S
+        self._next_write_ms = now_ms + max(MIN_WRITE_INTERVAL_MS, interval_ms)
+        try:
+            await self._write()
+        except StoreError as error:
+            log_event(Event.PLATFORM_AWAY, step=error.step, reason=error.reason)
+
+    async def _write(self) -> None:
+        if self._loaded_ms is None:
+            await self.load()
+        streams = self._streams(self._timers.now_ms())
+        spec = encode_streams(streams)
+        try:
+            if self._exists:
+                await self._store.replace(names.STREAMS_KIND, self._node_id, spec)
+            else:
+                await self._store.create(names.STREAMS_KIND, self._node_id, spec)
+        except ObjectMissingError:
+            self._exists = False
+            return
+        except RevisionConflictError:
+            self._exists = True
+            return
+        self._exists = True
+        self._written = streams
+
+    def _streams(self, now_ms: float) -> list[ArchivedStream]:
+        self._open = {
+            k: ends_ms for k, ends_ms in self._open.items() if ends_ms > now_ms
+        }
+        mixed = self._mixed_pools()
+        if not mixed:
+            return []
+        found = ((key, self._records.find(key, now_ms=now_ms)) for key in self._open)
+        return [
+            ArchivedStream(key, record.pool, record.version)
+            for key, record in found
+            if record is not None and not record.is_ambiguous and record.pool in mixed
+        ]
+
+    def _adopt(self, stream: ArchivedStream) -> None:
+        now_ms = self._timers.now_ms()
+        record = StreamRecord(stream.pool, stream.version, now_ms + MAX_TTL_MS)
+        self._records.merge(stream.key, record, now_ms=now_ms)
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -0,0 +1,92 @@
+"""Creates the parts that tell which version began a stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from clementineyoke_core.edge.pool_versions import PoolVersions
+from clementineyoke_core.edge.stream_records import StreamRecords
+from clementineyoke_core.hashing import hash_text
+from clementineyoke_node.edge.stream_archive import StreamArchive
+from clementineyoke_node.edge.stream_registry import StreamRegistry
+from clementineyoke_node.edge.version_archive import VersionArchive
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from clementineyoke_node.node_state import NodeState
+    from clementineyoke_node.peers.peer_socket import PeerSocket
+    from clementineyoke_node.platform.store_client import StoreClient
+    from clementineyoke_node.timers.timer_service import TimerService
+
+VERSION_WRITERS = 2
+"""One of them may be cut off from the store while its peers still reach it."""
+VERSION_WRITERS_KEY = hash_text("writers of pool versions")
+ARCHIVE_INTERVAL_MS = 100.0
+
+
+class StreamComponents:
+    """The registry of streams and what it knows of versions, of one node."""
+
+    def __init__(
+        self,
+        *,
+        state: NodeState,
+        store: StoreClient,
+        socket: PeerSocket,
+        timers: TimerService,
+        is_view_current: Callable[[], bool],
+    ) -> None:
+        """Create the parts; ``is_view_current`` is described at ``StreamLookup``."""
+        self._state = state
+        self._timers = timers
+        records = StreamRecords()
+        self.versions = PoolVersions()
+        self._version_archive = VersionArchive(
+            store=store,
+            versions=self.versions,
+            timers=timers,
+            is_writer=self._is_version_writer,
+        )
+        self._stream_archive = StreamArchive(
+            store=store,
+            node_id=state.config.node_id,
+            records=records,
+            timers=timers,
+            mixed_pools=self._mixed_pools,
+            count_nodes=lambda: len(state.membership.alive()),
+        )
+        self.registry = StreamRegistry(
+            records=records,
+            versions=self.versions,
+            version_archive=self._version_archive,
+            stream_archive=self._stream_archive,
+            homes=state.stream_homes,
+            membership=state.membership,
+            table=state.table,
+            socket=socket,
+            timers=timers,
+            decisions=state.decisions,
+            metrics=state.metrics,
+            is_view_current=is_view_current,
+        )
+
+    def start_timers(self) -> None:
+        """Start to write to the store what has changed."""
+        for name, archive in (
+            ("pool_versions", self._version_archive),
+            ("stream_archive", self._stream_archive),
+        ):
+            self._timers.subscribe(
+                name, interval_ms=ARCHIVE_INTERVAL_MS, callback=archive.run_round
+            )
+
+    def _is_version_writer(self) -> bool:
+        writers = self._state.fleet_homes.homes_of(
+            VERSION_WRITERS_KEY, max_nodes=VERSION_WRITERS
+        )
+        return self._state.config.node_id in writers
+
+    def _mixed_pools(self) -> set[int]:
+        mixed = self.versions.mixed_pools(now_ms=self._timers.now_ms())
+        return {hash_text(pool) for pool in mixed}
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -24,6 +24,7 @@
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.peers.peer_socket import PeerAddress
+from clementineyoke_node.platform.store_error import StoreError
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import StreamAsk, StreamNews, StreamNote, StreamReply
 
@@ -39,10 +40,13 @@
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.stream_archive import StreamArchive
+    from clementineyoke_node.edge.version_archive import VersionArchive
     from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
     from clementineyoke_node.timers.timer_service import TimerService
 
+MS_PER_S = 1000.0
 MIN_HOLDERS = 3
 MAX_HOLDERS = 8
 """Peers that keep the record of one stream, and that are asked for it."""
@@ -57,6 +61,8 @@
 LOOKUP_TIMEOUT_MS = 300.0
 """Time for the answer of a busy peer; others take a few milliseconds. Only streams that
 no peer in reach knows wait for peers that have ended."""
+STORE_TIMEOUT_MS = 800.0
+"""Time for the store to tell of versions and streams from before a start."""
 RETURN_MARGIN_MS = 5_000.0
 """Time in which a caller resumes a broken stream."""
 UNKNOWN_RETRY_MS = 1_000
@@ -87,6 +93,8 @@
         *,
         records: StreamRecords,
         versions: PoolVersions,
+        version_archive: VersionArchive,
+        stream_archive: StreamArchive,
         homes: HomeNodes,
         membership: Membership,
         table: RunnerTable,
@@ -102,6 +110,8 @@
         """
         self._records = records
         self._versions = versions
+        self._version_archive = version_archive
+        self._stream_archive = stream_archive
         self._homes = homes
         self._membership = membership
         self._table = table
@@ -131,12 +141,17 @@
         )
         key = stream_key(admitted.team, admitted.call.call_id)
         self._records.merge(key, record, now_ms=self._timers.now_ms())
+        self._stream_archive.add(key)
         if self.is_mixed(runner.pool):
             self._share(key)
 
     def record_complete(self, admitted: AdmittedCall) -> None:
         """Forget a completed stream, unless its version would have to be known."""
-        if _is_resumable(admitted) and not self.is_mixed(admitted.pool):
+        if not _is_resumable(admitted):
+            return
+        for attempt in (admitted.call.call_id, admitted.call.resumes):
+            self._stream_archive.discard(stream_key(admitted.team, attempt or ""))
+        if not self.is_mixed(admitted.pool):
             self._records.remove(stream_key(admitted.team, admitted.call.call_id))
 
     async def find(self, admitted: AdmittedCall) -> ResumedStream | None:
@@ -152,7 +167,7 @@
         resumes = admitted.call.resumes or ""
         is_named = is_attempt_id(resumes)
         key = stream_key(admitted.team, resumes) if is_named else 0
-        lookup = await self._look_up(admitted, key)
+        lookup = await self._look_up_with_store(admitted, key)
         result = lookup.conclude()
         self._metrics.stream_lookups.inc({"result": result.value})
         stream = self._choose(admitted, lookup, result)
@@ -199,6 +214,28 @@
         self._versions.drop_expired(now_ms=now_ms)
         self._metrics.stream_records.set({}, len(self._records))
 
+    async def _look_up_with_store(
+        self, admitted: AdmittedCall, key: int
+    ) -> StreamLookup:
+        """Look a stream up, also in the store if no node can tell its version.
+
+        After all nodes have ended, only the store knows former versions and streams.
+        """
+        lookup = await self._look_up(admitted, key)
+        if lookup.conclude() is not LookupResult.UNKNOWN:
+            return lookup
+        is_read = False
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_MS / MS_PER_S):
+                if not lookup.knows_whole_time:
+                    await self._version_archive.load()
+                    is_read = True
+                if key and self.is_mixed(admitted.pool):
+                    is_read = await self._stream_archive.load() or is_read
+        except (StoreError, TimeoutError) as error:
+            log_event(Event.PLATFORM_AWAY, step=FIND_STEP, reason=repr(error))
+        return await self._look_up(admitted, key) if is_read else lookup
+
     async def _look_up(self, admitted: AdmittedCall, key: int) -> StreamLookup:
         own = self._answer(key, hash_text(admitted.pool))
         is_known = own.record is not None
@@ -258,6 +295,7 @@
         """Keep a resumed stream for as long as a new one, on its present holders."""
         prolonged = record._replace(expires_ms=self._expires_ms(admitted))
         self._records.merge(key, prolonged, now_ms=self._timers.now_ms())
+        self._stream_archive.add(key)
         if self.is_mixed(admitted.pool):
             self._share(key)
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -131,9 +131,18 @@
         """Create an object; raises ``RevisionConflictError`` if it exists."""
         await self._call("POST", _path(kind), body=_object(name, spec))
 
-    async def replace(self, kind: str, name: str, spec: dict[str, Any]) -> None:
-        """Replace an object's content regardless of its revision."""
-        await self._call("PUT", f"{_path(kind)}/{name}", body=_object(name, spec))
+    async def replace(
+        self, kind: str, name: str, spec: dict[str, Any], *, revision: int = 0
+    ) -> None:
+        """Replace an object's content.
+
+        Raises ``RevisionConflictError`` if a revision is given that is not the
+        object's, and ``ObjectMissingError`` if there is no object.
+        """
+        body = _object(name, spec)
+        if revision:
+            body["metadata"]["revision"] = revision
+        await self._call("PUT", f"{_path(kind)}/{name}", body=body)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; a missing object is not an error."""
--- /dev/null
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/stream_codec.py
@@ -0,0 +1,74 @@
+"""Encodes and decodes what the store keeps for streams that callers resume."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+
+from clementineyoke_node.platform.entry_codec import MAX_VERSION_LENGTH
+from clementineyoke_node.platform.format_error import FormatError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from clementineyoke_node.platform.store_page import StoredEntry
+
+HEX = 16
+
+
+class ArchivedStream(NamedTuple):
+    """A stream and the version that began it."""
+
+    key: int
+    pool: int
+    """Hash of the pool's name."""
+    version: str
+
+
+class _VersionsSpec(msgspec.Struct):
+    versions: dict[str, list[str]]
+
+
+class _StreamsSpec(msgspec.Struct):
+    streams: list[tuple[str, str, str]]
+    """Key and pool in hex, and the version."""
+
+
+def encode_versions(versions: Mapping[str, Iterable[str]]) -> dict[str, Any]:
+    """Return the object with the recent versions of all pools."""
+    return {"versions": {pool: list(names) for pool, names in versions.items()}}
+
+
+def decode_versions(entry: StoredEntry) -> dict[str, list[str]]:
+    """Decode the recent versions of all pools; raises ``FormatError``."""
+    try:
+        spec = msgspec.json.decode(entry.spec, type=_VersionsSpec)
+    except (ValueError, RecursionError) as error:
+        raise FormatError(
+            step="decode_versions", peer=entry.name, reason=str(error)
+        ) from error
+    return {
+        pool: [name[:MAX_VERSION_LENGTH] for name in names]
+        for pool, names in spec.versions.items()
+    }
+
+
+def encode_streams(streams: Iterable[ArchivedStream]) -> dict[str, Any]:
+    """Return the object with a node's streams under way."""
+    rows = [[f"{s.key:x}", f"{s.pool:x}", s.version] for s in streams]
+    return {"streams": rows}
+
+
+def decode_streams(entry: StoredEntry) -> list[ArchivedStream]:
+    """Decode a node's streams under way; raises ``FormatError``."""
+    try:
+        spec = msgspec.json.decode(entry.spec, type=_StreamsSpec)
+        return [
+            ArchivedStream(int(key, HEX), int(pool, HEX), version[:MAX_VERSION_LENGTH])
+            for key, pool, version in spec.streams
+        ]
+    except (ValueError, RecursionError) as error:
+        raise FormatError(
+            step="decode_streams", peer=entry.name, reason=str(error)
+        ) from error
--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/restart_of_all_nodes.feature
@@ -0,0 +1,42 @@
+Feature: Streams that callers resume after all nodes have ended
+
+  Scenario Outline: All nodes end amid streams
+    # Nothing in memory is left, and the runners that began the streams may have gone.
+    Given 4 nodes and 8 runners of the versions "v1"
+    And the runners stream for 1.8 s
+    When all nodes end for 0.5 s amid 40 streams, and <change>
+    Then no stream has events of two versions
+    And streams go on at least <share> times as often as new ones begin
+
+    Examples:
+      | change                                                      | share |
+      | nothing else happens                                        | 0.95  |
+      | half of the runners were replaced by "v2" 1.2 s before      | 0.5   |
+      | all runners were replaced by "v2" 0.25 s before             | 0     |
+      | all runners are replaced by "v2" meanwhile                  | 0     |
+      | half were replaced by "v2" 1.2 s before, half are meanwhile | 0     |
+      | the store is slow                                           | 0.95  |
+      | the store is away for 1 s more                              | 0.95  |
+      | the store is away from 1 s before, all are replaced by "v2" | 0     |
+      | node 3 starts 1 s later                                     | 0.95  |
+
+  Scenario: All nodes are restarted one by one within the life of a stream
+    # Each node hands over what it knows to one that has just started.
+    Given 4 nodes and 8 runners of the versions "v1"
+    And callers have begun 12 streams at node 0, all of which broke
+    When all runners are replaced by "v2"
+    And the nodes are restarted one by one
+    Then no node takes the streams for those of "v2"
+
+  Scenario: The only node of a region is restarted
+    # No peer tells it of a version that went while it was down.
+    Given 1 node and 4 runners of the versions "v1"
+    And callers have begun 12 streams at node 0, all of which broke
+    When node 0 ends, and all runners are replaced by "v2" meanwhile
+    Then no node takes the streams for those of "v2"
+
+  Scenario: A node that has just started hands over the versions that it lists
+    # The runners of a version may go between the hand-over and the next list.
+    Given a node whose list has runners of "v1"
+    When a starting node hears from it, and lists runners of "v2" alone
+    Then the starting node takes the pool for mixed
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_store.py
@@ -49,6 +49,8 @@
         self.fault: StoreFault | None = None
         self.faulty_call_interval = 1
         """The fault affects each call whose number is a multiple of this."""
+        self.answer_delay_s = 0.0
+        """Time that each call takes longer."""
         self.cut_watches_after_s: float | None = None
         """Time after which a waiting watch is cut off; None if none is."""
         self.cut_watches = 0
@@ -232,6 +234,7 @@
 
     async def _apply_fault(self, request: web.Request) -> None:
         self.calls.append(f"{request.method} {request.path_qs}")
+        await asyncio.sleep(self.answer_delay_s)
         if request.remote in self.rejected_addresses:
             raise web.HTTPServiceUnavailable
         self._call_count += 1
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -127,6 +127,9 @@
     BYTES_REFUSED = EventKind(
         247, "WARNING", "Bytes without end, or an answer too long to hold, were cut."
     )
+    VERSIONS_STORED = EventKind(
+        248, "INFO", "The recent versions of the pools were written to the store."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
