--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_archive.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_archive.py
@@ -27,7 +27,8 @@
     from clementineyoke_node.timers.timer_service import TimerService
 
 MS_PER_S = 1000.0
-MIN_WRITE_INTERVAL_MS = 500.0
+MIN_WRITE_INTERVAL_MS = 200.0
+"""Many streams last for less than a second."""
 MAX_WRITES_PER_S = 100.0
 """By all nodes together: a quarter of what the store takes from them."""
 RELOAD_INTERVAL_MS = 10_000.0
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -22,7 +22,7 @@
 VERSION_WRITERS = 2
 """One of them may be cut off from the store while its peers still reach it."""
 VERSION_WRITERS_KEY = hash_text("writers of pool versions")
-ARCHIVE_INTERVAL_MS = 100.0
+ARCHIVE_INTERVAL_MS = 50.0
 
 
 class StreamComponents:
--- a/packages/clementineyoke-node/tests/steps/restart_of_all_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/restart_of_all_nodes_steps.py
@@ -14,6 +14,8 @@
 TRY_PAUSE_S = 0.02
 NEW_STREAMS = 40
 MAX_DOWN_S = 8.0
+CARRY_S = 1.0
+"""Time from the first stream until all nodes end."""
 
 
 @given("the runners stream for {length_s:g} s")
@@ -86,16 +88,21 @@
     count = len(fleet.nodes)
     context.readers = [Reader(fleet, f"stream-{n}") for n in range(streams)]
     await asyncio.sleep(0.5)
-    if before is not None:
+    if before_s >= CARRY_S:
         await before()
-        await asyncio.sleep(max(0.0, before_s - 1.0))
+        await asyncio.sleep(before_s - CARRY_S)
 
     async def begin(reader):
         await asyncio.sleep(rng.uniform(0.0, 0.4))
         await reader.read(rng.randrange(count))
 
     begun = [asyncio.ensure_future(begin(reader)) for reader in context.readers]
-    await asyncio.sleep(1.0 if before is None else min(1.0, before_s))
+    if 0.0 < before_s < CARRY_S:
+        await asyncio.sleep(CARRY_S - before_s)
+        await before()
+        await asyncio.sleep(before_s)
+    else:
+        await asyncio.sleep(CARRY_S)
     await end_all(context)
     await asyncio.gather(*begun)
     if during is not None:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -41,6 +41,8 @@
     node can read, and a caller reads long answers slowly."""
     has_endless_bytes: bool = True
     """Whether a runner and the store send bytes without end."""
+    has_release: bool = True
+    """Whether all nodes are killed amid a release of a new version."""
 
 
 def run(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -21,6 +21,7 @@
     runner_lifetimes_spec,
     runner_signals_spec,
     settings_spec,
+    stream_archive_spec,
     stream_versions_spec,
 )
 
@@ -44,6 +45,7 @@
     reach_reports_spec,
     brittle_grants_spec,
     stream_versions_spec,
+    stream_archive_spec,
 )
 
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from clementineyoke_standins.edge.edge_runner import EdgeRunner
     from clementineyoke_standins.soak.caller import CallRecord
     from clementineyoke_standins.soak.fault_proxy import FaultProxy
     from clementineyoke_standins.soak.node_process import NodeProcess
@@ -75,6 +76,9 @@
 BRITTLE_ROOM = 3
 SILENCE_S = 1.1
 FOREIGN_NAME = "foreign"
+RELEASED_VERSION = "v3"
+RELEASE_LEAD_S = 1.0
+"""Time from the restart of runners at a new version until all nodes are killed."""
 ENDLESS_KINDS = [name for name in ENDLESS_ANSWERS if "whole" not in name]
 """Without whole answers, which would not be those of their calls."""
 
@@ -128,6 +132,7 @@
             FaultKind.NODE_PAUSE: self._pause_node,
             FaultKind.NODE_CLOCK: self._skew_clock,
             FaultKind.ALL_KILL: self._kill_all,
+            FaultKind.RELEASE_KILL: self._kill_all_in_release,
             FaultKind.HUP: self._reload_settings,
             FaultKind.SETTINGS_TORN: self._truncate_settings,
             FaultKind.STORE_LINK: self._break_store_link,
@@ -183,6 +188,24 @@
         for node in self._fleet.nodes:
             await self._restart_node(node, fault._replace(duration_s=0.0))
 
+    async def _kill_all_in_release(self, fault: PlannedFault) -> None:
+        """Restart runners at a new version and kill all nodes meanwhile."""
+        runners = self._fleet.runners
+        half = len(runners) // 2
+        self._release(runners[:half])
+        await asyncio.sleep(RELEASE_LEAD_S)
+        await asyncio.gather(*(node.kill() for node in self._fleet.nodes))
+        if fault.selector % 2:
+            self._release(runners[half:])
+        for node in self._fleet.nodes:
+            await self._restart_node(node, fault._replace(duration_s=0.0))
+
+    def _release(self, runners: list[EdgeRunner]) -> None:
+        for runner in runners:
+            if runner.runner_id not in self._fleet.state.runner_left_s:
+                runner.version = RELEASED_VERSION
+                runner.crash()
+
     async def _pause_node(self, fault: PlannedFault) -> None:
         node = self._node(fault)
         node.send(signal.SIGSTOP)
@@ -420,7 +443,7 @@
 
     def interrupted_node(self, fault: PlannedFault) -> int | None:
         """Return the number of the node that is restarted or paused, None for all."""
-        if fault.kind is FaultKind.ALL_KILL:
+        if fault.kind in (FaultKind.ALL_KILL, FaultKind.RELEASE_KILL):
             return None
         return fault.selector % len(self._fleet.nodes)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -26,6 +26,9 @@
     NODE_CLOCK = "node_clock"
     """A node is killed and restarted with a skewed wall clock."""
     ALL_KILL = "all_kill"
+    RELEASE_KILL = "release_kill"
+    """Half of the runners get a new version, then all nodes are killed; the rest of the
+    runners get it meanwhile in every second seed."""
     HUP = "hup"
     SETTINGS_TORN = "settings_torn"
     """The settings file is truncated while the node reloads it."""
@@ -92,6 +95,7 @@
         FaultKind.NODE_PAUSE,
         FaultKind.NODE_CLOCK,
         FaultKind.ALL_KILL,
+        FaultKind.RELEASE_KILL,
     )
 )
 """Faults after which a node may have lost the signals of runners."""
@@ -113,6 +117,7 @@
         *PATH_FAULTS,
         *PAUSES,
         *ENDLESS_BYTES,
+        FaultKind.RELEASE_KILL,
     )
 )
 """Faults with random generators of their own, so that older seeds keep their faults."""
@@ -179,6 +184,12 @@
     return _draw_once(ENDLESS_BYTES, Random(f"bytes of {seed}"), length_s)
 
 
+def plan_release(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the release of a seed amid which all nodes are killed."""
+    kinds = (FaultKind.RELEASE_KILL,)
+    return _draw_once(kinds, Random(f"release of {seed}"), length_s)
+
+
 def _draw_once(
     kinds: tuple[FaultKind, ...], rng: Random, length_s: float
 ) -> list[PlannedFault]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -48,6 +48,7 @@
     plan_faults,
     plan_path_faults,
     plan_pauses,
+    plan_release,
     plan_runner_signals,
     plan_zone_work,
 )
@@ -123,6 +124,7 @@
         has_crashing_parts: bool = True,
         has_pauses: bool = True,
         has_endless_bytes: bool = True,
+        has_release: bool = True,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
@@ -133,6 +135,7 @@
         self._has_crashing_parts = has_crashing_parts
         self._has_pauses = has_pauses
         self._has_endless_bytes = has_endless_bytes
+        self._has_release = has_release
         self._length_s = length_s
         self._is_timed = is_timed
         self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
@@ -215,6 +218,8 @@
                     planned += plan_pauses(self._seed, length_s=self._length_s)
                 if self._has_endless_bytes:
                     planned += plan_endless_bytes(self._seed, length_s=self._length_s)
+                if self._has_release:
+                    planned += plan_release(self._seed, length_s=self._length_s)
                 await asyncio.gather(
                     *(self._inject(fault, run_start_s) for fault in planned)
                 )
