--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -55,6 +55,7 @@
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
 LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
 CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
+RESTART_OF_ALL = f"{NODE}/tests/edge/restart_of_all_nodes.feature"
 STORE_CALLS = f"{NODE}/tests/edge/store_calls.feature"
 STORE_ENTRIES = f"{NODE}/tests/edge/store_entries.feature"
 NODE_PLATFORM_SOURCE = f"{NODE}/src/clementineyoke_node/platform"
@@ -548,6 +549,27 @@
         "if True:",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "the listed versions are taken for all that there were",
+        f"{CORE_SOURCE}/edge/stream_lookup.py",
+        "return self.knows_whole_time",
+        "return True",
+        CORE_STREAM_VERSIONS,
+    ),
+    Mutation(
+        "a starting node does not read the stored versions",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "if not lookup.knows_whole_time:",
+        "if False:",
+        RESTART_OF_ALL,
+    ),
+    Mutation(
+        "streams of mixed pools are not stored",
+        f"{NODE_EDGE_SOURCE}/stream_archive.py",
+        "if streams == self._written:",
+        "if True:",
+        RESTART_OF_ALL,
+    ),
     Mutation(
         "a read whose answer is lost is not repeated",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
