--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/desired_state.py
@@ -65,7 +65,7 @@
     routes: tuple[Route, ...]
     teams: tuple[Team, ...]
     needs_key: bool
-    """Whether callers must send an API key, because the state lists teams."""
+    """Whether callers must send an API key, because the state has a list of teams."""
     limits: CallerLimits
     pools: tuple[PoolLimits, ...] = ()
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/state_decoder.py
@@ -33,7 +33,8 @@
             version=int(spec["version"]),
             routes=tuple(_decode_route(route) for route in spec.get("routes", [])),
             teams=tuple(_decode_team(team) for team in spec.get("tenants", [])),
-            needs_key=bool(spec.get("tenants")),
+            # With an empty list no key is valid; without a list none is asked for.
+            needs_key=spec.get("tenants") is not None,
             limits=_decode_limits(spec.get("limits") or {}),
             pools=tuple(_decode_pool(entry) for entry in spec.get("services", [])),
         )
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -8,6 +8,18 @@
     When watches are deaf while the operator withdraws the key, and the history goes
     Then calls are refused with 401 within 4 s
 
+  Scenario Outline: The operator removes all teams
+    # Guards against taking an empty list of teams for one that asks for no key.
+    Given a fleet of 1 node and 1 runner
+    When the operator's state has <teams>
+    Then a call with a key that was withdrawn gets <status>, and so does one that never was
+
+    Examples:
+      | teams                  | status |
+      | an empty list of teams | 401    |
+      | one team without keys  | 401    |
+      | no list of teams       | 200    |
+
   Scenario: A node starts while the store refuses its calls
     # Guards against a restarted node that refuses every call until the store answers it:
     # the store serves all other nodes, which can hand over the desired state.
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -14,7 +14,14 @@
 import aiohttp
 import msgspec
 from behave import given, then, when
-from edge_fleet import CALL_ID_HEADER, KEY, POOL, EdgeFleet, make_route
+from edge_fleet import (
+    CALL_ID_HEADER,
+    KEY,
+    POOL,
+    EdgeFleet,
+    make_route,
+    make_state,
+)
 
 from clementineyoke_node.config.config_file import (
     ConfigFile,
@@ -424,6 +431,42 @@
     )
 
 
+@when("the operator's state has {teams}")
+def write_teams(context, teams):
+    async def act():
+        fleet = context.fleet
+        fleet.version += 1
+        state = make_state(fleet.version, *fleet.routes, keys=())
+        if teams == "an empty list of teams":
+            state["tenants"] = []
+        elif teams == "no list of teams":
+            del state["tenants"]
+        await fleet.store.put("config", "main", state)
+        view = fleet.nodes[0].io.view
+        await wait_until(lambda: view.routes.state.version == fleet.version, 2)
+
+    context.run(act())
+
+
+@then(
+    "a call with a key that was withdrawn gets {status:d}, and so does one that never"
+    " was"
+)
+def check_keys(context, status):
+    async def act():
+        return [
+            await context.fleet.call(
+                "idempotent",
+                call_id=f"call-{n}",
+                headers={"Authorization": f"Token {key}"},
+            )
+            for n, key in enumerate((KEY, "never-issued"))
+        ]
+
+    statuses = [answer[0] for answer in context.run(act())]
+    assert statuses == [status, status], statuses
+
+
 @when("the store is away, the runner's entry lapses and the store returns")
 def remove_entry_while_store_is_away(context):
     async def act():
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -570,6 +570,13 @@
         "if True:",
         RESTART_OF_ALL,
     ),
+    Mutation(
+        "an empty list of teams asks for no key",
+        f"{NODE_PLATFORM_SOURCE}/state_decoder.py",
+        'spec.get("tenants") is not None',
+        'bool(spec.get("tenants"))',
+        FLEET,
+    ),
     Mutation(
         "a read whose answer is lost is not repeated",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
