--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_archive.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_archive.py
@@ -26,24 +26,24 @@
     from clementineyoke_node.platform.store_client import StoreClient
     from clementineyoke_node.timers.timer_service import TimerService
 
-MS_PER_S = 1000.0
-MIN_WRITE_INTERVAL_MS = 200.0
-"""Many streams last for less than a second."""
-MAX_WRITES_PER_S = 100.0
-"""By all nodes together: a quarter of what the store takes from them."""
+RETRY_DELAY_MS = 1_000.0
+WRITE_INTERVAL_MS = 300.0
+"""Many streams last for less than a second; each write has its price."""
 RELOAD_INTERVAL_MS = 10_000.0
 """Shortest time between two reads for streams that no node knows."""
-RETENTION_MS = 20_000.0
-"""How long a stream that broke off stays in the store, for its caller to resume it."""
+RETENTION_MS = 15_000.0
+"""How long a stream stays in the store: for its events, and its caller's return."""
 MAX_STREAMS = 4_096
-"""Streams in a node's object, 200 kB; the latest ones."""
+"""Streams in a writer's object, 120 kB; the latest ones."""
 
 
 class StreamArchive:
-    """Write a node's streams in batches, and read those of all nodes when needed.
+    """Write the streams of all nodes in batches, and read them when needed.
 
-    The object of a node is replaced as a whole; no answer waits for that. A starting
-    node first reads what it wrote before, as callers may not have resumed it yet.
+    Two nodes write, each what all nodes tell them, so that the writes do not grow with
+    the fleet. The object of a writer is replaced as a whole; no answer waits for that.
+    A starting writer first reads what it wrote before, as callers may not have resumed
+    it yet.
     """
 
     def __init__(
@@ -54,24 +54,28 @@
         records: StreamRecords,
         timers: TimerService,
         mixed_pools: Callable[[], set[int]],
-        count_nodes: Callable[[], int],
+        writers: Callable[[], list[str]],
     ) -> None:
-        """Create an archive; ``mixed_pools`` returns the hashes of the pools' names."""
+        """Create an archive.
+
+        ``mixed_pools`` returns the hashes of the pools' names, ``writers`` the ids of
+        the nodes that write.
+        """
         self._store = store
         self._node_id = node_id
         self._records = records
         self._timers = timers
         self._mixed_pools = mixed_pools
-        self._count_nodes = count_nodes
+        self.writers = writers
         self._open: dict[int, float] = {}
-        """Streams that this node carries or carried, and until when they are kept."""
+        """Streams that this node carries or was told of, and until when they count."""
         self._written: list[ArchivedStream] = []
         self._exists = False
         self._loaded_ms: float | None = None
         self._next_write_ms = 0.0
 
     def add(self, key: int) -> None:
-        """Keep a stream that this node carries."""
+        """Keep a stream that this node carries or was told of."""
         self._open.pop(key, None)
         self._open[key] = self._timers.now_ms() + RETENTION_MS
         if len(self._open) > MAX_STREAMS:
@@ -108,18 +112,18 @@
         return True
 
     async def run_round(self) -> None:
-        """Write this node's streams if they have changed since the last time."""
+        """Write the streams if this node is a writer and they have changed."""
         now_ms = self._timers.now_ms()
-        if now_ms < self._next_write_ms:
+        if now_ms < self._next_write_ms or self._node_id not in self.writers():
             return
         streams = self._streams(now_ms)
         if streams == self._written:
             return
-        interval_ms = self._count_nodes() * MS_PER_S / MAX_WRITES_PER_S
-        self._next_write_ms = now_ms + max(MIN_WRITE_INTERVAL_MS, interval_ms)
+        self._next_write_ms = now_ms + WRITE_INTERVAL_MS
         try:
             await self._write()
         except StoreError as error:
+            self._next_write_ms = self._timers.now_ms() + RETRY_DELAY_MS
             log_event(Event.PLATFORM_AWAY, step=error.step, reason=error.reason)
 
     async def _write(self) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -19,9 +19,10 @@
     from clementineyoke_node.platform.store_client import StoreClient
     from clementineyoke_node.timers.timer_service import TimerService
 
-VERSION_WRITERS = 2
+ARCHIVE_WRITERS = 2
 """One of them may be cut off from the store while its peers still reach it."""
 VERSION_WRITERS_KEY = hash_text("writers of pool versions")
+STREAM_WRITERS_KEY = hash_text("writers of streams")
 ARCHIVE_INTERVAL_MS = 50.0
 
 
@@ -54,7 +55,7 @@
             records=records,
             timers=timers,
             mixed_pools=self._mixed_pools,
-            count_nodes=lambda: len(state.membership.alive()),
+            writers=self._stream_writers,
         )
         self.registry = StreamRegistry(
             records=records,
@@ -83,10 +84,15 @@
 
     def _is_version_writer(self) -> bool:
         writers = self._state.fleet_homes.homes_of(
-            VERSION_WRITERS_KEY, max_nodes=VERSION_WRITERS
+            VERSION_WRITERS_KEY, max_nodes=ARCHIVE_WRITERS
         )
         return self._state.config.node_id in writers
 
+    def _stream_writers(self) -> list[str]:
+        """Return the nodes of the region that write its streams to the store."""
+        homes = self._state.stream_homes
+        return homes.homes_of(STREAM_WRITERS_KEY, max_nodes=ARCHIVE_WRITERS)
+
     def _mixed_pools(self) -> set[int]:
         mixed = self.versions.mixed_pools(now_ms=self._timers.now_ms())
         return {hash_text(pool) for pool in mixed}
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -312,7 +312,7 @@
             return
         self._note_rate.record(now_ms=now_ms)
         news = StreamNews([self._to_note(key, record)])
-        holders = self._holders(key, self._holder_count(now_ms))
+        holders = self._with_writers(self._holders(key, self._holder_count(now_ms)))
         self._socket.send_all([PeerAddress.of(node) for node in holders], news)
 
     def _share_all(self, pool: str) -> None:
@@ -321,7 +321,7 @@
         count = self._holder_count(now_ms)
         by_holder: dict[Node, list[StreamNote]] = {}
         for key, record in self._records.of_pool(hash_text(pool), now_ms=now_ms):
-            for node in self._holders(key, count):
+            for node in self._with_writers(self._holders(key, count)):
                 by_holder.setdefault(node, []).append(self._to_note(key, record))
         for node, notes in by_holder.items():
             for start in range(0, len(notes), MAX_NOTES_PER_MESSAGE):
@@ -340,6 +340,12 @@
         nodes = [self._membership.node(name) for name in names if name != own_id]
         return _spread_over_zones([n for n in nodes if n is not None], count)
 
+    def _with_writers(self, holders: list[Node]) -> list[Node]:
+        """Add the nodes that write the streams to the store."""
+        writers = map(self._membership.node, self._stream_archive.writers())
+        known = {self._membership.local_node, *holders}
+        return holders + [n for n in writers if n is not None and n not in known]
+
     def _to_note(self, key: int, record: StreamRecord) -> StreamNote:
         ttl_ms = max(0, round(record.expires_ms - self._timers.now_ms()))
         return StreamNote(
@@ -363,6 +369,7 @@
         now_ms = self._timers.now_ms()
         for note in news.notes:
             self._records.merge(note.key, self._to_record(note), now_ms=now_ms)
+            self._stream_archive.add(note.key)
 
     def _receive_ask(self, received: PeerMessage) -> None:
         ask: StreamAsk = received.message
