--- a/packages/clementineyoke-node/tests/edge/store_calls.feature
+++ b/packages/clementineyoke-node/tests/edge/store_calls.feature
@@ -30,3 +30,14 @@
       | 1        | cut off as a watch after 0.5 s | the operator adds a key |
       | 3        | refused with 503               | runner 0 drains         |
       | 3        | refused with 503               | the operator adds a key |
+
+  Scenario Outline: The answer to one read is lost
+    # A lost answer or a silent connection counts as a failed call, and changes come late.
+    Given a fleet of 1 node and 3 runners
+    When the answer to the next <read> is lost
+    Then the read returns without an error
+
+    Examples:
+      | read  |
+      | watch |
+      | list  |
--- a/packages/clementineyoke-node/tests/steps/store_calls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_calls_steps.py
@@ -230,3 +230,30 @@
     for node in context.fleet.nodes:
         ready = [node.state.table.is_ready(runner_id) for runner_id in ids]
         assert ready == [True, True, False], ready
+
+
+@when("the answer to the next {read} is lost")
+def lose_answer(context, read):
+    fleet = context.fleet
+    client = fleet.nodes[0].io.store
+
+    async def act():
+        # The node's own calls would take the fault.
+        await fleet.nodes[0].io.store_watcher.__aexit__(None, None, None)
+        listed = await client.list_all("servers")
+        fleet.store.fault = StoreFault.SILENT
+        if read == "watch":
+            call = client.watch("servers", revision=listed.revision, wait_ms=300)
+        else:
+            call = client.list_all("servers")
+        reading = asyncio.ensure_future(call)
+        await asyncio.sleep(0.1)
+        fleet.store.fault = None
+        return await reading
+
+    context.answer = context.run(act())
+
+
+@then("the read returns without an error")
+def check_answer(context):
+    assert context.answer.revision == context.fleet.store.revision, context.answer
