--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -152,25 +152,37 @@
     async def _read(
         self, path: str, params: dict[str, str], *, wait_ms: int = 0
     ) -> bytes:
-        """Return the first answer to a read; repeat the read once if it is overdue."""
+        """Return the answer to a read, which is repeated once if it is overdue."""
         timeout_ms = wait_ms + (WATCH_SLACK_MS if wait_ms else CALL_TIMEOUT_MS)
         repeat_after_ms = wait_ms + OVERDUE_MS
-        first = asyncio.ensure_future(
-            self._call(
-                "GET", path, params=params, wait_ms=wait_ms, timeout_ms=timeout_ms
-            )
-        )
-        calls: set[asyncio.Future[bytes]] = {first}
+        repeated: list[asyncio.Future[bytes]] = []
+
+        def repeat() -> None:
+            again = {**params, "waitMs": "0"} if wait_ms else params
+            left_ms = timeout_ms - repeat_after_ms
+            call = self._call("GET", path, params=again, timeout_ms=left_ms)
+            repeated.append(asyncio.ensure_future(call))
+            repeated[0].add_done_callback(end_first)
+
+        def end_first(call: asyncio.Future[bytes]) -> None:
+            if not call.cancelled() and call.exception() is None:
+                limit.reschedule(loop.time())
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(repeat_after_ms / MS_PER_S, repeat)
         try:
-            await asyncio.wait(calls, timeout=repeat_after_ms / MS_PER_S)
-            if not first.done():
-                params = {**params, "waitMs": "0"} if wait_ms else params
-                left_ms = timeout_ms - repeat_after_ms
-                repeated = self._call("GET", path, params=params, timeout_ms=left_ms)
-                calls.add(asyncio.ensure_future(repeated))
-            return (await _first_success(calls, fallback=first)).result()
+            async with asyncio.timeout(None) as limit:
+                return await self._call(
+                    "GET", path, params=params, wait_ms=wait_ms, timeout_ms=timeout_ms
+                )
+        except (StoreError, TimeoutError):
+            for call in repeated:
+                with suppress(StoreError):
+                    return await call
+            raise
         finally:
-            for call in calls:
+            timer.cancel()
+            for call in repeated:
                 call.cancel()
 
     async def _call(
@@ -242,19 +254,6 @@
         return decoded
 
 
-async def _first_success(
-    calls: set[asyncio.Future[bytes]], *, fallback: asyncio.Future[bytes]
-) -> asyncio.Future[bytes]:
-    """Return the first call that succeeds; the fallback if all of them fail."""
-    pending = calls
-    while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        for call in done:
-            if call.exception() is None:
-                return call
-    return fallback
-
-
 def _is_cut(error: Exception) -> bool:
     """Return whether an open connection has ended, other than by a timeout."""
     is_open = not isinstance(error, aiohttp.ClientConnectorError)
