--- a/packages/clementineyoke-node/tests/edge/store_outages.feature
+++ b/packages/clementineyoke-node/tests/edge/store_outages.feature
@@ -13,6 +13,7 @@
       | cut off as a watch after 0.5 s | unanswered       |
       | refused with 503               | refused with 503 |
       | reset                          | unanswered       |
+      | unanswered                     | unanswered       |
 
   Scenario: Entries lapse in an outage that is interrupted
     # Each interruption is too short for the runners to renew their entries.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -580,8 +580,8 @@
     Mutation(
         "a read whose answer is lost is not repeated",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
-        "if not first.done():",
-        "if False:",
+        "loop.call_later(repeat_after_ms / MS_PER_S, repeat)",
+        "loop.call_later(3600.0, repeat)",
         STORE_CALLS,
     ),
     Mutation(
