--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -155,6 +155,8 @@
         self.responses_by_prefix: dict[str, ScriptedResponse] = {}
         """Default responses by prefix of the request target."""
         self.calls: list[ReceivedCall] = []
+        self.misdirected_calls: list[ReceivedCall] = []
+        """Calls for another runner, which were refused with 421."""
         self.event_count = EVENTS
         """Events of a whole stream."""
         self.stream_delay_s = 0.0
@@ -320,6 +322,8 @@
     ) -> bool:
         call = await _read_call(reader, first_byte)
         await self._wait_awake(reader, call)
+        if self._is_misdirected(call):
+            return await self._refuse_misdirected(writer, call)
         has_room = self.max_running is None or self._running < self.max_running
         response = (
             self._next_response(call.target) if has_room else ScriptedResponse.REFUSE
@@ -357,6 +361,27 @@
             self._running -= not is_refused
             self.worked_until_s.setdefault(call.call_id, time.monotonic())
 
+    def _is_misdirected(self, call: ReceivedCall) -> bool:
+        """Return whether a call names another runner as the one that is to run it."""
+        expected_id = call.headers.get(names.EXPECTED_RUNNER.lower(), self.runner_id)
+        return expected_id != self.runner_id
+
+    async def _refuse_misdirected(
+        self, writer: asyncio.StreamWriter, call: ReceivedCall
+    ) -> bool:
+        refused = call._replace(received_s=time.monotonic(), was_executed=False)
+        self.misdirected_calls.append(refused)
+        await self._link_cuts.wait(writer)
+        fields = {
+            names.CALL_ID: call.call_id,
+            names.NOT_EXECUTED: "1",
+            **self._signal_headers(),
+            "Content-Length": "0",
+        }
+        writer.write(_encode_head("421 Misdirected Request", fields))
+        await writer.drain()
+        return True
+
     async def _wait_awake(
         self, reader: asyncio.StreamReader, call: ReceivedCall
     ) -> None:
