A node that ends no longer ends its callers' answers as complete

What callers saw: when the time to leave was over, a stream without a length ended with a last chunk after the events that had come, and half of a document without a length came as a whole answer with the runner's signature. Other calls got a 500, or their connection was closed without an answer.

Cause: the sessions to runners are closed before the server of the callers. aiohttp forgets the reader of a response when it closes the connection itself: a response that ends with its connection counts as complete (and the check of its end finds a runner that listens), any other one fails with `RuntimeError: Connection closed.`, which no reader expects. A call that then tried another runner met a closed session, another RuntimeError.

Mend: the protocol fails an unfinished response with a ClientPayloadError when the node closes its connection, for all readers (streams, held and relayed answers, peers, the store), also where the parser was paused when the connection ended. A closed pool sends no call, and says so as an attempt that was not sent.

The check of a closed session between peers has no test of its own.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
+from aiohttp import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
 
 from clementineyoke_node.bounds.byte_limit_error import ByteKind
@@ -80,13 +81,31 @@
             self._is_head_due = False
         super().feed_data(data, size)
 
+    def close(self) -> None:
+        """Close the connection, and fail a response that has not arrived as a whole.
+
+        aiohttp leaves the reader of such a response without an error. One that ends
+        with its connection even counts as complete.
+        """
+        payload = self._payload
+        super().close()
+        _fail_unfinished(payload, ClientPayloadError("this node closed the connection"))
+
+    def abort(self) -> None:
+        """Abort the connection, and fail an unfinished response like ``close``."""
+        payload = self._payload
+        super().abort()
+        _fail_unfinished(payload, ClientPayloadError("this node closed the connection"))
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Keep the reason of a response that was refused."""
+        """Fail a response that is not complete, or keep the reason of its refusal."""
         payload = self._payload
         super().connection_lost(exc)
-        is_cut = payload is not None and not payload.is_eof()
-        if payload is not None and is_cut and self._refusal is not None:
-            payload.set_exception(self._refusal)
+        if self._refusal is not None:
+            _fail_unfinished(payload, self._refusal)
+        elif payload is not None and payload.exception() is None:
+            # The parser was paused when the connection ended.
+            _fail_unfinished(payload, ClientPayloadError("the answer was cut"))
 
     def _pass_head(self, data: bytes) -> bytes:
         """Pass on bytes up to the end of a head, and return the rest.
@@ -134,3 +153,8 @@
         self._framing_bytes += size_bytes
         if self._framing_bytes > MAX_FRAMING_BYTES:
             self._refuse(ByteKind.FRAMING, size_bytes=self._framing_bytes)
+
+
+def _fail_unfinished(payload: StreamReader | None, error: Exception) -> None:
+    if payload is not None and not payload.is_eof():
+        payload.set_exception(error)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -161,6 +161,8 @@
         if self._session is None:
             message = "the relay is closed"
             raise RuntimeError(message)
+        if self._session.closed:
+            raise _error(AttemptOutcome.NOT_SENT, "send", peer, "this node ends")
         call = admitted.call
         hop = Hop(
             self._membership.local_node.node_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -137,7 +137,8 @@
     ) -> AsyncIterator[OpenResponse]:
         """Send a call and yield its response once the head has arrived.
 
-        A call whose connection is not ready at ``send_before_ms`` is not sent.
+        A call whose connection is not ready at ``send_before_ms`` is not sent, and none
+        is sent once the pool has been closed.
 
         A connection whose response was not read to its end is closed, so that the rest
         can never be read as the response to another call. Raises ``AttemptError`` when
@@ -151,6 +152,15 @@
             now_s=asyncio.get_running_loop().time(),
         )
         session = self._choose_session(runner, may_repeat=may_repeat)
+        if session.closed:
+            # Calls that lose their runners to the end of this node try another one.
+            raise AttemptError(
+                outcome=AttemptOutcome.NOT_SENT,
+                step="send",
+                peer=runner.runner_id,
+                reason="this node ends",
+                is_runner_fault=False,
+            )
         response = await self._request(
             session,
             runner,
--- a/packages/clementineyoke-node/tests/edge/leaving_node.feature
+++ b/packages/clementineyoke-node/tests/edge/leaving_node.feature
@@ -13,3 +13,39 @@
     Given a fleet of 1 node and 2 runners
     When a request is read in the moment at which the node begins to drain
     Then its caller gets a whole answer, and the runners received 1 call
+
+  Scenario Outline: The time to leave is over amid a call
+    # The node closes its own connection to the runner: a part of an answer that ends with its
+    # connection looks complete, and a call of unknown outcome gets an unexplained 500.
+    Given a node that has 1 s to leave, and runners that send "<part>" and then nothing
+    When the node leaves amid a "<kind>" call
+    Then the caller <result>
+    And no call has ended with an unexpected exception
+
+    Examples:
+      | kind           | part                             | result                   |
+      | streaming      | nothing                          | gets 502                 |
+      | streaming      | a head                           | has no complete answer   |
+      | streaming      | a head without framing           | has no complete answer   |
+      | streaming      | events                           | has no complete answer   |
+      | streaming      | events without framing           | has no complete answer   |
+      | streaming      | part of an event                 | has no complete answer   |
+      | idempotent     | half of a document               | gets 502                 |
+      | idempotent     | half of a document in chunks     | gets 502                 |
+      | idempotent     | half of a document, not framed   | gets 502                 |
+      | non_idempotent | half of a document, not framed   | gets 502                 |
+      | non_idempotent | half of a long document          | has no complete answer   |
+
+  Scenario Outline: A response is first read after the node has closed its connection
+    # The reader meets an error that nobody expects, and the caller of an attempt that could
+    # be repeated gets a 500.
+    Given a node that has 1 s to leave, and runners that send "<part>" and then nothing
+    When the connections to runners are closed before the response is read
+    Then the reader gets an error of the connection
+
+    Examples:
+      | part                           |
+      | a head                         |
+      | a head without framing         |
+      | events                         |
+      | half of a document, not framed |
--- a/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
+++ b/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
@@ -1,13 +1,21 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
+from functools import partial
 
+import aiohttp
 from behave import given, then, when
 from edge_fleet import CALL_ID_HEADER, HOSTNAME, KEY, EdgeFleet
 
+from clementineyoke_node.edge.runner_connection_pool import ConnectionTrace
+from clementineyoke_standins.edge.raw_answers import encode_event, encode_raw_head
+
 MB = 1_000_000
+FOREVER_S = 3600.0
+LONG_DEADLINE = {"X-Deadline-Ms": "10000"}
 READ_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 32_768
 
@@ -105,3 +113,96 @@
 def check_answered(context, count):
     assert context.raw.endswith(b"answer to late"), context.raw
     assert len(context.fleet.calls()) == count
+
+
+STREAM = {"Content_Type": "text/event-stream"}
+CHUNKED = {"Transfer_Encoding": "chunked"}
+EVENTS_SENT = encode_event(1) + encode_event(2)
+HALF = b"half"
+PARTS = {
+    "a head": (STREAM | CHUNKED, b""),
+    "a head without framing": (STREAM, b""),
+    "events": (STREAM | CHUNKED, EVENTS_SENT),
+    "events without framing": (STREAM, EVENTS_SENT),
+    "part of an event": (STREAM | CHUNKED, EVENTS_SENT[:-1]),
+    "half of a document": ({"Content_Length": "8"}, HALF),
+    "half of a document in chunks": (CHUNKED, HALF),
+    "half of a document, not framed": ({}, HALF),
+    "half of a long document": ({"Content_Length": "2000000"}, b"x" * MB),
+}
+
+
+async def send_part(call, part):
+    """Send a part of an answer, and nothing more for as long as the node waits."""
+    if part in PARTS:
+        fields, body = PARTS[part]
+        yield encode_raw_head(call, **fields)
+        if body and "Transfer_Encoding" in fields:
+            body = b"%x\r\n%s\r\n" % (len(body), body)
+        yield body
+    await asyncio.sleep(FOREVER_S)
+
+
+@given('a node that has 1 s to leave, and runners that send "{part}" and then nothing')
+def given_part(context, part):
+    fleet = EdgeFleet(nodes=1, runners=2, settings={"stop_deadline_s": 1})
+    context.run(fleet.__aenter__())
+    context.fleet = fleet
+    context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
+    for runner in fleet.runners:
+        runner.raw_answer = partial(send_part, part=part)
+
+
+@when('the node leaves amid a "{kind}" call')
+def leave_amid_call(context, kind):
+    async def act():
+        fleet = context.fleet
+        call = asyncio.ensure_future(fleet.call(kind, headers=LONG_DEADLINE))
+        while not fleet.calls():
+            await asyncio.sleep(0.01)
+        node = fleet.nodes.pop()
+        node.request_stop()
+        await fleet.stop_tasks[0]
+        await node.__aexit__(None, None, None)
+        context.metrics = node.state.metrics
+        (context.answer,) = await asyncio.gather(call, return_exceptions=True)
+
+    context.run(act())
+
+
+@then("the caller has no complete answer")
+def check_no_answer(context):
+    assert isinstance(context.answer, aiohttp.ClientError), context.answer
+
+
+@then("no call has ended with an unexpected exception")
+def check_no_exception(context):
+    errors = context.metrics.unexpected_errors.get_all()
+    assert not errors, errors
+
+
+@when("the connections to runners are closed before the response is read")
+def close_before_read(context):
+    async def act():
+        io = context.fleet.nodes[0].io
+        session = io.connection_pool._keepalive_session
+        trace = ConnectionTrace(timers=io.timers, send_before_ms=math.inf)
+        port = context.fleet.runners[0].port
+        context.answer = None
+        async with session.get(
+            f"http://127.0.0.1:{port}/", trace_request_ctx=trace
+        ) as response:
+            await session.close()
+            await asyncio.sleep(0)
+            try:
+                while await response.content.readany():
+                    pass
+            except Exception as error:
+                context.answer = error
+
+    context.run(act())
+
+
+@then("the reader gets an error of the connection")
+def check_reader_error(context):
+    assert isinstance(context.answer, aiohttp.ClientError), repr(context.answer)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1232,6 +1232,20 @@
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "a response whose connection the node closes itself does not fail",
+        f"{BOUNDS_SOURCE}/bounded_protocol.py",
+        "not payload.is_eof():\n        payload.set_exception(error)",
+        "False:\n        payload.set_exception(error)",
+        LEAVING_NODE,
+    ),
+    Mutation(
+        "a call for which a closed pool has no session ends unexpectedly",
+        f"{NODE_EDGE_SOURCE}/runner_connection_pool.py",
+        "if session.closed:",
+        "if False:",
+        LEAVING_NODE,
+    ),
     Mutation(
         "a stall uses up the time to open a connection",
         f"{BOUNDS_SOURCE}/bounded_connector.py",
