An answer that ends with its runner is not taken for whole at an address in use again

What callers saw: half of a stream, or of a document, without a length came as a whole answer with the runner's signature, although its runner had crashed.

Cause: such an answer ends with its connection. To tell its end from that of its runner, the node asked only whether the address accepts a connection 20 ms later. Another runner at the address, or the next lifetime of the same one, answers that as well: after a stall of the node, behind a caller who reads slowly, or when the address is taken over at once.

Mend: a connection to the runner that was opened before the end and is still open shows that it lives on; the end of other connections in the same moment shows that it has ended. Without either, an end that was noticed more than 100 ms late is unknown, and the answer is not whole: a stream that may be resumed goes on at another runner, where the rest may be empty. No further request or connection is made in the usual case.

What remains: an address that is taken over within 20 ms while the node has no other connection to the runner.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -10,7 +10,6 @@
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
 from clementineyoke_node.edge.response_checks import check_outcome, check_resumption
-from clementineyoke_node.edge.runner_liveness import check_end
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
 from clementineyoke_node.platform.runner_codec import RoutingHeaders
 from clementineyoke_wire.events import Event
@@ -63,6 +62,7 @@
     ) -> None:
         self._fault_reports = fault_reports
         self._connection_pool = connection_pool
+        self._liveness = connection_pool.liveness
         self._rings = rings
         self._table = table
         self._timeouts = timeouts
@@ -147,7 +147,7 @@
                 if complete.is_relayed:
                     return complete
                 complete = complete._replace(ended_ms=self._timers.now_ms())
-                await self._check_end(runner, response, step="read_body")
+                await self._liveness.check_end(runner, response, step="read_body")
         check_outcome(complete, peer=runner.runner_id)
         check_resumption(
             complete.head, peer=runner.runner_id, stream_status=stream.status
@@ -199,19 +199,9 @@
             stream.pace.record(
                 len(events), received_ms=received_ms, written_ms=self._timers.now_ms()
             )
-        await self._check_end(runner, response, step="relay")
+        await self._liveness.check_end(runner, response, step="relay")
         await stream.finish()
 
-    async def _check_end(
-        self, runner: Runner, response: OpenResponse, *, step: str
-    ) -> None:
-        await check_end(
-            runner,
-            response.head.body_end,
-            is_listening=self._connection_pool.is_listening,
-            step=step,
-        )
-
     def _event_timeout(
         self, admitted: AdmittedCall, stream: CallerStream, failover: Failover
     ) -> RunnerTimeout:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -84,7 +84,11 @@
         await self._serve_control()
         self._callers = await self._serve(self._caller_application(), [config.front])
         await self._stack.enter_async_context(self.io)
-        LoopMonitor(timers=self.io.timers, metrics=self.state.metrics).subscribe()
+        LoopMonitor(
+            timers=self.io.timers,
+            metrics=self.state.metrics,
+            on_stall=self.io.connection_pool.liveness.record_stall,
+        ).subscribe()
         log_event(
             Event.NODE_STARTED, node=config.node_id, zone=config.availability_zone
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -16,6 +16,7 @@
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.response_checks import check_call_id, check_resumption
 from clementineyoke_node.edge.runner_connection_pool import make_session
+from clementineyoke_node.edge.runner_connections import RunnerConnections
 from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
 from clementineyoke_node.platform.relay_codec import (
     decode_relayed_head,
@@ -85,6 +86,7 @@
                 keeps_alive=False,
                 byte_limits=self._byte_limits,
                 address_lifetimes=AddressLifetimes(),
+                connections=RunnerConnections(),
                 connect_timeout_ms=PEER_CONNECT_TIMEOUT_MS,
             )
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -16,7 +16,9 @@
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.response_checks import check_call_id
-from clementineyoke_node.edge.runner_protocol import make_connector
+from clementineyoke_node.edge.runner_connections import RunnerConnections
+from clementineyoke_node.edge.runner_liveness import RunnerLiveness
+from clementineyoke_node.edge.runner_protocol import RunnerProtocol, make_connector
 from clementineyoke_node.edge.runner_response import OpenResponse
 from clementineyoke_node.platform.runner_codec import (
     RoutingHeaders,
@@ -106,6 +108,10 @@
         self._byte_limits = byte_limits
         self._idle_policy = IdleConnectionPolicy()
         self._address_lifetimes = AddressLifetimes()
+        self._connections = RunnerConnections()
+        self.liveness = RunnerLiveness(
+            connections=self._connections, is_listening=self.is_listening
+        )
         self._stack = AsyncExitStack()
         self._keepalive_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
@@ -174,11 +180,16 @@
             ),
         )
         is_complete = False
+        protocol = response.connection and response.connection.protocol
         try:
             head = decode_response_head(response.status, response.headers)
             self._signals.apply(runner, call, head)
             check_call_id(call, head, peer=runner.runner_id)
-            yield OpenResponse(head, response)
+            yield OpenResponse(
+                head,
+                response,
+                protocol if isinstance(protocol, RunnerProtocol) else None,
+            )
             is_complete = response.content.at_eof()
         finally:
             if is_complete:
@@ -223,6 +234,7 @@
             keeps_alive=keeps_alive,
             byte_limits=self._byte_limits,
             address_lifetimes=self._address_lifetimes,
+            connections=self._connections,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             local_address=self._local_address,
             trace_configs=[_make_trace_config()],
@@ -316,6 +328,7 @@
     keeps_alive: bool,
     byte_limits: ByteLimits,
     address_lifetimes: AddressLifetimes,
+    connections: RunnerConnections,
     connect_timeout_ms: float,
     local_address: tuple[str, int] | None = None,
     trace_configs: Sequence[aiohttp.TraceConfig] = (),
@@ -326,6 +339,7 @@
             keeps_alive=keeps_alive,
             byte_limits=byte_limits,
             address_lifetimes=address_lifetimes,
+            connections=connections,
             connect_timeout_ms=connect_timeout_ms,
             local_address=local_address,
         ),
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -10,6 +10,7 @@
 
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
+from clementineyoke_node.edge.runner_connections import Address
 
 if TYPE_CHECKING:
     import asyncio
@@ -19,6 +20,7 @@
 
     from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
+    from clementineyoke_node.edge.runner_connections import RunnerConnections
 
 MAX_IDLE_S = 4.0
 """Runners close idle connections after a time that they need not announce. A call that
@@ -39,11 +41,15 @@
         loop: asyncio.AbstractEventLoop,
         byte_limits: ByteLimits,
         address_lifetimes: AddressLifetimes,
+        connections: RunnerConnections,
     ) -> None:
         super().__init__(loop=loop, byte_limits=byte_limits)
         self._address_lifetimes = address_lifetimes
-        self._peer: tuple[str, int] = ("", 0)
-        self._connected_s = 0.0
+        self._connections = connections
+        self._peer = Address("", 0)
+        self.connected_s = 0.0
+        self.ended_s: float | None = None
+        """When the connection ended; None while it is open."""
         self._last_received_s = 0.0
         self._max_idle_s = MAX_IDLE_S
 
@@ -52,8 +58,9 @@
         super().connection_made(transport)
         # The peer name is missing if the runner has already closed the connection.
         address, port = transport.get_extra_info("peername") or self._peer
-        self._peer = (address, port)
-        self._connected_s = self._last_received_s = self._loop.time()
+        self._peer = Address(address, port)
+        self.connected_s = self._last_received_s = self._loop.time()
+        self._connections.add(self._peer, self)
 
     def data_received(self, data: bytes) -> None:
         """Record when the connection was last active."""
@@ -79,7 +86,20 @@
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
+        is_own_end = self.transport is None or self._refusal is not None
+        had_ended = payload is None or payload.is_eof()
         super().connection_lost(exc)
+        is_body_end = not had_ended and payload is not None and payload.is_eof()
+        self.ended_s = self._loop.time()
+        is_cut = not is_own_end and not is_body_end
+        self._connections.remove(
+            self._peer, self, cut_s=self.ended_s if is_cut else None
+        )
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether the end of the connection would be noticed."""
+        return not self._reading_paused
 
     def is_connected(self) -> bool:
         """Return whether the connection may be used for another call.
@@ -90,7 +110,7 @@
         has_unread_data = self._buffer or self._tail or self._exception is not None
         address, port = self._peer
         is_current = self._address_lifetimes.is_current(
-            address, port, connected_s=self._connected_s
+            address, port, connected_s=self.connected_s
         )
         is_fresh = self._loop.time() < self._last_received_s + self._max_idle_s
         return (
@@ -103,6 +123,7 @@
     keeps_alive: bool,
     byte_limits: ByteLimits,
     address_lifetimes: AddressLifetimes,
+    connections: RunnerConnections,
     connect_timeout_ms: float,
     local_address: tuple[str, int] | None = None,
 ) -> TCPConnector:
@@ -112,7 +133,11 @@
     )
     return make_bounded_connector(
         byte_limits,
-        protocol=partial(RunnerProtocol, address_lifetimes=address_lifetimes),
+        protocol=partial(
+            RunnerProtocol,
+            address_lifetimes=address_lifetimes,
+            connections=connections,
+        ),
         connect_timeout_ms=connect_timeout_ms,
         local_addr=local_address,
         **options,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -8,6 +8,7 @@
     import aiohttp
 
     from clementineyoke_core.edge.held_bytes import Holding
+    from clementineyoke_node.edge.runner_protocol import RunnerProtocol
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
 
@@ -16,6 +17,8 @@
 
     head: ResponseHead
     client_response: aiohttp.ClientResponse
+    protocol: RunnerProtocol | None = None
+    """Its connection to the runner; None if that had ended with the head."""
 
 
 class HeldBody:
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/loop_monitor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/loop_monitor.py
@@ -7,6 +7,8 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.timers.timer_service import TimerService
 
@@ -23,7 +25,15 @@
     timeouts expire at once when it goes on.
     """
 
-    def __init__(self, *, timers: TimerService, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        metrics: Metrics,
+        on_stall: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Create a monitor; ``on_stall`` is called after shorter stalls as well."""
+        self._on_stall = on_stall
         self._timers = timers
         self._metrics = metrics
         self._due_ms: float | None = None
@@ -37,6 +47,8 @@
         now_ms = self._timers.now_ms()
         late_ms = 0.0 if self._due_ms is None else now_ms - self._due_ms
         self._due_ms = now_ms + TICK_INTERVAL_MS
+        if late_ms >= TICK_INTERVAL_MS:
+            self._on_stall()
         if late_ms >= MIN_STALL_MS:
             self._metrics.loop_stalled_ms.add({}, round(late_ms))
             log_event(Event.LOOP_STALLED, late_ms=round(late_ms))
--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -0,0 +1,53 @@
+Feature: Runners that end amid answers without a length, and whose addresses are used again
+
+  Scenario Outline: Another process listens where the runner of a stream has ended
+    # The end of the connection is taken for that of the stream, as the address accepts
+    # connections: a part of a stream ends as complete.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has <connection> of the node beside the stream
+    And the address of a runner that ends is taken over at once
+    When the runner of a stream ends after 2 events, and <look>
+    Then the caller gets all events of the stream, each once
+
+    Examples:
+      | connection         | look                         |
+      | an idle connection | the node looks at once       |
+      | a waiting call     | the node looks at once       |
+      | an idle connection | the node stands still        |
+      | a waiting call     | the node stands still        |
+      | no connection      | the node stands still        |
+      | no connection      | its caller has read slowly   |
+
+  Scenario: The stream cannot be resumed
+    # Half of it would be all that its caller ever sees of it.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has no connection of the node beside the stream
+    And the address of a runner that ends is taken over at once
+    And streams are not resumable
+    When the runner of a stream ends after 2 events, and the node stands still
+    Then the caller has no complete answer
+    And the runners received 1 call of the stream
+
+  Scenario: A document of which half has arrived
+    # The caller gets half of a document as the runner's whole answer.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has no connection of the node beside the stream
+    And the address of a runner that ends is taken over at once
+    When the runner of a document ends after half of it, and the node stands still
+    Then the caller gets the document of the other runner
+
+  Scenario Outline: The runner lives on
+    # A whole stream whose end is in doubt costs a call at another runner.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has <connection> of the node beside the stream
+    When the runner of a stream ends it, and <look>
+    Then the caller gets all events of the stream, each once
+    And the runners received <calls> of the stream
+
+    Examples:
+      | connection         | look                   | calls   |
+      | no connection      | the node looks at once | 1 call  |
+      | an idle connection | the node looks at once | 1 call  |
+      | an idle connection | the node stands still  | 1 call  |
+      | a waiting call     | the node stands still  | 1 call  |
+      | no connection      | the node stands still  | 2 calls |
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -0,0 +1,222 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import aiohttp
+from behave import given, then, when
+from edge_fleet import EdgeFleet
+from edge_steps import WHOLE_STREAM
+
+from clementineyoke_standins.edge.edge_runner import (
+    EVENTS,
+    CrashManner,
+    ScriptedResponse,
+)
+from clementineyoke_standins.edge.raw_answers import encode_event, encode_raw_head
+
+STALL_S = 0.4
+SLOW_WRITE_S = 0.4
+SETTLE_S = 0.2
+EVENTS_SENT = 2
+STREAM_ID = "the-stream"
+DOCUMENT = b"a whole document"
+EVENT_PAUSE_S = 0.03
+
+
+@given("a fleet of 1 node and 2 runners that frame no streams")
+def given_unframed(context):
+    fleet = EdgeFleet(nodes=1, runners=2)
+    context.run(fleet.__aenter__())
+    context.fleet = fleet
+    context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
+    for runner in fleet.runners:
+        runner.frames_streams = False
+        runner.crash_manner = CrashManner.CLOSE
+
+
+@given("each runner has {connection} of the node beside the stream")
+def given_connection(context, connection):
+    """Make calls until each runner has two, which are answered, or wait.
+
+    The stream takes one of the idle connections.
+    """
+    context.waiting = []
+    if connection == "no connection":
+        return
+    fleet = context.fleet
+    is_waiting = connection == "a waiting call"
+    for runner in fleet.runners:
+        runner.fallback_response = (
+            ScriptedResponse.HANG if is_waiting else ScriptedResponse.SLOW
+        )
+
+    async def act():
+        number = 0
+        while not all(len(runner.calls) > 1 for runner in fleet.runners):
+            call = fleet.call(
+                "non_idempotent",
+                call_id=f"beside-{number}",
+                headers={"X-Deadline-Ms": "10000"},
+                session=fleet.concurrent_session,
+            )
+            context.waiting.append(asyncio.ensure_future(call))
+            number += 1
+            await asyncio.sleep(0.05)
+        if not is_waiting:
+            await asyncio.gather(*context.waiting)
+
+    context.run(act())
+    context.add_cleanup(lambda: [call.cancel() for call in context.waiting])
+
+
+@given("the address of a runner that ends is taken over at once")
+def given_reuse(context):
+    def take_over(runner):
+        runner.runner_id += "-next"
+        context.restart = asyncio.ensure_future(runner.start())
+
+    for runner in context.fleet.runners:
+        runner.on_crash = take_over
+
+
+def stand_still():
+    time.sleep(STALL_S)
+
+
+def stall_after_end():
+    """Stand still in the turn of the loop in which the connections are closed."""
+    asyncio.get_running_loop().call_soon(stand_still)
+
+
+async def send_events(context, runner, call, look, *, last, ends_runner):
+    first = int(call.headers.get("last-event-id", "0")) + 1
+    yield encode_raw_head(call, Content_Type="text/event-stream")
+    for number in range(first, last + 1):
+        yield encode_event(number)
+        await asyncio.sleep(EVENT_PAUSE_S)
+    end(context, runner, call, look, ends_runner=ends_runner)
+
+
+async def send_half(context, runner, call, look):
+    yield encode_raw_head(call) + DOCUMENT[:4]
+    await asyncio.sleep(EVENT_PAUSE_S)
+    end(context, runner, call, look, ends_runner=True)
+
+
+def end(context, runner, call, look, *, ends_runner):
+    """End the runner, or the connection of one call, and let the node stand still."""
+    if ends_runner:
+        runner.crash()
+    if look == "the node stands still":
+        stall_after_end()
+    if not ends_runner:
+        raise ConnectionResetError  # The stand-in closes the connection in order.
+
+
+async def send_rest(call):
+    first = int(call.headers.get("last-event-id", "0")) + 1
+    yield encode_raw_head(
+        call,
+        Content_Type="text/event-stream",
+        Content_Length=str(sum(len(encode_event(n)) for n in range(first, EVENTS + 1))),
+    )
+    for number in range(first, EVENTS + 1):
+        yield encode_event(number)
+
+
+async def send_document(call):
+    yield encode_raw_head(call, Content_Length=str(len(DOCUMENT))) + DOCUMENT
+
+
+def stream_calls(context):
+    return [call for call in context.fleet.calls() if call.call_id == STREAM_ID]
+
+
+def answer_first(context, make_first, make_other):
+    for runner in context.fleet.runners:
+
+        def answer(call, runner=runner):
+            if call.call_id != STREAM_ID:
+                return None
+            is_first = len(stream_calls(context)) == 1
+            return make_first(runner, call) if is_first else make_other(call)
+
+        runner.raw_answer = answer
+
+
+def make_call(context, kind):
+    async def act():
+        context.answer = None
+        with contextlib.suppress(aiohttp.ClientError):
+            context.answer = await context.fleet.call(kind, call_id=STREAM_ID)
+        await asyncio.sleep(0)
+
+    context.run(act())
+
+
+@when("the runner of a stream ends after 2 events, and {look}")
+def end_amid_stream(context, look):
+    if look == "its caller has read slowly":
+        delay_writes(context)
+    answer_first(
+        context,
+        lambda runner, call: send_events(
+            context, runner, call, look, last=EVENTS_SENT, ends_runner=True
+        ),
+        send_rest,
+    )
+    make_call(context, "streaming")
+
+
+def delay_writes(context):
+    """Let the caller take each part of the stream late."""
+    write = aiohttp.web.StreamResponse.write
+
+    async def write_slowly(response, data):
+        await write(response, data)
+        await asyncio.sleep(SLOW_WRITE_S)
+
+    aiohttp.web.StreamResponse.write = write_slowly
+    context.add_cleanup(setattr, aiohttp.web.StreamResponse, "write", write)
+
+
+@when("the runner of a document ends after half of it, and {look}")
+def end_amid_document(context, look):
+    answer_first(
+        context,
+        lambda runner, call: send_half(context, runner, call, look),
+        send_document,
+    )
+    make_call(context, "idempotent")
+
+
+@when("the runner of a stream ends it, and {look}")
+def end_stream(context, look):
+    answer_first(
+        context,
+        lambda runner, call: send_events(
+            context, runner, call, look, last=EVENTS, ends_runner=False
+        ),
+        send_rest,
+    )
+    make_call(context, "streaming")
+
+
+@then("the caller gets all events of the stream, each once")
+def check_all_events(context):
+    assert context.answer is not None, "broken off"
+    assert (context.answer[0], context.answer[2]) == (200, WHOLE_STREAM), context.answer
+
+
+@then("the caller gets the document of the other runner")
+def check_document(context):
+    assert context.answer is not None, "broken off"
+    assert context.answer[2] == DOCUMENT.decode(), context.answer
+
+
+@then("the runners received {count:d} call of the stream")
+@then("the runners received {count:d} calls of the stream")
+def check_stream_calls(context, count):
+    assert len(stream_calls(context)) == count, stream_calls(context)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -48,6 +48,7 @@
 NODE_COLD_RUNNERS = f"{NODE}/tests/edge/cold_runners.feature"
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
+REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
 ENDLESS_BYTES = f"{NODE}/tests/edge/endless_bytes.feature"
@@ -776,10 +777,38 @@
     Mutation(
         "an answer that ends with its connection is taken as complete",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "if body_end is not BodyEnd.CONNECTION:",
+        "if response.head.body_end is not BodyEnd.CONNECTION:",
         "if True:",
         CRASHING_PARTS,
     ),
+    Mutation(
+        "the ends of other connections to a runner are no sign of its crash",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "elif self._was_cut(runner, ended_s):",
+        "elif False:",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an open connection to a runner is no sign that it lives on",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "elif self._connections.has_open(Address.of(runner), before_s=ended_s):",
+        "elif False:",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an end of an answer may be noticed late because its caller reads slowly",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "elif late_ms > MIN_RESTART_MS or",
+        "elif",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an end of an answer may be noticed late because the node stands still",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "return self._stalled_s >= ended_s - MIN_RESTART_MS / MS_PER_S",
+        "return False",
+        REUSED_ADDRESSES,
+    ),
     Mutation(
         "only the request itself is held responsible for a crash",
         f"{CORE_SOURCE}/edge/crash_factors.py",
