Log: the decision on a call names its runner's lifetime and the list's age

The nodes' logs showed the old version only: neither which lifetime a call was meant for, nor that the list of runners could not be read at that time.

routed now has runner_born_ms, the start of the lifetime that the node had in mind (0 if its entry names none), and runners_age_ms, the time since the store or a peer last confirmed the list. With these a stream that was joined because of a stale entry differs from one whose record was missing or wrong.

The scenario restarts a runner under its id, stops the store for 600 ms, and finds both in the decisions. Cost: two numbers for each call.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
@@ -8,7 +8,7 @@
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_node.callers.decision_ring import DecisionRing
@@ -27,8 +27,19 @@
     """Records the decisions on a call that the forwarder takes."""
 
     def __init__(
-        self, *, decisions: DecisionRing, timers: TimerService, metrics: Metrics
+        self,
+        *,
+        decisions: DecisionRing,
+        timers: TimerService,
+        metrics: Metrics,
+        runners_age_ms: Callable[[], int | None] = lambda: None,
     ) -> None:
+        """Create a log.
+
+        ``runners_age_ms`` returns how long ago the store or a peer last confirmed the
+        list of runners; None if that is unknown.
+        """
+        self._runners_age_ms = runners_age_ms
         self._decisions = decisions
         self._timers = timers
         self._metrics = metrics
@@ -53,6 +64,8 @@
             pool=admitted.pool,
             runner=lease.runner.runner_id,
             runner_version=lease.runner.version,
+            runner_born_ms=lease.runner.born_ms,
+            runners_age_ms=self._runners_age_ms(),
             last_event=last_event,
             resumes=describe_resumed(admitted),
             reason=lease.reason,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -479,6 +479,7 @@
             peer_relay=self.peer_relay,
             fault_reports=self.fault_reports,
             streams=self.streams,
+            runners_age_ms=lambda: self.view.ages().runners_ms,
         )
 
     def _make_token_accounting(self) -> TokenAccounting:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -90,6 +90,7 @@
         fault_reports: FaultReports,
         streams: StreamRegistry,
         returns: ReturnPolicy | None = None,
+        runners_age_ms: Callable[[], int | None] = lambda: None,
     ) -> None:
         """Create a forwarder.
 
@@ -99,13 +100,18 @@
         runners need the objective and the size of calls. ``admission`` rejects calls by
         their priority before any search. ``compare_time`` returns the time of an
         answer, in ms, as percent of the usual one, or 0 if unknown. ``returns`` decides
-        when rejected calls return.
+        when rejected calls return. ``runners_age_ms`` is described at ``CallLog``.
         """
         self._broker = broker
         self._attempt_executor = attempt_executor
         self._crash_tracker = crash_tracker
         self._timers = timers
-        self._call_log = CallLog(decisions=decisions, timers=timers, metrics=metrics)
+        self._call_log = CallLog(
+            decisions=decisions,
+            timers=timers,
+            metrics=metrics,
+            runners_age_ms=runners_age_ms,
+        )
         self._random_key = random_key
         self._admission = admission
         self._token_accounting = token_accounting
--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
@@ -0,0 +1,13 @@
+Feature: Logs and metrics tell the lifetimes of runners apart
+
+  Scenario: The decision on a call names its runner's lifetime and the age of the list
+    # A runner that has restarted under its id cannot be told from the one before, nor a stale
+    # list of runners from a current one.
+    Given a fleet of 1 node and 1 runner
+    When runner 0 restarts under its id
+    And a caller makes a "streaming" call with the id "before"
+    And the store stops responding
+    And 600 ms pass
+    And a caller makes a "streaming" call with the id "after"
+    Then the decisions on "before" and "after" name the new lifetime
+    And the list of runners is at least 500 ms older in the decision on "after"
--- a/packages/clementineyoke-node/tests/steps/store_entries_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_entries_steps.py
@@ -21,6 +21,7 @@
 )
 from clementineyoke_standins.edge.written_specs import runner_spec
 
+RESTARTED_MS = 1_790_000_000_000
 GOOD = runner_spec(pool=POOL, address="127.0.0.1:9", zone="zone", state="ready")
 INVALID_SPECS = {
     "no state": {k: v for k, v in GOOD.items() if k != "state"},
@@ -194,7 +195,7 @@
             address=f"{STORE_HOST}:{runner.port}",
             zone="zone",
             state="ready",
-            born_ms=1_790_000_000_000,
+            born_ms=RESTARTED_MS,
         )
         await context.fleet.store.put("servers", runner.runner_id, spec)
         table = context.fleet.nodes[0].state.table
