Event runner_replaced: an entry names another start or version of its runner

319 runner_replaced has the runner, both starts and both versions, and where the change came from. It is compared when the list changes, not for calls. A deployment where no such line comes up gives each start an id of its own; where it does, its time says from when the calls in between went to another lifetime than the node had in mind.

The scenario restarts a runner under its id at another version.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -245,6 +245,7 @@
         live_ids = {runner.runner_id for runner in live}
         no_longer_live = self._live_ids - live_ids
         self._live_ids = live_ids
+        self._log_replaced((record.runner for record in records), source)
         self._table.apply_host_list(
             live=live,
             leaving=[record.runner for record in records if record.is_leaving],
@@ -260,6 +261,26 @@
         )
         self._on_runners_changed()
 
+    def _log_replaced(self, runners: Iterable[Runner], source: str) -> None:
+        """Log runners whose start or version differs from that in the table."""
+        for runner in runners:
+            entry = self._table.get(runner.runner_id)
+            if entry is None:
+                continue
+            former = entry.runner
+            if (runner.born_ms, runner.version) == (former.born_ms, former.version):
+                continue
+            log_event(
+                Event.RUNNER_REPLACED,
+                runner=runner.runner_id,
+                pool=runner.pool,
+                born_ms=runner.born_ms,
+                former_born_ms=former.born_ms,
+                version=runner.version,
+                former_version=former.version,
+                source=source,
+            )
+
     def _log_lapses(self, lapsed_before: set[str], source: str) -> None:
         """Log the runners that have lapsed since ``lapsed_before`` was read."""
         now_ms = self._timers.now_ms()
--- a/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
@@ -11,3 +11,9 @@
     And a caller makes a "streaming" call with the id "after"
     Then the decisions on "before" and "after" name the new lifetime
     And the list of runners is at least 500 ms older in the decision on "after"
+
+  Scenario: The log tells that a runner has come back at another version
+    # Of a stream with events of two versions nobody knows whether one runner made them all.
+    Given a fleet of 1 node and 1 runner
+    When runner 0 restarts under its id at version "v2"
+    Then the log tells once that runner 0 was replaced, with both starts and versions
--- a/packages/clementineyoke-node/tests/steps/store_entries_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_entries_steps.py
@@ -196,6 +196,7 @@
             zone="zone",
             state="ready",
             born_ms=RESTARTED_MS,
+            version=runner.version,
         )
         await context.fleet.store.put("servers", runner.runner_id, spec)
         table = context.fleet.nodes[0].state.table
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -151,6 +151,9 @@
     STORE_WATCH_CUT = EventKind(
         318, "INFO", "The store cut off a waiting watch; asks at once."
     )
+    RUNNER_REPLACED = EventKind(
+        319, "INFO", "An entry names another start or version of its runner."
+    )
     TIMER_FAILED = EventKind(305, "ERROR", "A periodic task failed; it keeps running.")
     TASK_FAILED = EventKind(306, "ERROR", "A background task failed with an exception.")
     SETTINGS_IN_FORCE = EventKind(400, "INFO", "A settings version was applied.")
