Event end_checked: an answer without a length ended with its connection

A stream without a length whose runner crashes and accepts connections again before the node looks is logged as answered with 200, like a whole one.

249 end_checked has the lifetime that the call was meant for, whether something listens at its address, the last event that the caller has, and how long the check took; a metric counts both results by pool. answered said only that the answer ended with its connection. With the last event of the other tries, or the crash of the runner in other nodes' logs, a truncated stream shows.

The scenario ends a stream of 6 events with its runner after 2. Nothing changes for answers with a length or chunks.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -147,7 +147,9 @@
                 if complete.is_relayed:
                     return complete
                 complete = complete._replace(ended_ms=self._timers.now_ms())
-                await self._check_end(runner, response, step="read_body")
+                await self._check_end(
+                    admitted, runner, response, stream, step="read_body"
+                )
         check_outcome(complete, peer=runner.runner_id)
         check_resumption(
             complete.head, peer=runner.runner_id, stream_status=stream.status
@@ -199,17 +201,56 @@
             stream.pace.record(
                 len(events), received_ms=received_ms, written_ms=self._timers.now_ms()
             )
-        await self._check_end(runner, response, step="relay")
+        await self._check_end(admitted, runner, response, stream, step="relay")
         await stream.finish()
 
     async def _check_end(
-        self, runner: Runner, response: OpenResponse, *, step: str
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        response: OpenResponse,
+        stream: CallerStream,
+        *,
+        step: str,
     ) -> None:
+        ended_ms = self._timers.now_ms()
+
+        async def is_listening(runner: Runner) -> bool:
+            is_alive = await self._connection_pool.is_listening(runner)
+            self._record_end(
+                admitted, runner, stream, is_alive=is_alive, ended_ms=ended_ms
+            )
+            return is_alive
+
         await check_end(
-            runner,
-            response.head.body_end,
-            is_listening=self._connection_pool.is_listening,
-            step=step,
+            runner, response.head.body_end, is_listening=is_listening, step=step
+        )
+
+    def _record_end(
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        stream: CallerStream,
+        *,
+        is_alive: bool,
+        ended_ms: float,
+    ) -> None:
+        """Record an answer that ended with its connection.
+
+        A stream is taken for whole if something listens at its runner's address, which
+        may be a later lifetime. ``last_event`` tells whether it was.
+        """
+        self._metrics.ends_by_connection.inc(
+            {"pool": runner.pool, "runner": "listening" if is_alive else "gone"}
+        )
+        self._decisions.record(
+            Event.END_CHECKED,
+            request_id=admitted.call.call_id,
+            runner=runner.runner_id,
+            runner_born_ms=runner.born_ms,
+            is_listening=is_alive,
+            last_event=stream.last_event_id,
+            took_ms=round(self._timers.now_ms() - ended_ms),
         )
 
     def _event_timeout(
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -43,6 +43,11 @@
             "Streams cut off after they had begun, by pool and cause.",
             registry=self.registry,
         )
+        self.ends_by_connection = Counter(
+            "clementineyoke_ends_by_connection_total",
+            "Answers that ended with their connection, by pool and runner.",
+            registry=self.registry,
+        )
         self.bytes_refused = Counter(
             "clementineyoke_bytes_refused_total",
             "Responses of runners, peers and the store over a bound, by kind.",
--- a/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
@@ -17,3 +17,18 @@
     Given a fleet of 1 node and 1 runner
     When runner 0 restarts under its id at version "v2"
     Then the log tells once that runner 0 was replaced, with both starts and versions
+
+  Scenario Outline: The log tells how a stream without a length was taken to be whole
+    # A stream that ended with its crashed runner is logged like a whole one if something listens
+    # at the address again.
+    Given a fleet of 1 node and 1 runner
+    And the runners stream
+    And the runners frame no streams and close connections in order when they crash
+    When a caller's stream breaks with its runner, <return>
+    Then the decisions on it say that its runner was <state> when it had part of 6 events
+    And 1 end by connection is counted with a runner that is <state>
+
+    Examples:
+      | return                         | state     |
+      | which is back at once          | listening |
+      | which stays away               | gone      |
--- a/packages/clementineyoke-node/tests/steps/runner_lifetimes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_lifetimes_steps.py
@@ -2,16 +2,27 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
+from edge_fleet import POOL
+from edge_steps import wait_until
 from loguru import logger
 from store_entries_steps import RESTARTED_MS, restart_runner
 
+from clementineyoke_standins.edge.edge_runner import CrashManner
 from clementineyoke_wire.events import Event
 
+BROKEN_ID = "broken"
+EVENT_PAUSE_S = 0.3
 
-def routed(context, call_id):
+
+def decided(context, call_id, event):
+    """Return the fields of the decisions of one kind on a call."""
     decisions = context.fleet.nodes[0].state.decisions.find(call_id)
-    (fields,) = [d["fields"] for d in decisions if d["event"] == "routed"]
+    return [d["fields"] for d in decisions if d["event"] == event]
+
+
+def routed(context, call_id):
+    (fields,) = decided(context, call_id, "routed")
     return fields
 
 
@@ -60,3 +71,43 @@
     assert line["runner"] == context.fleet.runners[0].runner_id, line
     assert (line["former_born_ms"], line["born_ms"]) == (0, RESTARTED_MS), line
     assert (line["former_version"], line["version"]) == ("v1", "v2"), line
+
+
+@given("the runners frame no streams and close connections in order when they crash")
+def end_streams_with_connections(context):
+    for runner in context.fleet.runners:
+        runner.frames_streams = False
+        runner.crash_manner = CrashManner.CLOSE
+        runner.event_pause_s = EVENT_PAUSE_S
+
+
+@when("a caller's stream breaks with its runner, which {does_what}")
+def break_stream(context, does_what):
+    async def act():
+        (runner,) = context.fleet.runners
+        call = asyncio.create_task(context.fleet.call("streaming", call_id=BROKEN_ID))
+        await wait_until(lambda: runner.calls, 2)
+        await asyncio.sleep(1.5 * EVENT_PAUSE_S)
+        runner.crash()
+        if does_what == "is back at once":
+            await runner.start()
+        await asyncio.wait({call})
+        call.exception()
+
+    context.run(act())
+
+
+@then(
+    "the decisions on it say that its runner was {state} when it had part of 6 events"
+)
+def check_end_decision(context, state):
+    (checked,) = decided(context, BROKEN_ID, "end_checked")
+    assert checked["is_listening"] is (state == "listening"), checked
+    assert 0 < checked["last_event"] < 6, checked
+
+
+@then("1 end by connection is counted with a runner that is {state}")
+def check_end_count(context, state):
+    metrics = context.fleet.nodes[0].state.metrics
+    labels = {"pool": POOL, "runner": state}
+    assert metrics.ends_by_connection.get(labels) == 1, metrics.ends_by_connection
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -130,6 +130,9 @@
     VERSIONS_STORED = EventKind(
         248, "INFO", "The recent versions of the pools were written to the store."
     )
+    END_CHECKED = EventKind(
+        249, "INFO", "An answer ended with its connection; says whether its runner did."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
