Metric: calls that meet another runner at the address of theirs

Such a runner refuses the call with 421, which the decisions on a call show (runner_failed, refused with 421), but nothing counts: a deployment that reuses addresses could not be told from one whose runners are full.

clementineyoke_calls_misdirected_total counts these answers by pool. Zero means that no stream can have met another runner's id at a reused address on that node.

The scenario puts another id at the address of one of two runners: all calls are answered by the other one, the refused ones are counted and logged.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -19,6 +19,7 @@
 from clementineyoke_node.edge.runner_protocol import make_connector
 from clementineyoke_node.edge.runner_response import OpenResponse
 from clementineyoke_node.platform.runner_codec import (
+    STATUS_MISDIRECTED,
     RoutingHeaders,
     decode_response_head,
     encode_call_headers,
@@ -166,6 +167,8 @@
         is_complete = False
         try:
             head = decode_response_head(response.status, response.headers)
+            if head.status == STATUS_MISDIRECTED:
+                self._metrics.calls_misdirected.inc({"pool": runner.pool})
             self._signals.apply(runner, call, head)
             check_call_id(call, head, peer=runner.runner_id)
             yield OpenResponse(head, response)
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -23,6 +23,11 @@
             "New connections to runners for calls, by pool and outcome.",
             registry=self.registry,
         )
+        self.calls_misdirected = Counter(
+            "clementineyoke_calls_misdirected_total",
+            "Calls refused by another runner at their runner's address, by pool.",
+            registry=self.registry,
+        )
         self.runner_pauses = Counter(
             "clementineyoke_runner_pauses_total",
             "Pauses of runners that this node is home of, by reason.",
--- a/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_lifetimes.feature
@@ -32,3 +32,10 @@
       | return                         | state     |
       | which is back at once          | listening |
       | which stays away               | gone      |
+
+  Scenario: Calls that meet another runner at the address of theirs are counted
+    # A deployment that reuses addresses looks like one with runners that are merely full.
+    Given a fleet of 1 node and 2 runners
+    When another runner takes the address of runner 0, and calls arrive until it is met
+    Then all calls are answered by runner 1
+    And the refused ones are counted as misdirected, and logged as refused with 421
--- a/packages/clementineyoke-node/tests/steps/runner_lifetimes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_lifetimes_steps.py
@@ -13,6 +13,7 @@
 
 BROKEN_ID = "broken"
 EVENT_PAUSE_S = 0.3
+MAX_CALLS = 40
 
 
 def decided(context, call_id, event):
@@ -111,3 +112,38 @@
     metrics = context.fleet.nodes[0].state.metrics
     labels = {"pool": POOL, "runner": state}
     assert metrics.ends_by_connection.get(labels) == 1, metrics.ends_by_connection
+
+
+@when("another runner takes the address of runner 0, and calls arrive until it is met")
+def meet_another_runner(context):
+    async def act():
+        other = context.fleet.runners[0]
+        other.runner_id = "another-runner"
+        context.answers = {}
+        while not other.misdirected_calls:
+            assert len(context.answers) < MAX_CALLS, "no call met the runner"
+            call_id = f"call-{len(context.answers)}"
+            answer = await context.fleet.call("idempotent", call_id=call_id)
+            context.answers[call_id] = answer
+
+    context.run(act())
+
+
+@then("all calls are answered by runner 1")
+def check_answered(context):
+    assert [status for status, _, _ in context.answers.values()] == [200] * len(
+        context.answers
+    )
+    other, runner = context.fleet.runners
+    assert not other.calls
+    assert len(runner.calls) == len(context.answers)
+
+
+@then("the refused ones are counted as misdirected, and logged as refused with 421")
+def check_misdirected(context):
+    refused = context.fleet.runners[0].misdirected_calls
+    metrics = context.fleet.nodes[0].state.metrics
+    assert metrics.calls_misdirected.get({"pool": POOL}) == len(refused)
+    for call in refused:
+        (failed,) = decided(context, call.call_id, "runner_failed")
+        assert failed["reason"] == "refused with 421", failed
