--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -11,7 +11,7 @@
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
 from clementineyoke_node.edge.response_checks import check_outcome, check_resumption
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
-from clementineyoke_node.platform.runner_codec import RoutingHeaders
+from clementineyoke_node.platform.runner_codec import BodyEnd, RoutingHeaders
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
@@ -147,7 +147,9 @@
                 if complete.is_relayed:
                     return complete
                 complete = complete._replace(ended_ms=self._timers.now_ms())
-                await self._liveness.check_end(runner, response, step="read_body")
+                await self._check_end(
+                    admitted, runner, response, stream, step="read_body"
+                )
         check_outcome(complete, peer=runner.runner_id)
         check_resumption(
             complete.head, peer=runner.runner_id, stream_status=stream.status
@@ -199,9 +201,41 @@
             stream.pace.record(
                 len(events), received_ms=received_ms, written_ms=self._timers.now_ms()
             )
-        await self._liveness.check_end(runner, response, step="relay")
+        await self._check_end(admitted, runner, response, stream, step="relay")
         await stream.finish()
 
+    async def _check_end(
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        response: OpenResponse,
+        stream: CallerStream,
+        *,
+        step: str,
+    ) -> None:
+        """Raise ``AttemptError`` if an answer may have ended because its runner did."""
+        if response.head.body_end is not BodyEnd.CONNECTION:
+            return
+        doubt: AttemptError | None = None
+        try:
+            await self._liveness.check_end(runner, response, step=step)
+        except AttemptError as error:
+            doubt = error
+            raise
+        finally:
+            self._metrics.ends_by_connection.inc(
+                {"pool": runner.pool, "result": "cut" if doubt else "whole"}
+            )
+            self._decisions.record(
+                Event.END_CHECKED,
+                request_id=admitted.call.call_id,
+                runner=runner.runner_id,
+                runner_born_ms=runner.born_ms,
+                is_whole=doubt is None,
+                reason=doubt.reason if doubt else "",
+                last_event=stream.last_event_id,
+            )
+
     def _event_timeout(
         self, admitted: AdmittedCall, stream: CallerStream, failover: Failover
     ) -> RunnerTimeout:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
@@ -87,6 +87,7 @@
             last_event=stream.last_event_id,
             attempt=len(ledger.tried) + 1,
             evacuated_zones=self._broker.evacuated_zones(),
+            runners_age_ms=self._streams.runners_age_ms(),
         )
 
     def record_answer(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
@@ -27,7 +27,11 @@
     """Records the decisions on a call that the forwarder takes."""
 
     def __init__(
-        self, *, decisions: DecisionRing, timers: TimerService, metrics: Metrics
+        self,
+        *,
+        decisions: DecisionRing,
+        timers: TimerService,
+        metrics: Metrics,
     ) -> None:
         self._decisions = decisions
         self._timers = timers
@@ -41,8 +45,12 @@
         last_event: int | None,
         attempt: int,
         evacuated_zones: Mapping[str, object],
+        runners_age_ms: int,
     ) -> None:
-        """Record to which runner a call goes, and why."""
+        """Record to which runner a call goes, and why.
+
+        ``runners_age_ms`` is the time since the list of runners was last confirmed.
+        """
         self._decisions.record(
             Event.ROUTED,
             request_id=admitted.call.call_id,
@@ -53,6 +61,8 @@
             pool=admitted.pool,
             runner=lease.runner.runner_id,
             runner_version=lease.runner.version,
+            runner_born_ms=lease.runner.born_ms,
+            runners_age_ms=runners_age_ms,
             last_event=last_event,
             resumes=describe_resumed(admitted),
             reason=lease.reason,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -17,7 +17,6 @@
 from clementineyoke_core.edge.store_freshness import (
     StoreAges,
     StoreFreshness,
-    ViewPart,
 )
 from clementineyoke_core.load_bound import LoadBound
 from clementineyoke_node.edge.admission_control import AdmissionControl
@@ -212,7 +211,7 @@
             store=self.store,
             socket=self.socket,
             timers=self.timers,
-            is_view_current=lambda: not self.view.is_stale(ViewPart.RUNNERS),
+            get_view=lambda: self.view,
             knows_nodes=lambda: self.registration.registered.is_set(),
         )
         self.streams = self.stream_components.registry
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -21,6 +21,7 @@
 from clementineyoke_node.edge.runner_protocol import RunnerProtocol, make_connector
 from clementineyoke_node.edge.runner_response import OpenResponse
 from clementineyoke_node.platform.runner_codec import (
+    STATUS_MISDIRECTED,
     RoutingHeaders,
     decode_response_head,
     encode_call_headers,
@@ -183,6 +184,8 @@
         protocol = response.connection and response.connection.protocol
         try:
             head = decode_response_head(response.status, response.headers)
+            if head.status == STATUS_MISDIRECTED:
+                self._metrics.calls_misdirected.inc({"pool": runner.pool})
             self._signals.apply(runner, call, head)
             check_call_id(call, head, peer=runner.runner_id)
             yield OpenResponse(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.pool_versions import PoolVersions
+from clementineyoke_core.edge.store_freshness import ViewPart
 from clementineyoke_core.edge.stream_records import StreamRecords
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_node.edge.stream_archive import StreamArchive
@@ -14,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.node_state import NodeState
     from clementineyoke_node.peers.peer_socket import PeerSocket
     from clementineyoke_node.platform.store_client import StoreClient
@@ -36,10 +38,10 @@
         store: StoreClient,
         socket: PeerSocket,
         timers: TimerService,
-        is_view_current: Callable[[], bool],
+        get_view: Callable[[], FleetView],
         knows_nodes: Callable[[], bool],
     ) -> None:
-        """Create the parts; ``is_view_current`` is described at ``StreamLookup``.
+        """Create the parts.
 
         ``knows_nodes`` tells whether this node has read which nodes there are; before
         that it would take itself for a writer.
@@ -75,7 +77,8 @@
             timers=timers,
             decisions=state.decisions,
             metrics=state.metrics,
-            is_view_current=is_view_current,
+            is_view_current=lambda: not get_view().is_stale(ViewPart.RUNNERS),
+            runners_age_ms=lambda: get_view().ages().runners_ms,
         )
 
     def start_timers(self) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -103,10 +103,12 @@
         decisions: DecisionRing,
         metrics: Metrics,
         is_view_current: Callable[[], bool],
+        runners_age_ms: Callable[[], int],
     ) -> None:
         """Create a registry; ``homes`` assigns streams to the nodes of the region.
 
-        ``is_view_current`` is described at ``StreamLookup``.
+        ``is_view_current`` is described at ``StreamLookup``. ``runners_age_ms`` returns
+        how long ago the store or a peer last confirmed the list of runners.
         """
         self._records = records
         self._versions = versions
@@ -120,6 +122,7 @@
         self._decisions = decisions
         self._metrics = metrics
         self._is_view_current = is_view_current
+        self.runners_age_ms = runners_age_ms
         self._note_rate = CallRate()
         self._pool_names: dict[int, str] = {}
         socket.handle(StreamNews, self._receive_news)
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -23,6 +23,11 @@
             "New connections to runners for calls, by pool and outcome.",
             registry=self.registry,
         )
+        self.calls_misdirected = Counter(
+            "clementineyoke_calls_misdirected_total",
+            "Calls refused by another runner at their runner's address, by pool.",
+            registry=self.registry,
+        )
         self.runner_pauses = Counter(
             "clementineyoke_runner_pauses_total",
             "Pauses of runners that this node is home of, by reason.",
@@ -43,6 +48,11 @@
             "Streams cut off after they had begun, by pool and cause.",
             registry=self.registry,
         )
+        self.ends_by_connection = Counter(
+            "clementineyoke_ends_by_connection_total",
+            "Answers that ended with their connection, by pool and result.",
+            registry=self.registry,
+        )
         self.bytes_refused = Counter(
             "clementineyoke_bytes_refused_total",
             "Responses of runners, peers and the store over a bound, by kind.",
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -130,6 +130,9 @@
     VERSIONS_STORED = EventKind(
         248, "INFO", "The recent versions of the pools were written to the store."
     )
+    END_CHECKED = EventKind(
+        249, "INFO", "An answer ended with its connection; says whether its runner did."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
@@ -151,6 +154,9 @@
     STORE_WATCH_CUT = EventKind(
         318, "INFO", "The store cut off a waiting watch; asks at once."
     )
+    RUNNER_REPLACED = EventKind(
+        319, "INFO", "An entry names another start or version of its runner."
+    )
     TIMER_FAILED = EventKind(305, "ERROR", "A periodic task failed; it keeps running.")
     TASK_FAILED = EventKind(306, "ERROR", "A background task failed with an exception.")
     SETTINGS_IN_FORCE = EventKind(400, "INFO", "A settings version was applied.")
