A runner that leaves a long body unread is not taken for dead

Cause: Linux counts TCP_USER_TIMEOUT from the moment at which the peer's window closes, whether the peer answers probes or not.

Why it works: while bytes of a call are pending, the timeout is lifted for a peer that answers probes or sends, and comes back for one that does neither. The system's state of the connection tells them apart; where there is none, nothing changes. A connection whose timeout was lifted is not used again.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -10,6 +10,7 @@
 
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
+from clementineyoke_node.runners.send_monitor import SendMonitor
 
 if TYPE_CHECKING:
     import asyncio
@@ -46,15 +47,29 @@
         self._connected_s = 0.0
         self._last_received_s = 0.0
         self._max_idle_s = MAX_IDLE_S
+        self._send_monitor: SendMonitor | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the peer's address and the time of the connection."""
         super().connection_made(transport)
+        if self.transport is not None:
+            # The system may count an earlier closed window against the next call.
+            self._send_monitor = SendMonitor(
+                loop=self._loop,
+                transport=self.transport,
+                on_lifted=self.force_close,
+            )
         # The peer name is missing if the runner has already closed the connection.
         address, port = transport.get_extra_info("peername") or self._peer
         self._peer = (address, port)
         self._connected_s = self._last_received_s = self._loop.time()
 
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the response to a request that is about to be sent."""
+        super().set_response_params(**params)
+        if self._send_monitor is not None:
+            self._send_monitor.start()
+
     def data_received(self, data: bytes) -> None:
         """Record when the connection was last active."""
         self._last_received_s = self._loop.time()
@@ -79,6 +94,8 @@
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
+        if self._send_monitor is not None:
+            self._send_monitor.stop()
         super().connection_lost(exc)
 
     def is_connected(self) -> bool:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -56,6 +56,7 @@
 LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
 CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
 RESTART_OF_ALL = f"{NODE}/tests/edge/restart_of_all_nodes.feature"
+UNREAD_BODIES = f"{NODE}/tests/edge/unread_bodies.feature"
 STORE_CALLS = f"{NODE}/tests/edge/store_calls.feature"
 STORE_ENTRIES = f"{NODE}/tests/edge/store_entries.feature"
 NODE_PLATFORM_SOURCE = f"{NODE}/src/clementineyoke_node/platform"
@@ -1345,6 +1346,13 @@
         "    return error.reason\n    text = _BY_OUTCOME.get(error.outcome)\n",
         ENDLESS_BYTES,
     ),
+    Mutation(
+        "a runner that does not read is taken for dead",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "            self._send_monitor.start()\n",
+        "            pass\n",
+        UNREAD_BODIES,
+    ),
 )
 
 
