A late copy of a refusal is not taken for the answer to the next call

What callers saw: calls that run once ran twice, or were answered 503 although they had run (TWICE, REFUSED), while a runner repeated some of its refusals.

Cause: refusals carry no id of their call. One that comes once more, after the next call was sent on the connection, passes for the answer to that call.

Why it works: a response without an id is the last one on its connection, so that nothing can follow it there. It costs a new connection for each refusal without an id; refusals are rare while homes grant the slots.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -10,6 +10,7 @@
 
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
+from clementineyoke_node.platform.runner_codec import has_call_id
 from clementineyoke_node.runners.send_monitor import SendMonitor
 
 if TYPE_CHECKING:
@@ -78,7 +79,13 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
-        """Apply the idle timeout in the response's ``Keep-Alive`` header, if any."""
+        """Apply what the head says of the connection: its idle timeout, and its call.
+
+        A late copy of a response without an id would pass for the answer to the next
+        call, so that its connection is not used again.
+        """
+        if not has_call_id(data[0].headers):
+            self.force_close()
         announced = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get("Keep-Alive", ""))
         if announced is not None:
             self._max_idle_s = min(MAX_IDLE_S, int(announced[1]) - KEEP_ALIVE_MARGIN_S)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -143,6 +143,11 @@
     )
 
 
+def has_call_id(fields: CIMultiDictProxy[str]) -> bool:
+    """Return whether a response tells which call it answers."""
+    return bool(fields.get(names.CALL_ID))
+
+
 def _has_content_coding(fields: CIMultiDictProxy[str]) -> bool:
     coding = fields.get("Content-Encoding", "").strip().lower()
     return coding not in ("", "identity")
--- a/packages/clementineyoke-node/tests/edge/calls.feature
+++ b/packages/clementineyoke-node/tests/edge/calls.feature
@@ -102,3 +102,15 @@
     And the runners announce that they keep idle connections for 1 s
     When a caller makes 3 "non_idempotent" calls, 1.2 s after one another
     Then 3 of them are answered
+
+  Scenario Outline: A runner sends its refusal twice, the second time late
+    # A refusal has no id: its copy passes for the answer to the next call, which has run.
+    Given a fleet of 1 node and 2 runners
+    And runner 0 refuses its first call without an id, and sends that again amid the next call
+    When 12 calls are made to a <kind> route
+    Then each answered call was executed once, and no refused one
+
+    Examples:
+      | kind           |
+      | non_idempotent |
+      | idempotent     |
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1353,6 +1353,13 @@
         "            pass\n",
         UNREAD_BODIES,
     ),
+    Mutation(
+        "a connection is kept after a refusal without an id",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "        if not has_call_id(data[0].headers):\n",
+        "        if False:\n",
+        CALLS,
+    ),
 )
 
 
