--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -11,6 +11,8 @@
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
 from clementineyoke_node.edge.runner_connections import Address
+from clementineyoke_node.platform.runner_codec import has_call_id
+from clementineyoke_node.runners.send_monitor import SendMonitor
 
 if TYPE_CHECKING:
     import asyncio
@@ -52,16 +54,30 @@
         """When the connection ended; None while it is open."""
         self._last_received_s = 0.0
         self._max_idle_s = MAX_IDLE_S
+        self._send_monitor: SendMonitor | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the peer's address and the time of the connection."""
         super().connection_made(transport)
+        if self.transport is not None:
+            # The system may count an earlier closed window against the next call.
+            self._send_monitor = SendMonitor(
+                loop=self._loop,
+                transport=self.transport,
+                on_lifted=self.force_close,
+            )
         # The peer name is missing if the runner has already closed the connection.
         address, port = transport.get_extra_info("peername") or self._peer
         self._peer = Address(address, port)
         self.connected_s = self._last_received_s = self._loop.time()
         self._connections.add(self._peer, self)
 
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the response to a request that is about to be sent."""
+        super().set_response_params(**params)
+        if self._send_monitor is not None:
+            self._send_monitor.start()
+
     def data_received(self, data: bytes) -> None:
         """Record when the connection was last active."""
         self._last_received_s = self._loop.time()
@@ -70,7 +86,13 @@
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
-        """Apply the idle timeout in the response's ``Keep-Alive`` header, if any."""
+        """Apply what the head says of the connection: its idle timeout, and its call.
+
+        A late copy of a response without an id would pass for the answer to the next
+        call, so that its connection is not used again.
+        """
+        if not has_call_id(data[0].headers):
+            self.force_close()
         announced = _KEEP_ALIVE_TIMEOUT.search(data[0].headers.get("Keep-Alive", ""))
         if announced is not None:
             self._max_idle_s = min(MAX_IDLE_S, int(announced[1]) - KEEP_ALIVE_MARGIN_S)
@@ -88,6 +110,8 @@
             payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
         is_own_end = self.transport is None or self._refusal is not None
         had_ended = payload is None or payload.is_eof()
+        if self._send_monitor is not None:
+            self._send_monitor.stop()
         super().connection_lost(exc)
         is_body_end = not had_ended and payload is not None and payload.is_eof()
         self.ended_s = self._loop.time()
