A run's events are followed only by events of a run that resumes it

What callers saw: a call that may run again, on a route that is not resumable, was answered with events; its runner broke off, and the events of a second run followed those of the first.

Cause: whether another runner may get the call was asked of the kind of its route alone. Once events are out, that is not enough: another run need not produce the same ones.

Mend: after the first event, only a resumable route goes on at another runner, for failures as for silence. Before it, calls may be repeated as before.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
@@ -133,7 +134,7 @@
                     with self._answers.open_events(
                         admitted, response, stream, peer=runner.runner_id
                     ) as reader:
-                        await self._relay(
+                        await self._relay_stream(
                             admitted, attempt, stream, reader, overdue_timer, failover
                         )
                     return None
@@ -154,6 +155,24 @@
         )
         return complete
 
+    async def _relay_stream(
+        self,
+        admitted: AdmittedCall,
+        attempt: Attempt,
+        stream: CallerStream,
+        reader: EventReader,
+        overdue_timer: OverdueTimer,
+        failover: Failover,
+    ) -> None:
+        try:
+            await self._relay(
+                admitted, attempt, stream, reader, overdue_timer, failover
+            )
+        except AttemptError as error:
+            if not _may_go_on(admitted, stream):
+                error.is_final = True
+            raise
+
     async def _relay(
         self,
         admitted: AdmittedCall,
@@ -207,8 +226,11 @@
     ) -> RunnerTimeout:
         if not stream.sent_event_count:
             return self._head_timeout(admitted, stream, failover)
+        soft_timeout_ms = self._timeouts.next_event_timeout_ms(admitted.route)
+        if not _may_go_on(admitted, stream):
+            soft_timeout_ms = math.inf
         return RunnerTimeout(
-            soft_timeout_ms=self._timeouts.next_event_timeout_ms(admitted.route),
+            soft_timeout_ms=soft_timeout_ms,
             hard_timeout_ms=admitted.deadline_ms - self._timers.now_ms(),
             failover=failover,
         )
@@ -308,6 +330,14 @@
         )
 
 
+def _may_go_on(admitted: AdmittedCall, stream: CallerStream) -> bool:
+    """Return whether another runner may produce the rest of a response.
+
+    A call that may run again need not get the same events again.
+    """
+    return admitted.route.is_resumable or not stream.sent_event_count
+
+
 def _may_fetch(runner: Runner, holder: Runner) -> bool:
     """Return whether a runner can use the cache of another one."""
     is_other = runner.runner_id != holder.runner_id
--- a/packages/clementineyoke-node/tests/edge/resumed_streams.feature
+++ b/packages/clementineyoke-node/tests/edge/resumed_streams.feature
@@ -17,6 +17,9 @@
       | a stream that leaves out one   |
       | a stream that ends before      |
       | a stream that ends in an event |
+      | an event from further on       |
+      | events without numbers         |
+      | a later part, not framed       |
 
   Scenario Outline: A runner goes on with a stream in another form
     # A stream that is cut, or a piece that comes twice, although the rest arrives.
@@ -33,6 +36,92 @@
       | a stream with comments          |
       | lines that end with CR LF       |
       | a last event without its number |
+      | chunks of one byte              |
+      | CR LF in chunks of one byte     |
+      | comments between all events     |
+      | numbers that go back            |
+      | each event twice                |
+      | from event 2, each event twice  |
+      | the missing events, not framed  |
+
+  Scenario Outline: The first runner of a stream breaks off in various ways
+    # A torn, repeated or missing piece, or an end that is none.
+    Given a fleet of 1 node and 2 runners
+    And a stream breaks off as "<break>", and goes on as "<rest>"
+    When a caller makes a "streaming" call
+    Then the caller gets 6 events, each once
+    And the runners received 2 calls
+
+    Examples:
+      | break                                | rest                          |
+      | a reset within an event              | the events that are missing   |
+      | a reset before the last chunk        | nothing                       |
+      | a reset before the last chunk        | the whole stream from event 1 |
+      | a reset between events               | the events that are missing   |
+      | an end between events                | the events that are missing   |
+      | an end within an event               | the events that are missing   |
+      | an end within an event, not framed   | the events that are missing   |
+      | an end within a line end, not framed | the events that are missing   |
+      | a reset between events, not framed   | the events that are missing   |
+      | an end within a chunk                | the events that are missing   |
+      | fewer bytes than announced           | the events that are missing   |
+      | bytes that are no chunk              | the events that are missing   |
+
+  Scenario Outline: A stream of a route that is not resumable
+    # Pieces of two runs are joined, or the call runs twice.
+    Given a fleet of 1 node and 2 runners
+    And streams are not resumable, and a call may be sent to 3 runners
+    And a stream breaks off as "<break>", and goes on as "the whole stream from event 1"
+    When a caller makes a "streaming" call that breaks
+    Then the caller sees that the response is incomplete
+    And the runners received 1 call
+
+    Examples:
+      | break                              |
+      | a reset within an event            |
+      | a reset before the last chunk      |
+      | an end within an event, not framed |
+      | a silence after the first events   |
+
+  Scenario Outline: A call that is no stream gets events
+    # It may run again, but another run need not go on where the first one broke off.
+    Given a fleet of 1 node and 2 runners
+    And a stream breaks off as "<break>", and goes on as "another run"
+    When a caller makes an "idempotent" call
+    Then no pieces of two runs are joined
+
+    Examples:
+      | break                            |
+      | a reset within an event          |
+      | an end between events            |
+      | a silence after the first events |
+
+  Scenario Outline: A caller takes a stream up after event 3
+    # A piece comes twice, or the stream ends as complete although the runner stopped before.
+    Given a fleet of 1 node and 2 runners
+    And the runners go on with a stream as "<rest>"
+    When a caller takes a stream up after event 3
+    Then the caller gets <result>
+
+    Examples:
+      | rest                           | result                    |
+      | the events that are missing    | the events from 4 on      |
+      | the missing events, not framed | the events from 4 on      |
+      | the whole stream from event 1  | the events from 4 on      |
+      | a stream with lines of its own | the events from 4 on      |
+      | numbers that go back           | the events from 4 on      |
+      | each event twice               | the events from 4 on      |
+      | CR LF in chunks of one byte    | the events from 4 on      |
+      | a stream that ends before      | no end of the stream      |
+      | a stream that ends in an event | no end of the stream      |
+
+  Scenario: A caller keeps its connection after a stream that broke
+    # The bytes of the next response follow those of half a stream.
+    Given a fleet of 1 node and 2 runners
+    And streams are not resumable, and a call may be sent to 3 runners
+    And a stream breaks off as "a reset within an event", and goes on as "a document"
+    When two requests come on one connection, the first of which breaks
+    Then nothing follows the first events of the stream
 
   Scenario: A peer goes on with a stream in a way that does not fit
     # The bytes of a peer are another runner's, and are checked like them.
--- a/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -1,12 +1,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gzip
 import math
 from functools import partial
 from types import SimpleNamespace
 
-from behave import given, then
+import aiohttp
+from behave import given, then, when
+from edge_fleet import make_route
+from edge_steps import version_in_force, wait_until
+from leaving_node_steps import connect, encode_request
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
@@ -25,6 +30,7 @@
     encode_raw_head,
     encode_raw_stream,
 )
+from clementineyoke_standins.edge.source_filter import reset_connection
 
 BROKEN_AFTER = 3
 MISSING = [encode_event(number) for number in range(BROKEN_AFTER + 1, EVENTS + 1)]
@@ -50,6 +56,14 @@
     return encode_raw_head(call, status, Content_Length=length, **fields) + body
 
 
+STREAM_TYPE = {"Content_Type": "text/event-stream"}
+FOREVER_S = 3600.0
+
+
+def split_bytes(data):
+    return [data[n : n + 1] for n in range(len(data))]
+
+
 RESTS = {
     "an empty response": lambda call: encode_raw_head(
         call, "204 No Content", Content_Type="text/event-stream"
@@ -80,23 +94,214 @@
     "lines that end with CR LF": lambda call: encode_raw_stream(
         call, [encode_event(n, line_end=b"\r\n") for n in range(4, EVENTS + 1)]
     ),
+    "an event from further on": lambda call: encode_raw_stream(
+        call, [encode_event(9), *MISSING]
+    ),
+    "events without numbers": lambda call: encode_raw_stream(
+        call, [WHOLE[0], UNNUMBERED]
+    ),
+    "a later part, not framed": lambda call: (
+        encode_raw_head(call, **STREAM_TYPE) + b"".join(MISSING[1:])
+    ),
+    "chunks of one byte": lambda call: encode_raw_stream(
+        call, split_bytes(b"".join(MISSING))
+    ),
+    "CR LF in chunks of one byte": lambda call: encode_raw_stream(
+        call,
+        split_bytes(
+            b"".join(encode_event(n, line_end=b"\r\n") for n in range(1, EVENTS + 1))
+        ),
+    ),
+    "comments between all events": lambda call: encode_raw_stream(
+        call, [b": ping\n\n" + event + b":\n" for event in WHOLE]
+    ),
+    "numbers that go back": lambda call: encode_raw_stream(
+        call, [*MISSING[:2], WHOLE[1], *MISSING]
+    ),
+    "each event twice": lambda call: encode_raw_stream(
+        call, [event for event in MISSING for _ in range(2)]
+    ),
+    "from event 2, each event twice": lambda call: encode_raw_stream(
+        call, [event for event in WHOLE[1:] for _ in range(2)]
+    ),
+    "the missing events, not framed": lambda call: (
+        encode_raw_head(call, **STREAM_TYPE) + b"".join(MISSING)
+    ),
+    "nothing": lambda call: encode_raw_stream(call, []),
+    "another run": lambda call: encode_raw_stream(
+        call, [encode_event(n).replace(b"piece", b"other") for n in range(1, 7)]
+    ),
     "a last event without its number": lambda call: encode_raw_stream(
         call, [*MISSING[:-1], b"data: piece 6\n\n"]
     ),
 }
 
 
+async def send_rest(call, rest):
+    yield RESTS[rest](call)
+    if rest.endswith("not framed"):
+        raise ConnectionResetError  # The stand-in closes the connection in order.
+
+
 @given('a stream breaks after {count:d} events, and goes on as "{rest}"')
 def given_rest(context, count, rest):
     def answer(call):
         if len(context.fleet.calls()) == 1:
             return begin_stream(call, WHOLE[:count])
-        return send(RESTS[rest](call))
+        return send_rest(call, rest)
 
     for runner in context.fleet.runners:
         runner.raw_answer = answer
 
 
+def unframed(call, body):
+    return encode_raw_head(call, **STREAM_TYPE) + body
+
+
+def begun(call, events, *, tail=b""):
+    """A stream in chunks without the last one."""
+    return encode_raw_stream(call, events)[: -len(b"0\r\n\r\n")] + tail
+
+
+FIRST = WHOLE[:BROKEN_AFTER]
+TORN = MISSING[0][:9]
+BREAKS = {
+    "a reset within an event": (lambda call: begun(call, [*FIRST, TORN]), "reset"),
+    "a reset before the last chunk": (lambda call: begun(call, WHOLE), "reset"),
+    "a reset between events": (lambda call: begun(call, FIRST), "reset"),
+    "an end between events": (lambda call: begun(call, FIRST), "end"),
+    "an end within an event": (
+        lambda call: encode_raw_stream(call, [*FIRST, TORN]),
+        "end",
+    ),
+    "an end within an event, not framed": (
+        lambda call: unframed(call, b"".join(FIRST) + TORN),
+        "end",
+    ),
+    "an end within a line end, not framed": (
+        lambda call: unframed(call, b"".join(FIRST) + MISSING[0][:-1]),
+        "end",
+    ),
+    "a reset between events, not framed": (
+        lambda call: unframed(call, b"".join(FIRST)),
+        "reset",
+    ),
+    "an end within a chunk": (
+        lambda call: begun(call, FIRST, tail=b"40\r\n" + TORN),
+        "end",
+    ),
+    "fewer bytes than announced": (
+        lambda call: (
+            encode_raw_head(call, Content_Length="900", **STREAM_TYPE) + b"".join(FIRST)
+        ),
+        "end",
+    ),
+    "bytes that are no chunk": (
+        lambda call: begun(call, FIRST, tail=b"no chunk\r\n"),
+        "end",
+    ),
+    "a silence after the first events": (lambda call: begun(call, FIRST), "silence"),
+}
+
+
+async def break_off(runner, data, how):
+    yield data
+    await asyncio.sleep(0.05)
+    if how == "silence":
+        await asyncio.sleep(FOREVER_S)
+    if how == "reset":
+        for writer in list(runner._writers):
+            reset_connection(writer)
+    raise ConnectionResetError  # The stand-in closes the connection in order.
+
+
+@given('a stream breaks off as "{manner}", and goes on as "{rest}"')
+def given_break(context, manner, rest):
+    make, how = BREAKS[manner]
+    for runner in context.fleet.runners:
+
+        def answer(call, runner=runner):
+            if len(context.fleet.calls()) == 1:
+                return break_off(runner, make(call), how)
+            return send_rest(call, rest)
+
+        runner.raw_answer = answer
+
+
+@given("streams are not resumable, and a call may be sent to {count:d} runners")
+def given_not_resumable(context, count):
+    route = make_route("streaming", runners=count, resumable=False)
+    context.run(context.fleet.put_state(route))
+    context.run(wait_until(lambda: version_in_force(context) == 2, 2))
+
+
+@when('a caller makes an "{kind}" call')
+def make_call(context, kind):
+    context.answer = None
+    with contextlib.suppress(aiohttp.ClientError):
+        context.answer = context.run(context.fleet.call(kind))
+
+
+@given('the runners go on with a stream as "{rest}"')
+def given_rests(context, rest):
+    for runner in context.fleet.runners:
+        runner.raw_answer = partial(send_rest, rest=rest)
+
+
+@when("a caller takes a stream up after event {event_id:d}")
+def take_up(context, event_id):
+    context.answer = None
+    headers = {"Last-Event-Id": str(event_id)}
+    with contextlib.suppress(aiohttp.ClientError):
+        context.answer = context.run(context.fleet.call("streaming", headers=headers))
+
+
+@then("the caller gets the events from {event_id:d} on")
+def check_events_from(context, event_id):
+    assert context.answer is not None, "broken off"
+    assert context.answer[0] == 200, context.answer
+    body = context.answer[2].replace("\r\n", "\n")
+    pieces = [line for line in body.split("\n") if line.startswith("data: ")]
+    wanted = [f"data: piece {n}" for n in range(event_id, EVENTS + 1)]
+    assert pieces == wanted, body
+
+
+@then("the caller gets no end of the stream")
+def check_no_end(context):
+    assert context.answer is None or context.answer[0] >= 500, context.answer
+
+
+@then("no pieces of two runs are joined")
+def check_not_joined(context):
+    if context.answer is None or context.answer[0] != 200:
+        return
+    body = context.answer[2]
+    assert not ("piece" in body and "other" in body), body
+
+
+@when("two requests come on one connection, the first of which breaks")
+def send_two(context):
+    async def act():
+        reader, writer = await connect(context.fleet)
+        for number in range(2):
+            request = encode_request(f"call-{number}", method="POST", kind="streaming")
+            writer.write(request)
+        context.received = b""
+        with contextlib.suppress(ConnectionError):
+            while data := await asyncio.wait_for(reader.read(65_536), 5):
+                context.received += data
+        writer.close()
+
+    context.run(act())
+
+
+@then("nothing follows the first events of the stream")
+def check_nothing_follows(context):
+    assert context.received.count(b"HTTP/1.1") == 1, context.received
+    assert b"0\r\n\r\n" not in context.received, context.received
+    assert b"piece 3" in context.received, context.received
+
+
 @then("the caller gets {count:d} events, each once")
 def check_events(context, count):
     assert context.answer[0] == 200, context.answer
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1261,6 +1261,13 @@
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "another run goes on with events of a call that is not resumable",
+        f"{NODE_EDGE_SOURCE}/attempt_executor.py",
+        "return admitted.route.is_resumable or not stream.sent_event_count",
+        "return True",
+        RESUMED_STREAMS,
+    ),
     Mutation(
         "a response whose connection the node closes itself does not fail",
         f"{BOUNDS_SOURCE}/bounded_protocol.py",
