Test: a node ends amid a call that a peer forwards

A peer that reached its time to leave ended half of an answer without a length as complete, and the node before it passed that on.

--- a/packages/clementineyoke-node/tests/edge/leaving_node.feature
+++ b/packages/clementineyoke-node/tests/edge/leaving_node.feature
@@ -36,6 +36,23 @@
       | non_idempotent | half of a document, not framed   | gets 502                 |
       | non_idempotent | half of a long document          | has no complete answer   |
 
+  Scenario Outline: The time to leave is over amid a call that a peer forwards
+    # A part of an answer that comes over two nodes passes for a whole one if either ends.
+    Given 2 nodes that have 1 s to leave, and runners that send "<part>" and then nothing
+    And node 0 reaches no runner
+    When node <number> leaves amid a "<kind>" call
+    Then the caller <result>
+    And no call has ended with an unexpected exception
+
+    Examples:
+      | number | kind       | part                           | result                 |
+      | 0      | streaming  | a head                         | has no complete answer |
+      | 0      | streaming  | events without framing         | has no complete answer |
+      | 1      | streaming  | events without framing         | has no complete answer |
+      | 0      | idempotent | nothing                        | gets 502               |
+      | 0      | idempotent | half of a document, not framed | gets 502               |
+      | 1      | idempotent | half of a document, not framed | gets 502               |
+
   Scenario Outline: A response is first read after the node has closed its connection
     # The reader meets an error that nobody expects, and the caller of an attempt that could
     # be repeated gets a 500.
--- a/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
+++ b/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
@@ -145,7 +145,19 @@
 
 @given('a node that has 1 s to leave, and runners that send "{part}" and then nothing')
 def given_part(context, part):
-    fleet = EdgeFleet(nodes=1, runners=2, settings={"stop_deadline_s": 1})
+    start_fleet(context, part, nodes=1)
+
+
+@given(
+    '{nodes:d} nodes that have 1 s to leave, and runners that send "{part}" and then'
+    " nothing"
+)
+def given_part_and_nodes(context, nodes, part):
+    start_fleet(context, part, nodes=nodes)
+
+
+def start_fleet(context, part, *, nodes):
+    fleet = EdgeFleet(nodes=nodes, runners=2, settings={"stop_deadline_s": 1})
     context.run(fleet.__aenter__())
     context.fleet = fleet
     context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
@@ -153,16 +165,30 @@
         runner.raw_answer = partial(send_part, part=part)
 
 
+@given("node {number:d} reaches no runner")
+def isolate(context, number):
+    context.fleet.nodes[number].io.reach_monitor.is_isolated = lambda pool: True
+
+
 @when('the node leaves amid a "{kind}" call')
 def leave_amid_call(context, kind):
+    leave_amid(context, kind, number=0)
+
+
+@when('node {number:d} leaves amid a "{kind}" call')
+def leave_with_peer(context, number, kind):
+    leave_amid(context, kind, number=number)
+
+
+def leave_amid(context, kind, *, number):
     async def act():
         fleet = context.fleet
         call = asyncio.ensure_future(fleet.call(kind, headers=LONG_DEADLINE))
         while not fleet.calls():
             await asyncio.sleep(0.01)
-        node = fleet.nodes.pop()
+        node = fleet.nodes.pop(number)
         node.request_stop()
-        await fleet.stop_tasks[0]
+        await fleet.stop_tasks[number]
         await node.__aexit__(None, None, None)
         context.metrics = node.state.metrics
         (context.answer,) = await asyncio.gather(call, return_exceptions=True)
