Test: runners restart under their ids while nodes cannot read the store

A runner whose entry has a start time crashes and comes back under its id and address at v2, while its home (in two examples, each node) gets no news of the store. X-Target-Instance cannot refuse the calls, as the id is the same.

Two scenarios that pass guard against a mend that goes too far: runners that only break streams, and one that refuses connections for a moment.

--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -0,0 +1,43 @@
+Feature: Runners that restart under their ids at another version
+
+  Scenario Outline: A runner restarts while nodes cannot read the store
+    # Its entry still names the version before, and its address and id are the same: what
+    # the new version writes was taken for events of the old one.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 12 streams at node 0, all of which broke
+    When <cut> cannot read the store
+    And runner 0 crashes, and <witness> learns of it by <evidence>
+    And runner 0 starts again at version "v2"
+    And every 2nd stream of a runner breaks
+    And callers begin 120 streams at <first> and resume broken ones at other nodes
+    Then runner 0 began streams again
+    And no stream has events of two versions
+    And each stream that was begun before goes on at its version, or is refused
+
+    Examples:
+      | cut       | witness      | evidence     | first    |
+      | its home  | its home     | its calls    | its home |
+      | its home  | its home     | broken calls | its home |
+      | its home  | another node | its calls    | its home |
+      | each node | its home     | its calls    | any node |
+      | each node | another node | broken calls | any node |
+
+  Scenario: Runners break streams and live on
+    # A stream that breaks is no sign that its runner has ended.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And every 2nd stream of a runner breaks
+    When callers read 120 streams and resume broken ones at other nodes
+    Then no stream has events of two versions
+    And streams are resumed at least 0.9 times as often as new ones begin
+
+  Scenario: A runner refuses connections for a moment and lives on
+    # Without an end of the doubt, no stream would ever go on at such a runner.
+    Given 3 nodes and 3 runners of the versions "v1"
+    And the runners' entries have start times
+    When runner 0 refuses connections until its home learns of it
+    And the store has confirmed the runner's entry for 3 s
+    And every 2nd stream of a runner breaks
+    And callers read 120 streams and resume broken ones at other nodes
+    Then streams are resumed at least 0.9 times as often as new ones begin
