Streams: no going on at a runner that may have started again

Callers got answers and resumed streams with events of two versions. A runner whose entry has a start time had come back under its id and address at another version, while nodes could not read its new entry. They took what it wrote for events of the old version; X-Target-Instance names the id only.

A host that refuses a connection is evidence that the lifetime has ended. The node puts it in doubt and tells the runner's home, which tells all nodes of the region. In doubt, the runner counts for no version: no stream goes on there, and one that begins there is recorded as ambiguous, so that nobody goes on with it. A lookup does not conclude from the only version meanwhile. The doubt ends with another entry, or once the list has been current for 2.2 s after the evidence. Entries without a start time are not affected, and no other calls.

The codec test draws 1,200 messages instead of 600: with one kind more, 600 did not draw each kind.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_records.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_records.py
@@ -16,6 +16,8 @@
 MAX_RECORDS = 16_384
 """3 MB; beyond that the oldest records are dropped."""
 MAX_ATTEMPT_ID_LENGTH = 128
+UNKNOWN_VERSION = "(unknown)"
+"""Stands for the version of a stream with which no runner can go on."""
 
 
 class StreamRecord(NamedTuple):
@@ -27,7 +29,8 @@
     expires_ms: float
     """Monotonic time until which the stream may be resumed."""
     is_ambiguous: bool = False
-    """Whether streams of several versions or pools began under the same id."""
+    """Whether the version is unknown, or streams of several versions or pools began
+    under the same id."""
 
 
 def stream_key(team: str | None, attempt_id: str) -> int:
--- /dev/null
+++ b/packages/clementineyoke-core/src/clementineyoke_core/lifetime_doubts.py
@@ -0,0 +1,77 @@
+"""Runners that may have started again since their entries were written."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from clementineyoke_core.runner import Runner
+
+SETTLE_MS = 2_200.0
+"""How long the store's list has to show an entry after its runner may have ended. A
+runner writes its entry when it starts, and about 2 s after an outage of the store."""
+
+
+class _End(NamedTuple):
+    """Monotonic times of the evidence that a lifetime has ended."""
+
+    first_ms: float
+    last_ms: float
+
+
+class LifetimeDoubts:
+    """Remember the lifetimes that may have ended although their entries are in force.
+
+    A runner may start again at another software version under its id and its address.
+    Until a node reads its new entry, it would take what the new lifetime writes for the
+    work of the old version. Only entries with a start time are concerned: other runners
+    have a new id at each start and reject calls for the id before.
+    """
+
+    def __init__(self) -> None:
+        self._ends: dict[str, _End] = {}
+        self._current_since_ms = math.inf
+        """Since when the list of runners has been current without interruption."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no lifetime is in doubt."""
+        return not self._ends
+
+    def record_end(self, runner: Runner, *, now_ms: float) -> bool:
+        """Record evidence of the end of a lifetime; return whether it is the first."""
+        if not runner.born_ms:
+            return False
+        known = self._ends.get(runner.lifetime)
+        first_ms = now_ms if known is None else known.first_ms
+        self._ends[runner.lifetime] = _End(first_ms, now_ms)
+        return known is None
+
+    def record_view(self, *, confirmed_ms: float, is_stale: bool) -> None:
+        """Record when the list of runners was last known to be the store's newest."""
+        if is_stale:
+            self._current_since_ms = math.inf
+            return
+        self._current_since_ms = min(self._current_since_ms, confirmed_ms)
+        self._ends = {
+            lifetime: end
+            for lifetime, end in self._ends.items()
+            if confirmed_ms - max(end.last_ms, self._current_since_ms) < SETTLE_MS
+        }
+
+    def is_doubtful(self, runner: Runner, *, connected_ms: float = math.inf) -> bool:
+        """Return whether another lifetime than the listed one may answer a call.
+
+        ``connected_ms`` is the time at which the connection of the call was opened. One
+        from before the evidence leads to the lifetime that the node had known.
+        """
+        end = self._ends.get(runner.lifetime)
+        return end is not None and connected_ms >= end.first_ms
+
+    def retain(self, lifetimes: Collection[str]) -> None:
+        """Forget all lifetimes but the listed ones."""
+        for lifetime in self._ends.keys() - lifetimes:
+            del self._ends[lifetime]
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_core.lifetime_doubts import LifetimeDoubts
 from clementineyoke_core.runner_state import RunnerState
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
         self._evacuated_zones: dict[str, int] = {}
         self._backoffs: dict[str, float] = {}
         """Monotonic end of this node's backoff, by runner lifetime."""
+        self.doubts = LifetimeDoubts()
 
     def set_evacuated_zones(self, zones: dict[str, int]) -> None:
         """Set the zones whose runners get no new work, with their orders' revisions."""
@@ -75,6 +77,7 @@
             )
         changed = entries.keys() != self._entries.keys()
         self._entries = entries
+        self.doubts.retain({entry.runner.lifetime for entry in entries.values()})
         return changed
 
     def get(self, runner_id: str) -> RunnerEntry | None:
@@ -95,9 +98,18 @@
         return pools
 
     def has_version(self, runner_id: str, version: str) -> bool:
-        """Return whether a runner on the host list has a software version."""
+        """Return whether a runner certainly has a software version."""
         entry = self._entries.get(runner_id)
-        return entry is not None and entry.runner.version == version
+        if entry is None or self.doubts.is_doubtful(entry.runner):
+            return False
+        return entry.runner.version == version
+
+    def has_doubtful_runner(self, pool: str) -> bool:
+        """Return whether a runner of a pool may have started at another version."""
+        return not self.doubts.is_empty and any(
+            entry.runner.pool == pool and self.doubts.is_doubtful(entry.runner)
+            for entry in self._entries.values()
+        )
 
     def is_ready(self, runner_id: str) -> bool:
         """Return whether a runner may get new work now."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_error.py
@@ -28,6 +28,7 @@
         is_runner_fault: bool = True,
         is_rejection: bool = False,
         is_final: bool = False,
+        is_refused: bool = False,
     ) -> None:
         super().__init__(f"{step} {peer}: {reason}")
         self.outcome = outcome
@@ -42,6 +43,8 @@
         """Whether the runner stated that it had no room for the call."""
         self.is_final = is_final
         """Whether the caller has a part of this answer, which no other can go on."""
+        self.is_refused = is_refused
+        """Whether the runner's host refused the connection."""
         self.response = response
         """The runner's signed error response, returned if no retry succeeds."""
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -176,7 +176,9 @@
         )
         stream.active_ms = self._timers.now_ms()
         await stream.start(response.head, is_leaving=self._membership.is_leaving)
-        on_begin = partial(self._record_begin, admitted, runner, stream)
+        on_begin = partial(
+            self._record_begin, admitted, runner, stream, response.connected_ms
+        )
         is_first = True
         while True:
             timeout = self._event_timeout(admitted, stream, failover)
@@ -184,6 +186,7 @@
                 break
             overdue_timer.stop()
             if is_first:
+                self._check_version(runner, stream, response)
                 latency_ms = self._timers.now_ms() - attempt.started_ms
                 self._timeouts.record_first_event(admitted.route, latency_ms=latency_ms)
                 self._token_accounting.record_first_event(
@@ -259,11 +262,32 @@
                 admitted.prompt_key, runner, now_ms=self._timers.now_ms()
             )
 
+    def _check_version(
+        self, runner: Runner, stream: CallerStream, response: OpenResponse
+    ) -> None:
+        """Raise ``AttemptError`` if a runner may go on at another version."""
+        if stream.version is None or not self._table.doubts.is_doubtful(
+            runner, connected_ms=response.connected_ms
+        ):
+            return
+        raise AttemptError(
+            outcome=AttemptOutcome.FAILED,
+            step="resume",
+            peer=runner.runner_id,
+            reason="the runner may have started again at another version",
+            is_runner_fault=False,
+        )
+
     def _record_begin(
-        self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        stream: CallerStream,
+        connected_ms: float,
     ) -> None:
-        stream.version = runner.version
-        self._streams.record_begin(admitted, runner)
+        stream.version = self._streams.record_begin(
+            admitted, runner, connected_ms=connected_ms
+        )
 
     def _record_resumption(self, stream: CallerStream, runner: Runner) -> None:
         """Count a stream of which another runner has produced the first events."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
@@ -131,6 +131,9 @@
             self._broker.record_unused(lease)
             if attempt.is_paid:
                 self._retries.refund(admitted.pool)
+        if runner.born_ms:
+            on_end = self._streams.lifetimes.record_end
+            self._fault_reports.check_end(runner, error, on_end=on_end)
         if admitted.deadline_ms > now_ms and error.is_runner_fault:
             # A failure after the call's deadline is no evidence against the runner: the
             # operator's timeout may be shorter than the work.
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -14,11 +14,7 @@
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
 from clementineyoke_core.edge.runner_reach import RunnerReach
-from clementineyoke_core.edge.store_freshness import (
-    StoreAges,
-    StoreFreshness,
-    ViewPart,
-)
+from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
 from clementineyoke_core.load_bound import LoadBound
 from clementineyoke_node.edge.admission_control import AdmissionControl
 from clementineyoke_node.edge.answer_reader import AnswerReader
@@ -212,7 +208,7 @@
             store=self.store,
             socket=self.socket,
             timers=self.timers,
-            is_view_current=lambda: not self.view.is_stale(ViewPart.RUNNERS),
+            view=self.view,
             knows_nodes=lambda: self.registration.registered.is_set(),
         )
         self.streams = self.stream_components.registry
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.reach_verdict import ReachVerdict
+from clementineyoke_node.edge.runner_liveness import PROBE_DELAY_MS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from clementineyoke_core.runner import Runner
+    from clementineyoke_node.edge.attempt_error import AttemptError
     from clementineyoke_node.edge.reach_monitor import ReachMonitor
     from clementineyoke_node.edge.reach_witnesses import ReachWitnesses
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.timers.background_tasks import BackgroundTasks
 
+MS_PER_S = 1000.0
+
 
 class FaultReports:
     """Find out why calls to a runner failed before its home is told.
@@ -44,6 +49,7 @@
         self._witnesses = witnesses
         self._tasks = tasks
         self._probe = probe
+        self._checked_lifetimes: set[str] = set()
 
     def record_unreachable(self, runner: Runner) -> None:
         """Report a runner that accepted no connection."""
@@ -72,6 +78,32 @@
             return await self._refuses(runner)
         return verdict is ReachVerdict.UNREACHABLE
 
+    def check_end(
+        self, runner: Runner, error: AttemptError, *, on_end: Callable[[Runner], None]
+    ) -> None:
+        """Call ``on_end`` if a failed call shows that a runner has ended.
+
+        Connections are reset for other reasons as well; only a host that refuses a new
+        one shows that the runner's process is gone.
+        """
+        if error.is_refused:
+            on_end(runner)
+        elif (
+            error.is_connection_lost and runner.lifetime not in self._checked_lifetimes
+        ):
+            self._checked_lifetimes.add(runner.lifetime)
+            self._tasks.spawn(self._check_end(runner, on_end), name="check_end")
+
+    async def _check_end(
+        self, runner: Runner, on_end: Callable[[Runner], None]
+    ) -> None:
+        try:
+            await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
+            if await self._refuses(runner):
+                on_end(runner)
+        finally:
+            self._checked_lifetimes.discard(runner.lifetime)
+
     async def _check_overdue(self, runner: Runner) -> None:
         if self._monitor.is_isolated(runner.pool):
             return
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -16,7 +16,7 @@
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.response_checks import check_call_id
-from clementineyoke_node.edge.runner_protocol import make_connector
+from clementineyoke_node.edge.runner_protocol import RunnerProtocol, make_connector
 from clementineyoke_node.edge.runner_response import OpenResponse
 from clementineyoke_node.platform.runner_codec import (
     RoutingHeaders,
@@ -163,12 +163,13 @@
                 on_connected=partial(self._record_connected, runner),
             ),
         )
+        connected_ms = _connected_ms(response)
         is_complete = False
         try:
             head = decode_response_head(response.status, response.headers)
             self._signals.apply(runner, call, head)
             check_call_id(call, head, peer=runner.runner_id)
-            yield OpenResponse(head, response)
+            yield OpenResponse(head, response, connected_ms)
             is_complete = response.content.at_eof()
         finally:
             if is_complete:
@@ -279,6 +280,7 @@
                 step="connect",
                 peer=runner.runner_id,
                 reason=repr(error),
+                is_refused=_is_refused(error),
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             if trace.is_reused and not isinstance(error, TimeoutError):
@@ -301,6 +303,20 @@
             )
 
 
+def _connected_ms(response: aiohttp.ClientResponse) -> float:
+    """Return when a response's connection was opened; infinite once it is released."""
+    protocol = None if response.connection is None else response.connection.protocol
+    if isinstance(protocol, RunnerProtocol):
+        return protocol.connected_s * MS_PER_S
+    return math.inf
+
+
+def _is_refused(error: Exception) -> bool:
+    if not isinstance(error, aiohttp.ClientConnectorError):
+        return False
+    return isinstance(error.os_error, ConnectionRefusedError)
+
+
 def make_session(
     *,
     keeps_alive: bool,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -47,6 +47,11 @@
         self._last_received_s = 0.0
         self._max_idle_s = MAX_IDLE_S
 
+    @property
+    def connected_s(self) -> float:
+        """Time of the loop at which the connection was opened."""
+        return self._connected_s
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the peer's address and the time of the connection."""
         super().connection_made(transport)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -16,6 +17,8 @@
 
     head: ResponseHead
     client_response: aiohttp.ClientResponse
+    connected_ms: float = math.inf
+    """Monotonic time at which its connection was opened; infinite if unknown."""
 
 
 class HeldBody:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.pool_versions import PoolVersions
+from clementineyoke_core.edge.store_freshness import ViewPart
 from clementineyoke_core.edge.stream_records import StreamRecords
 from clementineyoke_core.hashing import hash_text
+from clementineyoke_node.edge.lifetime_exchange import LifetimeExchange
 from clementineyoke_node.edge.stream_archive import StreamArchive
 from clementineyoke_node.edge.stream_registry import StreamRegistry
 from clementineyoke_node.edge.version_archive import VersionArchive
@@ -14,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.node_state import NodeState
     from clementineyoke_node.peers.peer_socket import PeerSocket
     from clementineyoke_node.platform.store_client import StoreClient
@@ -23,7 +26,7 @@
 """One of them may be cut off from the store while its peers still reach it."""
 VERSION_WRITERS_KEY = hash_text("writers of pool versions")
 STREAM_WRITERS_KEY = hash_text("writers of streams")
-ARCHIVE_INTERVAL_MS = 50.0
+ROUND_INTERVAL_MS = 50.0
 
 
 class StreamComponents:
@@ -36,10 +39,10 @@
         store: StoreClient,
         socket: PeerSocket,
         timers: TimerService,
-        is_view_current: Callable[[], bool],
+        view: FleetView,
         knows_nodes: Callable[[], bool],
     ) -> None:
-        """Create the parts; ``is_view_current`` is described at ``StreamLookup``.
+        """Create the parts.
 
         ``knows_nodes`` tells whether this node has read which nodes there are; before
         that it would take itself for a writer.
@@ -63,6 +66,9 @@
             mixed_pools=self._mixed_pools,
             writers=self._stream_writers,
         )
+        self._lifetimes = LifetimeExchange(
+            state=state, view=view, socket=socket, timers=timers
+        )
         self.registry = StreamRegistry(
             records=records,
             versions=self.versions,
@@ -75,17 +81,19 @@
             timers=timers,
             decisions=state.decisions,
             metrics=state.metrics,
-            is_view_current=is_view_current,
+            is_view_current=lambda: not view.is_stale(ViewPart.RUNNERS),
+            lifetimes=self._lifetimes,
         )
 
     def start_timers(self) -> None:
-        """Start to write to the store what has changed."""
-        for name, archive in (
+        """Start to write to the store what has changed, and to end doubts."""
+        for name, part in (
             ("pool_versions", self._version_archive),
             ("stream_archive", self._stream_archive),
+            ("lifetimes", self._lifetimes),
         ):
             self._timers.subscribe(
-                name, interval_ms=ARCHIVE_INTERVAL_MS, callback=archive.run_round
+                name, interval_ms=ROUND_INTERVAL_MS, callback=part.run_round
             )
 
     def _is_version_writer(self) -> bool:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -16,6 +16,7 @@
 from clementineyoke_core.edge.stream_records import (
     MAX_TTL_MS,
     RESUMPTION_TTL_MS,
+    UNKNOWN_VERSION,
     StreamRecord,
     is_attempt_id,
     stream_key,
@@ -40,6 +41,7 @@
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
+    from clementineyoke_node.edge.lifetime_exchange import LifetimeExchange
     from clementineyoke_node.edge.stream_archive import StreamArchive
     from clementineyoke_node.edge.version_archive import VersionArchive
     from clementineyoke_node.metrics import Metrics
@@ -103,11 +105,13 @@
         decisions: DecisionRing,
         metrics: Metrics,
         is_view_current: Callable[[], bool],
+        lifetimes: LifetimeExchange,
     ) -> None:
         """Create a registry; ``homes`` assigns streams to the nodes of the region.
 
         ``is_view_current`` is described at ``StreamLookup``.
         """
+        self.lifetimes = lifetimes
         self._records = records
         self._versions = versions
         self._version_archive = version_archive
@@ -129,21 +133,31 @@
         """Return whether streams of several versions may be resumed in a pool."""
         return self._versions.is_mixed(pool, now_ms=self._timers.now_ms())
 
-    def record_begin(self, admitted: AdmittedCall, runner: Runner) -> None:
+    def record_begin(
+        self, admitted: AdmittedCall, runner: Runner, *, connected_ms: float
+    ) -> str:
         """Record the version of a stream; must be called before its first event.
 
-        The messages to peers are sent before the caller can get that event.
+        The messages to peers are sent before the caller can get that event. Returns the
+        version that may go on with the stream. ``connected_ms`` is described at
+        ``LifetimeDoubts``.
         """
+        is_doubtful = self._table.doubts.is_doubtful(runner, connected_ms=connected_ms)
+        version = UNKNOWN_VERSION if is_doubtful else runner.version
         if not _is_resumable(admitted):
-            return
+            return version
         record = StreamRecord(
-            hash_text(runner.pool), runner.version, self._expires_ms(admitted)
+            hash_text(runner.pool),
+            version,
+            self._expires_ms(admitted),
+            is_ambiguous=is_doubtful,
         )
         key = stream_key(admitted.team, admitted.call.call_id)
         self._records.merge(key, record, now_ms=self._timers.now_ms())
         self._stream_archive.add(key)
-        if self.is_mixed(runner.pool):
+        if is_doubtful or self.is_mixed(runner.pool):
             self._share(key)
+        return version
 
     def record_complete(self, admitted: AdmittedCall) -> None:
         """Forget a completed stream, unless its version would have to be known."""
@@ -288,6 +302,8 @@
         record = self._records.find(key, now_ms=now_ms) if key else None
         pool = self._pool_names.get(pool_hash)
         versions = [] if pool is None else self._versions.recent(pool, now_ms=now_ms)
+        if pool is not None and self._table.has_doubtful_runner(pool):
+            versions.append(UNKNOWN_VERSION)
         observed_ms = self._versions.observed_ms(now_ms=now_ms)
         return LookupAnswer(record, tuple(versions), observed_ms)
 
@@ -312,7 +328,9 @@
             return
         self._note_rate.record(now_ms=now_ms)
         news = StreamNews([self._to_note(key, record)])
-        holders = self._with_writers(self._holders(key, self._holder_count(now_ms)))
+        # Where one version serves, a lookup ends before all peers have answered.
+        count = MAX_HOLDERS if record.is_ambiguous else self._holder_count(now_ms)
+        holders = self._with_writers(self._holders(key, count))
         self._socket.send_all([PeerAddress.of(node) for node in holders], news)
 
     def _share_all(self, pool: str) -> None:
@@ -414,7 +432,7 @@
 
 def _describe_failure(resumes: str, result: LookupResult, *, is_named: bool) -> str:
     if result is LookupResult.AMBIGUOUS:
-        return f"streams of several versions began as {resumes!r}"
+        return f"streams of several or unknown versions began as {resumes!r}"
     if result is LookupResult.RECORDED:
         return f"the route does not use the pool that began the stream {resumes!r}"
     if not resumes:
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -130,6 +130,9 @@
     VERSIONS_STORED = EventKind(
         248, "INFO", "The recent versions of the pools were written to the store."
     )
+    RUNNER_DOUBTED = EventKind(
+        250, "INFO", "A runner may have started again at another version."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -107,6 +107,15 @@
     """Whether no connection to the runner could be opened."""
 
 
+class RunnerEnd(NamedTuple):
+    """Report that a runner's lifetime has ended, sent to the runner's home node."""
+
+    runner: int
+    """Hash of the lifetime."""
+    is_relayed: bool = False
+    """Whether the home node sends it to all others."""
+
+
 class ReachAsk(NamedTuple):
     """Request to open a connection to a runner that others cannot reach."""
 
@@ -416,5 +425,6 @@
     | StreamReply
     | TrialAsk
     | TrialReply
+    | RunnerEnd
 )
 """Any message that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -108,6 +108,7 @@
 struct RunnerSpeed { runner @0 :UInt64; running @1 :UInt16; waiting @2 :UInt16;
   slots @3 :UInt16; slowdownPercent @4 :UInt16; ageMs @5 :UInt32; }
 struct RunnerFault { runner @0 :UInt64; isUnreachable @1 :Bool; }
+struct RunnerEnd { runner @0 :UInt64; isRelayed @1 :Bool; }
 struct ReachAsk { askId @0 :UInt32; runner @1 :UInt64; }
 struct ReachReply { askId @0 :UInt32; verdict @1 :UInt8; }
 struct StreamNote { key @0 :UInt64; pool @1 :UInt64; version @2 :Text;
@@ -153,5 +154,6 @@
     streamReply @21 :StreamReply;
     trialAsk @22 :TrialAsk;
     trialReply @23 :TrialReply;
+    runnerEnd @24 :RunnerEnd;
   }
 }
--- a/packages/clementineyoke-wire/tests/steps/codec_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/codec_steps.py
@@ -115,7 +115,7 @@
 def check_round_trip(context):
     kinds = set()
 
-    @checked(600)
+    @checked(1_200)
     @for_any(ANY_MESSAGE, st.integers(0, 2**32 - 1))
     def check(message, incarnation):
         received = decode(encode(message, incarnation=incarnation))
@@ -176,6 +176,7 @@
         r"streamReply @\d+ :StreamReply;",
         r"trialAsk @\d+ :TrialAsk;",
         r"trialReply @\d+ :TrialReply;",
+        r"runnerEnd @\d+ :RunnerEnd;",
         r"parts @4 :List\(Data\);[^}]*answeredAgesMs @6 :List\(UInt32\);",
         r"companions @5 :List\(Data\);[^}]*wasAnswered @9 :Bool;",
         r"runnerSpeed @\d+ :RunnerSpeed;",
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,7 @@
 BOUNDS_SOURCE = f"{NODE}/src/clementineyoke_node/bounds"
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
 LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
+RUNNER_RESTARTS = f"{NODE}/tests/edge/runner_restarts.feature"
 CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
 RESTART_OF_ALL = f"{NODE}/tests/edge/restart_of_all_nodes.feature"
 STORE_CALLS = f"{NODE}/tests/edge/store_calls.feature"
@@ -1050,7 +1051,7 @@
     Mutation(
         "versions of streams are not told to peers",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "        if self.is_mixed(runner.pool):\n",
+        "        if is_doubtful or self.is_mixed(runner.pool):\n",
         "        if False:\n",
         VERSIONS,
     ),
@@ -1345,6 +1346,27 @@
         "    return error.reason\n    text = _BY_OUTCOME.get(error.outcome)\n",
         ENDLESS_BYTES,
     ),
+    Mutation(
+        "a runner that may have started again keeps the version of its entry",
+        f"{CORE_SOURCE}/runner_table.py",
+        "if entry is None or self.doubts.is_doubtful(entry.runner):",
+        "if entry is None:",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "a stream that begins at a runner in doubt is recorded at its entry's version",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "is_doubtful = self._table.doubts.is_doubtful(",
+        "is_doubtful = False and self._table.doubts.is_doubtful(",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "the end of a runner is not told to other nodes",
+        f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
+        "self._socket.send_all(peers, RunnerEnd(lifetime_hash, is_relayed=True))",
+        "pass",
+        RUNNER_RESTARTS,
+    ),
 )
 
 
