--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -14,10 +14,7 @@
 from clementineyoke_core.edge.retry_window import RetryWindow
 from clementineyoke_core.edge.runner_health import RunnerHealth
 from clementineyoke_core.edge.runner_reach import RunnerReach
-from clementineyoke_core.edge.store_freshness import (
-    StoreAges,
-    StoreFreshness,
-)
+from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
 from clementineyoke_core.load_bound import LoadBound
 from clementineyoke_node.edge.admission_control import AdmissionControl
 from clementineyoke_node.edge.answer_reader import AnswerReader
@@ -211,7 +208,7 @@
             store=self.store,
             socket=self.socket,
             timers=self.timers,
-            get_view=lambda: self.view,
+            view=self.view,
             knows_nodes=lambda: self.registration.registered.is_set(),
         )
         self.streams = self.stream_components.registry
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -304,6 +304,7 @@
                 step="connect",
                 peer=runner.runner_id,
                 reason=repr(error),
+                is_refused=_is_refused(error),
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             if trace.is_reused and not isinstance(error, TimeoutError):
@@ -326,6 +327,12 @@
             )
 
 
+def _is_refused(error: Exception) -> bool:
+    if not isinstance(error, aiohttp.ClientConnectorError):
+        return False
+    return isinstance(error.os_error, ConnectionRefusedError)
+
+
 def make_session(
     *,
     keeps_alive: bool,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -50,6 +50,7 @@
         self._connections = connections
         self._peer = Address("", 0)
         self.connected_s = 0.0
+        """Time of the loop at which the connection was opened."""
         self.ended_s: float | None = None
         """When the connection ended; None while it is open."""
         self._last_received_s = 0.0
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -11,6 +12,8 @@
     from clementineyoke_node.edge.runner_protocol import RunnerProtocol
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
+MS_PER_S = 1000.0
+
 
 class OpenResponse(NamedTuple):
     """A response whose head has arrived and whose body has not been read."""
@@ -20,6 +23,13 @@
     protocol: RunnerProtocol | None = None
     """Its connection to the runner; None if that had ended with the head."""
 
+    @property
+    def connected_ms(self) -> float:
+        """Monotonic time at which its connection was opened; infinite if unknown."""
+        if self.protocol is None:
+            return math.inf
+        return self.protocol.connected_s * MS_PER_S
+
 
 class HeldBody:
     """A long body, which is accounted for as long as it is referred to."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -8,6 +8,7 @@
 from clementineyoke_core.edge.store_freshness import ViewPart
 from clementineyoke_core.edge.stream_records import StreamRecords
 from clementineyoke_core.hashing import hash_text
+from clementineyoke_node.edge.lifetime_exchange import LifetimeExchange
 from clementineyoke_node.edge.stream_archive import StreamArchive
 from clementineyoke_node.edge.stream_registry import StreamRegistry
 from clementineyoke_node.edge.version_archive import VersionArchive
@@ -25,7 +26,7 @@
 """One of them may be cut off from the store while its peers still reach it."""
 VERSION_WRITERS_KEY = hash_text("writers of pool versions")
 STREAM_WRITERS_KEY = hash_text("writers of streams")
-ARCHIVE_INTERVAL_MS = 50.0
+ROUND_INTERVAL_MS = 50.0
 
 
 class StreamComponents:
@@ -38,7 +39,7 @@
         store: StoreClient,
         socket: PeerSocket,
         timers: TimerService,
-        get_view: Callable[[], FleetView],
+        view: FleetView,
         knows_nodes: Callable[[], bool],
     ) -> None:
         """Create the parts.
@@ -65,6 +66,9 @@
             mixed_pools=self._mixed_pools,
             writers=self._stream_writers,
         )
+        self._lifetimes = LifetimeExchange(
+            state=state, view=view, socket=socket, timers=timers
+        )
         self.registry = StreamRegistry(
             records=records,
             versions=self.versions,
@@ -77,18 +81,20 @@
             timers=timers,
             decisions=state.decisions,
             metrics=state.metrics,
-            is_view_current=lambda: not get_view().is_stale(ViewPart.RUNNERS),
-            runners_age_ms=lambda: get_view().ages().runners_ms,
+            is_view_current=lambda: not view.is_stale(ViewPart.RUNNERS),
+            runners_age_ms=lambda: view.ages().runners_ms,
+            lifetimes=self._lifetimes,
         )
 
     def start_timers(self) -> None:
-        """Start to write to the store what has changed."""
-        for name, archive in (
+        """Start to write to the store what has changed, and to end doubts."""
+        for name, part in (
             ("pool_versions", self._version_archive),
             ("stream_archive", self._stream_archive),
+            ("lifetimes", self._lifetimes),
         ):
             self._timers.subscribe(
-                name, interval_ms=ARCHIVE_INTERVAL_MS, callback=archive.run_round
+                name, interval_ms=ROUND_INTERVAL_MS, callback=part.run_round
             )
 
     def _is_version_writer(self) -> bool:
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -133,6 +133,9 @@
     END_CHECKED = EventKind(
         249, "INFO", "An answer ended with its connection; says whether its runner did."
     )
+    RUNNER_DOUBTED = EventKind(
+        250, "INFO", "A runner may have started again at another version."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
