Soak: runners are replaced under new IDs while nodes are killed

Callers saw streams whose later events came from another software version than the first ones, on machines of their own, as real processes. No play of ours showed that with node processes and signals: the soak's runners returned under the IDs that they had, and its only release amid a kill had streams too short to be broken by it.

A new fault replaces all runners, some at once and some after they have drained, by ones with new IDs at the same addresses, while all nodes are killed amid it, all of them twice, half of them before and half after, or all of them in a rollback. `--replacements_only` plays the four forms alone, with eight runners and 40 callers, and `--node_python` runs the nodes from another work tree.

Crashed runners of the soak return under new IDs, except each fourth and those of the older release. What runners received is audited under the ID that they had then. A runner that returns listens on a new port behind its link: its former one was taken by a connection in one of the first runs. The audit now finds streams that end as complete before their last event and bytes between events; each new example fails without its check.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -43,6 +43,9 @@
     """Whether a runner and the store send bytes without end."""
     has_release: bool = True
     """Whether all nodes are killed amid a release of a new version."""
+    has_replacements: bool = True
+    """Whether most runners return under new IDs, and nodes are killed in a release
+    that replaces runners so."""
 
 
 def run(
@@ -51,34 +54,59 @@
     length_s: float = LENGTH_S,
     timed: bool = True,
     kept: bool = False,
+    replacements_only: bool = False,
+    node_python: str = sys.executable,
 ) -> None:
     """Run seeds such as ``7``, ``1-50`` or ``3,8``; exit 1 if a guarantee is broken.
 
     ``--timed=False`` skips guarantees whose result depends on the load of the machine;
-    ``--kept`` adds the regression seeds.
+    ``--kept`` adds the regression seeds. ``--replacements_only`` plays nothing but
+    releases that replace runners while nodes are killed. ``--node_python`` runs the
+    nodes in the interpreter of another work tree, to compare two versions of the code.
     """
-    seed_runs = [SeedRun(seed, length_s) for seed in _parse_seeds(str(seeds))]
+    options = dict.fromkeys(SeedRun._field_defaults, not replacements_only)
+    options["has_replacements"] = True
+    seed_runs = [
+        SeedRun(seed, length_s, **options) for seed in _parse_seeds(str(seeds))
+    ]
     if kept:
         entries = json5.loads(REGRESSION_SEEDS.read_text())
         seed_runs += [
             SeedRun(**dict.fromkeys(SeedRun._field_defaults, False) | entry)
             for entry in entries
         ]
-    reports = [_run_seed(entry, is_timed=timed) for entry in seed_runs]
+    reports = [
+        _run_seed(
+            entry,
+            is_timed=timed,
+            has_other_faults=not replacements_only,
+            node_python=node_python,
+        )
+        for entry in seed_runs
+    ]
     failed = [report for report in reports if report.violations]
     print(f"{len(reports) - len(failed)} seeds passed, {len(failed)} failed")
     if failed:
         sys.exit(1)
 
 
-def _run_seed(seed_run: SeedRun, *, is_timed: bool) -> SoakReport:
+def _run_seed(
+    seed_run: SeedRun, *, is_timed: bool, has_other_faults: bool, node_python: str
+) -> SoakReport:
     folder = FOLDER / f"seed-{seed_run.seed}"
-    soak_run = SoakRun(**seed_run._asdict(), folder=folder, is_timed=is_timed)
+    soak_run = SoakRun(
+        **seed_run._asdict(),
+        folder=folder,
+        is_timed=is_timed,
+        has_other_faults=has_other_faults,
+        node_python=node_python,
+    )
     report = asyncio.run(soak_run.run())
     print(
         f"seed {report.seed}: {report.calls} calls, {report.served} served,"
         f" {len(report.faults)} faults, recovered after {report.recovery_s:.1f} s,"
-        f" {report.resumed} of {report.resumptions} resumptions went on"
+        f" {report.resumed} of {report.resumptions} resumptions went on,"
+        f" {report.failed_resumptions} were answered with 500"
     )
     for line in report.violations:
         print(f"  BROKEN {line}")
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -113,6 +113,8 @@
 
     sender_port: int = 0
     """Port from which the call was sent."""
+    runner_id: str = ""
+    """ID that the runner had then."""
 
     @property
     def call_id(self) -> str:
@@ -336,6 +338,7 @@
             signals_draining=self.is_draining,
             retry_after_s=self.retry_after_s if is_refused else 0.0,
             sender_port=(writer.get_extra_info("peername") or ("", 0))[1],
+            runner_id=self.runner_id,
         )
         self.calls.append(seen)
         if self._exceeds_cold_limit(seen.received_s):
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -25,7 +25,8 @@
 from clementineyoke_standins.soak.fault_proxy import LinkFault
 from clementineyoke_standins.soak.loopback import node_address
 from clementineyoke_standins.soak.operator_state import COLD_CALLS_PER_S, RouteKind
-from clementineyoke_standins.soak.schedule import FaultKind
+from clementineyoke_standins.soak.releases import ReleaseInjector
+from clementineyoke_standins.soak.schedule import ALL_NODES_KILLED, FaultKind
 from clementineyoke_standins.soak.soak_fleet import (
     CRASHING_BODY,
     CRASHING_PART,
@@ -126,6 +127,7 @@
         """Times in which runners stopped working."""
         self.crashing_callers: list[Caller] = []
         """Callers of requests that crash runners, one for each such fault."""
+        self._releases = ReleaseInjector(fleet=fleet)
         self._handlers: dict[FaultKind, Callable[[PlannedFault], Awaitable[None]]] = {
             FaultKind.NODE_STOP: self._stop_node,
             FaultKind.NODE_KILL: self._kill_node,
@@ -133,6 +135,7 @@
             FaultKind.NODE_CLOCK: self._skew_clock,
             FaultKind.ALL_KILL: self._kill_all,
             FaultKind.RELEASE_KILL: self._kill_all_in_release,
+            FaultKind.REPLACE_KILL: self._releases.inject,
             FaultKind.HUP: self._reload_settings,
             FaultKind.SETTINGS_TORN: self._truncate_settings,
             FaultKind.STORE_LINK: self._break_store_link,
@@ -203,8 +206,9 @@
     def _release(self, runners: list[EdgeRunner]) -> None:
         for runner in runners:
             if runner.runner_id not in self._fleet.state.runner_left_s:
-                runner.version = RELEASED_VERSION
-                runner.crash()
+                self._fleet.restart_runner(
+                    runner, version=RELEASED_VERSION, has_new_id=False
+                )
 
     async def _pause_node(self, fault: PlannedFault) -> None:
         node = self._node(fault)
@@ -275,9 +279,8 @@
         await self._drain_and_remove(number, duration_s=fault.duration_s)
 
     async def _drain_and_remove(self, number: int, *, duration_s: float) -> None:
-        runner, link = self._fleet.runners[number], self._fleet.runner_links[number]
-        runner.is_draining = True
-        await self._fleet.state.write_entry(runner, link.listen, state="draining")
+        runner = self._fleet.runners[number]
+        await self._fleet.announce_leave(runner)
         await asyncio.sleep(duration_s)
         await self._fleet.state.remove_entry(runner)
 
@@ -443,7 +446,7 @@
 
     def interrupted_node(self, fault: PlannedFault) -> int | None:
         """Return the number of the node that is restarted or paused, None for all."""
-        if fault.kind in (FaultKind.ALL_KILL, FaultKind.RELEASE_KILL):
+        if fault.kind in ALL_NODES_KILLED:
             return None
         return fault.selector % len(self._fleet.nodes)
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_proxy.py
@@ -50,7 +50,7 @@
 
     def __init__(self, *, listen: Endpoint, target: Endpoint) -> None:
         self.listen = listen
-        self._target = target
+        self.target = target
         self.fault: LinkFault | None = None
         self.sources: dict[int, str] = {}
         """Address that opened each connection, by its port towards the target."""
@@ -109,7 +109,7 @@
             self._reset(writer)
             return
         try:
-            target_reader, target_writer = await asyncio.open_connection(*self._target)
+            target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
             self._reset(writer)  # show the caller that the target is down
             return
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -22,8 +22,17 @@
 class NodeProcess:
     """Start, signal and stop a node process and record unexpected exits."""
 
-    def __init__(self, *, name: str, folder: Path, settings: dict[str, Any]) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        folder: Path,
+        settings: dict[str, Any],
+        python: str = sys.executable,
+    ) -> None:
+        """Create a node that runs in an interpreter, which decides on its code."""
         self.name = name
+        self._python = python
         self.settings = settings
         self.skew_s = 0
         """Skew of the node's wall clock from its next start, in seconds."""
@@ -100,7 +109,7 @@
         }
         self._log_offset = self._log_path.stat().st_size
         self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
+            self._python,
             "-m",
             NODE_MODULE,
             stdout=self._log,
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -132,8 +132,12 @@
 
     async def remove_entry(self, runner: EdgeRunner) -> None:
         """Remove the entry of a runner that has left."""
-        await self._store.remove(names.RUNNERS_KIND, runner.runner_id)
-        self.runner_left_s.setdefault(runner.runner_id, time.monotonic())
+        await self.remove_entry_of(runner.runner_id)
+
+    async def remove_entry_of(self, runner_id: str) -> None:
+        """Remove the entry under the ID of a runner that has left or has a new ID."""
+        await self._store.remove(names.RUNNERS_KIND, runner_id)
+        self.runner_left_s.setdefault(runner_id, time.monotonic())
 
     async def evacuate_zone(self, zone: str, *, duration_s: float) -> None:
         """Evacuate a zone for a time in seconds."""
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -6,11 +6,15 @@
 from random import Random
 from typing import NamedTuple
 
+from clementineyoke_standins.soak.releases import NodeLoss
+
 WARM_UP_S = 2.0
 """Time before the first fault, to open connections and fill caches."""
 MIN_GAP_S = 0.1
 MAX_GAP_S = 1.6
 """Longest gap between the starts of two faults, short enough that most overlap."""
+REPLACEMENT_INTERVAL_S = 14.0
+"""Time between the starts of two releases, longer than a release takes."""
 MIN_DURATION_S = 0.4
 MAX_DURATION_S = 3.0
 CRASHING_REQUEST_FAULTS = 2
@@ -29,6 +33,9 @@
     RELEASE_KILL = "release_kill"
     """Half of the runners get a new version, then all nodes are killed; the rest of the
     runners get it meanwhile in every second seed."""
+    REPLACE_KILL = "replace_kill"
+    """Runners are replaced by ones of another version, with new IDs at the same
+    addresses, and nodes are killed meanwhile."""
     HUP = "hup"
     SETTINGS_TORN = "settings_torn"
     """The settings file is truncated while the node reloads it."""
@@ -88,14 +95,15 @@
 """Faults during which every guarantee must hold."""
 PLANNED_WORK = NON_DISRUPTIVE | {FaultKind.NODE_STOP}
 """Planned work of operators, which must not interrupt calls."""
-INTERRUPTIONS = frozenset(
+ALL_NODES_KILLED = frozenset(
+    (FaultKind.ALL_KILL, FaultKind.RELEASE_KILL, FaultKind.REPLACE_KILL)
+)
+INTERRUPTIONS = ALL_NODES_KILLED | frozenset(
     (
         FaultKind.NODE_STOP,
         FaultKind.NODE_KILL,
         FaultKind.NODE_PAUSE,
         FaultKind.NODE_CLOCK,
-        FaultKind.ALL_KILL,
-        FaultKind.RELEASE_KILL,
     )
 )
 """Faults after which a node may have lost the signals of runners."""
@@ -118,6 +126,7 @@
         *PAUSES,
         *ENDLESS_BYTES,
         FaultKind.RELEASE_KILL,
+        FaultKind.REPLACE_KILL,
     )
 )
 """Faults with random generators of their own, so that older seeds keep their faults."""
@@ -190,6 +199,27 @@
     return _draw_once(kinds, Random(f"release of {seed}"), length_s)
 
 
+def plan_replacements(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the release of a seed in which runners are replaced under new IDs."""
+    kinds = (FaultKind.REPLACE_KILL,)
+    return _draw_once(kinds, Random(f"replacements of {seed}"), length_s)
+
+
+def plan_replacements_alone(seed: int) -> list[PlannedFault]:
+    """Return one such release for each way to kill nodes, one after the other."""
+    rng = Random(f"replacements alone of {seed}")
+    count = len(NodeLoss)
+    return [
+        PlannedFault(
+            WARM_UP_S + number * REPLACEMENT_INTERVAL_S,
+            FaultKind.REPLACE_KILL,
+            rng.randrange(2**12) * count + number,
+            0.0,
+        )
+        for number in range(count)
+    ]
+
+
 def _draw_once(
     kinds: tuple[FaultKind, ...], rng: Random, length_s: float
 ) -> list[PlannedFault]:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import time
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Any, Self
@@ -27,6 +28,7 @@
 STOP_DEADLINE_S = 8
 ZONES = 2
 MS_PER_S = 1000.0
+RESTARTS_PER_KEPT_ID = 4
 RUNNER_RESTART_DELAY_S = 1.0
 """Time until a crashed runner accepts connections again."""
 CRASHING_BODY = b"ends whoever runs it"
@@ -48,8 +50,21 @@
     nodes share.
     """
 
-    def __init__(self, *, nodes: int, runners: int, folder: Path) -> None:
+    def __init__(
+        self,
+        *,
+        nodes: int,
+        runners: int,
+        folder: Path,
+        has_new_ids: bool = True,
+        node_python: str = sys.executable,
+    ) -> None:
+        """Create a fleet in which most runners return under new IDs after crashes."""
         self._folder = folder
+        self._has_new_ids = has_new_ids
+        self._restarts = 0
+        self._requested_ids: dict[str, bool] = {}
+        """Whether runners that have been ended on purpose return under new IDs."""
         self._stack = AsyncExitStack()
         self._tasks = BackgroundTasks()
         ports = free_ports(len(NODE_PORTS) + 1 + nodes + 2 * runners)
@@ -71,7 +86,12 @@
             for n in range(nodes)
         ]
         self.nodes = [
-            NodeProcess(name=f"node-{n}", folder=folder, settings=self._settings(n))
+            NodeProcess(
+                name=f"node-{n}",
+                folder=folder,
+                settings=self._settings(n),
+                python=node_python,
+            )
             for n in range(nodes)
         ]
 
@@ -115,6 +135,24 @@
         source = self.runner_links[runner].sources[call.sender_port]
         return [node_address(n) for n in range(len(self.nodes))].index(source)
 
+    def is_leaving(self, runner: EdgeRunner) -> bool:
+        """Return whether a runner leaves or has left."""
+        return runner.is_draining or runner.runner_id in self.state.runner_left_s
+
+    async def announce_leave(self, runner: EdgeRunner) -> None:
+        """Make a runner drain, as its responses and its entry tell."""
+        link = self.runner_links[self.runners.index(runner)]
+        runner.is_draining = True
+        await self.state.write_entry(runner, link.listen, state="draining")
+
+    def restart_runner(
+        self, runner: EdgeRunner, *, version: str, has_new_id: bool
+    ) -> None:
+        """End a runner; it returns at the same address with another version."""
+        runner.version = version
+        self._requested_ids[runner.runner_id] = has_new_id
+        runner.crash()
+
     def _handle_crash(self, runner: EdgeRunner) -> None:
         """Stop the link of a crashed runner and schedule the restart of both."""
         link = self.runner_links[self.runners.index(runner)]
@@ -124,12 +162,30 @@
     async def _restart_runner(self, runner: EdgeRunner, link: FaultProxy) -> None:
         await asyncio.sleep(RUNNER_RESTART_DELAY_S)
         runner.cold_until_s = 0.0
+        former_id = runner.runner_id
+        has_new_id = self._takes_new_id(former_id)
+        if has_new_id:
+            number = self.runners.index(runner)
+            runner.runner_id = f"runner-{number}-{runner.crashes}"
+        runner.port = 0  # its former port may be that of a connection by now
         await runner.start()
+        link.target = Endpoint(LOCAL, runner.port)
         await link.start()
         if runner.runner_id not in self.state.runner_left_s:
             runner.is_draining = False
             born_ms = round(time.time() * MS_PER_S)
             await self.state.write_entry(runner, link.listen, born_ms=born_ms)
+        if has_new_id:
+            await self.state.remove_entry_of(former_id)
+
+    def _takes_new_id(self, former_id: str) -> bool:
+        """Return whether a runner returns with a new ID, as after most restarts."""
+        if former_id in self._requested_ids:
+            return self._requested_ids.pop(former_id)
+        self._restarts += 1
+        has_left = former_id in self.state.runner_left_s
+        is_kept = self._restarts % RESTARTS_PER_KEPT_ID == 0
+        return self._has_new_ids and not has_left and not is_kept
 
     def _settings(self, number: int) -> dict[str, Any]:
         address = node_address(number)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 import time
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
@@ -49,6 +50,8 @@
     plan_path_faults,
     plan_pauses,
     plan_release,
+    plan_replacements,
+    plan_replacements_alone,
     plan_runner_signals,
     plan_zone_work,
 )
@@ -67,8 +70,13 @@
 
 NODES = 4
 RUNNERS = 4
+RUNNERS_ALONE = 8
 CALLERS = 6
 READERS = 2
+PATIENT_READERS = 4
+PATIENT_READERS_ALONE = 40
+PATIENT_TRIES = 16
+PATIENT_RETRY_DELAY_S = 0.4
 STREAMS_PER_BREAK = 2
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 30.0
@@ -82,6 +90,7 @@
 """How long calls go on after the deadline for applying the last change."""
 STATUS_OK = 200
 STATUS_UNKNOWN_KEY = 401
+STATUS_FAILED = 500
 STATUS_REFUSED = 503
 CRASHING_REQUESTS_PER_NODE = 3
 """Number of times that the crashing request is sent to each node at the end."""
@@ -103,6 +112,8 @@
     """Broken streams that callers resumed."""
     resumed: int
     """Resumptions that brought an event."""
+    failed_resumptions: int
+    """Resumptions that were answered with 500."""
     violations: list[str]
 
 
@@ -125,6 +136,9 @@
         has_pauses: bool = True,
         has_endless_bytes: bool = True,
         has_release: bool = True,
+        has_replacements: bool = True,
+        has_other_faults: bool = True,
+        node_python: str = sys.executable,
     ) -> None:
         self._seed = seed
         self._has_crashes = has_crashes
@@ -136,9 +150,17 @@
         self._has_pauses = has_pauses
         self._has_endless_bytes = has_endless_bytes
         self._has_release = has_release
+        self._has_replacements = has_replacements
+        self._has_other_faults = has_other_faults
         self._length_s = length_s
         self._is_timed = is_timed
-        self._fleet = SoakFleet(nodes=NODES, runners=RUNNERS, folder=folder)
+        self._fleet = SoakFleet(
+            nodes=NODES,
+            runners=RUNNERS if has_other_faults else RUNNERS_ALONE,
+            folder=folder,
+            has_new_ids=has_replacements,
+            node_python=node_python,
+        )
         self._stop_timeout_s = STOP_DEADLINE_S if is_timed else START_TIMEOUT_S
         self._injector = FaultInjector(
             fleet=self._fleet, stop_timeout_s=self._stop_timeout_s
@@ -174,16 +196,29 @@
             )
             for number in range(READERS if has_versions else 0)
         ]
+        patient_readers = PATIENT_READERS if has_other_faults else PATIENT_READERS_ALONE
+        self._readers += [
+            StreamReader(
+                name=f"s{seed}p{number}",
+                endpoints=self._fleet.caller_endpoints,
+                state=self._fleet.state,
+                rng=Random(f"patient reader {number} of {seed}"),
+                max_tries=PATIENT_TRIES,
+                retry_delay_s=PATIENT_RETRY_DELAY_S,
+            )
+            for number in range(patient_readers if has_replacements else 0)
+        ]
         self._injected: list[tuple[FaultKind, Span]] = []
         self._interruptions: list[NodeInterruption] = []
         self._violations: list[str] = []
 
     async def run(self) -> SoakReport:
         """Run the seed and return its result."""
+        for runner in self._fleet.runners:
+            runner.tells_version = self._has_versions or self._has_replacements
         if self._has_versions:
             for number, runner in enumerate(self._fleet.runners):
                 runner.version = VERSIONS[number % len(VERSIONS)]
-                runner.tells_version = True
                 runner.break_every = STREAMS_PER_BREAK
                 runner.break_prefix = TARGET
         if self._has_crashing_parts and self._seed % 2:
@@ -203,23 +238,7 @@
                     tasks.spawn(caller.run(), name="soak_caller")
                 for reader in self._readers:
                     tasks.spawn(reader.run(), name="soak_reader")
-                planned = plan_faults(self._seed, length_s=self._length_s)
-                if self._has_crashes:
-                    planned += plan_crashes(self._seed, length_s=self._length_s)
-                if self._has_crashing_parts:
-                    planned += plan_crashing_parts(self._seed, length_s=self._length_s)
-                if self._has_zone_work:
-                    planned += plan_zone_work(self._seed, length_s=self._length_s)
-                if self._has_runner_signals:
-                    planned += plan_runner_signals(self._seed, length_s=self._length_s)
-                if self._has_path_faults:
-                    planned += plan_path_faults(self._seed, length_s=self._length_s)
-                if self._has_pauses:
-                    planned += plan_pauses(self._seed, length_s=self._length_s)
-                if self._has_endless_bytes:
-                    planned += plan_endless_bytes(self._seed, length_s=self._length_s)
-                if self._has_release:
-                    planned += plan_release(self._seed, length_s=self._length_s)
+                planned = self._plan_faults()
                 await asyncio.gather(
                     *(self._inject(fault, run_start_s) for fault in planned)
                 )
@@ -236,6 +255,28 @@
                 self._violations += node.failed_calls()
         return self._report(planned, run_start_s, recovery_s)
 
+    def _plan_faults(self) -> list[PlannedFault]:
+        if not self._has_other_faults:
+            return plan_replacements_alone(self._seed)
+        plans = (
+            (plan_faults, True),
+            (plan_crashes, self._has_crashes),
+            (plan_crashing_parts, self._has_crashing_parts),
+            (plan_zone_work, self._has_zone_work),
+            (plan_runner_signals, self._has_runner_signals),
+            (plan_path_faults, self._has_path_faults),
+            (plan_pauses, self._has_pauses),
+            (plan_endless_bytes, self._has_endless_bytes),
+            (plan_release, self._has_release),
+            (plan_replacements, self._has_replacements),
+        )
+        return [
+            fault
+            for plan, is_wanted in plans
+            if is_wanted
+            for fault in plan(self._seed, length_s=self._length_s)
+        ]
+
     async def _inject(self, fault: PlannedFault, run_start_s: float) -> None:
         await asyncio.sleep(max(0.0, run_start_s + fault.start_s - time.monotonic()))
         start_s = time.monotonic()
@@ -360,7 +401,7 @@
         ]
         observations = [
             RunnerObservation(
-                runner.runner_id,
+                call.runner_id,
                 call.call_id,
                 call.received_s,
                 call.was_executed,
@@ -386,7 +427,11 @@
             rejection_crashes=sum(r.rejection_crashes for r in self._fleet.runners),
             brittle_spans=len(self._injector.brittle_spans),
             node_cuts=self._injector.node_cuts,
-            crash_times_s={r.runner_id: r.crash_times_s for r in self._fleet.runners},
+            crash_times_s={
+                call.runner_id: runner.crash_times_s
+                for runner in self._fleet.runners
+                for call in runner.calls
+            },
             undisturbed=self._spans_without(NON_DISRUPTIVE, run_start_s),
             planned_work_only=self._spans_without(PLANNED_WORK, run_start_s),
             path_faults_only=self._spans_without(
@@ -412,6 +457,7 @@
             recovery_s=recovery_s,
             resumptions=len(resumptions),
             resumed=sum(bool(attempt.events) for attempt in resumptions),
+            failed_resumptions=sum(t.status == STATUS_FAILED for t in resumptions),
             violations=self._violations,
         )
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/stream_reader.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/stream_reader.py
@@ -23,6 +23,7 @@
 TARGET = f"/{RouteKind.STREAM.value}/resumed"
 MAX_TRIES = 4
 MEAN_PAUSE_S = 0.05
+STATUS_OK = 200
 EVENT = re.compile(r"id: (\d+)\ndata: piece \d+\n: version (\S+)\n\n")
 
 
@@ -45,6 +46,10 @@
     status: int | None
     """None if no response was received."""
     events: list[StreamEvent]
+    is_whole: bool = False
+    """Whether the stream ended like a complete one."""
+    is_torn: bool = False
+    """Whether other bytes came before a complete event."""
 
 
 class StreamReader:
@@ -57,7 +62,11 @@
         endpoints: list[Endpoint],
         state: OperatorState,
         rng: Random,
+        max_tries: int = MAX_TRIES,
+        retry_delay_s: float = 0.0,
     ) -> None:
+        self._max_tries = max_tries
+        self._retry_delay_s = retry_delay_s
         self._name = name
         self._endpoints = endpoints
         self._state = state
@@ -76,7 +85,7 @@
     async def _read_stream(self, session: aiohttp.ClientSession, stream: str) -> None:
         events: list[StreamEvent] = []
         began_as: str | None = None
-        for number in range(MAX_TRIES):
+        for number in range(self._max_tries):
             call_id = f"{stream}-{number}"
             sent_s = time.monotonic()
             node = self._rng.randrange(len(self._endpoints))
@@ -84,7 +93,14 @@
             if began_as is not None:
                 last_event = str(events[-1].number)
                 fields = {names.LAST_EVENT: last_event, names.RESUMES: began_as}
-            status, received = await self._request(session, node, call_id, fields)
+            status, body, is_ended = await self._request(session, node, call_id, fields)
+            text = body.decode()
+            found = list(EVENT.finditer(text))
+            received = [StreamEvent(int(event[1]), event[2]) for event in found]
+            # A runner with a fault script may answer without a stream.
+            is_stream = text != f"answer to {call_id}"
+            is_whole = is_ended and status == STATUS_OK and is_stream
+            is_torn = not text.startswith("".join(event[0] for event in found))
             self.tries.append(
                 StreamTry(
                     stream,
@@ -95,13 +111,16 @@
                     time.monotonic(),
                     status,
                     received,
+                    is_whole,
+                    is_torn,
                 )
             )
             events += received
             if received and began_as is None:
                 began_as = call_id
-            if len(events) >= EVENTS:
+            if is_whole or len(events) >= EVENTS:
                 return
+            await asyncio.sleep(self._retry_delay_s)
 
     async def _request(
         self,
@@ -109,10 +128,12 @@
         node: int,
         call_id: str,
         fields: dict[str, str],
-    ) -> tuple[int | None, list[StreamEvent]]:
+    ) -> tuple[int | None, bytes, bool]:
+        """Return status, body and whether the body ended like a complete one."""
         headers = call_headers(call_id, key=self._state.current_key) | fields
         url = f"http://{self._endpoints[node]}{TARGET}"
         status: int | None = None
+        is_ended = False
         body = b""
         try:
             async with (
@@ -122,7 +143,7 @@
                 status = response.status
                 async for chunk in response.content.iter_any():
                     body += chunk
+                is_ended = True
         except (aiohttp.ClientError, TimeoutError, OSError):
             pass  # the stream broke, or the node does not answer
-        found = EVENT.findall(body.decode())
-        return status, [StreamEvent(int(number), version) for number, version in found]
+        return status, body, is_ended
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/version_audit.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/version_audit.py
@@ -6,6 +6,8 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from clementineyoke_standins.edge.edge_runner import EVENTS
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
@@ -43,6 +45,10 @@
         numbers = [event.number for event in events]
         if numbers != list(range(1, len(numbers) + 1)):
             yield f"{stream}: events are missing or come twice: {numbers}"
+        if any(attempt.is_torn for attempt in attempts):
+            yield f"{stream}: other bytes came between the events {numbers}"
+        if attempts[-1].is_whole and numbers[-1:] != [EVENTS]:
+            yield f"{stream}: ended as complete after the events {numbers}"
 
 
 def check_resumptions(
--- a/packages/clementineyoke-standins/tests/soak_audit.feature
+++ b/packages/clementineyoke-standins/tests/soak_audit.feature
@@ -74,12 +74,29 @@
     Then the audit finds <found>
 
     Examples:
-      | events                  | found   |
-      | 1@v1 2@v1, then 3@v1    | nothing |
-      | 1@v1 2@v1, then 3@v2    | a fault |
-      | 1@v1 2@v2               | a fault |
-      | 1@v1, then 3@v1         | a fault |
-      | 1@v1 2@v1, then 2@v1    | a fault |
+      | events                                  | found   |
+      | 1@v1 2@v1, then 3@v1                    | nothing |
+      | 1@v1 2@v1, then 3@v2                    | a fault |
+      | 1@v1 2@v2                               | a fault |
+      | 1@v1, then 3@v1                         | a fault |
+      | 1@v1 2@v1, then 2@v1                    | a fault |
+      | 2@v1 3@v1                               | a fault |
+      | 1@v1 2@v1 whole                         | a fault |
+      | 1@v1 2@v1, then 3@v1 4@v1 whole         | a fault |
+      | 1@v1 2@v1, then whole                   | a fault |
+      | 1@v1 2@v1 3@v1, then 4@v1 5@v1 6@v1 whole | nothing |
+      | 1@v1 2@v1 torn                          | a fault |
+
+  Scenario Outline: Calls to a runner that has been replaced under a new ID
+    # Guards against an audit that takes the runners at one address for one and the same.
+    Given a response that signals <signal> at 10 s through node 0
+    When a call sent through node 0 at 13 s reaches <runner>
+    Then the audit finds <found>
+
+    Examples:
+      | signal   | runner               | found   |
+      | draining | the runner           | a fault |
+      | draining | the one in its place | nothing |
 
   Scenario Outline: Resumptions
     # Guards against an audit that passes although nearly all resumptions are refused.
--- a/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
+++ b/packages/clementineyoke-standins/tests/steps/soak_audit_steps.py
@@ -16,6 +16,7 @@
 
 KEY = "key"
 RUNNER = "a"
+SUCCESSOR = "b"
 
 
 def add_call(context, *, node, at_s, is_refused=False, **signals):
@@ -57,6 +58,12 @@
     add_call(context, node=node, at_s=at_s)
 
 
+@when("a call sent through node 0 at {at_s:g} s reaches the one in its place")
+def reach_successor(context, at_s):
+    add_call(context, node=0, at_s=at_s)
+    context.observations[-1] = context.observations[-1]._replace(runner_id=SUCCESSOR)
+
+
 @when("{count:d} calls sent through node {node:d} from {at_s:g} s on reach the runner")
 def reach_often(context, count, node, at_s):
     for number in range(count):
@@ -132,9 +139,11 @@
     context.calls, context.observations, context.interruptions = [], [], []
     context.stream_tries = []
     for number, text in enumerate(events.split(", then ")):
-        received = [StreamEvent(*parse_event(event)) for event in text.split()]
+        words = text.split()
+        received = [StreamEvent(*parse_event(word)) for word in words if "@" in word]
+        attempt = make_try("stream", number, received, is_first=number == 0)
         context.stream_tries.append(
-            make_try("stream", number, received, is_first=number == 0)
+            attempt._replace(is_whole="whole" in words, is_torn="torn" in words)
         )
 
 
