A leaving node ends a connection after a stream

Cause: a connection was closed after an answer only if that answer had not begun; one after a stream was left to the rounds that close idle connections, and a caller who does not pause is there sooner.

Evidence: the new scenario failed before: the next request was answered on the connection.

Why it works: an answer whose head has been sent may still end its connection once it is complete. A request that crosses that end is not read, and its caller may send it elsewhere.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -93,7 +93,7 @@
         try:
             with self._in_flight.track():
                 response = await self._respond(request, arrived_ms)
-            if self._membership.is_leaving and not response.prepared:
+            if self._membership.is_leaving:
                 response.force_close()
             with suppress(ConnectionError):
                 # aiohttp ends the connection of a caller who has left.
--- a/packages/clementineyoke-node/tests/edge/leaving_node.feature
+++ b/packages/clementineyoke-node/tests/edge/leaving_node.feature
@@ -14,6 +14,13 @@
     When a request is read in the moment at which the node begins to drain
     Then its caller gets a whole answer, and the runners received 1 call
 
+  Scenario: A caller sends its next request on the connection of a stream
+    # The request is run, and its answer is broken off at the end of the time to leave.
+    Given a fleet of 1 node and 2 runners
+    And the runners stream slowly
+    When the node begins to leave amid a stream, whose caller sends a request at its end
+    Then the stream is whole, its connection ends, and the runners received 1 call
+
   Scenario Outline: The time to leave is over amid a call
     # The node closes its own connection to the runner: a part of an answer that ends with its
     # connection looks complete, and a call of unknown outcome gets an unexplained 500.
--- a/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
+++ b/packages/clementineyoke-node/tests/steps/leaving_node_steps.py
@@ -11,6 +11,7 @@
 from edge_fleet import CALL_ID_HEADER, HOSTNAME, KEY, EdgeFleet
 
 from clementineyoke_node.edge.runner_connection_pool import ConnectionTrace
+from clementineyoke_standins.edge.edge_runner import EVENTS
 from clementineyoke_standins.edge.raw_answers import encode_event, encode_raw_head
 
 MB = 1_000_000
@@ -91,6 +92,33 @@
     assert context.left_s < limit_s, context.left_s
 
 
+@when("the node begins to leave amid a stream, whose caller sends a request at its end")
+def send_after_stream(context):
+    async def act():
+        node = context.fleet.nodes[0]
+        reader, writer = await connect(context.fleet)
+        writer.write(encode_request("stream", method="POST", kind="streaming"))
+        while not context.fleet.calls():
+            await asyncio.sleep(0.01)
+        node.io.begin_leaving()
+        context.stream = await reader.readuntil(b"\r\n0\r\n\r\n")
+        writer.write(encode_request("next", method="POST", kind="streaming"))
+        try:
+            context.rest = await reader.read()
+        except ConnectionError:
+            context.rest = b""
+        writer.close()
+
+    context.run(act())
+
+
+@then("the stream is whole, its connection ends, and the runners received 1 call")
+def check_connection_ended(context):
+    assert encode_event(EVENTS) in context.stream, context.stream
+    assert not context.rest, context.rest
+    assert [call.call_id for call in context.fleet.calls()] == ["stream"]
+
+
 @when("a request is read in the moment at which the node begins to drain")
 def read_at_drain(context):
     async def act():
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1432,6 +1432,13 @@
         "pass",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "a leaving node keeps a connection after a stream",
+        f"{NODE_EDGE_SOURCE}/caller_api.py",
+        "            if self._membership.is_leaving:\n",
+        "            if self._membership.is_leaving and not response.prepared:\n",
+        LEAVING_NODE,
+    ),
 )
 
 
