--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -238,25 +238,34 @@
         """Raise ``AttemptError`` if an answer may have ended because its runner did."""
         if response.head.body_end is not BodyEnd.CONNECTION:
             return
-        doubt: AttemptError | None = None
         try:
             await self._liveness.check_end(runner, response, step=step)
         except AttemptError as error:
-            doubt = error
+            self._record_end(admitted, runner, stream, doubt=error.reason)
             raise
-        finally:
-            self._metrics.ends_by_connection.inc(
-                {"pool": runner.pool, "result": "cut" if doubt else "whole"}
-            )
-            self._decisions.record(
-                Event.END_CHECKED,
-                request_id=admitted.call.call_id,
-                runner=runner.runner_id,
-                runner_born_ms=runner.born_ms,
-                is_whole=doubt is None,
-                reason=doubt.reason if doubt else "",
-                last_event=stream.last_event_id,
-            )
+        self._record_end(admitted, runner, stream, doubt="")
+
+    def _record_end(
+        self,
+        admitted: AdmittedCall,
+        runner: Runner,
+        stream: CallerStream,
+        *,
+        doubt: str,
+    ) -> None:
+        """Record whether an answer that ended with its connection counts as whole."""
+        self._metrics.ends_by_connection.inc(
+            {"pool": runner.pool, "result": "cut" if doubt else "whole"}
+        )
+        self._decisions.record(
+            Event.END_CHECKED,
+            request_id=admitted.call.call_id,
+            runner=runner.runner_id,
+            runner_born_ms=runner.born_ms,
+            is_whole=not doubt,
+            reason=doubt,
+            last_event=stream.last_event_id,
+        )
 
     def _event_timeout(
         self, admitted: AdmittedCall, stream: CallerStream, failover: Failover
