Streams: no going on where a runner's next entry was read before the first event

What callers saw: streams joined from two versions, also with a store that is well: a call was sent to a runner that had just come back under its id, and its new entry was read before the first event arrived.

Cause: the doubt about a lifetime ends with the entry of the next one, while a call that was sent before may have reached that one. Found by a reviewer.

Why it works: at the first event, a lifetime that is no longer listed under its id counts as in doubt. Ids that are used once are never listed twice.

--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -104,6 +104,17 @@
             return False
         return entry.runner.version == version
 
+    def may_be_replaced(self, runner: Runner, *, connected_ms: float) -> bool:
+        """Return whether another lifetime of a runner may answer a call sent to it.
+
+        ``connected_ms`` is described at ``LifetimeDoubts``. The doubt about a lifetime
+        ends with the entry of the next one, which may have got the call.
+        """
+        entry = self._entries.get(runner.runner_id)
+        if entry is not None and entry.runner.lifetime != runner.lifetime:
+            return True
+        return self.doubts.is_doubtful(runner, connected_ms=connected_ms)
+
     def has_doubtful_runner(self, pool: str) -> bool:
         """Return whether a runner of a pool may have started at another version."""
         return not self.doubts.is_empty and any(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -321,7 +321,7 @@
         self, runner: Runner, stream: CallerStream, response: OpenResponse
     ) -> None:
         """Raise ``AttemptError`` if a runner may go on at another version."""
-        if stream.version is None or not self._table.doubts.is_doubtful(
+        if stream.version is None or not self._table.may_be_replaced(
             runner, connected_ms=response.connected_ms
         ):
             return
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -145,7 +145,7 @@
         version that may go on with the stream. ``connected_ms`` is described at
         ``LifetimeDoubts``.
         """
-        is_doubtful = self._table.doubts.is_doubtful(runner, connected_ms=connected_ms)
+        is_doubtful = self._table.may_be_replaced(runner, connected_ms=connected_ms)
         version = UNKNOWN_VERSION if is_doubtful else runner.version
         if not _is_resumable(admitted):
             return version
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -23,6 +23,13 @@
       | each node | its home     | its calls    | any node |
       | each node | another node | broken calls | any node |
 
+  Scenario: A runner's new entry is read between a call and its first event
+    # The call was sent to the version before, and the new one's events were taken for its.
+    Given 3 nodes and 2 runners of the versions "v1"
+    And the runners' entries have start times
+    When runner 0 restarts at version "v2" at once, and 12 calls reach it before its entry is read
+    Then no stream has events of two versions
+
   Scenario: Runners break streams and live on
     # A stream that breaks is no sign that its runner has ended.
     Given 3 nodes and 4 runners of the versions "v1"
--- a/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
@@ -22,6 +22,7 @@
 POLL_INTERVAL_S = 0.05
 IN_USE_S = 15.0
 """Bound of the time until its home grants slots on such a runner as before."""
+FIRST_EVENT_S = 0.2
 MIN_CALLS = 4
 """Calls that show that a runner is used again."""
 
@@ -218,6 +219,32 @@
     )
 
 
+@when(
+    'runner 0 restarts at version "{version}" at once, and {count:d} calls reach it'
+    " before its entry is read"
+)
+def restart_before_entry(context, version, count):
+    fleet = context.fleet
+    runner, other = fleet.runners
+    context.readers = [Reader(fleet, f"early-{n}") for n in range(count)]
+
+    async def act():
+        runner.crash()
+        runner.version = version
+        runner.stream_delay_s = FIRST_EVENT_S
+        runner.break_every, other.break_every = 1, 0
+        await runner.start()
+        reads = [asyncio.ensure_future(reader.read(0)) for reader in context.readers]
+        await wait_until(lambda: runner.calls, 5)
+        await fleet.register_runner(runner, born_ms=BORN_MS + 1_000)
+        table = fleet.nodes[0].state.table
+        await wait_until(lambda: table.has_version(runner.runner_id, version), 5)
+        await asyncio.gather(*reads)
+
+    context.run(act())
+    assert any(reader.events for reader in context.readers)
+
+
 @then("runner 0 began streams again")
 def check_began(context):
     began = [
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1421,8 +1421,8 @@
     Mutation(
         "a stream that begins at a runner in doubt is recorded at its entry's version",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "is_doubtful = self._table.doubts.is_doubtful(",
-        "is_doubtful = False and self._table.doubts.is_doubtful(",
+        "is_doubtful = self._table.may_be_replaced(",
+        "is_doubtful = False and self._table.may_be_replaced(",
         RUNNER_RESTARTS,
     ),
     Mutation(
