Streams: the message about a runner's end is repeated

Cause: a node told the runner's home once, at its first evidence, and the home told the others once; nothing was confirmed or sent again.

Evidence: with the first message lost, the other nodes of the new scenario did not learn of the end within 4 s before; now they do.

Why it works: further refused connections are evidence as well, and are told again at most once a second, by the finder as by the home.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
@@ -16,8 +16,9 @@
     from clementineyoke_node.peers.peer_socket import PeerMessage, PeerSocket
     from clementineyoke_node.timers.timer_service import TimerService
 
-RELAY_INTERVAL_MS = 1_000.0
-"""Shortest time between two relays of the same runner's end."""
+REPEAT_INTERVAL_MS = 1_000.0
+"""Shortest time between two messages about the same runner. A message may be lost, so
+that it is sent again for as long as there is new evidence."""
 
 
 class LifetimeExchange:
@@ -41,12 +42,15 @@
         self._view = view
         self._socket = socket
         self._timers = timers
-        self._relayed_ms: dict[int, float] = {}
+        self._sent_ms: dict[int, float] = {}
         socket.handle(RunnerEnd, self._receive)
 
     def record_end(self, runner: Runner) -> None:
         """Record that a runner's host refused a connection of this node."""
-        if not self._table.is_current(runner) or not self._record(runner, "connect"):
+        if not self._table.is_current(runner):
+            return
+        self._record(runner, "connect")
+        if not self._may_send(runner.lifetime_hash):
             return
         home_id = self._homes.home_of(runner.runner_id)
         local_node = self._membership.local_node
@@ -65,36 +69,38 @@
             confirmed_ms=confirmed_ms, is_stale=self._view.is_stale(ViewPart.RUNNERS)
         )
 
-    def _record(self, runner: Runner, source: str) -> bool:
+    def _record(self, runner: Runner, source: str) -> None:
         now_ms = self._timers.now_ms()
-        is_first = self._table.doubts.record_end(runner, now_ms=now_ms)
-        if is_first:
+        if self._table.doubts.record_end(runner, now_ms=now_ms):
             log_event(
                 Event.RUNNER_DOUBTED,
                 runner=runner.runner_id,
                 version=runner.version,
                 source=source,
             )
-        return is_first
 
     def _receive(self, received: PeerMessage) -> None:
         end: RunnerEnd = received.message
         for entry in self._table.entries():
             if entry.runner.lifetime_hash == end.runner:
                 self._record(entry.runner, received.peer.address)
-        if not end.is_relayed:
+        if not end.is_relayed and self._may_send(end.runner):
             self._relay(end.runner)
 
-    def _relay(self, lifetime_hash: int) -> None:
+    def _may_send(self, lifetime_hash: int) -> bool:
+        """Return whether a message about a lifetime is due, and count it as sent."""
         now_ms = self._timers.now_ms()
-        self._relayed_ms = {
-            known: relayed_ms
-            for known, relayed_ms in self._relayed_ms.items()
-            if now_ms - relayed_ms < RELAY_INTERVAL_MS
+        self._sent_ms = {
+            known: sent_ms
+            for known, sent_ms in self._sent_ms.items()
+            if now_ms - sent_ms < REPEAT_INTERVAL_MS
         }
-        if lifetime_hash in self._relayed_ms:
-            return
-        self._relayed_ms[lifetime_hash] = now_ms
+        if lifetime_hash in self._sent_ms:
+            return False
+        self._sent_ms[lifetime_hash] = now_ms
+        return True
+
+    def _relay(self, lifetime_hash: int) -> None:
         local_node = self._membership.local_node
         peers = [
             PeerAddress.of(node)
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -30,6 +30,13 @@
     When runner 0 restarts at version "v2" at once, and 12 calls reach it before its entry is read
     Then no stream has events of two versions
 
+  Scenario: The message about a runner's end is lost
+    # Nodes that never hear of it go on with streams at its next lifetime.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    When runner 0 crashes, and the first message about it to its home is lost
+    Then each node takes its version for unknown within 4 s
+
   Scenario: Runners break streams and live on
     # A stream that breaks is no sign that its runner has ended.
     Given 3 nodes and 4 runners of the versions "v1"
--- a/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
@@ -9,7 +9,7 @@
 
 from clementineyoke_node.platform.store_error import StoreError
 from clementineyoke_standins.edge.edge_runner import EVENTS
-from clementineyoke_wire.messages import StoreNews
+from clementineyoke_wire.messages import RunnerEnd, StoreNews
 
 BORN_MS = 1_790_000_000_000
 DOWN_S = 0.2
@@ -245,6 +245,41 @@
     assert any(reader.events for reader in context.readers)
 
 
+@when("runner 0 crashes, and the first message about it to its home is lost")
+def crash_with_lost_message(context):
+    context.finder = number_of(context, "another node")
+    socket = context.fleet.nodes[context.finder].io.socket
+    send = socket.send
+    lost = []
+
+    def lose_first(peer, message):
+        if isinstance(message, RunnerEnd) and not lost:
+            lost.append(message)
+        else:
+            send(peer, message)
+
+    socket.send = lose_first
+    context.fleet.runners[0].crash()
+    context.run(poll_until_refused(context.fleet, context.finder))
+
+
+@then("each node takes its version for unknown within {limit_s:g} s")
+def check_doubted(context, limit_s):
+    fleet = context.fleet
+    runner_id = fleet.runners[0].runner_id
+    tables = [node.state.table for node in fleet.nodes]
+
+    async def act():
+        batch = 0
+        async with asyncio.timeout(limit_s):
+            while any(table.has_version(runner_id, "v1") for table in tables):
+                await poll(fleet, context.finder, f"lost-{batch}")
+                await asyncio.sleep(POLL_INTERVAL_S)
+                batch += 1
+
+    context.run(act())
+
+
 @then("runner 0 began streams again")
 def check_began(context):
     began = [
