Callers: the bodies of requests that a node holds are bounded

Callers saw nodes end in series: a tenant with bodies of 4 MB at 60 MB/s brought each node over its 300 MB within seconds, three times in 75 s, and all that it had accepted was lost, of other tenants too.

Cause: a body was read whole before anything else and kept until its call was answered. Nothing counted these bytes; one body may have 16 MB, and 1,000 calls may be in flight.

Bodies now share a bound, a fifth of the host's memory unless set. A request whose announced length exceeds what is left is refused before it is read, as not run; bodies of up to 64 KiB are always accepted, so that a few long ones do not have the short ones of all others refused. The share leaves room for the copy that is made while a body is read.

The own interface reads its bodies elsewhere (callers/body_reader.py) and has no such bound.

--- a/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/config/edge_config.py
@@ -21,6 +21,12 @@
 if TYPE_CHECKING:
     from clementineyoke_node.metrics import Metrics
 
+BYTES_PER_MB = 1_000_000
+DEFAULT_MEMORY_MB = 300.0
+REQUEST_MEMORY_SHARE = 0.2
+"""A body is held once more while it is read, and freed memory is not given back at
+once. Code, connections and responses need the rest."""
+
 
 class EdgeConfig(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Addresses of a node and the limits that the operator sets."""
@@ -71,6 +77,8 @@
     """Share of a core that the host gives the node; None if unknown."""
     cpu_speed: float | None = None
     """Speed of that core, as a multiple of a standard core's; None if unknown."""
+    memory_mb: float | None = None
+    """Memory that the host gives the node; None if unknown."""
     link_mbps: float | None = None
     """Bandwidth of the host's link; None if unknown."""
     runner_source_address: str = ""
@@ -103,6 +111,9 @@
     is known, and refused else."""
     max_held_bytes: int = DEFAULT_MAX_HELD_BYTES
     """What is held of all responses at most; above it only short ones are held."""
+    max_request_bytes: Annotated[int, msgspec.Meta(ge=FREE_BYTES)] | None = None
+    """What is held of the bodies of all requests at most; above it only short ones are
+    accepted. None for a share of the memory."""
     max_requests: int = 1_000
     """Maximum calls in flight; at 60 kB per stream, 60 MB. More are refused."""
 
@@ -123,6 +134,14 @@
             )
             raise ValueError(message)
 
+    @property
+    def request_bytes(self) -> int:
+        """What is held of the bodies of all requests at most."""
+        if self.max_request_bytes is not None:
+            return self.max_request_bytes
+        memory_mb = DEFAULT_MEMORY_MB if self.memory_mb is None else self.memory_mb
+        return int(memory_mb * BYTES_PER_MB * REQUEST_MEMORY_SHARE)
+
     @property
     def caller_port(self) -> int:
         """TCP port for callers, the same on every node."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -32,6 +32,7 @@
     from clementineyoke_node.callers.in_flight import InFlight
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.edge.forwarder import Forwarder
+    from clementineyoke_node.edge.request_bodies import RequestBodies
     from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.timers.timer_service import TimerService
     from clementineyoke_wire.message_signer import MessageSigner
@@ -59,10 +60,12 @@
         startup_wait: StartupWait,
         call_rate: CallRate,
         signer: MessageSigner,
+        bodies: RequestBodies,
         has_priority_classes: bool = False,
     ) -> None:
         """Create the handler; ``has_priority_classes`` is described at ``admit``."""
         self._signer = signer
+        self._bodies = bodies
         self._has_priority_classes = has_priority_classes
         self._view = view
         self._forwarder = forwarder
@@ -108,17 +111,29 @@
         self, request: web.Request, arrived_ms: float
     ) -> web.StreamResponse:
         try:
-            body = await request.read()
             call = decode_call(
                 method=request.method,
                 target=request.raw_path,
                 fields=request.headers,
-                body=body,
+                body=b"",
             )
         except FormatError as error:
             return web.Response(
                 status=400, body=encode_error(step=error.step, reason=error.reason)
             )
+        with self._bodies.open() as holding:
+            try:
+                body = await self._bodies.read(request, holding)
+            except RequestError as error:
+                return self._error_response(
+                    call, error, arrived_ms, is_forwarded=HOP in request.headers
+                )
+            call = call._replace(body=body)
+            return await self._respond_to(request, call, arrived_ms)
+
+    async def _respond_to(
+        self, request: web.Request, call: EdgeCall, arrived_ms: float
+    ) -> web.StreamResponse:
         try:
             return await self._serve(request, call, arrived_ms)
         except RequestError as error:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -17,6 +17,7 @@
 from clementineyoke_node.edge.edge_io import EdgeIo
 from clementineyoke_node.edge.operator_api import OperatorApi
 from clementineyoke_node.edge.peer_state_exchange import STATE_PATH
+from clementineyoke_node.edge.request_bodies import RequestBodies
 from clementineyoke_node.node_state import NodeState
 from clementineyoke_node.platform import names
 from clementineyoke_node.timers.loop_monitor import LoopMonitor
@@ -33,9 +34,7 @@
 """Time reserved before the process is killed, to close what is still open."""
 DRAIN_POLL_INTERVAL_MS = 50.0
 MAX_HEADER_LINE_BYTES = 65_536
-MAX_BODY_BYTES = 16_777_216
-"""Limits on what a node reads, whatever the operator allows: one body takes at most a
-twelfth of the memory of the smallest host (200 MB)."""
+"""Limit on what a node reads of one line, whatever the operator allows."""
 KEEPALIVE_TIMEOUT_S = 15.0
 
 
@@ -67,6 +66,9 @@
             startup_wait=StartupWait(),
             call_rate=self.state.call_rate,
             signer=self.state.signer,
+            bodies=RequestBodies(
+                max_total_bytes=config.request_bytes, metrics=self.state.metrics
+            ),
             has_priority_classes=config.overload_features.priority_admission,
         )
         self._directory_api = AddressApi(
@@ -142,7 +144,7 @@
         return self.io.view.ready.is_set() and not self.state.membership.is_leaving
 
     def _caller_application(self) -> web.Application:
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application()
         app.router.add_route("*", "/{path:.*}", self._caller_api.handle)
         return app
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -58,6 +58,11 @@
             "Responses of runners, peers and the store over a bound, by kind.",
             registry=self.registry,
         )
+        self.bodies_refused = Counter(
+            "clementineyoke_bodies_refused_total",
+            "Requests refused since this node held as many bytes of bodies as it may.",
+            registry=self.registry,
+        )
         self.loop_stalled_ms = Counter(
             "clementineyoke_loop_stalled_milliseconds_total",
             "Time for which the event loop stood still.",
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1439,6 +1439,20 @@
         "            if self._membership.is_leaving and not response.prepared:\n",
         LEAVING_NODE,
     ),
+    Mutation(
+        "a node holds any number of long requests",
+        f"{NODE_EDGE_SOURCE}/request_bodies.py",
+        "holding.resize(size_bytes)",
+        "holding.resize(0)",
+        f"{NODE}/tests/edge/request_bodies.feature",
+    ),
+    Mutation(
+        "the body of an answered request stays held",
+        f"{NODE_EDGE_SOURCE}/caller_api.py",
+        "        with self._bodies.open() as holding:\n            try:",
+        "        holding = self._bodies.open()\n        if holding:\n            try:",
+        f"{NODE}/tests/edge/request_bodies.feature",
+    ),
 )
 
 
