Refused bytes are freed at once, also where their error is kept

Cause: a body that is refused as too long was no longer counted, but the traceback of its error referred to the frame with its parts for as long as the error was kept, often in a cycle. What was pending of a refused stream stayed with the caller's stream in the same way. So a node held several times what it counted.

Both scenarios of refused_bytes.feature fail on the code before; the two mutations are caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
@@ -104,8 +104,13 @@
 ) -> list[bytes]:
     parts: list[bytes] = []
     size_bytes = 0
-    while part := await content.readany():
-        size_bytes += len(part)
-        check_size(size_bytes)
-        parts.append(part)
+    try:
+        while part := await content.readany():
+            size_bytes += len(part)
+            check_size(size_bytes)
+            parts.append(part)
+    except BaseException:
+        # The error's traceback refers to this frame for as long as the error is kept.
+        parts.clear()
+        raise
     return parts
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -89,6 +89,10 @@
             head, length_bytes=length_bytes, is_leaving=is_leaving
         )
 
+    def drop_pending(self) -> None:
+        """Forget what the runner has sent since its last whole event."""
+        self._splitter = EventSplitter()
+
     def feed(self, chunk: bytes) -> list[StreamEvent] | None:
         """Return those events that a chunk completes and the caller does not have.
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_reader.py
@@ -51,8 +51,10 @@
         """Return the reader."""
         return self
 
-    def __exit__(self, *exc_info: object) -> None:
-        """Release what it holds."""
+    def __exit__(self, exc_type: type[BaseException] | None, *exc_info: object) -> None:
+        """Release what it holds, after a failure the unfinished event as well."""
+        if exc_type is not None:
+            self._stream.drop_pending()
         self._holding.close()
 
     async def next_events(
--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/refused_bytes.feature
@@ -0,0 +1,9 @@
+Feature: Refused bytes are freed
+
+  Scenario: A body is refused as too long, and its error is kept
+    # The error's traceback keeps bytes that the node no longer counts, beyond its bounds.
+    Then no part of a refused body is kept with its error
+
+  Scenario: A stream is refused, and its caller waits for another runner
+    # What the refused runner has sent stays with the caller's stream, beyond the node's bounds.
+    Then no part of an event is kept after its stream was refused
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import asyncio
+import sys
+from types import SimpleNamespace
+
+from behave import then
+from resumed_streams_steps import Body, find_failure, make_reader
+
+from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
+from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
+from clementineyoke_node.bounds.byte_limits import ByteLimits
+from clementineyoke_node.edge.caller_stream import CallerStream
+from clementineyoke_node.metrics import Metrics
+
+MAX_BYTES = 65_536
+
+
+def make_limits():
+    return ByteLimits(
+        max_answer_bytes=MAX_BYTES, max_held_bytes=MAX_BYTES, metrics=Metrics()
+    )
+
+
+@then("no part of a refused body is kept with its error")
+def check_body_freed(context):
+    part = b"x" * (MAX_BYTES // 2)
+    references = sys.getrefcount(part)
+    body = Body([part] * 3)
+    kept = None
+    try:
+        context.run(make_limits().read(body, peer="p"))
+    except ByteLimitError as error:
+        kept = error
+    assert kept is not None
+    body.parts.clear()
+    # The frame that read the last part still refers to it.
+    assert sys.getrefcount(part) <= references + 1, sys.getrefcount(part)
+
+
+@then("no part of an event is kept after its stream was refused")
+def check_event_freed(context):
+    stream = CallerStream(request=None, last_event_id=None)
+    response = SimpleNamespace(client_response=Body([b"data: " + b"x" * MAX_BYTES]))
+
+    async def read():
+        with make_reader(response, stream, make_limits()) as reader:
+            await reader.next_events(asyncio.timeout(1))
+
+    assert find_failure(lambda: context.run(read())) is AttemptOutcome.LOST
+    assert stream.pending_bytes == 0, stream.pending_bytes
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -51,6 +51,7 @@
 REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
+REFUSED_BYTES = f"{NODE}/tests/edge/refused_bytes.feature"
 ENDLESS_BYTES = f"{NODE}/tests/edge/endless_bytes.feature"
 BOUNDS_SOURCE = f"{NODE}/src/clementineyoke_node/bounds"
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
@@ -1376,6 +1377,20 @@
         "        pass",
         ENDLESS_BYTES,
     ),
+    Mutation(
+        "a refused body is kept with its error",
+        f"{BOUNDS_SOURCE}/byte_limits.py",
+        "        parts.clear()\n",
+        "",
+        REFUSED_BYTES,
+    ),
+    Mutation(
+        "a refused stream's last bytes are kept",
+        f"{NODE_EDGE_SOURCE}/stream_reader.py",
+        "            self._stream.drop_pending()\n",
+        "            pass\n",
+        REFUSED_BYTES,
+    ),
     Mutation(
         "the bytes of the store have no bound",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
