max_held_bytes is 16 MiB by default, 24 MiB before

By default a node could hold 24 MiB for callers and 8 MiB for the store and peers, 33.6 MB, where it may grow by 32 MB; now 25.2 MB together. An operator whose slow callers read many long answers at once raises it, and the process with it (docs/OPERATIONS.md, kind "total").

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
@@ -18,7 +18,7 @@
     from clementineyoke_node.metrics import Metrics
 
 DEFAULT_MAX_ANSWER_BYTES = 4_194_304
-DEFAULT_MAX_HELD_BYTES = 25_165_824
+DEFAULT_MAX_HELD_BYTES = 16_777_216
 CONTROL_ANSWERS = 2
 """Longest responses of the store and of peers that are held at once."""
 
--- a/packages/clementineyoke-node/tests/edge/refused_bytes.feature
+++ b/packages/clementineyoke-node/tests/edge/refused_bytes.feature
@@ -7,3 +7,7 @@
   Scenario: A stream is refused, and its caller waits for another runner
     # What the refused runner has sent stays with the caller's stream, beyond the node's bounds.
     Then no part of an event is kept after its stream was refused
+
+  Scenario: Runners, peers and the store use up their bounds at once
+    # The default bounds add up to more than a node may grow by.
+    Then by default all bounds together are below 32 MB
--- a/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
@@ -9,7 +9,12 @@
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
-from clementineyoke_node.bounds.byte_limits import ByteLimits
+from clementineyoke_node.bounds.byte_limits import (
+    CONTROL_ANSWERS,
+    DEFAULT_MAX_ANSWER_BYTES,
+    DEFAULT_MAX_HELD_BYTES,
+    ByteLimits,
+)
 from clementineyoke_node.edge.caller_stream import CallerStream
 from clementineyoke_node.metrics import Metrics
 
@@ -49,3 +54,9 @@
 
     assert find_failure(lambda: context.run(read())) is AttemptOutcome.LOST
     assert stream.pending_bytes == 0, stream.pending_bytes
+
+
+@then("by default all bounds together are below {megabytes:d} MB")
+def check_default_bounds(context, megabytes):
+    total = DEFAULT_MAX_HELD_BYTES + CONTROL_ANSWERS * DEFAULT_MAX_ANSWER_BYTES
+    assert total < megabytes * 1_000_000, total
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1391,6 +1391,13 @@
         "            pass\n",
         REFUSED_BYTES,
     ),
+    Mutation(
+        "the default bounds exceed what a node may grow by",
+        f"{BOUNDS_SOURCE}/byte_limits.py",
+        "DEFAULT_MAX_HELD_BYTES = 16_777_216",
+        "DEFAULT_MAX_HELD_BYTES = 25_165_824",
+        REFUSED_BYTES,
+    ),
     Mutation(
         "the bytes of the store have no bound",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
