Soak: runners as processes, and faults as signals amid releases

--runner_processes plays releases in which the eight runners are processes at fixed addresses, as the four nodes are: runners are ended by SIGKILL or SIGTERM, with notice in their entry or without, and replaced at once or later; nodes are killed, killed twice, ended by SIGTERM all at once or in turn within a stop deadline of 1 s that streams of 1.7 s outlast; nodes or runners get SIGSTOP and SIGCONT. Each of the seven alone, then three pairs at once; about half of the releases stop midway, and some are rollbacks. 46 callers go on using open connections.

Checked as in the soak: whole answers, missing, repeated or torn events, two versions, calls that may run once, calls that end with an unexpected exception, exits of nodes.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -10,6 +10,7 @@
 import fire
 import json5
 
+from clementineyoke_standins.soak.process_soak import run_process_soak
 from clementineyoke_standins.soak.soak_run import SoakReport, SoakRun
 
 FOLDER = Path("build/soak")
@@ -55,14 +56,17 @@
     timed: bool = True,
     kept: bool = False,
     replacements_only: bool = False,
+    runner_processes: bool = False,
     node_python: str = sys.executable,
 ) -> None:
     """Run seeds such as ``7``, ``1-50`` or ``3,8``; exit 1 if a guarantee is broken.
 
     ``--timed=False`` skips guarantees whose result depends on the load of the machine;
     ``--kept`` adds the regression seeds. ``--replacements_only`` plays nothing but
-    releases that replace runners while nodes are killed. ``--node_python`` runs the
-    nodes in the interpreter of another work tree, to compare two versions of the code.
+    releases that replace runners while nodes are killed. ``--runner_processes`` plays
+    nothing but releases in which runners are processes, too, and faults are signals.
+    ``--node_python`` runs the nodes in the interpreter of another work tree, to compare
+    two versions of the code.
     """
     options = dict.fromkeys(SeedRun._field_defaults, not replacements_only)
     options["has_replacements"] = True
@@ -80,6 +84,7 @@
             entry,
             is_timed=timed,
             has_other_faults=not replacements_only,
+            has_runner_processes=runner_processes,
             node_python=node_python,
         )
         for entry in seed_runs
@@ -91,17 +96,27 @@
 
 
 def _run_seed(
-    seed_run: SeedRun, *, is_timed: bool, has_other_faults: bool, node_python: str
+    seed_run: SeedRun,
+    *,
+    is_timed: bool,
+    has_other_faults: bool,
+    has_runner_processes: bool,
+    node_python: str,
 ) -> SoakReport:
     folder = FOLDER / f"seed-{seed_run.seed}"
-    soak_run = SoakRun(
-        **seed_run._asdict(),
-        folder=folder,
-        is_timed=is_timed,
-        has_other_faults=has_other_faults,
-        node_python=node_python,
-    )
-    report = asyncio.run(soak_run.run())
+    if has_runner_processes:
+        running = run_process_soak(
+            seed_run.seed, folder=folder, node_python=node_python
+        )
+    else:
+        running = SoakRun(
+            **seed_run._asdict(),
+            folder=folder,
+            is_timed=is_timed,
+            has_other_faults=has_other_faults,
+            node_python=node_python,
+        ).run()
+    report = asyncio.run(running)
     print(
         f"seed {report.seed}: {report.calls} calls, {report.served} served,"
         f" {len(report.faults)} faults, recovered after {report.recovery_s:.1f} s,"
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/operator_state.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from enum import Enum
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from clementineyoke_node.platform import names
 from clementineyoke_standins.edge.written_specs import (
@@ -15,7 +15,6 @@
 )
 
 if TYPE_CHECKING:
-    from clementineyoke_standins.edge.edge_runner import EdgeRunner
     from clementineyoke_standins.edge.edge_store import EdgeStore
     from clementineyoke_standins.soak.loopback import Endpoint
 
@@ -36,6 +35,14 @@
     STREAM = "streaming"
 
 
+class ListedRunner(Protocol):
+    """What a runner's entry tells besides its address and state."""
+
+    runner_id: str
+    zone: str
+    version: str
+
+
 class WithdrawnKey(NamedTuple):
     """A key that the operator has withdrawn."""
 
@@ -95,7 +102,7 @@
 
     async def write_entry(
         self,
-        runner: EdgeRunner,
+        runner: ListedRunner,
         endpoint: Endpoint,
         *,
         state: str = "ready",
@@ -130,7 +137,7 @@
         """Remove such an entry."""
         await self._store.remove(names.RUNNERS_KIND, name)
 
-    async def remove_entry(self, runner: EdgeRunner) -> None:
+    async def remove_entry(self, runner: ListedRunner) -> None:
         """Remove the entry of a runner that has left."""
         await self.remove_entry_of(runner.runner_id)
 
