--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
@@ -18,7 +18,7 @@
     from clementineyoke_node.metrics import Metrics
 
 DEFAULT_MAX_ANSWER_BYTES = 4_194_304
-DEFAULT_MAX_HELD_BYTES = 25_165_824
+DEFAULT_MAX_HELD_BYTES = 16_777_216
 CONTROL_ANSWERS = 2
 """Longest responses of the store and of peers that are held at once."""
 
@@ -104,8 +104,13 @@
 ) -> list[bytes]:
     parts: list[bytes] = []
     size_bytes = 0
-    while part := await content.readany():
-        size_bytes += len(part)
-        check_size(size_bytes)
-        parts.append(part)
+    try:
+        while part := await content.readany():
+            size_bytes += len(part)
+            check_size(size_bytes)
+            parts.append(part)
+    except BaseException:
+        # The error's traceback refers to this frame for as long as the error is kept.
+        parts.clear()
+        raise
     return parts
