Give entries read with an outage's first answer their whole time

Callers got 503 for 43 and 204 ms (two traces) after an outage of the store: all runners were dropped 1.4 s after it, shortly before they renewed their entries 1.9 s after it.

RunnerDirectory took the entries for ended while the store was well and capped their time at 1.4 s. It tells both apart by the time of the last recovery, which was set only by a kind of call that had failed. A watch of the runners that was cancelled for the failure of another kind counts as none: its answer ended the outage, and the entries in the same answer counted as ended after it.

The end of an outage is a recovery now, whichever call shows it.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -202,6 +202,8 @@
                 self._lapsed[runner_id] = lapse._replace(until_ms=until_ms)
         self._available_before_ms = available_ms
         self._outage_ended_ms = now_ms
+        # The answer that ends an outage may be one of a kind whose calls did not fail.
+        self._last_recovery_ms = now_ms
 
     def _available_ms(self, now_ms: float) -> float:
         """Return for how long the store was available, without outages."""
@@ -217,7 +219,6 @@
         if view.in_outage and not self.revision:
             # A node that has just started has not seen the outage itself.
             self._end_outage(now_ms)
-            self._last_recovery_ms = now_ms
         before = dict(self._records)
         received = {record.runner.runner_id: record for record in view.records}
         waited_for = {lapsed.record.runner.runner_id: lapsed for lapsed in view.lapsed}
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -270,6 +270,18 @@
     When the entry of a ends at 50810 ms
     Then the runners in use are b
 
+  Scenario: A watch that did not fail is the first to be answered after an outage
+    # Guards against taking entries that it shows as lapsed for ended, and dropping their
+    # runners before they have had time to renew them.
+    Given a directory with the runners a, b
+    And a call has had no answer since 50000 ms
+    And the store answered this node at 54000 ms
+    When the entry of a ends at 54000 ms
+    And lapsed entries are dropped at 56199 ms
+    Then the runners in use are a, b
+    When lapsed entries are dropped at 56200 ms
+    Then the runners in use are b
+
   Scenario: The store recovers from short failures again and again
     # Guards against a lapsed entry whose time begins anew with each of them.
     Given a directory with the runners a, b
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -538,6 +538,16 @@
         "since_ms is None",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "entries read with the first answer after an outage count as ended",
+        f"{CORE_SOURCE}/edge/runner_directory.py",
+        "        self._outage_ended_ms = now_ms\n"
+        "        # The answer that ends an outage may be one of a kind whose calls did"
+        " not fail.\n"
+        "        self._last_recovery_ms = now_ms\n",
+        "        self._outage_ended_ms = now_ms\n",
+        CORE_EDGE_TESTS,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
