Take no silence of the store under a second for an outage

A read whose answer is lost and that of its repetition as well fails 700 ms after its due time. Counted from there, or from the node's latest answer, it was over 500 ms without an answer and thus an outage, whose end gives an ended entry 2.2 s. A trace: answer to another kind 4028.7, read failed 4592.6, answered 4643.7, "end of the outage" there and 2200 ms for the entry that it shows as removed, calls until 3.48 s after the entry's end.

An outage in which entries lapse takes heartbeats, and no answer comes in it, so a node that has had an answer of its own within the last second is in none. The former bound on the failure's start by the latest answer follows from this; its mutation takes out the new condition instead, and the same scenario and the new one catch it.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -21,6 +21,10 @@
 MIN_OUTAGE_MS = 500.0
 """Shortest time of failed calls that may be an outage in which entries lapse. The retry
 of a single refused or cut call succeeds within 100 ms."""
+MIN_SILENCE_MS = 1_000.0
+"""Shortest time without any answer of the store to this node that may be an outage in
+which entries lapse: they do after several heartbeats. A read whose answer is lost, and
+that of its repetition as well, is answered 750 ms after its due time."""
 MAX_RETURN_MS = 2 * RETURN_GRACE_MS
 """Longest time that runners get to renew lapsed entries while the store is available,
 summed over several outages."""
@@ -158,6 +162,8 @@
         since_ms = self._failing_since_ms
         if since_ms is None or now_ms - since_ms < MIN_OUTAGE_MS:
             return False
+        if now_ms - self._last_own_answer_ms < MIN_SILENCE_MS:
+            return False
         if now_ms - self._last_store_answer_ms > RETURN_GRACE_MS:
             return True
         answering_since_ms = max(since_ms, self._answering_since_ms)
@@ -166,7 +172,7 @@
     def record_store_failure(self, *, since_ms: float) -> None:
         """Record that a call of this node has had no answer since a time."""
         if self._failing_since_ms is None:
-            self._failing_since_ms = max(since_ms, self._last_own_answer_ms)
+            self._failing_since_ms = since_ms
 
     def record_store_answer(self, *, at_ms: float) -> None:
         """Record that the store answered this node or a peer."""
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -282,6 +282,15 @@
     When lapsed entries are dropped at 56200 ms
     Then the runners in use are b
 
+  Scenario: The answers to a read and to its repetition are lost
+    # Guards against keeping a runner for an outage that was too short for entries to lapse.
+    Given a directory with the runners a, b
+    And the store answered this node at 50130 ms
+    And a call has had no answer since 50000 ms
+    And the store recovered from it at 50750 ms
+    When the entry of a ends at 50760 ms
+    Then the runners in use are b
+
   Scenario: The store recovers from short failures again and again
     # Guards against a lapsed entry whose time begins anew with each of them.
     Given a directory with the runners a, b
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -551,8 +551,8 @@
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
-        "max(since_ms, self._last_own_answer_ms)",
-        "since_ms",
+        "now_ms - self._last_own_answer_ms < MIN_SILENCE_MS",
+        "False",
         CORE_EDGE_TESTS,
     ),
     Mutation(
