Let the first answer to a repeated read end it without an error

The log got "Cannot change state of finished Timeout" from StoreClient._read: the answer to the repetition of an overdue read ended the first call by moving its limit, also if that call had failed before. Callers saw nothing.

The read waits for the first answer of either call now, and raises the first call's error if there is none, as before.

The step for lost answers checks the loop's errors too.

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -155,35 +155,21 @@
         """Return the answer to a read, which is repeated once if it is overdue."""
         timeout_ms = wait_ms + (WATCH_SLACK_MS if wait_ms else CALL_TIMEOUT_MS)
         repeat_after_ms = wait_ms + OVERDUE_MS
-        repeated: list[asyncio.Future[bytes]] = []
-
-        def repeat() -> None:
-            again = {**params, "waitMs": "0"} if wait_ms else params
-            left_ms = timeout_ms - repeat_after_ms
-            call = self._call("GET", path, params=again, timeout_ms=left_ms)
-            repeated.append(asyncio.ensure_future(call))
-            repeated[0].add_done_callback(end_first)
-
-        def end_first(call: asyncio.Future[bytes]) -> None:
-            if not call.cancelled() and call.exception() is None:
-                limit.reschedule(loop.time())
-
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(repeat_after_ms / MS_PER_S, repeat)
+        first = self._call(
+            "GET", path, params=params, wait_ms=wait_ms, timeout_ms=timeout_ms
+        )
+        calls = [asyncio.ensure_future(first)]
         try:
-            async with asyncio.timeout(None) as limit:
-                return await self._call(
-                    "GET", path, params=params, wait_ms=wait_ms, timeout_ms=timeout_ms
-                )
-        except (StoreError, TimeoutError):
-            for call in repeated:
-                with suppress(StoreError):
-                    return await call
-            raise
+            await asyncio.wait(calls, timeout=repeat_after_ms / MS_PER_S)
+            if not calls[0].done():
+                again = {**params, "waitMs": "0"} if wait_ms else params
+                left_ms = timeout_ms - repeat_after_ms
+                call = self._call("GET", path, params=again, timeout_ms=left_ms)
+                calls.append(asyncio.ensure_future(call))
+            return await _first_answer(calls)
         finally:
-            timer.cancel()
-            for call in repeated:
-                call.cancel()
+            for pending in calls:
+                pending.cancel()
 
     async def _call(
         self,
@@ -254,6 +240,17 @@
         return decoded
 
 
+async def _first_answer(calls: list[asyncio.Task[bytes]]) -> bytes:
+    """Return the first answer, or raise the first call's error if there is none."""
+    pending = set(calls)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        answered = [call for call in done if call.exception() is None]
+        if answered:
+            return answered[0].result()
+    return calls[0].result()
+
+
 def _is_cut(error: Exception) -> bool:
     """Return whether an open connection has ended, other than by a timeout."""
     is_open = not isinstance(error, aiohttp.ClientConnectorError)
--- a/packages/clementineyoke-node/tests/edge/store_calls.feature
+++ b/packages/clementineyoke-node/tests/edge/store_calls.feature
@@ -41,3 +41,9 @@
       | read  |
       | watch |
       | list  |
+
+  Scenario: The first call of a repeated read fails
+    # The repetition's answer then ends a call that has ended, which is logged as an error.
+    Given a fleet of 1 node and 3 runners
+    When a watch is reset after it was repeated, before the repetition is answered
+    Then the read returns without an error
--- a/packages/clementineyoke-node/tests/steps/store_calls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_calls_steps.py
@@ -232,28 +232,54 @@
         assert ready == [True, True, False], ready
 
 
-@when("the answer to the next {read} is lost")
-def lose_answer(context, read):
+async def read(context, make_call, act):
+    """Read at the node's client while ``act`` changes the faults; keep the outcome."""
     fleet = context.fleet
+    # The node's own calls would take the fault.
+    await fleet.nodes[0].io.store_watcher.__aexit__(None, None, None)
     client = fleet.nodes[0].io.store
+    context.listed = await client.list_all("servers")
+    context.loop_errors = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, error: context.loop_errors.append(error)
+    )
+    fleet.store.fault = StoreFault.SILENT
+    reading = asyncio.ensure_future(make_call(client, context.listed.revision))
+    await act(fleet.store)
+    context.answer = await reading
+    await asyncio.sleep(0)
 
-    async def act():
-        # The node's own calls would take the fault.
-        await fleet.nodes[0].io.store_watcher.__aexit__(None, None, None)
-        listed = context.listed = await client.list_all("servers")
-        fleet.store.fault = StoreFault.SILENT
-        if read == "watch":
-            call = client.watch("servers", revision=listed.revision, wait_ms=300)
-        else:
-            call = client.list_all("servers")
-        reading = asyncio.ensure_future(call)
+
+def watch(client, revision):
+    return client.watch("servers", revision=revision, wait_ms=300)
+
+
+@when("the answer to the next {kind} is lost")
+def lose_answer(context, kind):
+    async def act(store):
         await asyncio.sleep(0.1)
-        fleet.store.fault = None
-        return await reading
+        store.fault = None
+
+    def list_all(client, _):
+        return client.list_all("servers")
+
+    make_call = watch if kind == "watch" else list_all
+    context.run(read(context, make_call, act))
+
+
+@when("a watch is reset after it was repeated, before the repetition is answered")
+def reset_repeated_watch(context):
+    async def act(store):
+        store.fault, store.answer_delay_s = StoreFault.RESET, 0.8
+        await asyncio.sleep(0.7)
+        store.answer_delay_s = 0.15
+        await asyncio.sleep(0.15)
+        store.fault = None
 
-    context.answer = context.run(act())
+    context.run(read(context, watch, act))
 
 
 @then("the read returns without an error")
 def check_answer(context):
     assert context.answer.revision >= context.listed.revision, context.answer
+    assert not context.loop_errors, context.loop_errors
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -593,8 +593,15 @@
     Mutation(
         "a read whose answer is lost is not repeated",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
-        "loop.call_later(repeat_after_ms / MS_PER_S, repeat)",
-        "loop.call_later(3600.0, repeat)",
+        "if not calls[0].done():",
+        "if False:",
+        STORE_CALLS,
+    ),
+    Mutation(
+        "an error of a read's first call ends its repetition",
+        f"{NODE_PLATFORM_SOURCE}/store_client.py",
+        "[call for call in done if call.exception() is None]",
+        "list(done)",
         STORE_CALLS,
     ),
     Mutation(
