--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -539,11 +539,21 @@
         "since_ms is None",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "entries read with the first answer after an outage count as ended",
+        f"{CORE_SOURCE}/edge/runner_directory.py",
+        "        self._outage_ended_ms = now_ms\n"
+        "        # The answer that ends an outage may be one of a kind whose calls did"
+        " not fail.\n"
+        "        self._last_recovery_ms = now_ms\n",
+        "        self._outage_ended_ms = now_ms\n",
+        CORE_EDGE_TESTS,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
-        "max(since_ms, self._last_own_answer_ms)",
-        "since_ms",
+        "now_ms - self._last_own_answer_ms < MIN_SILENCE_MS",
+        "False",
         CORE_EDGE_TESTS,
     ),
     Mutation(
@@ -584,8 +594,15 @@
     Mutation(
         "a read whose answer is lost is not repeated",
         f"{NODE_PLATFORM_SOURCE}/store_client.py",
-        "loop.call_later(repeat_after_ms / MS_PER_S, repeat)",
-        "loop.call_later(3600.0, repeat)",
+        "if not calls[0].done():",
+        "if False:",
+        STORE_CALLS,
+    ),
+    Mutation(
+        "an error of a read's first call ends its repetition",
+        f"{NODE_PLATFORM_SOURCE}/store_client.py",
+        "[call for call in done if call.exception() is None]",
+        "list(done)",
         STORE_CALLS,
     ),
     Mutation(
