Whole answers without a length are not cut by chance

Callers saw whole streams without a length cut, or 502 where nothing may be repeated, (a) if the runner closed its only idle connection within 20 ms of the end, and (b) if the caller took the last part over 100 ms late.

Cause: one idle connection that ended counted as a crash, and the check looked at the runner when the caller had taken everything, so that it came late.

The check now starts when the connection ends. Of idle connections two within 20 ms count, or one within 5 ms: those of a process that ends are read in the same turn of the loop. Calls that waited count as before. A stream that may go on at another runner is still looked at again if its caller was slow, as that costs a call with an empty rest.

A stream that cannot be resumed, whose caller is slow and whose runner's address is taken over within 20 ms, was cut before and is now taken for whole, as it is for any other caller: the same doubt cannot be told from a whole stream.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -12,7 +12,7 @@
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
 from clementineyoke_node.edge.response_checks import check_outcome, check_resumption
 from clementineyoke_node.edge.runner_timeout import RunnerTimeout
-from clementineyoke_node.platform.runner_codec import BodyEnd, RoutingHeaders
+from clementineyoke_node.platform.runner_codec import RoutingHeaders
 from clementineyoke_wire.events import Event
 
 if TYPE_CHECKING:
@@ -63,7 +63,6 @@
     ) -> None:
         self._fault_reports = fault_reports
         self._connection_pool = connection_pool
-        self._liveness = connection_pool.liveness
         self._rings = rings
         self._table = table
         self._timeouts = timeouts
@@ -236,10 +235,12 @@
         step: str,
     ) -> None:
         """Raise ``AttemptError`` if an answer may have ended because its runner did."""
-        if response.head.body_end is not BodyEnd.CONNECTION:
+        if response.end_check is None:
             return
         try:
-            await self._liveness.check_end(runner, response, step=step)
+            await response.end_check.finish(
+                step=step, may_go_on=_may_go_on(admitted, stream)
+            )
         except AttemptError as error:
             self._record_end(admitted, runner, stream, doubt=error.reason)
             raise
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -188,11 +188,10 @@
                 self._metrics.calls_misdirected.inc({"pool": runner.pool})
             self._signals.apply(runner, call, head)
             check_call_id(call, head, peer=runner.runner_id)
-            yield OpenResponse(
-                head,
-                response,
-                protocol if isinstance(protocol, RunnerProtocol) else None,
-            )
+            if not isinstance(protocol, RunnerProtocol):
+                protocol = None
+            with self.liveness.watch(runner, head, protocol) as end_check:
+                yield OpenResponse(head, response, protocol, end_check)
             is_complete = response.content.at_eof()
         finally:
             if is_complete:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connections.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connections.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
     from clementineyoke_core.runner import Runner
 
 
+MS_PER_S = 1000.0
+CRASH_SPREAD_MS = 20.0
+"""Longest time between the ends of a process's connections when it crashes."""
+SAME_MOMENT_MS = 5.0
+"""Time between two ends that are read in the same turn of the event loop, or nearly."""
+MAX_CUTS = 16
+"""Ends of connections that are remembered for an address; two decide."""
+
+
 class Address(NamedTuple):
     """The address of a runner."""
 
@@ -33,30 +42,40 @@
         """Whether its end would be noticed."""
 
 
+class _Cut(NamedTuple):
+    ended_s: float
+    was_idle: bool
+
+
 class RunnerConnections:
-    """Record which connections to an address are open, and when one was last cut.
+    """Record which connections to an address are open, and which were last cut.
 
-    All connections of a process end in the same moment when it crashes.
+    All connections of a process end in the same moment when it crashes. A runner may
+    close a single idle connection at any time.
     """
 
     def __init__(self) -> None:
         self._open: dict[Address, set[Connection]] = defaultdict(set)
-        self._cut_s: dict[Address, float] = {}
+        self._cuts: dict[Address, deque[_Cut]] = {}
 
     def add(self, address: Address, connection: Connection) -> None:
         """Record that a connection was opened."""
         self._open[address].add(connection)
 
-    def remove(
-        self, address: Address, connection: Connection, *, cut_s: float | None
-    ) -> None:
-        """Record the end of a connection; ``cut_s`` is when the runner has cut it."""
+    def remove(self, address: Address, connection: Connection) -> None:
+        """Record the end of a connection."""
         connections = self._open[address]
         connections.discard(connection)
         if not connections:
             del self._open[address]
-        if cut_s is not None:
-            self._cut_s[address] = cut_s
+
+    def record_cut(self, address: Address, *, ended_s: float, was_idle: bool) -> None:
+        """Record that a runner has ended a connection, and not as the end of an answer.
+
+        ``was_idle`` is whether no call waited for an answer on it.
+        """
+        cuts = self._cuts.setdefault(address, deque(maxlen=MAX_CUTS))
+        cuts.append(_Cut(ended_s, was_idle))
 
     def has_open(self, address: Address, *, before_s: float) -> bool:
         """Return whether a connection is open that was opened before a time."""
@@ -65,6 +84,12 @@
             for connection in self._open.get(address, ())
         )
 
-    def was_cut(self, address: Address, *, since_s: float) -> bool:
-        """Return whether a connection has been cut since a time."""
-        return self._cut_s.get(address, float("-inf")) >= since_s
+    def were_cut(self, address: Address, *, ended_s: float) -> bool:
+        """Return whether other connections ended like those of a crash at a time."""
+        since_s = ended_s - CRASH_SPREAD_MS / MS_PER_S
+        cuts = [c for c in self._cuts.get(address, ()) if c.ended_s >= since_s]
+        if len(cuts) > 1 or any(not cut.was_idle for cut in cuts):
+            return True
+        return any(
+            abs(cut.ended_s - ended_s) <= SAME_MOMENT_MS / MS_PER_S for cut in cuts
+        )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from contextlib import contextmanager
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.edge.attempt_error import AttemptError
@@ -11,11 +13,12 @@
 from clementineyoke_node.platform.runner_codec import BodyEnd
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Coroutine, Iterator
 
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.edge.runner_connections import RunnerConnections
-    from clementineyoke_node.edge.runner_response import OpenResponse
+    from clementineyoke_node.edge.runner_protocol import RunnerProtocol
+    from clementineyoke_node.platform.runner_codec import ResponseHead
 
 MS_PER_S = 1000.0
 PROBE_DELAY_MS = 20.0
@@ -27,6 +30,71 @@
 waited for it."""
 
 
+def _ignore_end() -> None:
+    """Let an end start no check."""
+
+
+class EndDoubt(NamedTuple):
+    """Why an answer may have ended because its runner did."""
+
+    reason: str
+    is_runner_fault: bool = True
+
+
+LATE = EndDoubt(
+    "the end of an answer that has no length was noticed late", is_runner_fault=False
+)
+
+
+class EndCheck:
+    """The check of one answer, which starts at the end of its connection."""
+
+    def __init__(
+        self,
+        runner: Runner,
+        find_doubt: Callable[[float], Coroutine[None, None, EndDoubt | None]],
+    ) -> None:
+        self._runner = runner
+        self._find_doubt = find_doubt
+        self._loop = asyncio.get_running_loop()
+        self._ended_s = 0.0
+        self._task: asyncio.Task[EndDoubt | None] | None = None
+
+    def start(self, ended_s: float | None = None) -> None:
+        """Start the check of an end, by default one of now, unless it has started."""
+        if self._task is None:
+            self._ended_s = self._loop.time() if ended_s is None else ended_s
+            self._task = self._loop.create_task(self._find_doubt(self._ended_s))
+
+    def cancel(self) -> None:
+        """End the check if it still runs."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def finish(self, *, step: str, may_go_on: bool) -> None:
+        """Raise ``AttemptError`` if an answer may have ended because its runner did.
+
+        If another runner may go on, that costs one call, and an answer whose caller has
+        taken it late is in doubt as well. Else a check as early as for any other caller
+        decides.
+        """
+        self.start()
+        late_ms = (self._loop.time() - self._ended_s) * MS_PER_S
+        doubt = None if self._task is None else await self._task
+        if doubt is None and may_go_on and late_ms > MIN_RESTART_MS:
+            doubt = LATE
+        if doubt is None:
+            return
+        raise AttemptError(
+            outcome=AttemptOutcome.LOST,
+            step=step,
+            peer=self._runner.runner_id,
+            reason=doubt.reason,
+            is_connection_lost=True,
+            is_runner_fault=doubt.is_runner_fault,
+        )
+
+
 class RunnerLiveness:
     """Tell whether a runner has ended with an answer that has no length.
 
@@ -50,46 +118,47 @@
         """Record that the event loop has stood still until now."""
         self._stalled_s = asyncio.get_running_loop().time()
 
-    async def check_end(
-        self, runner: Runner, response: OpenResponse, *, step: str
-    ) -> None:
-        """Raise ``AttemptError`` if an answer may have ended because its runner did."""
-        if response.head.body_end is not BodyEnd.CONNECTION:
+    @contextmanager
+    def watch(
+        self, runner: Runner, head: ResponseHead, protocol: RunnerProtocol | None
+    ) -> Iterator[EndCheck | None]:
+        """Check an answer when its connection ends, also while its caller reads.
+
+        Yields None for an answer that has another end than that of its connection.
+        """
+        if head.body_end is not BodyEnd.CONNECTION:
+            yield None
             return
+        check = EndCheck(runner, partial(self._find_doubt, runner))
+        if protocol is None or protocol.ended_s is not None:
+            check.start(None if protocol is None else protocol.ended_s)
+        else:
+            protocol.on_ended = check.start
+        try:
+            yield check
+        finally:
+            if protocol is not None:
+                protocol.on_ended = _ignore_end
+            check.cancel()
+
+    async def _find_doubt(self, runner: Runner, ended_s: float) -> EndDoubt | None:
+        """Return why a runner may have ended with its answer, or None."""
         loop = asyncio.get_running_loop()
-        protocol = response.protocol
-        ended_s = None if protocol is None else protocol.ended_s
-        if ended_s is None:
-            ended_s = loop.time()
         await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
         late_ms = (loop.time() - ended_s) * MS_PER_S - PROBE_DELAY_MS
-        is_late = False
         # An older connection that is still open proves nothing by itself, as its end
         # may have been lost on the way.
         if not await self._is_listening(runner):
-            reason = "the runner ended with an answer that has no length"
-        elif self._connections.has_open(Address.of(runner), before_s=ended_s):
-            return
-        elif self._was_cut(runner, ended_s):
-            reason = "other connections ended with an answer that has no length"
-        elif late_ms > MIN_RESTART_MS or self._was_stalled(ended_s):
+            return EndDoubt("the runner ended with an answer that has no length")
+        address = Address.of(runner)
+        if self._connections.has_open(address, before_s=ended_s):
+            return None
+        if self._connections.were_cut(address, ended_s=ended_s):
+            return EndDoubt("other connections ended with an answer that has no length")
+        if late_ms > MIN_RESTART_MS or self._was_stalled(ended_s):
             # The process that listens now need not be the one that answered.
-            reason = "the end of an answer that has no length was noticed late"
-            is_late = True
-        else:
-            return
-        raise AttemptError(
-            outcome=AttemptOutcome.LOST,
-            step=step,
-            peer=runner.runner_id,
-            reason=reason,
-            is_connection_lost=True,
-            is_runner_fault=not is_late,
-        )
-
-    def _was_cut(self, runner: Runner, ended_s: float) -> bool:
-        since_s = ended_s - PROBE_DELAY_MS / MS_PER_S
-        return self._connections.was_cut(Address.of(runner), since_s=since_s)
+            return LATE
+        return None
 
     def _was_stalled(self, ended_s: float) -> bool:
         return self._stalled_s >= ended_s - MIN_RESTART_MS / MS_PER_S
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Callable
 
     from aiohttp import StreamReader, TCPConnector
     from aiohttp.http import RawResponseMessage
@@ -53,6 +54,8 @@
         """Time of the loop at which the connection was opened."""
         self.ended_s: float | None = None
         """When the connection ended; None while it is open."""
+        self.on_ended: Callable[[], None] = lambda: None
+        """Called when the connection has ended."""
         self._last_received_s = 0.0
         self._max_idle_s = MAX_IDLE_S
         self._send_monitor: SendMonitor | None = None
@@ -111,15 +114,19 @@
             payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
         is_own_end = self.transport is None or self._refusal is not None
         had_ended = payload is None or payload.is_eof()
+        was_idle = had_ended and not self._is_head_due
         if self._send_monitor is not None:
             self._send_monitor.stop()
         super().connection_lost(exc)
         is_body_end = not had_ended and payload is not None and payload.is_eof()
         self.ended_s = self._loop.time()
         is_cut = not is_own_end and not is_body_end
-        self._connections.remove(
-            self._peer, self, cut_s=self.ended_s if is_cut else None
-        )
+        self._connections.remove(self._peer, self)
+        if is_cut:
+            self._connections.record_cut(
+                self._peer, ended_s=self.ended_s, was_idle=was_idle
+            )
+        self.on_ended()
 
     @property
     def is_reading(self) -> bool:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -9,6 +9,7 @@
     import aiohttp
 
     from clementineyoke_core.edge.held_bytes import Holding
+    from clementineyoke_node.edge.runner_liveness import EndCheck
     from clementineyoke_node.edge.runner_protocol import RunnerProtocol
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
@@ -22,6 +23,8 @@
     client_response: aiohttp.ClientResponse
     protocol: RunnerProtocol | None = None
     """Its connection to the runner; None if that had ended with the head."""
+    end_check: EndCheck | None = None
+    """Whether it is whole; None if its end is not that of its connection."""
 
     @property
     def connected_ms(self) -> float:
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -51,3 +51,36 @@
       | an idle connection | the node stands still  | 1 call  |
       | a waiting call     | the node stands still  | 1 call  |
       | no connection      | the node stands still  | 2 calls |
+
+  Scenario Outline: A living runner closes an idle connection when a stream has just ended
+    # A whole stream is cut for its caller, as one idle connection counts as a crash.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has an idle connection of the node beside the stream
+    And streams are not resumable
+    When the runner of a stream ends it, and closes its idle connection 10 ms <order>
+    Then the caller gets all events of the stream, each once
+    And the runners received 1 call of the stream
+
+    Examples:
+      | order       |
+      | before that |
+      | after that  |
+
+  Scenario: The caller of a stream that cannot be resumed reads slowly
+    # A whole stream is cut for its caller, as the node looks at its runner late.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has no connection of the node beside the stream
+    And streams are not resumable
+    When the runner of a stream ends it, and its caller has read slowly
+    Then the caller gets all events of the stream, each once
+    And the runners received 1 call of the stream
+
+  Scenario: The runner of a stream that cannot be resumed ends while its caller reads slowly
+    # The node looks when the caller has taken all, and another process listens by then.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has no connection of the node beside the stream
+    And the address of a runner that ends is taken over after 100 ms
+    And streams are not resumable
+    When the runner of a stream ends after 2 events, and its caller has read slowly
+    Then the caller has no complete answer
+    And the runners received 1 call of the stream
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -23,6 +23,7 @@
 STREAM_ID = "the-stream"
 DOCUMENT = b"a whole document"
 EVENT_PAUSE_S = 0.03
+IDLE_CLOSE_S = 0.01
 
 
 @given("a fleet of 1 node and 2 runners that frame no streams")
@@ -72,10 +73,16 @@
 
 
 @given("the address of a runner that ends is taken over at once")
-def given_reuse(context):
+@given("the address of a runner that ends is taken over after {delay_ms:d} ms")
+def given_reuse(context, delay_ms=0):
+    async def restart(runner):
+        if delay_ms:
+            await asyncio.sleep(delay_ms / 1000)
+        await runner.start()
+
     def take_over(runner):
         runner.runner_id += "-next"
-        context.restart = asyncio.ensure_future(runner.start())
+        context.restart = asyncio.ensure_future(restart(runner))
 
     for runner in context.fleet.runners:
         runner.on_crash = take_over
@@ -90,12 +97,23 @@
     asyncio.get_running_loop().call_soon(stand_still)
 
 
+async def close_idle(runner, look):
+    """Close the idle connection of a runner now, or soon after its answer's end."""
+    if look.endswith("after that"):
+        asyncio.get_running_loop().call_later(IDLE_CLOSE_S, runner.close_idle)
+    else:
+        assert runner.close_idle() == 1
+        await asyncio.sleep(IDLE_CLOSE_S)
+
+
 async def send_events(context, runner, call, look, *, last, ends_runner):
     first = int(call.headers.get("last-event-id", "0")) + 1
     yield encode_raw_head(call, Content_Type="text/event-stream")
     for number in range(first, last + 1):
         yield encode_event(number)
         await asyncio.sleep(EVENT_PAUSE_S)
+    if "closes its idle connection" in look:
+        await close_idle(runner, look)
     end(context, runner, call, look, ends_runner=ends_runner)
 
 
@@ -194,6 +212,8 @@
 
 @when("the runner of a stream ends it, and {look}")
 def end_stream(context, look):
+    if look == "its caller has read slowly":
+        delay_writes(context)
     answer_first(
         context,
         lambda runner, call: send_events(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -227,6 +227,7 @@
         self._is_awake.set()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._idle_writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> Self:
         """Listen on a free port, which the runner keeps across crashes."""
@@ -285,6 +286,12 @@
                 reset_connection(writer)
         self.on_crash(self)
 
+    def close_idle(self) -> int:
+        """Close the idle connections in order, and return how many these were."""
+        for writer in self._idle_writers:
+            writer.close()
+        return len(self._idle_writers)
+
     def forget_connections(self) -> None:
         """Leave the present connections open in a crash, as if their ends were lost."""
         self._writers.clear()
@@ -297,7 +304,9 @@
             first_byte = b""
             while await self._serve_one(reader, writer, first_byte):
                 idle_since_s = time.monotonic()
+                self._idle_writers.add(writer)
                 first_byte = await reader.readexactly(1)
+                self._idle_writers.discard(writer)
                 if self._resets_idle(time.monotonic() - idle_since_s):
                     reset_connection(writer)
                     return
@@ -307,6 +316,7 @@
             return  # the scenario has ended
         finally:
             self._writers.discard(writer)
+            self._idle_writers.discard(writer)
             writer.close()
 
     def _resets_idle(self, idle_s: float) -> bool:
