Text that quotes the end mark does not end a stream

On the project's own interface a caller got half of a stream as a whole one if an engine ended it in order but too early, within 64 bytes of a text that contains "data: [DONE]".

Cause: the mark was looked for anywhere in the last bytes, also within a line. It counts as a line of its own now; line ends within text are escaped there.

Evidence: the new scenario of isolation.feature fails on the code before (200, complete, one quoted token, no mark) and passes after; the features of callers pass. The mutation is caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/response_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/response_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -17,9 +18,10 @@
     from clementineyoke_core.runner import Runner
 
 EVENT_STREAM = "text/event-stream"
-STREAM_END_MARK = b"data: [DONE]"
 TAIL_BYTES = 64
 """Bytes kept of the end of a stream; the end mark may be split between chunks."""
+_END_MARK_LINE = re.compile(rb"^data: \[DONE\]\r?$", re.MULTILINE)
+"""The mark within a line may be text of the response."""
 _FORWARDED_HEADERS = (
     "Content-Type",
     "Content-Length",
@@ -49,12 +51,15 @@
     try:
         async for chunk in runner_response.content.iter_any():
             await response.write(chunk)
-            tail = (tail + chunk)[-TAIL_BYTES:]
+            tail += chunk
+            if len(tail) > TAIL_BYTES:
+                tail = drop_partial_line(tail[-TAIL_BYTES:])
     except (aiohttp.ClientError, TimeoutError) as error:
         raise TruncatedResponseError(
             step="relay", peer=runner.runner_id, reason=repr(error)
         ) from error
-    if runner_response.content_type == EVENT_STREAM and STREAM_END_MARK not in tail:
+    is_stream = runner_response.content_type == EVENT_STREAM
+    if is_stream and not _END_MARK_LINE.search(tail):
         raise TruncatedResponseError(
             step="relay",
             peer=runner.runner_id,
@@ -64,6 +69,12 @@
     return response
 
 
+def drop_partial_line(data: bytes) -> bytes:
+    """Return a part of a stream without the line within which it begins."""
+    begun, line_end, rest = data.partition(b"\n")
+    return rest if line_end else begun
+
+
 def is_framed(runner_response: aiohttp.ClientResponse) -> bool:
     """Return whether the response has a length, is chunked or has no body.
 
--- a/packages/clementineyoke-node/tests/callers/isolation.feature
+++ b/packages/clementineyoke-node/tests/callers/isolation.feature
@@ -33,6 +33,13 @@
     And a chat is sent and its response is truncated
     Then the caller sees an aborted connection
 
+  Scenario: A stream that quotes the end mark ends cleanly but too early
+    # A part of a response would pass for all of it if its text contained the end mark.
+    Given a node with simulated runners
+    When the engines omit the end mark and quote it in their last token
+    And a chat is sent and its response is truncated
+    Then the caller sees an aborted connection
+
   Scenario: A stream breaks in the middle
     Given a node with simulated runners
     When the engines break streams in the middle
--- a/packages/clementineyoke-node/tests/steps/caller_steps.py
+++ b/packages/clementineyoke-node/tests/steps/caller_steps.py
@@ -129,6 +129,16 @@
         engine.faults.no_end_mark = 9
 
 
+@when("the engines omit the end mark and quote it in their last token")
+def quote_end_mark(context):
+    async def generate(request, tokens):
+        yield STREAM_END_MARK.decode()
+
+    omit_end_mark(context)
+    for engine in context.fleet.engines:
+        engine._generate = generate
+
+
 @when("the engines break streams in the middle")
 def break_middle(context):
     for engine in context.fleet.engines:
@@ -282,7 +292,7 @@
 
 @then("the caller sees an aborted connection")
 def check_break(context):
-    assert context.payload_error is not None
+    assert getattr(context, "payload_error", None) is not None, context.response
 
 
 @then("{count:d} chats receive complete responses")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -31,6 +31,8 @@
     """The feature file, or folder of them, that must fail with the fault."""
 
 
+CALLERS_SOURCE = f"{NODE}/src/clementineyoke_node/callers"
+ISOLATION = f"{NODE}/tests/callers/isolation.feature"
 CALLS = f"{NODE}/tests/edge/calls.feature"
 STREAMS = f"{NODE}/tests/edge/streams.feature"
 FLEET = f"{NODE}/tests/edge/fleet.feature"
@@ -1453,6 +1455,13 @@
         "pass",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "text that quotes the end mark of a stream ends it",
+        f"{CALLERS_SOURCE}/response_relay.py",
+        "not _END_MARK_LINE.search(tail)",
+        'b"data: [DONE]" not in tail',
+        ISOLATION,
+    ),
     Mutation(
         "a leaving node keeps a connection after a stream",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
