A stream that broke within its end mark can be resumed

On the project's own interface a caller whose connection broke when it had all of a stream, or all but a part of "data: [DONE]", could not get the rest: each answer to GET /v1/streams was broken off. A caller that claimed more bytes than the engine made got the same, after 200.

Cause: the end mark was looked for in the rest alone. The node asks for up to 64 bytes before the offset now, and passes on what follows them; if the engine has not made these, the answer is 410. A rest without a length or chunks is refused, as the first answer is; no run shows that one.

Evidence: four of the five new scenarios of resume.feature fail on the code before (the connection is broken off), all pass after. The fifth, a rest with its length, guards the mend alone. The features of callers pass, 34 scenarios; both mutations are caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/response_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/response_relay.py
@@ -37,17 +37,24 @@
     runner: Runner,
     request_id: str,
     extra_headers: Mapping[str, str] | None = None,
+    before: bytes = b"",
+    skipped_bytes: int = 0,
 ) -> web.StreamResponse:
     """Stream a response to the caller; memory use is bounded by the socket buffers.
 
+    Of the rest of a stream, ``skipped_bytes`` were read, which the caller has;
+    ``before`` are the whole lines at their end.
+
     Raises ``TruncatedResponseError`` when the runner's response ends early. The
     caller's connection must then be aborted: if it were closed cleanly, the caller
     would take the truncated response for a complete one.
     """
     response = _start_response(runner_response, runner=runner, request_id=request_id)
     response.headers.update(extra_headers or {})
+    if skipped_bytes and response.content_length is not None:
+        response.content_length -= skipped_bytes
     await response.prepare(request)
-    tail = b""
+    tail = before
     try:
         async for chunk in runner_response.content.iter_any():
             await response.write(chunk)
--- a/packages/clementineyoke-node/src/clementineyoke_node/callers/resume_handler.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/callers/resume_handler.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+import aiohttp
+
 from clementineyoke_core.outcome import Outcome
 from clementineyoke_core.request_error import RequestError
-from clementineyoke_node.callers.response_relay import relay_response
+from clementineyoke_node.callers.response_relay import (
+    TAIL_BYTES,
+    drop_partial_line,
+    is_framed,
+    relay_response,
+)
 from clementineyoke_node.runners.runner_client import RunnerCall
 from clementineyoke_node.runners.runner_error import RunnerError
 from clementineyoke_wire import headers
@@ -58,9 +66,14 @@
         """Stream the rest; ``?after=`` is the number of body bytes already received."""
         location = self._read_location(request, caller)
         runner = self._find_runner(location)
+        offset_bytes = _parse_offset(request)
+        # The rest alone does not show its end if the caller has a part of the mark, nor
+        # that the runner has made what the caller has.
+        overlap_bytes = min(offset_bytes, TAIL_BYTES)
+        after = offset_bytes - overlap_bytes
         call = RunnerCall(
             method="GET",
-            path=f"{STREAMS_PATH}/{location.request_id}?after={_parse_offset(request)}",
+            path=f"{STREAMS_PATH}/{location.request_id}?after={after}",
             headers={},
             body=b"",
             request_id=location.request_id,
@@ -75,12 +88,17 @@
             reason="resume",
         )
         try:
-            return await self._relay(request, runner, call)
+            return await self._relay(request, runner, call, overlap_bytes=overlap_bytes)
         except RunnerError as error:
             raise _stream_lost(error.peer, error.reason) from error
 
     async def _relay(
-        self, request: web.Request, runner: Runner, call: RunnerCall
+        self,
+        request: web.Request,
+        runner: Runner,
+        call: RunnerCall,
+        *,
+        overlap_bytes: int,
     ) -> web.StreamResponse:
         lease = self._broker.adopt(runner)
         with self._broker.holding(lease):
@@ -89,8 +107,18 @@
                     raise _stream_lost(
                         runner.runner_id, "the runner no longer holds it"
                     )
+                if not is_framed(runner_response):
+                    raise _stream_lost(
+                        runner.runner_id, "the answer does not say where it ends"
+                    )
+                overlap = await _read_overlap(runner, runner_response, overlap_bytes)
                 return await relay_response(
-                    request, runner_response, runner=runner, request_id=call.request_id
+                    request,
+                    runner_response,
+                    runner=runner,
+                    request_id=call.request_id,
+                    before=overlap,
+                    skipped_bytes=overlap_bytes,
                 )
 
     def _read_location(
@@ -114,6 +142,22 @@
         return entry.runner
 
 
+async def _read_overlap(
+    runner: Runner, runner_response: aiohttp.ClientResponse, size_bytes: int
+) -> bytes:
+    """Return the last whole lines of what the caller has, as the runner sends it."""
+    try:
+        overlap = await runner_response.content.readexactly(size_bytes)
+    except asyncio.IncompleteReadError as error:
+        raise _stream_lost(
+            runner.runner_id,
+            f"it ends {size_bytes - len(error.partial)} bytes before the offset",
+        ) from error
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise _stream_lost(runner.runner_id, repr(error)) from error
+    return overlap if size_bytes < TAIL_BYTES else drop_partial_line(overlap)
+
+
 def _parse_offset(request: web.Request) -> int:
     text = request.query.get("after", "0")
     if not text.isdecimal():
--- a/packages/clementineyoke-node/tests/steps/resume_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resume_steps.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
-from behave import then, when
+from aiohttp import web
+from behave import given, then, when
 from one_node import MODEL, TEAM_KEY
 
 
@@ -27,6 +29,21 @@
     return context.fleet.send("GET", path, X_Resume=token, **headers)
 
 
+@given("engines that resume streams with a length")
+def given_lengths(context):
+    async def send_rest(engine, send, request, stream, *, offset, **options):
+        if request.method == "POST":
+            return await send(request, stream, offset=offset, **options)
+        body = b"".join([part async for part in stream.read_from(offset)])
+        headers = engine._headers(request)
+        return web.Response(
+            body=body, headers=headers, content_type="text/event-stream"
+        )
+
+    for engine in context.fleet.engines:
+        engine._send_stream = partial(send_rest, engine, engine._send_stream)
+
+
 @when("a resumable stream of {tokens:d} tokens breaks after a part of it")
 def break_stream(context, tokens):
     context.tokens = tokens
@@ -38,11 +55,24 @@
     context.run(read_and_disconnect(context, tokens, min_bytes=10**6))
 
 
+@when("a resumable stream of {tokens:d} tokens breaks after all of it but {n:d} bytes")
+def break_near_end(context, tokens, n):
+    context.tokens = tokens
+    break_after_end(context, tokens)
+    context.received = context.received[: len(context.received) - n]
+
+
 @when("it is resumed from the last byte received")
 def resume(context):
     context.rest = context.run(request_rest(context, context.token))
 
 
+@when("it is resumed {count:d} bytes after the last byte received")
+def resume_ahead(context, count):
+    context.received += b"x" * count
+    context.response = context.run(request_rest(context, context.token))
+
+
 @when("another team and a forged token request the rest")
 def request_without_right(context):
     async def run():
@@ -65,9 +95,14 @@
 
 @then("both parts together are the complete response")
 def check_parts(context):
+    assert len(context.received) > 0 and context.rest[2]
+    check_rest(context)
+
+
+@then("the rest completes the response")
+def check_rest(context):
     status, headers, body = context.rest
     assert status == 200, body
-    assert len(context.received) > 0 and body
     complete_body = (context.received + body).decode()
     lines = [line for line in complete_body.split("\n\n") if "content" in line]
     assert len(lines) == context.tokens
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -33,6 +33,7 @@
 
 CALLERS_SOURCE = f"{NODE}/src/clementineyoke_node/callers"
 ISOLATION = f"{NODE}/tests/callers/isolation.feature"
+RESUME = f"{NODE}/tests/callers/resume.feature"
 CALLS = f"{NODE}/tests/edge/calls.feature"
 STREAMS = f"{NODE}/tests/edge/streams.feature"
 FLEET = f"{NODE}/tests/edge/fleet.feature"
@@ -1462,6 +1463,20 @@
         'b"data: [DONE]" not in tail',
         ISOLATION,
     ),
+    Mutation(
+        "the rest of a stream is read without what its caller has of the end mark",
+        f"{CALLERS_SOURCE}/resume_handler.py",
+        "overlap_bytes = min(offset_bytes, TAIL_BYTES)",
+        "overlap_bytes = 0",
+        RESUME,
+    ),
+    Mutation(
+        "the length of a rest counts bytes that its caller does not get",
+        f"{CALLERS_SOURCE}/response_relay.py",
+        "response.content_length -= skipped_bytes",
+        "pass",
+        RESUME,
+    ),
     Mutation(
         "a leaving node keeps a connection after a stream",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
