--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -109,6 +109,8 @@
 async def send_events(context, runner, call, look, *, last, ends_runner):
     first = int(call.headers.get("last-event-id", "0")) + 1
     yield encode_raw_head(call, Content_Type="text/event-stream")
+    if "closes its idle connection" in look:
+        runner.close_idle(keep=1)
     for number in range(first, last + 1):
         yield encode_event(number)
         await asyncio.sleep(EVENT_PAUSE_S)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/edge_runner.py
@@ -286,11 +286,12 @@
                 reset_connection(writer)
         self.on_crash(self)
 
-    def close_idle(self) -> int:
-        """Close the idle connections in order, and return how many these were."""
-        for writer in self._idle_writers:
+    def close_idle(self, *, keep: int = 0) -> int:
+        """Close idle connections in order but for some; return how many are closed."""
+        closed = list(self._idle_writers)[keep:]
+        for writer in closed:
             writer.close()
-        return len(self._idle_writers)
+        return len(closed)
 
     def forget_connections(self) -> None:
         """Leave the present connections open in a crash, as if their ends were lost."""
