An end that the node has read late is in doubt

A caller got a part of a stream without a length as a whole one (200, 2 of 6 events) if the caller was slow, the runner ended in order meanwhile, and another process listened at its address when the node read on.

Cause: the node stops to read from a runner whose caller is slow. The end of the connection waits in the system's buffers, and its time was taken when it was read, so that it never counted as late.

An end may have waited since the node stopped to read, unless a pause of 20 ms between bytes has shown since that it had read all. Where another runner may go on, that costs a call; a stream that cannot be resumed counts as whole as before, since each whole one of such a caller would be cut.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -52,9 +52,11 @@
     def __init__(
         self,
         runner: Runner,
+        protocol: RunnerProtocol | None,
         find_doubt: Callable[[float], Coroutine[None, None, EndDoubt | None]],
     ) -> None:
         self._runner = runner
+        self._protocol = protocol
         self._find_doubt = find_doubt
         self._loop = asyncio.get_running_loop()
         self._ended_s = 0.0
@@ -79,9 +81,11 @@
         decides.
         """
         self.start()
-        late_ms = (self._loop.time() - self._ended_s) * MS_PER_S
+        late_s = self._loop.time() - self._ended_s
+        if self._protocol is not None:
+            late_s += self._protocol.max_end_delay_s
         doubt = None if self._task is None else await self._task
-        if doubt is None and may_go_on and late_ms > MIN_RESTART_MS:
+        if doubt is None and may_go_on and late_s * MS_PER_S > MIN_RESTART_MS:
             doubt = LATE
         if doubt is None:
             return
@@ -129,7 +133,7 @@
         if head.body_end is not BodyEnd.CONNECTION:
             yield None
             return
-        check = EndCheck(runner, partial(self._find_doubt, runner))
+        check = EndCheck(runner, protocol, partial(self._find_doubt, runner))
         if protocol is None or protocol.ended_s is not None:
             check.start(None if protocol is None else protocol.ended_s)
         else:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -32,6 +32,8 @@
 KEEP_ALIVE_MARGIN_S = 0.2
 """Deducted from the idle timeout that a runner announces: a call takes time to reach
 it."""
+QUIET_S = 0.02
+"""Time without bytes after which none that were sent earlier wait in the system."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})\b", re.IGNORECASE)
 
 
@@ -54,9 +56,13 @@
         """Time of the loop at which the connection was opened."""
         self.ended_s: float | None = None
         """When the connection ended; None while it is open."""
+        self.max_end_delay_s = 0.0
+        """How long before that it may have ended, as the node had stopped to read."""
         self.on_ended: Callable[[], None] = lambda: None
         """Called when the connection has ended."""
         self._last_received_s = 0.0
+        self._unread_since_s: float | None = None
+        """Since when bytes may wait unread in the system; None if none do."""
         self._max_idle_s = MAX_IDLE_S
         self._send_monitor: SendMonitor | None = None
 
@@ -82,9 +88,19 @@
         if self._send_monitor is not None:
             self._send_monitor.start()
 
+    def pause_reading(self) -> None:
+        """Record since when bytes may wait unread."""
+        if self._unread_since_s is None:
+            self._unread_since_s = self._loop.time()
+        super().pause_reading()
+
     def data_received(self, data: bytes) -> None:
         """Record when the connection was last active."""
-        self._last_received_s = self._loop.time()
+        now_s = self._loop.time()
+        # Empty data marks that reading goes on after a pause.
+        if data and now_s - self._last_received_s > QUIET_S:
+            self._unread_since_s = None
+        self._last_received_s = now_s
         super().data_received(data)
 
     def feed_data(
@@ -120,6 +136,10 @@
         super().connection_lost(exc)
         is_body_end = not had_ended and payload is not None and payload.is_eof()
         self.ended_s = self._loop.time()
+        if self._unread_since_s is not None:
+            is_quiet = self.ended_s - self._last_received_s > QUIET_S
+            waited_s = self.ended_s - self._unread_since_s
+            self.max_end_delay_s = 0.0 if is_quiet else waited_s
         is_cut = not is_own_end and not is_body_end
         self._connections.remove(self._peer, self)
         if is_cut:
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -17,6 +17,7 @@
       | a waiting call     | the node stands still        |
       | no connection      | the node stands still        |
       | no connection      | its caller has read slowly   |
+      | no connection      | the node has stopped to read |
 
   Scenario: The stream cannot be resumed
     # Half of it would be all that its caller ever sees of it.
@@ -84,3 +85,11 @@
     When the runner of a stream ends after 2 events, and its caller has read slowly
     Then the caller has no complete answer
     And the runners received 1 call of the stream
+
+  Scenario: The node has stopped to read, and reads on long before the stream ends
+    # Each whole stream of a caller who was slow once costs a call at another runner.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And each runner has no connection of the node beside the stream
+    When the runner of a stream ends it, and the node has stopped to read
+    Then the caller gets all events of the stream, each once
+    And the runners received 1 call of the stream
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -24,6 +24,8 @@
 DOCUMENT = b"a whole document"
 EVENT_PAUSE_S = 0.03
 IDLE_CLOSE_S = 0.01
+UNREAD_COMMENT = b": %s\n\n" % (b"x" * 1_500_000)
+"""Longer than what the node reads ahead, and short enough for the system's buffers."""
 
 
 @given("a fleet of 1 node and 2 runners that frame no streams")
@@ -112,6 +114,10 @@
     if "closes its idle connection" in look:
         runner.close_idle(keep=1)
     for number in range(first, last + 1):
+        if number == EVENTS_SENT and look == "the node has stopped to read":
+            yield UNREAD_COMMENT
+            if not ends_runner:
+                await asyncio.sleep(SLOW_WRITE_S)
         yield encode_event(number)
         await asyncio.sleep(EVENT_PAUSE_S)
     if "closes its idle connection" in look:
@@ -178,8 +184,7 @@
 
 @when("the runner of a stream ends after 2 events, and {look}")
 def end_amid_stream(context, look):
-    if look == "its caller has read slowly":
-        delay_writes(context)
+    slow_down(context, look)
     answer_first(
         context,
         lambda runner, call: send_events(
@@ -190,13 +195,21 @@
     make_call(context, "streaming")
 
 
-def delay_writes(context):
-    """Let the caller take each part of the stream late."""
+def slow_down(context, look):
+    if look == "its caller has read slowly":
+        delay_writes(context)
+    elif look == "the node has stopped to read":
+        delay_writes(context, most=1)
+
+
+def delay_writes(context, most=1000):
+    """Let the caller take each part of the stream late, or the first ones alone."""
     write = aiohttp.web.StreamResponse.write
+    delays = iter([SLOW_WRITE_S] * most)
 
     async def write_slowly(response, data):
         await write(response, data)
-        await asyncio.sleep(SLOW_WRITE_S)
+        await asyncio.sleep(next(delays, 0))
 
     aiohttp.web.StreamResponse.write = write_slowly
     context.add_cleanup(setattr, aiohttp.web.StreamResponse, "write", write)
@@ -214,8 +227,7 @@
 
 @when("the runner of a stream ends it, and {look}")
 def end_stream(context, look):
-    if look == "its caller has read slowly":
-        delay_writes(context)
+    slow_down(context, look)
     answer_first(
         context,
         lambda runner, call: send_events(
@@ -229,7 +241,9 @@
 @then("the caller gets all events of the stream, each once")
 def check_all_events(context):
     assert context.answer is not None, "broken off"
-    assert (context.answer[0], context.answer[2]) == (200, WHOLE_STREAM), context.answer
+    status, _, body = context.answer
+    events = body.replace(UNREAD_COMMENT.decode(), "")
+    assert (status, events) == (200, WHOLE_STREAM), (status, events)
 
 
 @then("the caller gets the document of the other runner")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -803,15 +803,15 @@
     Mutation(
         "an end of an answer may be noticed late because its caller reads slowly",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "if doubt is None and may_go_on and late_ms > MIN_RESTART_MS:",
+        "if doubt is None and may_go_on and late_s * MS_PER_S > MIN_RESTART_MS:",
         "if False:",
         REUSED_ADDRESSES,
     ),
     Mutation(
         "a whole stream that cannot be resumed is cut if its caller reads slowly",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "if doubt is None and may_go_on and late_ms",
-        "if doubt is None and late_ms",
+        "if doubt is None and may_go_on and late_s",
+        "if doubt is None and late_s",
         REUSED_ADDRESSES,
     ),
     Mutation(
@@ -821,6 +821,13 @@
         "pass",
         REUSED_ADDRESSES,
     ),
+    Mutation(
+        "an end counts as just come after the node had stopped to read",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "late_s += self._protocol.max_end_delay_s",
+        "pass",
+        REUSED_ADDRESSES,
+    ),
     Mutation(
         "the end of one idle connection is a sign of a crash",
         f"{NODE_EDGE_SOURCE}/runner_connections.py",
