--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -31,6 +31,9 @@
     """The feature file, or folder of them, that must fail with the fault."""
 
 
+CALLERS_SOURCE = f"{NODE}/src/clementineyoke_node/callers"
+ISOLATION = f"{NODE}/tests/callers/isolation.feature"
+RESUME = f"{NODE}/tests/callers/resume.feature"
 CALLS = f"{NODE}/tests/edge/calls.feature"
 STREAMS = f"{NODE}/tests/edge/streams.feature"
 FLEET = f"{NODE}/tests/edge/fleet.feature"
@@ -797,29 +800,57 @@
     Mutation(
         "an answer that ends with its connection is taken as complete",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "if response.head.body_end is not BodyEnd.CONNECTION:",
+        "if head.body_end is not BodyEnd.CONNECTION:",
         "if True:",
         CRASHING_PARTS,
     ),
     Mutation(
         "the ends of other connections to a runner are no sign of its crash",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "elif self._was_cut(runner, ended_s):",
-        "elif False:",
+        "if self._connections.were_cut(address, ended_s=ended_s):",
+        "if False:",
         REUSED_ADDRESSES,
     ),
     Mutation(
         "an open connection to a runner is no sign that it lives on",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "elif self._connections.has_open(Address.of(runner), before_s=ended_s):",
-        "elif False:",
+        "if self._connections.has_open(address, before_s=ended_s):",
+        "if False:",
         REUSED_ADDRESSES,
     ),
     Mutation(
         "an end of an answer may be noticed late because its caller reads slowly",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "elif late_ms > MIN_RESTART_MS or",
-        "elif",
+        "if doubt is None and may_go_on and late_s * MS_PER_S > MIN_RESTART_MS:",
+        "if False:",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "a whole stream that cannot be resumed is cut if its caller reads slowly",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "if doubt is None and may_go_on and late_s",
+        "if doubt is None and late_s",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "the end of an answer is checked when its caller has taken it",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "protocol.on_ended = check.start",
+        "pass",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an end counts as just come after the node had stopped to read",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "late_s += self._protocol.max_end_delay_s",
+        "pass",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "the end of one idle connection is a sign of a crash",
+        f"{NODE_EDGE_SOURCE}/runner_connections.py",
+        "if len(cuts) > 1 or any(not cut.was_idle for cut in cuts):",
+        "if cuts:",
         REUSED_ADDRESSES,
     ),
     Mutation(
@@ -1471,6 +1502,27 @@
         "pass",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "text that quotes the end mark of a stream ends it",
+        f"{CALLERS_SOURCE}/response_relay.py",
+        "not _END_MARK_LINE.search(tail)",
+        'b"data: [DONE]" not in tail',
+        ISOLATION,
+    ),
+    Mutation(
+        "the rest of a stream is read without what its caller has of the end mark",
+        f"{CALLERS_SOURCE}/resume_handler.py",
+        "overlap_bytes = min(offset_bytes, TAIL_BYTES)",
+        "overlap_bytes = 0",
+        RESUME,
+    ),
+    Mutation(
+        "the length of a rest counts bytes that its caller does not get",
+        f"{CALLERS_SOURCE}/response_relay.py",
+        "response.content_length -= skipped_bytes",
+        "pass",
+        RESUME,
+    ),
     Mutation(
         "a leaving node keeps a connection after a stream",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
