A version that came and went unseen forbids streams of the only version

Callers got streams of two versions: a node that read nothing for a while (paused, cut off from the store and the peers, or late) took the version that it lists for the only one, and went on with streams that another version had begun at a node that ended since.

Cause: an entry that a removal of the same answer follows was dropped, and a list after lost history shows only what is left, while the observed time went on counting.

Evidence: versions.feature, 'A version comes and goes while a node does not read the store'.

Nothing changes for entries whose version is listed anyway.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/pool_versions.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/pool_versions.py
@@ -88,6 +88,10 @@
         recent = self.all_recent(now_ms=now_ms)
         return [pool for pool, versions in recent.items() if len(versions) > 1]
 
+    def record_gap(self, *, now_ms: float) -> None:
+        """Record that versions may have come and gone unseen until now."""
+        self._observed_since_ms = now_ms
+
     def observed_ms(self, *, now_ms: float) -> float:
         """Return for how long the versions are known, up to the retention time."""
         return max(0.0, min(RETENTION_MS, now_ms - self._observed_since_ms))
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -65,6 +65,8 @@
         self._live_ids: set[str] = set()
         self.evacuations = Evacuations()
         self.routes: RouteTable | None = None
+        self.on_gap: Callable[[], None] = lambda: None
+        """Called before a list is applied that skips changes of runners."""
         self.ready = asyncio.Event()
         """Set once the desired state, the runners and, if zones may be evacuated, the
         evacuations are known: the first call must not go to an evacuated zone."""
@@ -135,6 +137,8 @@
         """Apply a complete list of runners as of a revision."""
         newer = self._newer_records(view.records)
         lapsed_before = self._directory.lapsed_ids()
+        if 0 < self.runners_revision < view.revision:
+            self.on_gap()
         if self._directory.replace(view, now_ms=self._timers.now_ms()):
             self._update_runner_table(source)
             self._record_cold_times(newer)
@@ -183,6 +187,11 @@
             self.evacuations.apply(changes), source, is_zone_notified=False
         )
 
+    def lists_version(self, runner: Runner) -> bool:
+        """Whether a runner of the same pool and version is listed."""
+        known = ((r.runner.pool, r.runner.version) for r in self._directory.records())
+        return (runner.pool, runner.version) in known
+
     def is_contiguous_with(self, changes: DirectoryChanges) -> bool:
         """Whether no change is missing between this view and ``changes``."""
         return self._directory.is_contiguous_with(changes)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -336,13 +336,17 @@
             changes = _decode_evacuation_changes(update)
             self._view.apply_evacuation_changes(changes, source="watch")
             return
-        self._view.apply_runner_changes(
-            self._decode_changes(update, base_revision), source="watch"
-        )
+        for step in self._decode_changes(update, base_revision):
+            self._view.apply_runner_changes(step, source="watch")
 
     def _decode_changes(
         self, update: EntryChanges, base_revision: int
-    ) -> DirectoryChanges:
+    ) -> list[DirectoryChanges]:
+        """Return the runners of versions that came and went, and then all last changes.
+
+        Other nodes may have begun streams of these versions.
+        """
+        passed: list[RunnerRecord] = []
         records: dict[str, RunnerRecord] = {}
         removals: dict[str, RunnerRemoval] = {}
         for change in update.changes:
@@ -353,18 +357,33 @@
                 decoded = RunnerRemoval(name, revision, born_ms=born_ms)
             else:
                 decoded = self._decode_runner(change.entry)
-            records.pop(name, None)
+            replaced = records.pop(name, None)
             removals.pop(name, None)
+            if replaced is not None and not self._view.lists_version(replaced.runner):
+                passed.append(replaced)
             if isinstance(decoded, RunnerRecord):
                 records[name] = decoded
             else:
                 removals[name] = decoded
-        return DirectoryChanges(
+        last = {(r.runner.pool, r.runner.version) for r in records.values()}
+        passing = [
+            DirectoryChanges(
+                base_revision,
+                base_revision,
+                # No call goes to a runner whose end is known.
+                (record._replace(is_leaving=record.runner.runner_id in removals),),
+                (),
+            )
+            for record in passed
+            if (record.runner.pool, record.runner.version) not in last
+        ]
+        changes = DirectoryChanges(
             base_revision,
             update.revision,
             tuple(records.values()),
             tuple(removals.values()),
         )
+        return [*passing, changes]
 
     def _apply_state(self, entry: StoredEntry) -> None:
         if entry.name != names.STATE_NAME:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -58,6 +58,7 @@
             timers=timers,
             is_writer=self._is_version_writer,
         )
+        view.on_gap = self._record_gap
         self._stream_archive = StreamArchive(
             store=store,
             node_id=state.config.node_id,
@@ -86,6 +87,10 @@
             lifetimes=self._lifetimes,
         )
 
+    def _record_gap(self) -> None:
+        self.versions.record_gap(now_ms=self._timers.now_ms())
+        self._version_archive.forget()
+
     def start_timers(self) -> None:
         """Start to write to the store what has changed, and to end doubts."""
         for name, part in (
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/version_archive.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/version_archive.py
@@ -65,6 +65,10 @@
             if self._written is None:
                 await self._load()
 
+    def forget(self) -> None:
+        """Have the stored versions read again, as this node may have missed some."""
+        self._written = None
+
     async def _load(self) -> int:
         """Adopt the stored versions and return their revision, 0 without an object.
 
--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -83,6 +83,20 @@
     When a caller resumes a stream after event 2 with "reused-id"
     Then it gets 503, and runners received 0 calls
 
+  Scenario Outline: A version comes and goes while a node does not read the store
+    # The node takes the version that it lists for the only one that there was.
+    Given 2 nodes and 2 runners of the versions "v1"
+    And node 1 gets no changes of runners, from the store or node 0
+    When runners of "v2" begin 6 streams at node 0, which break, and leave
+    And node 0 is killed
+    And node 1 reads the store again, which has <history>
+    Then node 1 goes on with none of the streams
+
+    Examples:
+      | history         |
+      | all its history |
+      | no history      |
+
   Scenario: A node loses its links in the middle of streams of two versions
     # The peer that goes on with a forwarded call has not seen the first events.
     Given 3 nodes and 8 runners of the versions "v1, v2"
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -301,6 +301,67 @@
     context.run(wait_until(lambda: all(ids(node) == expected for node in nodes), 5))
 
 
+@given("node 1 gets no changes of runners, from the store or node 0")
+def hold_changes(context):
+    first, second = context.fleet.nodes
+    context.run(
+        wait_until(lambda: second.io.stream_components._version_archive._written, 2)
+    )
+    context.reads_again = asyncio.Event()
+    watch = second.io.store.watch
+
+    async def watch_later(kind, **options):
+        if kind == "servers":
+            await context.reads_again.wait()
+        return await watch(kind, **options)
+
+    second.io.store.watch = watch_later
+    second.io.store_watcher._interrupts["servers"].set()
+    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+
+
+@when(
+    'runners of "{version}" begin {count:d} streams at node 0, which break, and leave'
+)
+def begin_and_leave(context, version, count):
+    fleet, old = context.fleet, list(context.fleet.runners)
+    nodes, fleet.nodes = fleet.nodes, fleet.nodes[:1]
+    start_runners(context, 4, version)
+    for runner in fleet.runners:
+        runner.break_every, runner.is_shedding = 1, runner in old
+    context.readers = [Reader(fleet, f"stream-{n}") for n in range(count)]
+
+    async def begin(reader):
+        while not reader.events:
+            await reader.read(0)
+
+    context.run(asyncio.wait_for(asyncio.gather(*map(begin, context.readers)), 8))
+    for runner in fleet.runners:
+        runner.break_every, runner.is_shedding = 0, False
+    remove_runners(context, version)
+    fleet.nodes = nodes
+
+
+@when("node 1 reads the store again, which has {history}")
+def read_again(context, history):
+    fleet = context.fleet
+    if history == "no history":
+        fleet.store.drop_history()
+    context.reads_again.set()
+    view = fleet.nodes[-1].io.view
+    context.run(wait_until(lambda: view.runners_revision == fleet.store.revision, 3))
+
+
+@then("node {number:d} goes on with none of the streams")
+def check_none_goes_on(context, number):
+    async def act():
+        return await asyncio.gather(*(r.read(number) for r in context.readers))
+
+    tries = context.run(act())
+    went_on = sum(attempt.succeeded for attempt in tries)
+    assert {attempt.status for attempt in tries} == {503}, (went_on, tries[:2])
+
+
 @then("each stream goes on at node {number:d} at the version that began it")
 def check_each_goes_on(context, number):
     check_go_on(context, context.readers, number)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1092,6 +1092,20 @@
         "            if False:\n",
         VERSIONS,
     ),
+    Mutation(
+        "a version that comes and goes within one answer of the store is not seen",
+        f"{NODE_EDGE_SOURCE}/store_watcher.py",
+        "                passed.append(replaced)\n",
+        "                pass\n",
+        VERSIONS,
+    ),
+    Mutation(
+        "a node takes versions for known that came and went while it read nothing",
+        f"{NODE_EDGE_SOURCE}/fleet_view.py",
+        "            self.on_gap()\n",
+        "            pass\n",
+        VERSIONS,
+    ),
     Mutation(
         "a stream whose version is unknown goes on at any",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
