A stream resumed at the only version is recorded under the attempt that began it

Callers whose stream broke twice were refused (503, find_stream) although runners of its version served: the node that began the stream had ended, a second one had gone on at the only version, and then a release made the pool mixed. The caller names the first attempt again, of which no node has a record; the second node had recorded its own attempt alone.

The conclusion that only one version can have begun the stream is kept as a record, as one from a peer is. Nothing is sent while one version serves. A completed stream forgets the attempt that began it as well.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -166,10 +166,12 @@
         """Forget a completed stream, unless its version would have to be known."""
         if not _is_resumable(admitted):
             return
+        is_mixed = self.is_mixed(admitted.pool)
         for attempt in (admitted.call.call_id, admitted.call.resumes):
-            self._stream_archive.discard(stream_key(admitted.team, attempt or ""))
-        if not self.is_mixed(admitted.pool):
-            self._records.remove(stream_key(admitted.team, admitted.call.call_id))
+            key = stream_key(admitted.team, attempt or "")
+            self._stream_archive.discard(key)
+            if not is_mixed:
+                self._records.remove(key)
 
     async def find(self, admitted: AdmittedCall) -> ResumedStream | None:
         """Return who may go on with the stream that a caller resumes.
@@ -207,8 +209,8 @@
                 reason=_describe_failure(resumes, result, is_named=is_named),
                 retry_after_ms=UNKNOWN_RETRY_MS,
             )
-        if lookup.record is not None:
-            self._prolong(key, lookup.record, admitted)
+        if is_named:
+            self._prolong(key, stream, admitted)
         return stream
 
     def update_versions(self) -> None:
@@ -310,10 +312,14 @@
         observed_ms = self._versions.observed_ms(now_ms=now_ms)
         return LookupAnswer(record, tuple(versions), observed_ms)
 
-    def _prolong(self, key: int, record: StreamRecord, admitted: AdmittedCall) -> None:
-        """Keep a resumed stream for as long as a new one, on its present holders."""
-        prolonged = record._replace(expires_ms=self._expires_ms(admitted))
-        self._records.merge(key, prolonged, now_ms=self._timers.now_ms())
+    def _prolong(self, key: int, stream: ResumedStream, admitted: AdmittedCall) -> None:
+        """Keep a resumed stream for as long as a new one, on its present holders.
+
+        Its caller names the attempt that began it again, also once the pool is mixed.
+        """
+        pool, expires_ms = hash_text(stream.pool), self._expires_ms(admitted)
+        record = StreamRecord(pool, stream.version, expires_ms)
+        self._records.merge(key, record, now_ms=self._timers.now_ms())
         self._stream_archive.add(key)
         if self.is_mixed(admitted.pool):
             self._share(key)
--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -41,6 +41,15 @@
     And node 0 is killed
     Then each stream goes on at node 2 at the version that began it
 
+  Scenario: A second version appears after callers have resumed their streams
+    # The node that goes on with a stream has no record of the attempt that began it.
+    Given 4 nodes and 4 runners of the versions "v1"
+    And callers have begun 12 streams at node 3, all of which broke
+    When node 3 is killed
+    And callers resume the streams at node 2, and 4 runners of "v2" start
+    And node 2 is killed
+    Then each stream goes on at node 1 at the version that began it
+
   Scenario: Runners restart at another version under their addresses
     Given 4 nodes and 4 runners of the versions "v1, v2"
     And callers have begun 12 streams at node 0, all of which broke
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -213,6 +213,27 @@
     node.io.socket.send_all = lambda *_: None
     context.run(node.__aexit__(None, None, None))
     context.fleet.nodes.remove(node)
+    if "reads" in context:
+        context.run(asyncio.wait(context.reads))
+
+
+@when(
+    "callers resume the streams at node {number:d},"
+    ' and {count:d} runners of "{version}" start'
+)
+def resume_meanwhile(context, number, count, version):
+    for runner in context.fleet.runners:
+        runner.event_pause_s = 0.3
+
+    async def begin():
+        reads = [asyncio.ensure_future(r.read(number)) for r in context.readers]
+        await asyncio.sleep(0.3)
+        return reads
+
+    context.reads = context.run(begin())
+    start_runners(context, count, version)
+    for runner in context.fleet.runners:
+        runner.event_pause_s = 0.0
 
 
 @when("nothing else happens")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1106,6 +1106,13 @@
         "            pass\n",
         VERSIONS,
     ),
+    Mutation(
+        "a stream that was resumed at the only version is not recorded",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "        if is_named:\n            self._prolong(",
+        "        if lookup.record is not None:\n            self._prolong(",
+        VERSIONS,
+    ),
     Mutation(
         "a stream whose version is unknown goes on at any",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
