--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -41,6 +41,15 @@
     And node 0 is killed
     Then each stream goes on at node 2 at the version that began it
 
+  Scenario: A second version appears after callers have resumed their streams
+    # The node that goes on with a stream has no record of the attempt that began it.
+    Given 4 nodes and 4 runners of the versions "v1"
+    And callers have begun 12 streams at node 3, all of which broke
+    When node 3 is killed
+    And callers resume the streams at node 2, and 4 runners of "v2" start
+    And node 2 is killed
+    Then each stream goes on at node 1 at the version that began it
+
   Scenario: Runners restart at another version under their addresses
     Given 4 nodes and 4 runners of the versions "v1, v2"
     And callers have begun 12 streams at node 0, all of which broke
@@ -83,6 +92,20 @@
     When a caller resumes a stream after event 2 with "reused-id"
     Then it gets 503, and runners received 0 calls
 
+  Scenario Outline: A version comes and goes while a node does not read the store
+    # The node takes the version that it lists for the only one that there was.
+    Given 2 nodes and 2 runners of the versions "v1"
+    And node 1 gets no changes of runners, from the store or node 0
+    When runners of "v2" begin 6 streams at node 0, which break, and leave
+    And node 0 is killed
+    And node 1 reads the store again, which has <history>
+    Then node 1 goes on with none of the streams
+
+    Examples:
+      | history         |
+      | all its history |
+      | no history      |
+
   Scenario: A node loses its links in the middle of streams of two versions
     # The peer that goes on with a forwarded call has not seen the first events.
     Given 3 nodes and 8 runners of the versions "v1, v2"
