Streams: the doubt about a runner's lifetime lasts while it is down

A runner with a start time in its entry that stayed down for more than 2.2 s while the store was well, and came back at another version in an outage of the store, got streams of the old version, and streams that it began went on elsewhere.

Cause: the doubt ended 2.2 s after the last refused connection. While the runner was down nobody may have tried another one, as it was quarantined, and the entry that its next start was to write could not be there yet.

The doubt now ends with another entry of the id, or once the list has been current for 2.2 s after a connection was accepted. The runner's home tries every 250 ms and tells the others with a new message, RunnerBack; other nodes try every 5 s by themselves, for a home that is gone or of an earlier build. Earlier builds drop the new message. A later refusal voids what was accepted before.

--- a/packages/clementineyoke-core/src/clementineyoke_core/lifetime_doubts.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/lifetime_doubts.py
@@ -11,15 +11,19 @@
     from clementineyoke_core.runner import Runner
 
 SETTLE_MS = 2_200.0
-"""How long the store's list has to show an entry after its runner may have ended. A
+"""How long the store's list has to show an entry after its runner was seen to listen. A
 runner writes its entry when it starts, and about 2 s after an outage of the store."""
 
 
 class _End(NamedTuple):
-    """Monotonic times of the evidence that a lifetime has ended."""
+    """Evidence that a lifetime has ended, in monotonic times."""
 
     first_ms: float
-    last_ms: float
+    accepted_ms: float = math.inf
+    """When its address accepted a connection for the first time after the evidence.
+
+    While it accepts none, the next lifetime may still start and write its entry.
+    """
 
 
 class LifetimeDoubts:
@@ -47,9 +51,21 @@
             return False
         known = self._ends.get(runner.lifetime)
         first_ms = now_ms if known is None else known.first_ms
-        self._ends[runner.lifetime] = _End(first_ms, now_ms)
+        self._ends[runner.lifetime] = _End(first_ms)
         return known is None
 
+    def record_accepted(self, runner: Runner, *, now_ms: float) -> None:
+        """Record that the address of a runner has accepted a connection."""
+        end = self._ends.get(runner.lifetime)
+        if end is not None:
+            accepted_ms = min(end.accepted_ms, now_ms)
+            self._ends[runner.lifetime] = end._replace(accepted_ms=accepted_ms)
+
+    def is_accepting(self, runner: Runner) -> bool:
+        """Return whether the address of a runner in doubt has accepted a connection."""
+        end = self._ends.get(runner.lifetime)
+        return end is not None and end.accepted_ms < math.inf
+
     def record_view(self, *, confirmed_ms: float, is_stale: bool) -> None:
         """Record when the list of runners was last known to be the store's newest."""
         if is_stale:
@@ -59,7 +75,7 @@
         self._ends = {
             lifetime: end
             for lifetime, end in self._ends.items()
-            if confirmed_ms - max(end.last_ms, self._current_since_ms) < SETTLE_MS
+            if confirmed_ms - max(end.accepted_ms, self._current_since_ms) < SETTLE_MS
         }
 
     def is_doubtful(self, runner: Runner, *, connected_ms: float = math.inf) -> bool:
--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -117,10 +117,14 @@
 
     def has_doubtful_runner(self, pool: str) -> bool:
         """Return whether a runner of a pool may have started at another version."""
-        return not self.doubts.is_empty and any(
-            entry.runner.pool == pool and self.doubts.is_doubtful(entry.runner)
-            for entry in self._entries.values()
-        )
+        return any(runner.pool == pool for runner in self.doubtful_runners())
+
+    def doubtful_runners(self) -> list[Runner]:
+        """Return the runners that may have started again since their entries."""
+        if self.doubts.is_empty:
+            return []
+        runners = [entry.runner for entry in self._entries.values()]
+        return [runner for runner in runners if self.doubts.is_doubtful(runner)]
 
     def is_ready(self, runner_id: str) -> bool:
         """Return whether a runner may get new work now."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -186,8 +186,7 @@
             monitor=self.reach_monitor,
             witnesses=self.witnesses,
             tasks=self.tasks,
-            probe=self.connection_pool.accepts_connection,
-            refuses=self.connection_pool.refuses_connection,
+            connection_pool=self.connection_pool,
         )
         self.crash_tracker = make_crash_tracker(
             state=state,
@@ -209,6 +208,7 @@
             socket=self.socket,
             timers=self.timers,
             view=self.view,
+            connection_pool=self.connection_pool,
             knows_nodes=lambda: self.registration.registered.is_set(),
         )
         self.streams = self.stream_components.registry
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fault_reports.py
@@ -9,12 +9,13 @@
 from clementineyoke_node.edge.runner_liveness import PROBE_DELAY_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.edge.attempt_error import AttemptError
     from clementineyoke_node.edge.reach_monitor import ReachMonitor
     from clementineyoke_node.edge.reach_witnesses import ReachWitnesses
+    from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.slots.slot_broker import SlotBroker
     from clementineyoke_node.timers.background_tasks import BackgroundTasks
 
@@ -35,20 +36,14 @@
         monitor: ReachMonitor,
         witnesses: ReachWitnesses,
         tasks: BackgroundTasks,
-        probe: Callable[[Runner], Awaitable[bool]],
-        refuses: Callable[[Runner], Awaitable[bool]],
+        connection_pool: RunnerConnectionPool,
     ) -> None:
-        """Create the reports.
-
-        ``probe`` is described at ``ReachMonitor``. ``refuses`` opens a connection to a
-        runner and returns whether its host refused it.
-        """
-        self._refuses = refuses
+        self._refuses = connection_pool.refuses_connection
         self._broker = broker
         self._monitor = monitor
         self._witnesses = witnesses
         self._tasks = tasks
-        self._probe = probe
+        self._probe = connection_pool.accepts_connection
         self._checked_lifetimes: set[str] = set()
 
     def record_unreachable(self, runner: Runner) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.store_freshness import ViewPart
 from clementineyoke_node.peers.peer_socket import PeerAddress
 from clementineyoke_wire.events import Event, log_event
-from clementineyoke_wire.messages import RunnerEnd
+from clementineyoke_wire.messages import RunnerBack, RunnerEnd
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from clementineyoke_core.runner import Runner
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.node_state import NodeState
@@ -19,13 +22,19 @@
 REPEAT_INTERVAL_MS = 1_000.0
 """Shortest time between two messages about the same runner. A message may be lost, so
 that it is sent again for as long as there is new evidence."""
+HOME_TRY_INTERVAL_MS = 250.0
+"""How often the home of a runner in doubt tries a connection until one is accepted."""
+OTHER_TRY_INTERVAL_MS = 5_000.0
+"""How often all other nodes do. The home may be gone, or of a build that tries none."""
+MAX_TRIES_AT_ONCE = 16
 
 
 class LifetimeExchange:
     """Share evidence that runners have ended, and end doubts that the store settles.
 
     Each node tells the runner's home, which tells all others: at a crash many nodes
-    notice it at once.
+    notice it at once. The home also tries until the runner accepts connections again,
+    as no call may be sent to a quarantined runner.
     """
 
     def __init__(
@@ -35,28 +44,36 @@
         view: FleetView,
         socket: PeerSocket,
         timers: TimerService,
+        try_connection: Callable[[Runner], Awaitable[OSError | None]],
     ) -> None:
+        """Create the exchange.
+
+        ``try_connection`` opens a connection to a runner, and returns why it failed.
+        """
+        self._try_connection = try_connection
         self._membership = state.membership
         self._homes = state.region_homes
         self._table = state.table
         self._view = view
         self._socket = socket
         self._timers = timers
-        self._sent_ms: dict[int, float] = {}
+        self._sent: dict[int, tuple[type[RunnerEnd | RunnerBack], float]] = {}
+        """Kind and time of the last message about a lifetime."""
+        self._tried_ms: dict[str, float] = {}
         socket.handle(RunnerEnd, self._receive)
+        socket.handle(RunnerBack, self._receive_back)
 
     def record_end(self, runner: Runner) -> None:
         """Record that a runner's host refused a connection of this node."""
         if not self._table.is_current(runner):
             return
         self._record(runner, "connect")
-        if not self._may_send(runner.lifetime_hash):
+        if not self._may_send(RunnerEnd, runner.lifetime_hash):
             return
-        home_id = self._homes.home_of(runner.runner_id)
-        local_node = self._membership.local_node
-        if home_id == local_node.node_id:
-            self._relay(runner.lifetime_hash)
+        if self._is_home(runner):
+            self._relay(RunnerEnd(runner.lifetime_hash, is_relayed=True))
             return
+        home_id = self._homes.home_of(runner.runner_id)
         home = None if home_id is None else self._membership.node(home_id)
         if home is not None:
             end = RunnerEnd(runner.lifetime_hash)
@@ -69,6 +86,44 @@
             confirmed_ms=confirmed_ms, is_stale=self._view.is_stale(ViewPart.RUNNERS)
         )
 
+    async def try_runners(self) -> None:
+        """Try connections to the runners in doubt for which that is due."""
+        now_ms = self._timers.now_ms()
+        doubtful = self._table.doubtful_runners()
+        self._tried_ms = {
+            runner.lifetime: self._tried_ms.get(runner.lifetime, now_ms)
+            for runner in doubtful
+        }
+        due = [
+            runner
+            for runner in doubtful
+            if now_ms - self._tried_ms[runner.lifetime] >= self._interval_ms(runner)
+        ]
+        await asyncio.gather(*map(self._try_runner, due[:MAX_TRIES_AT_ONCE]))
+
+    async def _try_runner(self, runner: Runner) -> None:
+        self._tried_ms[runner.lifetime] = self._timers.now_ms()
+        error = await self._try_connection(runner)
+        if isinstance(error, ConnectionRefusedError):
+            self.record_end(runner)
+        if error is not None:
+            return
+        self._table.doubts.record_accepted(runner, now_ms=self._timers.now_ms())
+        if self._is_home(runner) and self._may_send(RunnerBack, runner.lifetime_hash):
+            self._relay(RunnerBack(runner.lifetime_hash))
+
+    def _interval_ms(self, runner: Runner) -> float:
+        """Return how often this node tries a connection to a runner in doubt."""
+        if not self._is_home(runner):
+            return OTHER_TRY_INTERVAL_MS
+        if self._table.doubts.is_accepting(runner):
+            return REPEAT_INTERVAL_MS
+        return HOME_TRY_INTERVAL_MS
+
+    def _is_home(self, runner: Runner) -> bool:
+        local_id = self._membership.local_node.node_id
+        return self._homes.home_of(runner.runner_id) == local_id
+
     def _record(self, runner: Runner, source: str) -> None:
         now_ms = self._timers.now_ms()
         if self._table.doubts.record_end(runner, now_ms=now_ms):
@@ -84,27 +139,35 @@
         for entry in self._table.entries():
             if entry.runner.lifetime_hash == end.runner:
                 self._record(entry.runner, received.peer.address)
-        if not end.is_relayed and self._may_send(end.runner):
-            self._relay(end.runner)
+        if not end.is_relayed and self._may_send(RunnerEnd, end.runner):
+            self._relay(RunnerEnd(end.runner, is_relayed=True))
+
+    def _receive_back(self, received: PeerMessage) -> None:
+        back: RunnerBack = received.message
+        for runner in self._table.doubtful_runners():
+            if runner.lifetime_hash == back.runner:
+                now_ms = self._timers.now_ms()
+                self._table.doubts.record_accepted(runner, now_ms=now_ms)
 
-    def _may_send(self, lifetime_hash: int) -> bool:
+    def _may_send(self, kind: type[RunnerEnd | RunnerBack], lifetime_hash: int) -> bool:
         """Return whether a message about a lifetime is due, and count it as sent."""
         now_ms = self._timers.now_ms()
-        self._sent_ms = {
-            known: sent_ms
-            for known, sent_ms in self._sent_ms.items()
-            if now_ms - sent_ms < REPEAT_INTERVAL_MS
+        self._sent = {
+            known: last
+            for known, last in self._sent.items()
+            if now_ms - last[1] < REPEAT_INTERVAL_MS
         }
-        if lifetime_hash in self._sent_ms:
+        last = self._sent.get(lifetime_hash)
+        if last is not None and last[0] is kind:
             return False
-        self._sent_ms[lifetime_hash] = now_ms
+        self._sent[lifetime_hash] = (kind, now_ms)
         return True
 
-    def _relay(self, lifetime_hash: int) -> None:
+    def _relay(self, message: RunnerEnd | RunnerBack) -> None:
         local_node = self._membership.local_node
         peers = [
             PeerAddress.of(node)
             for node in self._membership.alive(region=local_node.region)
             if node != local_node
         ]
-        self._socket.send_all(peers, RunnerEnd(lifetime_hash, is_relayed=True))
+        self._socket.send_all(peers, message)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -206,7 +206,7 @@
         Only a refused connection or a timeout counts as "not listening"; any other
         error leaves the runner's state open, and it is taken to be alive.
         """
-        error = await self._try_connection(runner)
+        error = await self.try_connection(runner)
         if error is None or isinstance(error, (ConnectionRefusedError, TimeoutError)):
             return error is None
         log_event(Event.RUNNER_UNSURE, runner=runner.runner_id, reason=repr(error))
@@ -214,13 +214,13 @@
 
     async def accepts_connection(self, runner: Runner) -> bool:
         """Return whether a connection to a runner can be opened now."""
-        return await self._try_connection(runner) is None
+        return await self.try_connection(runner) is None
 
     async def refuses_connection(self, runner: Runner) -> bool:
         """Return whether a runner's host refuses a connection now."""
-        return isinstance(await self._try_connection(runner), ConnectionRefusedError)
+        return isinstance(await self.try_connection(runner), ConnectionRefusedError)
 
-    async def _try_connection(self, runner: Runner) -> OSError | None:
+    async def try_connection(self, runner: Runner) -> OSError | None:
         """Open and close a connection; return the error if that fails."""
         try:
             async with settled_timeout(CONNECT_TIMEOUT_MS):
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from clementineyoke_node.edge.fleet_view import FleetView
+    from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.node_state import NodeState
     from clementineyoke_node.peers.peer_socket import PeerSocket
     from clementineyoke_node.platform.store_client import StoreClient
@@ -40,6 +41,7 @@
         socket: PeerSocket,
         timers: TimerService,
         view: FleetView,
+        connection_pool: RunnerConnectionPool,
         knows_nodes: Callable[[], bool],
     ) -> None:
         """Create the parts.
@@ -67,7 +69,11 @@
             writers=self._stream_writers,
         )
         self._lifetimes = LifetimeExchange(
-            state=state, view=view, socket=socket, timers=timers
+            state=state,
+            view=view,
+            socket=socket,
+            timers=timers,
+            try_connection=connection_pool.try_connection,
         )
         self.registry = StreamRegistry(
             records=records,
@@ -88,13 +94,14 @@
 
     def start_timers(self) -> None:
         """Start to write to the store what has changed, and to end doubts."""
-        for name, part in (
-            ("pool_versions", self._version_archive),
-            ("stream_archive", self._stream_archive),
-            ("lifetimes", self._lifetimes),
+        for name, callback in (
+            ("pool_versions", self._version_archive.run_round),
+            ("stream_archive", self._stream_archive.run_round),
+            ("lifetimes", self._lifetimes.run_round),
+            ("doubtful_runners", self._lifetimes.try_runners),
         ):
             self._timers.subscribe(
-                name, interval_ms=ROUND_INTERVAL_MS, callback=part.run_round
+                name, interval_ms=ROUND_INTERVAL_MS, callback=callback
             )
 
     def _is_version_writer(self) -> bool:
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -55,3 +55,18 @@
     And every 2nd stream of a runner breaks
     And callers read 120 streams and resume broken ones at other nodes
     Then streams are resumed at least 0.9 times as often as new ones begin
+
+  Scenario: A runner stays down while the store is well, and restarts while it is not
+    # Its doubt ended while it was down, and its next version's events were taken for v1's.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 12 streams at node 0, all of which broke
+    When runner 0 crashes, and its home learns of it by its calls
+    And the store has confirmed the runner's entry for 3 s
+    And each node cannot read the store
+    And runner 0 starts again at version "v2"
+    And every 2nd stream of a runner breaks
+    And callers begin 120 streams at any node and resume broken ones at other nodes
+    Then runner 0 began streams again
+    And no stream has events of two versions
+    And each stream that was begun before goes on at its version, or is refused
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -116,6 +116,16 @@
     """Whether the home node sends it to all others."""
 
 
+class RunnerBack(NamedTuple):
+    """Report of a runner's home node that connections to its address are accepted.
+
+    It follows a ``RunnerEnd``; the lifetime that accepts them may be another one.
+    """
+
+    runner: int
+    """Hash of the lifetime that may have ended."""
+
+
 class ReachAsk(NamedTuple):
     """Request to open a connection to a runner that others cannot reach."""
 
@@ -426,5 +436,6 @@
     | TrialAsk
     | TrialReply
     | RunnerEnd
+    | RunnerBack
 )
 """Any message that a node may send to another."""
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -109,6 +109,7 @@
   slots @3 :UInt16; slowdownPercent @4 :UInt16; ageMs @5 :UInt32; }
 struct RunnerFault { runner @0 :UInt64; isUnreachable @1 :Bool; }
 struct RunnerEnd { runner @0 :UInt64; isRelayed @1 :Bool; }
+struct RunnerBack { runner @0 :UInt64; }
 struct ReachAsk { askId @0 :UInt32; runner @1 :UInt64; }
 struct ReachReply { askId @0 :UInt32; verdict @1 :UInt8; }
 struct StreamNote { key @0 :UInt64; pool @1 :UInt64; version @2 :Text;
@@ -155,5 +156,6 @@
     trialAsk @22 :TrialAsk;
     trialReply @23 :TrialReply;
     runnerEnd @24 :RunnerEnd;
+    runnerBack @25 :RunnerBack;
   }
 }
--- a/packages/clementineyoke-wire/tests/steps/codec_steps.py
+++ b/packages/clementineyoke-wire/tests/steps/codec_steps.py
@@ -177,6 +177,7 @@
         r"trialAsk @\d+ :TrialAsk;",
         r"trialReply @\d+ :TrialReply;",
         r"runnerEnd @\d+ :RunnerEnd;",
+        r"runnerBack @\d+ :RunnerBack;",
         r"parts @4 :List\(Data\);[^}]*answeredAgesMs @6 :List\(UInt32\);",
         r"companions @5 :List\(Data\);[^}]*wasAnswered @9 :Bool;",
         r"runnerSpeed @\d+ :RunnerSpeed;",
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1428,10 +1428,17 @@
     Mutation(
         "the end of a runner is not told to other nodes",
         f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
-        "self._socket.send_all(peers, RunnerEnd(lifetime_hash, is_relayed=True))",
+        "self._socket.send_all(peers, message)",
         "pass",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "the doubt about a runner ends while it is down",
+        f"{CORE_SOURCE}/lifetime_doubts.py",
+        "            if confirmed_ms - max(end.accepted_ms, self._current_since_ms)",
+        "            if confirmed_ms - max(end.first_ms, self._current_since_ms)",
+        RUNNER_RESTARTS,
+    ),
     Mutation(
         "a leaving node keeps a connection after a stream",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
