Streams: a node takes a peer's doubts together with its list of runners

A node that started in an outage of the store joined streams of two versions, at a runner that had come back under its id: it took the stale list of runners from a peer, but not the peer's doubts, and messages about a runner's end had been sent before it was there.

The state that peers fetch now has the doubts, with the ages of their evidence. A doubt is not taken up again by a node that has settled it since, so that nodes do not hand it to each other for ever.

msgspec refuses an array that is longer than its NamedTuple ("Expected `array` of length 1 to 2, got 3" in a trial), so that a field with a default is compatible in one direction only: nodes of an earlier build would have refused every state. The field is sent only to a peer that asks for it.

"Nodes of two builds fetch each other's state" compares the number of fields; no earlier build was run.

--- a/packages/clementineyoke-core/src/clementineyoke_core/lifetime_doubts.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/lifetime_doubts.py
@@ -15,10 +15,19 @@
 runner writes its entry when it starts, and about 2 s after an outage of the store."""
 
 
+class LifetimeDoubt(NamedTuple):
+    """Evidence that a lifetime has ended, as one node hands it to another."""
+
+    lifetime: str
+    first_age_ms: float
+    last_age_ms: float
+
+
 class _End(NamedTuple):
     """Evidence that a lifetime has ended, in monotonic times."""
 
     first_ms: float
+    last_ms: float
     accepted_ms: float = math.inf
     """When its address accepted a connection for the first time after the evidence.
 
@@ -37,6 +46,8 @@
 
     def __init__(self) -> None:
         self._ends: dict[str, _End] = {}
+        self._settled_ms: dict[str, float] = {}
+        """When doubts ended. Peers may end theirs later, and would hand them back."""
         self._current_since_ms = math.inf
         """Since when the list of runners has been current without interruption."""
 
@@ -51,7 +62,7 @@
             return False
         known = self._ends.get(runner.lifetime)
         first_ms = now_ms if known is None else known.first_ms
-        self._ends[runner.lifetime] = _End(first_ms)
+        self._ends[runner.lifetime] = _End(first_ms, now_ms)
         return known is None
 
     def record_accepted(self, runner: Runner, *, now_ms: float) -> None:
@@ -72,11 +83,27 @@
             self._current_since_ms = math.inf
             return
         self._current_since_ms = min(self._current_since_ms, confirmed_ms)
-        self._ends = {
-            lifetime: end
+        for lifetime, end in list(self._ends.items()):
+            since_ms = max(end.accepted_ms, self._current_since_ms)
+            if confirmed_ms - since_ms >= SETTLE_MS:
+                del self._ends[lifetime]
+                self._settled_ms[lifetime] = confirmed_ms
+
+    def view(self, *, now_ms: float) -> list[LifetimeDoubt]:
+        """Return all doubts in the form that is sent to a peer."""
+        return [
+            LifetimeDoubt(lifetime, now_ms - end.first_ms, now_ms - end.last_ms)
             for lifetime, end in self._ends.items()
-            if confirmed_ms - max(end.accepted_ms, self._current_since_ms) < SETTLE_MS
-        }
+        ]
+
+    def adopt(self, doubt: LifetimeDoubt, *, now_ms: float) -> bool:
+        """Adopt a peer's doubt; return whether it is new to this node."""
+        last_ms = now_ms - doubt.last_age_ms
+        settled_ms = self._settled_ms.get(doubt.lifetime, -math.inf)
+        if doubt.lifetime in self._ends or last_ms <= settled_ms:
+            return False
+        self._ends[doubt.lifetime] = _End(now_ms - doubt.first_age_ms, last_ms)
+        return True
 
     def is_doubtful(self, runner: Runner, *, connected_ms: float = math.inf) -> bool:
         """Return whether another lifetime than the listed one may answer a call.
@@ -89,5 +116,6 @@
 
     def retain(self, lifetimes: Collection[str]) -> None:
         """Forget all lifetimes but the listed ones."""
-        for lifetime in self._ends.keys() - lifetimes:
-            del self._ends[lifetime]
+        for known in (self._ends, self._settled_ms):
+            for lifetime in known.keys() - lifetimes:
+                del known[lifetime]
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -28,6 +28,7 @@
     )
     from clementineyoke_core.edge.runner_record import RunnerRecord
     from clementineyoke_core.edge.store_freshness import StoreAges, StoreFreshness
+    from clementineyoke_core.lifetime_doubts import LifetimeDoubt
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.timers.timer_service import TimerService
@@ -224,6 +225,26 @@
                 ViewPart.EVACUATIONS, now_ms=now_ms, age_ms=ages.evacuations_ms
             )
 
+    def doubts(self) -> list[LifetimeDoubt]:
+        """Return the doubts about runners' lifetimes in the form sent to a peer."""
+        return self._table.doubts.view(now_ms=self._timers.now_ms())
+
+    def adopt_doubts(self, doubts: Iterable[LifetimeDoubt], *, source: str) -> None:
+        """Adopt a peer's doubts about listed lifetimes, whose messages it missed."""
+        now_ms = self._timers.now_ms()
+        runners = {
+            entry.runner.lifetime: entry.runner for entry in self._table.entries()
+        }
+        for doubt in doubts:
+            runner = runners.get(doubt.lifetime)
+            if runner and self._table.doubts.adopt(doubt, now_ms=now_ms):
+                log_event(
+                    Event.RUNNER_DOUBTED,
+                    runner=runner.runner_id,
+                    version=runner.version,
+                    source=source,
+                )
+
     def record_store_failure(self, *, unanswered_ms: float) -> None:
         """Record that the store has not answered this node for a time."""
         since_ms = self._timers.now_ms() - unanswered_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
@@ -14,6 +14,7 @@
 from clementineyoke_core.edge.pool_versions import VersionHistory
 from clementineyoke_core.edge.runner_directory import DirectoryView  # noqa: TC001 - msgspec reads it
 from clementineyoke_core.edge.store_freshness import StoreAges  # noqa: TC001 - msgspec reads it
+from clementineyoke_core.lifetime_doubts import LifetimeDoubt  # noqa: TC001 - msgspec reads it
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_wire.events import Event, log_event
@@ -29,6 +30,8 @@
     from clementineyoke_wire.message_signer import MessageSigner
 
 STATE_PATH = "/peers/state"
+DOUBTS_PARAMETER = "doubts"
+"""Asks for ``PeerState.doubts``."""
 FETCH_TIMEOUT_S = 1.0
 """Peers answer in milliseconds. After a timeout the next peer whose gossip reports a
 newer revision is asked."""
@@ -45,7 +48,11 @@
 
 
 class PeerState(NamedTuple):
-    """The state that is newer on a node than on its peer, with all its revisions."""
+    """The state that is newer on a node than on its peer, with all its revisions.
+
+    A node refuses a state with more fields than it knows. Any field after ``versions``
+    is only sent to a peer that asks for it.
+    """
 
     state: DesiredState | None
     runners: DirectoryView | None
@@ -58,6 +65,8 @@
     evacuations: EvacuationView | None = None
     evacuations_version: int = 0
     versions: VersionHistory = VersionHistory()
+    doubts: list[LifetimeDoubt] = []
+    """Runners that may have started again since their entries were written."""
 
 
 class PeerStateExchange:
@@ -142,8 +151,10 @@
             evacuations.view if evacuations.version > evacuations_revision else None,
             evacuations.version,
             self._pool_versions.history(now_ms=self._timers.now_ms()),
+            self._view.doubts(),
         )
-        compressed = zlib.compress(msgspec.msgpack.encode(newer), COMPRESSION_LEVEL)
+        fields = newer if DOUBTS_PARAMETER in request.query else newer[:-1]
+        compressed = zlib.compress(msgspec.msgpack.encode(fields), COMPRESSION_LEVEL)
         return web.Response(body=self._signer.sign(compressed))
 
     async def _fetch(self, address: str, *, is_zone_notified: bool) -> None:
@@ -169,6 +180,7 @@
             self._view.apply_runners(
                 received.runners, source=address, is_zone_notified=is_zone_notified
             )
+        self._view.adopt_doubts(received.doubts, source=address)
         self._view.adopt_ages(
             received.ages,
             state_revision=received.state_revision,
@@ -188,6 +200,7 @@
                 "state": str(self._view.state_revision),
                 "runners": str(self._view.runners_revision),
                 "evacuations": str(self._view.evacuations.view.revision),
+                DOUBTS_PARAMETER: "1",
             },
             timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S),
         ) as response:
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -70,3 +70,26 @@
     Then runner 0 began streams again
     And no stream has events of two versions
     And each stream that was begun before goes on at its version, or is refused
+
+  Scenario: A node starts in an outage of the store, after a runner has restarted
+    # It took the stale list from a peer and knew nothing of the peer's doubts.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 12 streams at node 0, all of which broke
+    When each node cannot read the store
+    And runner 0 crashes, and its home learns of it by its calls
+    And runner 0 starts again at version "v2"
+    And the store is away and a node starts
+    And every 2nd stream of a runner breaks
+    And callers begin 120 streams at any node and resume broken ones at other nodes
+    Then runner 0 began streams again
+    And no stream has events of two versions
+    And each stream that was begun before goes on at its version, or is refused
+
+  Scenario: Nodes of two builds fetch each other's state
+    # A node refuses a state with fields that it does not know.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    When runner 0 crashes, and its home learns of it by its calls
+    Then a node of the build before doubts were handed over reads the home's state
+    And a node reads a state of that build
--- a/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 
+import msgspec
 from behave import given, then, when
 from edge_fleet import POOL
 from edge_steps import wait_until
 from versions_steps import MAX_TRIES, STREAMS_AT_ONCE, Reader, given_breaks
 
+from clementineyoke_node.edge.peer_state_exchange import STATE_PATH, PeerState
 from clementineyoke_node.platform.store_error import StoreError
 from clementineyoke_standins.edge.edge_runner import EVENTS
 from clementineyoke_wire.messages import RunnerEnd, StoreNews
@@ -331,3 +334,27 @@
 @when("every {count:d}nd stream of a runner breaks")
 def when_breaks(context, count):
     given_breaks(context, count)
+
+
+@then("a node of the build before doubts were handed over reads the home's state")
+def check_earlier_build_reads(context):
+    node = context.fleet.nodes[number_of(context, "its home")]
+    assert node.state.table.doubtful_runners()
+    url = context.fleet.url(number_of(context, "its home"), 3, STATE_PATH)
+
+    async def fetch():
+        async with context.fleet.session.get(url, params={"state": "0"}) as response:
+            return await response.read()
+
+    signed = node.state.signer.verify(context.run(fetch()), peer=url)
+    context.earlier_state = zlib.decompress(signed)
+    # The last field of the earlier build is the history of versions.
+    names = PeerState._fields[: PeerState._fields.index("versions") + 1]
+    assert len(msgspec.msgpack.decode(context.earlier_state)) == len(names)
+
+
+@then("a node reads a state of that build")
+def check_earlier_build_is_read(context):
+    state = msgspec.msgpack.decode(context.earlier_state, type=PeerState)
+    assert state.runners_revision > 0
+    assert not state.doubts
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1435,8 +1435,22 @@
     Mutation(
         "the doubt about a runner ends while it is down",
         f"{CORE_SOURCE}/lifetime_doubts.py",
-        "            if confirmed_ms - max(end.accepted_ms, self._current_since_ms)",
-        "            if confirmed_ms - max(end.first_ms, self._current_since_ms)",
+        "since_ms = max(end.accepted_ms, self._current_since_ms)",
+        "since_ms = max(end.first_ms, self._current_since_ms)",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "a starting node takes a list of runners without the doubts",
+        f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
+        "        self._view.adopt_doubts(received.doubts, source=address)\n",
+        "",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "a peer of an earlier build gets a state that it refuses",
+        f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
+        "newer if DOUBTS_PARAMETER in request.query else newer[:-1]",
+        "newer",
         RUNNER_RESTARTS,
     ),
     Mutation(
