Streams: records are shared when a runner of their pool is in doubt

In a pool of one version, resumed streams were refused with 503 while one of its runners was in doubt, if the node that began them had ended as well.

Cause: lookups need a record while a pool has a runner in doubt, but records of a pool of one version stay at the node that began the stream.

Nodes now send the records of a pool to peers when its first runner is in doubt, as they do when a second version appears, and those of streams that begin, go on or complete until the doubt ends. Nothing is sent in pools without a doubt.

Two scenarios, for streams from before the doubt and for those that begin in it ("The node that began streams ..."): both failed before with 503, "no node knows which version began the stream"; 24 of 24 go on after, in each.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
@@ -45,11 +45,15 @@
         socket: PeerSocket,
         timers: TimerService,
         try_connection: Callable[[Runner], Awaitable[OSError | None]],
+        on_doubt: Callable[[str], None],
     ) -> None:
         """Create the exchange.
 
         ``try_connection`` opens a connection to a runner, and returns why it failed.
+        ``on_doubt`` is called with a pool of which a first runner is in doubt.
         """
+        self._on_doubt = on_doubt
+        self._doubtful_pools: set[str] = set()
         self._try_connection = try_connection
         self._membership = state.membership
         self._homes = state.region_homes
@@ -80,11 +84,15 @@
             self._socket.send(PeerAddress.of(home), end)
 
     async def run_round(self) -> None:
-        """End the doubts about runners whose entries the store has confirmed since."""
+        """End doubts that the store settles, and report the pools of new ones."""
         confirmed_ms = self._timers.now_ms() - self._view.ages().runners_ms
         self._table.doubts.record_view(
             confirmed_ms=confirmed_ms, is_stale=self._view.is_stale(ViewPart.RUNNERS)
         )
+        pools = {runner.pool for runner in self._table.doubtful_runners()}
+        begun, self._doubtful_pools = pools - self._doubtful_pools, pools
+        for pool in begun:
+            self._on_doubt(pool)
 
     async def try_runners(self) -> None:
         """Try connections to the runners in doubt for which that is due."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -74,6 +74,7 @@
             socket=socket,
             timers=timers,
             try_connection=connection_pool.try_connection,
+            on_doubt=lambda pool: self.registry.share_all(pool),
         )
         self.registry = StreamRegistry(
             records=records,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -87,7 +87,7 @@
     A stream may only go on at the version that began it, and its caller may resume it
     at any node. The node that relays a stream tells the version to a few peers before
     it writes the first event, so that it is known after that node has ended.
-    Nothing is sent for pools whose runners have all had one version lately.
+    Nothing is sent for pools whose runners have certainly had one version lately.
     """
 
     def __init__(
@@ -158,7 +158,7 @@
         key = stream_key(admitted.team, admitted.call.call_id)
         self._records.merge(key, record, now_ms=self._timers.now_ms())
         self._stream_archive.add(key)
-        if is_doubtful or self.is_mixed(runner.pool):
+        if is_doubtful or self._needs_records(runner.pool):
             self._share(key)
         return version
 
@@ -168,7 +168,7 @@
             return
         for attempt in (admitted.call.call_id, admitted.call.resumes):
             self._stream_archive.discard(stream_key(admitted.team, attempt or ""))
-        if not self.is_mixed(admitted.pool):
+        if not self._needs_records(admitted.pool):
             self._records.remove(stream_key(admitted.team, admitted.call.call_id))
 
     async def find(self, admitted: AdmittedCall) -> ResumedStream | None:
@@ -222,7 +222,7 @@
         for pool, versions in changed.items():
             log_event(Event.POOL_VERSIONS, pool=pool, versions=versions)
             if len(versions) > 1:
-                self._share_all(pool)
+                self.share_all(pool)
 
     async def drop_expired(self) -> None:
         """Forget streams and versions that are too old to matter."""
@@ -231,6 +231,10 @@
         self._versions.drop_expired(now_ms=now_ms)
         self._metrics.stream_records.set({}, len(self._records))
 
+    def _needs_records(self, pool: str) -> bool:
+        """Return whether peers go on with a pool's streams only by their records."""
+        return self.is_mixed(pool) or self._table.has_doubtful_runner(pool)
+
     async def _look_up_with_store(
         self, admitted: AdmittedCall, key: int
     ) -> StreamLookup:
@@ -315,7 +319,7 @@
         prolonged = record._replace(expires_ms=self._expires_ms(admitted))
         self._records.merge(key, prolonged, now_ms=self._timers.now_ms())
         self._stream_archive.add(key)
-        if self.is_mixed(admitted.pool):
+        if self._needs_records(admitted.pool):
             self._share(key)
 
     def _expires_ms(self, admitted: AdmittedCall) -> float:
@@ -336,8 +340,8 @@
         holders = self._with_writers(self._holders(key, count))
         self._socket.send_all([PeerAddress.of(node) for node in holders], news)
 
-    def _share_all(self, pool: str) -> None:
-        """Send the records of a pool, whose streams had no second version before."""
+    def share_all(self, pool: str) -> None:
+        """Send the records of a pool, which peers have not needed before."""
         now_ms = self._timers.now_ms()
         count = self._holder_count(now_ms)
         by_holder: dict[Node, list[StreamNote]] = {}
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -93,3 +93,21 @@
     When runner 0 crashes, and its home learns of it by its calls
     Then a node of the build before doubts were handed over reads the home's state
     And a node reads a state of that build
+
+  Scenario: The node that began streams before a runner was in doubt ends
+    # Only that node had their records, and nobody went on with them.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 24 streams at node 0, all of which broke
+    When runner 0 crashes, and its home learns of it by its calls
+    And node 0 is killed
+    Then each stream goes on at node 1 at the version that began it
+
+  Scenario: The node that began streams while a runner was in doubt ends
+    # Only that node had their records, and nobody went on with them.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    When runner 0 crashes, and its home learns of it by its calls
+    And callers begin 24 streams at node 0, all of which break
+    And node 0 is killed
+    Then each stream goes on at node 1 at the version that began it
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -190,6 +190,7 @@
 
 
 @given("callers have begun {count:d} streams at node {number:d}, all of which broke")
+@when("callers begin {count:d} streams at node {number:d}, all of which break")
 def begin_streams(context, count, number):
     fleet = context.fleet
     for runner in fleet.runners:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1081,7 +1081,7 @@
     Mutation(
         "versions of streams are not told to peers",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "        if is_doubtful or self.is_mixed(runner.pool):\n",
+        "        if is_doubtful or self._needs_records(runner.pool):\n",
         "        if False:\n",
         VERSIONS,
     ),
@@ -1439,6 +1439,20 @@
         "since_ms = max(end.first_ms, self._current_since_ms)",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "streams from before a doubt are known to one node",
+        f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
+        "            self._on_doubt(pool)\n",
+        "            pass\n",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "streams that begin elsewhere in a doubt are known to one node",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "return self.is_mixed(pool) or self._table.has_doubtful_runner(pool)",
+        "return self.is_mixed(pool)",
+        RUNNER_RESTARTS,
+    ),
     Mutation(
         "a starting node takes a list of runners without the doubts",
         f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
