Mutations: the repeated message about an end, and calls from before an entry

Two mends of runners that start again under their ids had no mutation of their own: a first event that comes after the next lifetime's entry was read, and the repeated message about a runner's end. Both new mutations were caught by runner_restarts.feature, played once.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1432,6 +1432,20 @@
         "pass",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "the message about a runner's end is sent once",
+        f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
+        "            if now_ms - last[1] < REPEAT_INTERVAL_MS\n",
+        "",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "a call from before a new entry is taken for one of the new lifetime",
+        f"{CORE_SOURCE}/runner_table.py",
+        "        if entry is not None and entry.runner.lifetime != runner.lifetime:\n",
+        "        if False:\n",
+        RUNNER_RESTARTS,
+    ),
     Mutation(
         "the doubt about a runner ends while it is down",
         f"{CORE_SOURCE}/lifetime_doubts.py",
