--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -87,7 +87,7 @@
     A stream may only go on at the version that began it, and its caller may resume it
     at any node. The node that relays a stream tells the version to a few peers before
     it writes the first event, so that it is known after that node has ended.
-    Nothing is sent for pools whose runners have all had one version lately.
+    Nothing is sent for pools whose runners have certainly had one version lately.
     """
 
     def __init__(
@@ -158,7 +158,7 @@
         key = stream_key(admitted.team, admitted.call.call_id)
         self._records.merge(key, record, now_ms=self._timers.now_ms())
         self._stream_archive.add(key)
-        if is_doubtful or self.is_mixed(runner.pool):
+        if is_doubtful or self._needs_records(runner.pool):
             self._share(key)
         return version
 
@@ -166,11 +166,11 @@
         """Forget a completed stream, unless its version would have to be known."""
         if not _is_resumable(admitted):
             return
-        is_mixed = self.is_mixed(admitted.pool)
+        needs_records = self._needs_records(admitted.pool)
         for attempt in (admitted.call.call_id, admitted.call.resumes):
             key = stream_key(admitted.team, attempt or "")
             self._stream_archive.discard(key)
-            if not is_mixed:
+            if not needs_records:
                 self._records.remove(key)
 
     async def find(self, admitted: AdmittedCall) -> ResumedStream | None:
@@ -224,7 +224,7 @@
         for pool, versions in changed.items():
             log_event(Event.POOL_VERSIONS, pool=pool, versions=versions)
             if len(versions) > 1:
-                self._share_all(pool)
+                self.share_all(pool)
 
     async def drop_expired(self) -> None:
         """Forget streams and versions that are too old to matter."""
@@ -233,6 +233,10 @@
         self._versions.drop_expired(now_ms=now_ms)
         self._metrics.stream_records.set({}, len(self._records))
 
+    def _needs_records(self, pool: str) -> bool:
+        """Return whether peers go on with a pool's streams only by their records."""
+        return self.is_mixed(pool) or self._table.has_doubtful_runner(pool)
+
     async def _look_up_with_store(
         self, admitted: AdmittedCall, key: int
     ) -> StreamLookup:
@@ -321,7 +325,7 @@
         record = StreamRecord(pool, stream.version, expires_ms)
         self._records.merge(key, record, now_ms=self._timers.now_ms())
         self._stream_archive.add(key)
-        if self.is_mixed(admitted.pool):
+        if self._needs_records(admitted.pool):
             self._share(key)
 
     def _expires_ms(self, admitted: AdmittedCall) -> float:
@@ -342,8 +346,8 @@
         holders = self._with_writers(self._holders(key, count))
         self._socket.send_all([PeerAddress.of(node) for node in holders], news)
 
-    def _share_all(self, pool: str) -> None:
-        """Send the records of a pool, whose streams had no second version before."""
+    def share_all(self, pool: str) -> None:
+        """Send the records of a pool, which peers have not needed before."""
         now_ms = self._timers.now_ms()
         count = self._holder_count(now_ms)
         by_holder: dict[Node, list[StreamNote]] = {}
