Versions in the store are read again by the next lookup, not by a round of writing

Cause: what had been read of the stored versions was forgotten, and a writer read it at once to compare it. Only a lookup needs them. It reads them now if a list has skipped changes since; a version that is read then counts anew, as it may have come back unseen.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/version_archive.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/version_archive.py
@@ -53,6 +53,8 @@
         self._is_writer = is_writer
         self._written: dict[str, list[str]] | None = None
         """The stored versions as last read or written here."""
+        self._is_loaded = False
+        """Whether all stored versions are known here."""
         self._load_lock = asyncio.Lock()
         self._paused_until_ms = 0.0
 
@@ -62,12 +64,15 @@
         Many callers come back at once. Raises ``StoreError``.
         """
         async with self._load_lock:
-            if self._written is None:
+            if not self._is_loaded:
                 await self._load()
 
     def forget(self) -> None:
-        """Have the stored versions read again, as this node may have missed some."""
-        self._written = None
+        """Have the next lookup read the stored versions again.
+
+        This node may have missed some.
+        """
+        self._is_loaded = False
 
     async def _load(self) -> int:
         """Adopt the stored versions and return their revision, 0 without an object.
@@ -86,8 +91,9 @@
             except FormatError as error:
                 log_event(Event.HOST_REFUSED, host=error.peer, reason=error.reason)
                 return revision
-        # What was read before may have expired here since, and is then to be removed.
-        known = self._written or {}
+        # What was read before may have expired here since, and is then to be removed,
+        # unless it may have come back unseen.
+        known = (self._written or {}) if self._is_loaded else {}
         seen = tuple(
             SeenVersion(pool, version, 0)
             for pool, versions in stored.items()
@@ -97,6 +103,7 @@
         history = VersionHistory(round(RETENTION_MS), seen)
         self._versions.adopt(history, now_ms=self._timers.now_ms())
         self._written = stored
+        self._is_loaded = True
         return revision
 
     async def run_round(self) -> None:
