--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -111,3 +111,11 @@
     And callers begin 24 streams at node 0, all of which break
     And node 0 is killed
     Then each stream goes on at node 1 at the version that began it
+
+  Scenario: A runner lives on, and its home tells nobody
+    # A home of an earlier build tells nobody, and the doubts of the others never ended.
+    Given 3 nodes and 3 runners of the versions "v1"
+    And the runners' entries have start times
+    When its home tells no node which runners accept connections
+    And runner 0 refuses connections until its home learns of it
+    Then each node takes its version for known within 9 s
--- a/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
@@ -12,7 +12,7 @@
 from clementineyoke_node.edge.peer_state_exchange import STATE_PATH, PeerState
 from clementineyoke_node.platform.store_error import StoreError
 from clementineyoke_standins.edge.edge_runner import EVENTS
-from clementineyoke_wire.messages import RunnerEnd, StoreNews
+from clementineyoke_wire.messages import RunnerBack, RunnerEnd, StoreNews
 
 BORN_MS = 1_790_000_000_000
 DOWN_S = 0.2
@@ -358,3 +358,23 @@
     state = msgspec.msgpack.decode(context.earlier_state, type=PeerState)
     assert state.runners_revision > 0
     assert not state.doubts
+
+
+@when("its home tells no node which runners accept connections")
+def silence_home(context):
+    socket = context.fleet.nodes[number_of(context, "its home")].io.socket
+    send_all = socket.send_all
+
+    def send_others(peers, message):
+        if not isinstance(message, RunnerBack):
+            send_all(peers, message)
+
+    socket.send_all = send_others
+
+
+@then("each node takes its version for known within {limit_s:g} s")
+def check_settled(context, limit_s):
+    tables = [node.state.table for node in context.fleet.nodes]
+    context.run(
+        wait_until(lambda: all(table.doubts.is_empty for table in tables), limit_s)
+    )
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -44,6 +44,7 @@
 
 CORE_EVACUATIONS = f"{CORE_EDGE_TESTS}/evacuations.feature"
 NODE_EVACUATION = f"{NODE}/tests/edge/evacuation.feature"
+CORE_LIFETIME_DOUBTS = f"{CORE}/tests/lifetime_doubts.feature"
 CORE_COLD_RUNNERS = f"{CORE}/tests/cold_runners.feature"
 NODE_COLD_RUNNERS = f"{NODE}/tests/edge/cold_runners.feature"
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
@@ -1467,6 +1468,28 @@
         "return self.is_mixed(pool)",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "only the home of a runner in doubt tries connections to it",
+        f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
+        "            return OTHER_TRY_INTERVAL_MS\n",
+        "            return 1e9\n",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "a doubt that was settled is taken up again",
+        f"{CORE_SOURCE}/lifetime_doubts.py",
+        "if doubt.lifetime in self._ends or last_ms <= settled_ms:",
+        "if doubt.lifetime in self._ends:",
+        CORE_LIFETIME_DOUBTS,
+    ),
+    Mutation(
+        "a connection from before the last refusal ends a doubt",
+        f"{CORE_SOURCE}/lifetime_doubts.py",
+        "        self._ends[runner.lifetime] = _End(first_ms, now_ms)\n",
+        "        end = known or _End(first_ms, now_ms)\n"
+        "        self._ends[runner.lifetime] = end\n",
+        CORE_LIFETIME_DOUBTS,
+    ),
     Mutation(
         "a starting node takes a list of runners without the doubts",
         f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
