Read lapsed entries once more before their runners are dropped

Runners renewed their entries 1.9 s after the outage and were dropped some 0.4 s later by a list older than that. A trace: renewed in the store at 9316.9, the answers of both nodes' watches lost, dropped at 9962.4 and 10322.7, read at 10463.5.

A watch of the runners ends when the time of a lapsed entry does, so that a watching node reads the entries at that moment. Runners of entries that lapsed in an outage are dropped by a read not older than it, at the latest 1 s after it. A runner whose end was seen while the store was well waits for no read; nor does a node that does not read the store itself.

The new scenarios fail without the parts of the mend (mutations).

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -25,6 +25,8 @@
 """Shortest time without any answer of the store to this node that may be an outage in
 which entries lapse: they do after several heartbeats. A read whose answer is lost, and
 that of its repetition as well, is answered 750 ms after its due time."""
+MAX_OVERDUE_READ_MS = 1_000.0
+"""How long lapsed entries are kept beyond their time for a read that is overdue."""
 MAX_RETURN_MS = 2 * RETURN_GRACE_MS
 """Longest time that runners get to renew lapsed entries while the store is available,
 summed over several outages."""
@@ -46,6 +48,8 @@
     until_ms: float
     available_ms: float
     """Available time of the store, as counted here, at which the entry lapsed."""
+    is_from_outage: bool = False
+    """Whether the entry may have lapsed in an outage of the store."""
 
 
 class LapsedRecord(NamedTuple):
@@ -289,18 +293,26 @@
         lapse = self._lapsed.get(runner_id)
         return 0 if lapse is None else max(0, int(lapse.until_ms - now_ms))
 
-    def drop_lapsed(self, *, now_ms: float) -> list[str]:
+    def time_to_drop_ms(self, *, now_ms: float) -> float:
+        """Return how soon the time of a lapsed entry is over; infinite if none is."""
+        waits_ms = [lapse.until_ms - now_ms for lapse in self._lapsed.values()]
+        return min((wait_ms for wait_ms in waits_ms if wait_ms > 0), default=math.inf)
+
+    def drop_lapsed(self, *, now_ms: float, read_ms: float = math.inf) -> list[str]:
         """Drop lapsed entries whose time is over; return their runners' ids.
 
         None is dropped in an outage, which may begin before the time after the previous
-        one is over.
+        one is over. A node whose latest read, at ``read_ms``, is older than the end of
+        that time waits for the next: the entry may have been renewed since.
         """
         if self.in_outage(now_ms=now_ms):
             return []
+        read_ms = min(read_ms, now_ms)
         expired = [
             runner_id
             for runner_id, lapse in self._lapsed.items()
-            if lapse.until_ms <= now_ms
+            if lapse.until_ms <= (read_ms if lapse.is_from_outage else now_ms)
+            or lapse.until_ms <= now_ms - MAX_OVERDUE_READ_MS
         ]
         for runner_id in expired:
             self._drop(runner_id)
@@ -393,7 +405,9 @@
         if until_ms <= now_ms or record.is_leaving:
             self._drop(runner_id)
             return True
-        self._lapsed[runner_id] = Lapse(until_ms, self._available_ms(now_ms))
+        self._lapsed[runner_id] = Lapse(
+            until_ms, self._available_ms(now_ms), self._may_date_from_outage(now_ms)
+        )
         return False
 
     def _drop(self, runner_id: str) -> None:
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -291,6 +291,29 @@
     When the entry of a ends at 50760 ms
     Then the runners in use are b
 
+  Scenario Outline: The read at the end of lapsed entries' time is overdue
+    # Guards against dropping a runner whose entry has been renewed, and against keeping one
+    # that is gone.
+    Given a directory with the runners a, b
+    When the store is away from 10000 ms to 14000 ms, and the entry of a has lapsed
+    And lapsed entries are dropped at <now> ms, with the latest read at <read> ms
+    Then the runners in use are <runners>
+
+    Examples:
+      | now   | read  | runners |
+      | 16201 | 16199 | a, b    |
+      | 16201 | 16200 | b       |
+      | 17199 | 16199 | a, b    |
+      | 17200 | 16199 | b       |
+
+  Scenario: An end that was seen while the store was well waits for no read
+    # Guards against calls to a leaving runner later than the operator's bound.
+    Given a directory with the runners a, b
+    And the store recovered at 13340 ms
+    When the entry of a ends at 14008 ms
+    And lapsed entries are dropped at 15408 ms, with the latest read at 15000 ms
+    Then the runners in use are b
+
   Scenario: The store recovers from short failures again and again
     # Guards against a lapsed entry whose time begins anew with each of them.
     Given a directory with the runners a, b
--- a/packages/clementineyoke-core/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-core/tests/steps/edge_steps.py
@@ -273,6 +273,11 @@
     context.directory.drop_lapsed(now_ms=now)
 
 
+@when("lapsed entries are dropped at {now:d} ms, with the latest read at {at:d} ms")
+def drop_lapsed_after_read(context, now, at):
+    context.directory.drop_lapsed(now_ms=now, read_ms=at)
+
+
 @then("the runners in use are {names}")
 def check_directory(context, names):
     found = {record.runner.runner_id for record in context.directory.records()}
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -65,6 +65,8 @@
         self._live_ids: set[str] = set()
         self.evacuations = Evacuations()
         self.routes: RouteTable | None = None
+        self.is_read_here = False
+        """Whether this node reads the runners from the store, not only from peers."""
         self.ready = asyncio.Event()
         """Set once the desired state, the runners and, if zones may be evacuated, the
         evacuations are known: the first call must not go to an evacuated zone."""
@@ -233,9 +235,15 @@
         """Record that the store answers this node again."""
         self._directory.record_store_recovery(now_ms=self._timers.now_ms())
 
+    def time_to_drop_ms(self) -> float:
+        """Return how soon the time of a lapsed entry is over; infinite if none is."""
+        return self._directory.time_to_drop_ms(now_ms=self._timers.now_ms())
+
     async def drop_lapsed(self) -> None:
         """Drop runners whose entries lapsed in an outage and were not renewed."""
-        gone = self._directory.drop_lapsed(now_ms=self._timers.now_ms())
+        now_ms = self._timers.now_ms()
+        read_ms = now_ms - self.ages().runners_ms if self.is_read_here else now_ms
+        gone = self._directory.drop_lapsed(now_ms=now_ms, read_ms=read_ms)
         if gone:
             self._update_runner_table("lapsed")
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -172,7 +172,10 @@
         await self._wait_for_registration()
         while True:
             self._log_role(followed)
-            if not self._must_read(followed):
+            must_read = self._must_read(followed)
+            if followed.part is ViewPart.RUNNERS:
+                self._view.is_read_here = must_read
+            if not must_read:
                 await asyncio.sleep(IDLE_POLL_INTERVAL_MS / MS_PER_S)
                 continue
             try:
@@ -299,7 +302,11 @@
             followed.apply_within_ms / WATCHES_PER_BOUND * self._count_watchers()
         )
         wait_ms = min(followed.max_wait_ms, max(MIN_WATCH_WAIT_MS, even_share_ms))
-        return int(wait_ms * self._rng.uniform(0.7, 1.0))
+        wait_ms *= self._rng.uniform(0.7, 1.0)
+        if followed.part is ViewPart.RUNNERS:
+            # Their entries are read once more before runners are dropped.
+            wait_ms = min(wait_ms, self._view.time_to_drop_ms() + 1)
+        return int(wait_ms)
 
     def _apply_list(self, kind: str, entries: list[StoredEntry], revision: int) -> None:
         if kind == names.STATE_KIND:
--- a/packages/clementineyoke-node/tests/edge/fleet.feature
+++ b/packages/clementineyoke-node/tests/edge/fleet.feature
@@ -81,6 +81,11 @@
     Given a fleet of 1 node and 1 runner
     Then with 60 nodes that watch a watch of the runners ends before three heartbeats
 
+  Scenario: A lapsed entry's time is over
+    # Guards against dropping a runner by a watch that is older than its renewed entry.
+    Given a fleet of 1 node and 1 runner
+    Then a watch of the runners ends when a lapsed entry's time of 900 ms does
+
   Scenario: The settings file changes
     # Guards against a node that exits because its settings file is half written when the
     # node checks it.
--- a/packages/clementineyoke-node/tests/steps/edge_steps.py
+++ b/packages/clementineyoke-node/tests/steps/edge_steps.py
@@ -23,6 +23,10 @@
     make_state,
 )
 
+from clementineyoke_core.edge.runner_directory import (
+    DirectoryChanges,
+    RunnerRemoval,
+)
 from clementineyoke_node.config.config_file import (
     ConfigFile,
     load_config_with_retries,
@@ -527,9 +531,8 @@
     assert len(digests) == 1, digests
 
 
-@then("with 60 nodes that watch a watch of the runners ends before three heartbeats")
-def check_watch_wait(context):
-    io = context.fleet.nodes[0].io
+def get_watch_wait_ms(io):
+    """Return how long a watch of the runners may take in a fleet of 60 watchers."""
     watcher = StoreWatcher(
         store=io.store,
         view=io.view,
@@ -544,7 +547,24 @@
         evacuate_within_ms=None,
     )
     (runners,) = (f for f in watcher._followed if f.kind == "servers")
-    assert watcher._wait_ms(runners) + WATCH_SLACK_MS < 3 * 1_200
+    return watcher._wait_ms(runners)
+
+
+@then("with 60 nodes that watch a watch of the runners ends before three heartbeats")
+def check_watch_wait(context):
+    io = context.fleet.nodes[0].io
+    assert get_watch_wait_ms(io) + WATCH_SLACK_MS < 3 * 1_200
+
+
+@then("a watch of the runners ends when a lapsed entry's time of {time_ms:d} ms does")
+def check_watch_ends(context, time_ms):
+    view = context.fleet.nodes[0].io.view
+    revision = view.runners_revision + 1
+    lapsed = RunnerRemoval(context.fleet.runners[0].runner_id, revision, time_ms)
+    changes = DirectoryChanges(revision - 1, revision, (), (lapsed,))
+    view.apply_runner_changes(changes, source="peer")
+    wait_ms = get_watch_wait_ms(context.fleet.nodes[0].io)
+    assert time_ms - 100 < wait_ms <= time_ms + 1, wait_ms
 
 
 @given("a settings file of a node")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -548,6 +548,27 @@
         "        self._outage_ended_ms = now_ms\n",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "lapsed entries are dropped before they have been read once more",
+        f"{CORE_SOURCE}/edge/runner_directory.py",
+        "(read_ms if lapse.is_from_outage else now_ms)",
+        "now_ms",
+        CORE_EDGE_TESTS,
+    ),
+    Mutation(
+        "ended entries are kept for an overdue read",
+        f"{CORE_SOURCE}/edge/runner_directory.py",
+        "(read_ms if lapse.is_from_outage else now_ms)",
+        "read_ms",
+        CORE_EDGE_TESTS,
+    ),
+    Mutation(
+        "a watch goes on when the time of a lapsed entry is over",
+        f"{NODE_EDGE_SOURCE}/store_watcher.py",
+        "min(wait_ms, self._view.time_to_drop_ms() + 1)",
+        "wait_ms",
+        FLEET,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
