Read all datagrams that wait, not one a turn of the event loop

asyncio reads one datagram from a socket in each turn of its loop.

A peer socket reads up to 64 waiting datagrams in a turn now. The stand-in for a partition filters each of them.

--- a/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/peers/peer_socket.py
@@ -12,6 +12,7 @@
 from clementineyoke_wire.wire_error import WireError
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable, Iterable
     from random import Random
 
@@ -33,6 +34,10 @@
 ASK_ID_BITS = 32
 DATAGRAM_OVERHEAD_BYTES = 28
 """Size of the IPv4 and UDP headers, added to the size of each datagram."""
+MAX_DATAGRAM_BYTES = 65_536
+MAX_READS_PER_TURN = 64
+"""How many waiting datagrams are read in one turn of the event loop. asyncio reads one:
+while turns take 30 ms, the tenth of a queue is read after 300 ms."""
 
 
 class PeerAddress(NamedTuple):
@@ -74,6 +79,8 @@
         self._address = address
         self._incarnation = incarnation
         self._transport: asyncio.DatagramTransport | None = None
+        self._waiting: socket.socket | None = None
+        """The transport's socket, to read what else waits there."""
         self._handlers: dict[type, Callable[[PeerMessage], None]] = {}
         self._pending_replies: dict[tuple[type, int], asyncio.Future[Any]] = {}
         self._next_ask_id = rng.getrandbits(ASK_ID_BITS)
@@ -84,15 +91,19 @@
     async def __aenter__(self) -> Self:
         """Bind the socket."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
+        transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self._address.address, self._address.port)
         )
+        self._waiting = transport.get_extra_info("socket").dup()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+        if self._waiting is not None:
+            self._waiting.close()
+            self._waiting = None
 
     @property
     def own_address(self) -> str:
@@ -159,6 +170,18 @@
         self._transport = transport  # type: ignore[assignment]
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Process a datagram and those that wait behind it."""
+        self.process(data, addr)
+        for _ in range(MAX_READS_PER_TURN - 1):
+            if self._waiting is None:
+                return
+            try:
+                data, addr = self._waiting.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                return  # none is waiting
+            self.process(data, addr)
+
+    def process(self, data: bytes, addr: tuple[str, int]) -> None:
         """Verify, decode and dispatch a datagram."""
         peer = PeerAddress(addr[0], addr[1])
         self.received_bytes += len(data) + DATAGRAM_OVERHEAD_BYTES
--- a/packages/clementineyoke-node/tests/edge/loop_stalls.feature
+++ b/packages/clementineyoke-node/tests/edge/loop_stalls.feature
@@ -28,3 +28,9 @@
       | its reply arrives meanwhile      | reply     |
       | its reply never arrives          | timeout   |
       | its caller leaves with the reply | cancelled |
+
+  Scenario: Datagrams wait while the event loop is busy
+    # Read one in each turn of the loop, a peer's request is answered after it has given up.
+    Given a fleet of 1 node and 1 runner
+    When 20 datagrams wait for the node
+    Then it reads them within 5 turns of its event loop
--- a/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
@@ -1,10 +1,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 from behave import then, when
 
+from clementineyoke_node.peers.peer_socket import DATAGRAM_OVERHEAD_BYTES
 from clementineyoke_node.timers.bounded_wait import wait_for_result
 
 TICK_S = 0.15
@@ -122,3 +124,24 @@
 @then('the request ends as "{end}"')
 def check_end(context, end):
     assert context.end == end, context.end
+
+
+@when("{count:d} datagrams wait for the node")
+def send_datagrams(context, count):
+    peers = context.fleet.nodes[0].io.socket
+    context.expected_bytes = peers.received_bytes
+    with socket.socket(type=socket.SOCK_DGRAM) as sender:
+        for _ in range(count):
+            sender.sendto(b"unsigned", peers._address)
+            context.expected_bytes += len(b"unsigned") + DATAGRAM_OVERHEAD_BYTES
+
+
+@then("it reads them within {turns:d} turns of its event loop")
+def check_read(context, turns):
+    async def act():
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        return context.fleet.nodes[0].io.socket.received_bytes
+
+    received = context.run(act())
+    assert received == context.expected_bytes, (received, context.expected_bytes)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/faults/partitioned_peer_socket.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/faults/partitioned_peer_socket.py
@@ -17,11 +17,11 @@
     It is read again for each datagram. Without a file there is no partition.
     """
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+    def process(self, data: bytes, addr: tuple[str, int]) -> None:
         """Process a datagram unless it comes from the other side."""
         side = _read_side()
         if (addr[0] in side) == (self.own_address in side):
-            super().datagram_received(data, addr)
+            super().process(data, addr)
 
 
 def _read_side() -> set[str]:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -569,6 +569,13 @@
         "wait_ms",
         FLEET,
     ),
+    Mutation(
+        "a node reads one datagram in each turn of its event loop",
+        f"{NODE}/src/clementineyoke_node/peers/peer_socket.py",
+        "for _ in range(MAX_READS_PER_TURN - 1):",
+        "for _ in range(0):",
+        LOOP_STALLS,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
