Nothing is fetched from or by a runner that may be another version

Cause: both versions were taken from the entries, though the node knew that the lifetime may have ended.

Evidence: the new scenario of runner_restarts.feature fails on the code before, 3 of 3 runs, and passes after, 3 of 3; it and versions.feature pass, 35 scenarios. Both mutations are caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -288,20 +288,30 @@
         Fetching a part of a prompt costs about a seventh of processing it again. What
         another software version has written may not fit, and runners do not check it.
         """
-        if admitted.prompt_key is None:
+        if admitted.prompt_key is None or self._may_be_replaced(runner):
             return None
         last = self._last_holder(admitted.prompt_key)
-        if last is not None and _may_fetch(runner, last):
+        if last is not None and self._may_fetch(runner, last):
             return f"{last.address}:{last.port}"
         for holder_id in self._rings.cache_candidates(
             admitted.pool, admitted.prompt_key
         ):
             entry = self._table.get(holder_id)
-            if entry is None or not _may_fetch(runner, entry.runner):
+            if entry is None or not self._may_fetch(runner, entry.runner):
                 continue
             return f"{entry.runner.address}:{entry.runner.port}"
         return None
 
+    def _may_fetch(self, runner: Runner, holder: Runner) -> bool:
+        """Return whether a runner can use the cache of another one."""
+        if runner.runner_id == holder.runner_id or runner.version != holder.version:
+            return False
+        return not self._may_be_replaced(holder)
+
+    def _may_be_replaced(self, runner: Runner) -> bool:
+        """Return whether a runner may by now have another version than its entry."""
+        return self._table.may_be_replaced(runner, connected_ms=math.inf)
+
     def _last_holder(self, prompt_key: int) -> Runner | None:
         """Return the usable runner that last answered a call with a prompt."""
         last = self._prompt_holders.last_holder(
@@ -404,9 +414,3 @@
     A call that may run again need not get the same events again.
     """
     return admitted.route.is_resumable or not stream.sent_event_count
-
-
-def _may_fetch(runner: Runner, holder: Runner) -> bool:
-    """Return whether a runner can use the cache of another one."""
-    is_other = runner.runner_id != holder.runner_id
-    return is_other and runner.version == holder.version
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -23,6 +23,16 @@
       | each node | its home     | its calls    | any node |
       | each node | another node | broken calls | any node |
 
+  Scenario: Others would fetch the memory of a runner that has restarted
+    # What the new version keeps of a prompt may not fit, and no runner checks it.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    When each node cannot read the store
+    And runner 0 crashes, and its home learns of it by its calls
+    And runner 0 starts again at version "v2"
+    And callers stream one prompt 12 times at once, twice
+    Then runners were told to fetch the prompt, but never of another version
+
   Scenario: A runner's new entry is read between a call and its first event
     # The call was sent to the version before, and the new one's events were taken for its.
     Given 3 nodes and 2 runners of the versions "v1"
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1456,6 +1456,20 @@
         "is_doubtful = False and self._table.may_be_replaced(",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "a runner that may have started again fetches what the old version kept",
+        f"{NODE_EDGE_SOURCE}/attempt_executor.py",
+        "admitted.prompt_key is None or self._may_be_replaced(runner)",
+        "admitted.prompt_key is None",
+        RUNNER_RESTARTS,
+    ),
+    Mutation(
+        "others fetch from a runner that may have started again",
+        f"{NODE_EDGE_SOURCE}/attempt_executor.py",
+        "return not self._may_be_replaced(holder)",
+        "return True",
+        RUNNER_RESTARTS,
+    ),
     Mutation(
         "the end of a runner is not told to other nodes",
         f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
