A stream does not go on in another pool of its route

A caller who came back got the rest of its stream from another pool, and so from another software version: on a route that is split between pools of one version each, or that moved from one pool to another, if the node that began the stream had ended.

Cause: what is told to other nodes, and what is concluded without a record, was decided by the versions within one pool. In the pool in which the call came back one version served, so that it was taken for that of the stream.

Pools that serve the same calls, at once or one after the other, count as mixed. A refusal while the ended node is still asked may take 1 s, not 0.5.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -13,7 +13,7 @@
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from clementineyoke_core.cold_runners import ColdRunners
     from clementineyoke_core.edge.desired_state import DesiredState
@@ -22,6 +22,7 @@
         EvacuationView,
         ZoneChange,
     )
+    from clementineyoke_core.edge.route import Route
     from clementineyoke_core.edge.runner_directory import (
         DirectoryChanges,
         DirectoryView,
@@ -65,6 +66,8 @@
         self._live_ids: set[str] = set()
         self.evacuations = Evacuations()
         self.routes: RouteTable | None = None
+        self.on_routes: Callable[[Sequence[Route]], None] = lambda _: None
+        """Called with the routes of each desired state that is applied."""
         self.ready = asyncio.Event()
         """Set once the desired state, the runners and, if zones may be evacuated, the
         evacuations are known: the first call must not go to an evacuated zone."""
@@ -113,6 +116,7 @@
         if state.revision <= self.state_revision:
             return
         self.routes = RouteTable(state=state)
+        self.on_routes(state.routes)
         self._cold_runners.set_limits(
             {
                 limits.pool: ColdRunnerLimit(limits.cold_calls_per_s, limits.cold_ms)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.pool_versions import PoolVersions
+from clementineyoke_core.edge.route_pools import RoutePools
 from clementineyoke_core.edge.store_freshness import ViewPart
 from clementineyoke_core.edge.stream_records import StreamRecords
 from clementineyoke_core.hashing import hash_text
@@ -52,6 +53,7 @@
         self._timers = timers
         records = StreamRecords()
         self.versions = PoolVersions()
+        self._route_pools = RoutePools()
         self._version_archive = VersionArchive(
             store=store,
             versions=self.versions,
@@ -72,6 +74,7 @@
         self.registry = StreamRegistry(
             records=records,
             versions=self.versions,
+            route_pools=self._route_pools,
             version_archive=self._version_archive,
             stream_archive=self._stream_archive,
             homes=state.stream_homes,
@@ -85,6 +88,7 @@
             runners_age_ms=lambda: view.ages().runners_ms,
             lifetimes=self._lifetimes,
         )
+        view.on_routes = self.registry.update_routes
 
     def start_timers(self) -> None:
         """Start to write to the store what has changed, and to end doubts."""
@@ -111,5 +115,7 @@
         return homes.homes_of(STREAM_WRITERS_KEY, max_nodes=ARCHIVE_WRITERS)
 
     def _mixed_pools(self) -> set[int]:
-        mixed = self.versions.mixed_pools(now_ms=self._timers.now_ms())
-        return {hash_text(pool) for pool in mixed}
+        now_ms = self._timers.now_ms()
+        mixed = self.versions.mixed_pools(now_ms=now_ms)
+        shared = self._route_pools.shared(now_ms=now_ms)
+        return {hash_text(pool) for pool in shared.union(mixed)}
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -30,10 +30,12 @@
 from clementineyoke_wire.messages import StreamAsk, StreamNews, StreamNote, StreamReply
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Sequence
 
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.pool_versions import PoolVersions
+    from clementineyoke_core.edge.route import Route
+    from clementineyoke_core.edge.route_pools import RoutePools
     from clementineyoke_core.edge.stream_records import StreamRecords
     from clementineyoke_core.home_nodes import HomeNodes
     from clementineyoke_core.membership import Membership
@@ -87,7 +89,8 @@
     A stream may only go on at the version that began it, and its caller may resume it
     at any node. The node that relays a stream tells the version to a few peers before
     it writes the first event, so that it is known after that node has ended.
-    Nothing is sent for pools whose runners have all had one version lately.
+    Nothing is sent for pools whose runners have all had one version lately, and that
+    have shared no route with other pools.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         *,
         records: StreamRecords,
         versions: PoolVersions,
+        route_pools: RoutePools,
         version_archive: VersionArchive,
         stream_archive: StreamArchive,
         homes: HomeNodes,
@@ -116,6 +120,7 @@
         self.lifetimes = lifetimes
         self._records = records
         self._versions = versions
+        self._route_pools = route_pools
         self._version_archive = version_archive
         self._stream_archive = stream_archive
         self._homes = homes
@@ -133,8 +138,11 @@
         socket.handle(StreamAsk, self._receive_ask)
 
     def is_mixed(self, pool: str) -> bool:
-        """Return whether streams of several versions may be resumed in a pool."""
-        return self._versions.is_mixed(pool, now_ms=self._timers.now_ms())
+        """Return whether streams of several versions or pools may be resumed there."""
+        now_ms = self._timers.now_ms()
+        if self._route_pools.is_shared(pool, now_ms=now_ms):
+            return True
+        return self._versions.is_mixed(pool, now_ms=now_ms)
 
     def record_begin(
         self, admitted: AdmittedCall, runner: Runner, *, connected_ms: float
@@ -224,6 +232,11 @@
             if len(versions) > 1:
                 self._share_all(pool)
 
+    def update_routes(self, routes: Sequence[Route]) -> None:
+        """Apply changed routes: a stream may now be resumed in another pool."""
+        for pool in self._route_pools.update(routes, now_ms=self._timers.now_ms()):
+            self._share_all(pool)
+
     async def drop_expired(self) -> None:
         """Forget streams and versions that are too old to matter."""
         now_ms = self._timers.now_ms()
@@ -305,7 +318,10 @@
         record = self._records.find(key, now_ms=now_ms) if key else None
         pool = self._pool_names.get(pool_hash)
         versions = [] if pool is None else self._versions.recent(pool, now_ms=now_ms)
-        if pool is not None and self._table.has_doubtful_runner(pool):
+        if pool is not None and (
+            self._table.has_doubtful_runner(pool)
+            or self._route_pools.is_shared(pool, now_ms=now_ms)
+        ):
             versions.append(UNKNOWN_VERSION)
         observed_ms = self._versions.observed_ms(now_ms=now_ms)
         return LookupAnswer(record, tuple(versions), observed_ms)
--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -33,6 +33,43 @@
       | v1, v2     | another node starts                   | 4    |
       | v1, v2     | the store is away and a node starts   | 4    |
 
+  Scenario Outline: Callers resume streams of a route with a pool for each version
+    # Within each pool one version serves: what the other pool began goes on there.
+    Given 4 nodes and 8 runners in a pool for each of the versions "v1, v2"
+    And the route of streams is split between the pools
+    And callers have begun 12 streams at node 1, all of which broke
+    When <circumstance>
+    Then each stream goes on at node 2 at the version that began it
+
+    Examples:
+      | circumstance         |
+      | nothing else happens |
+      | node 1 is killed     |
+
+  Scenario: A route moves to a pool of another version
+    # In its new pool one version serves, so that it is taken for that of each stream.
+    Given 4 nodes and 8 runners in a pool for each of the versions "v1, v2"
+    And callers have begun 12 streams at node 1, all of which broke
+    When the route of streams moves to the last pool
+    Then streams that "v1" began are refused at node 2 as not run, at once
+
+  Scenario: A route moves to a pool of another version after the node of its streams ended
+    # No node has a record of them.
+    Given 4 nodes and 8 runners in a pool for each of the versions "v1, v2"
+    And callers have begun 12 streams at node 1, all of which broke
+    When node 1 is killed
+    And the route of streams moves to the last pool
+    Then streams that "v1" began are refused at node 2 while a peer is away
+
+  Scenario: A route is split while streams of its first pool are broken
+    # Nothing was told to other nodes while one pool served.
+    Given 4 nodes and 8 runners in a pool for each of the versions "v1, v2"
+    And callers have begun 12 streams at node 1, all of which broke
+    When the route of streams is split between the pools
+    And the store is away
+    And node 1 is killed
+    Then each stream goes on at node 2 at the version that began it
+
   Scenario: A second version appears while streams of the first one are broken
     # Nothing was told to other nodes while one version served.
     Given 4 nodes and 4 runners of the versions "v1"
--- a/packages/clementineyoke-node/tests/steps/edge_fleet.py
+++ b/packages/clementineyoke-node/tests/steps/edge_fleet.py
@@ -60,6 +60,7 @@
         settings=None,
         has_own_sources=False,
         versions=("v1",),
+        pools=(POOL,),
         slots=SLOTS,
     ):
         self.store = EdgeStore()
@@ -69,6 +70,8 @@
         ]
         self.zones = zones
         """Zones to which the runners are assigned in turn."""
+        self.pools = pools
+        """Pools to which the runners are assigned in turn."""
         self.node_zones = node_zones
         """Zones to which the nodes are assigned in turn."""
         self.cold = cold or {}
@@ -119,10 +122,13 @@
     def zone_of(self, standin):
         return self.zones[self.runners.index(standin) % len(self.zones)]
 
+    def pool_of(self, standin):
+        return self.pools[self.runners.index(standin) % len(self.pools)]
+
     async def register_runner(self, standin, state="ready", *, born_ms=None, cold_ms=0):
         address = f"{STORE_HOST}:{standin.port}"
         spec = runner_spec(
-            pool=POOL,
+            pool=self.pool_of(standin),
             address=address,
             zone=self.zone_of(standin),
             state=state,
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -7,7 +7,15 @@
 
 import aiohttp
 from behave import given, then, when
-from edge_fleet import CALL_ID_HEADER, HOSTNAME, KEY, EdgeFleet, make_state
+from edge_fleet import (
+    CALL_ID_HEADER,
+    HOSTNAME,
+    KEY,
+    POOL,
+    EdgeFleet,
+    make_route,
+    make_state,
+)
 from edge_steps import wait_until
 
 from clementineyoke_standins.edge.edge_runner import (
@@ -22,6 +30,8 @@
 EVENT = re.compile(r"id: (\d+)\ndata: piece \d+\n: version (\S+)\n\n")
 MAX_TRIES = 5
 MAX_REFUSAL_S = 0.5
+MAX_LATE_REFUSAL_S = 1.0
+"""Bound of a refusal for which a peer that does not answer is asked twice."""
 CUT_AFTER_S = 0.25
 STREAMS_AT_ONCE = 30
 
@@ -97,12 +107,13 @@
 
 @given('{nodes:d} nodes and {runners:d} runners of the versions "{versions}"')
 @given('{nodes:d} node and {runners:d} runners of the versions "{versions}"')
-def given_versions(context, nodes, runners, versions):
+def given_versions(context, nodes, runners, versions, **options):
     fleet = EdgeFleet(
         nodes=nodes,
         runners=runners,
         versions=versions.split(", "),
         has_own_sources=True,
+        **options,
     )
     context.run(fleet.__aenter__())
     context.fleet = fleet
@@ -115,6 +126,16 @@
     context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
 
 
+@given(
+    "{nodes:d} nodes and {runners:d} runners in a pool for each of the versions"
+    ' "{versions}"'
+)
+def given_pools(context, nodes, runners, versions):
+    """Name each pool after its version, but the first one like that of the routes."""
+    pools = (POOL, *versions.split(", ")[1:])
+    given_versions(context, nodes, runners, versions, pools=pools)
+
+
 def observe_asks(context, node):
     receive = node.io.slot_home._receive_ask
 
@@ -189,6 +210,31 @@
     assert len(went_on) >= count, len(went_on)
 
 
+@given("the route of streams is split between the pools")
+@when("the route of streams is split between the pools")
+def split_route(context):
+    entries = [{"service": name, "weight": 1} for name in context.fleet.pools]
+    context.run(put_pools(context, weightedServices=entries))
+
+
+@when("the route of streams moves to the last pool")
+def move_route(context):
+    context.run(put_pools(context, service=context.fleet.pools[-1]))
+
+
+async def put_pools(context, **pools):
+    fleet = context.fleet
+    streaming = make_route("streaming", resumable=True, **pools)
+    others = [make_route(f"other-{name}", service=name) for name in fleet.pools]
+    await fleet.put_state(streaming, *others)
+    await wait_until(
+        lambda: all(
+            node.io.view.routes.state.version == fleet.version for node in fleet.nodes
+        ),
+        5,
+    )
+
+
 @given("callers have begun {count:d} streams at node {number:d}, all of which broke")
 def begin_streams(context, count, number):
     fleet = context.fleet
@@ -330,13 +376,13 @@
 @then(
     'streams that "{version}" began are refused at node {number:d} as not run, at once'
 )
-def check_refused(context, version, number):
+def check_refused(context, version, number, limit_s=MAX_REFUSAL_S):
     readers = [r for r in context.readers if context.began[r.name] == version]
     assert readers
     received = len(context.fleet.calls())
 
     async def act():
-        async with asyncio.timeout(MAX_REFUSAL_S):
+        async with asyncio.timeout(limit_s):
             return await asyncio.gather(*(reader.read(number) for reader in readers))
 
     for attempt in context.run(act()):
@@ -345,6 +391,13 @@
     assert len(context.fleet.calls()) == received
 
 
+@then(
+    'streams that "{version}" began are refused at node {number:d} while a peer is away'
+)
+def check_refused_late(context, version, number):
+    check_refused(context, version, number, limit_s=MAX_LATE_REFUSAL_S)
+
+
 @when('a caller resumes a stream after event 2 with "{resumes}"')
 def resume_with(context, resumes):
     headers = {"Last-Event-Id": "2", "Resumes": resumes}
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1161,8 +1161,8 @@
     Mutation(
         "prompts are fetched from runners of other versions",
         f"{NODE_EDGE_SOURCE}/attempt_executor.py",
-        "is_other and runner.version == holder.version",
-        "is_other",
+        "runner.runner_id == holder.runner_id or runner.version != holder.version",
+        "runner.runner_id == holder.runner_id",
         VERSIONS,
     ),
     Mutation(
@@ -1470,6 +1470,34 @@
         "return True",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "streams of a route with several pools are told to no other node",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "if self._route_pools.is_shared(pool, now_ms=now_ms):",
+        "if False:",
+        VERSIONS,
+    ),
+    Mutation(
+        "a route that has moved is not remembered at its former pool",
+        f"{CORE_SOURCE}/edge/route_pools.py",
+        "                self._former[place][pool] = now_ms",
+        "                pass",
+        VERSIONS,
+    ),
+    Mutation(
+        "the only version of a pool is taken for that of another pool's streams",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "or self._route_pools.is_shared(pool, now_ms=now_ms)",
+        "or False",
+        VERSIONS,
+    ),
+    Mutation(
+        "streams that began before a route was split are told to no other node",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "            self._share_all(pool)\n\n    async def drop",
+        "            pass\n\n    async def drop",
+        VERSIONS,
+    ),
     Mutation(
         "the end of a runner is not told to other nodes",
         f"{NODE_EDGE_SOURCE}/lifetime_exchange.py",
