A node asks peers about a stream although it has a record of its own

Streams of two versions: one id was recorded at two nodes at two versions (a call that two nodes had at once, or an id used again), and the message of the second lost, or its holders others. The first node went on by its own record without asking anybody; two records that differ, of two peers, named the first one.

In mixed pools three peers are asked and waited for 50 ms at most; records that differ count as ambiguous. Nothing is asked where one version serves.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
@@ -63,8 +63,16 @@
     @property
     def record(self) -> StreamRecord | None:
         """The stream's record, if a node has one."""
-        records = [a.record for a in self._answers if a.record is not None]
-        return records[0] if records else None
+        return self._records[0] if self._records else None
+
+    @property
+    def _records(self) -> list[StreamRecord]:
+        return [a.record for a in self._answers if a.record is not None]
+
+    @property
+    def _is_ambiguous(self) -> bool:
+        named = {(record.pool, record.version) for record in self._records}
+        return len(named) > 1 or any(record.is_ambiguous for record in self._records)
 
     @property
     def answer_count(self) -> int:
@@ -87,7 +95,9 @@
     def is_settled(self) -> bool:
         """Whether the remaining peers need not be waited for."""
         if self.record is not None:
-            return True
+            # A node that has a record may have missed that of another stream.
+            is_own = self._answers[0].record is not None
+            return self._is_ambiguous or not is_own
         # Peers that have ended do not answer, and callers resume their streams.
         return (
             self._is_view_current
@@ -98,7 +108,7 @@
 
     def conclude(self) -> LookupResult:
         """Return what follows from the answers so far."""
-        if any(a.record is not None and a.record.is_ambiguous for a in self._answers):
+        if self._is_ambiguous:
             return LookupResult.AMBIGUOUS
         if self.record is not None:
             return LookupResult.RECORDED
--- a/packages/clementineyoke-core/tests/edge/stream_versions.feature
+++ b/packages/clementineyoke-core/tests/edge/stream_versions.feature
@@ -75,6 +75,9 @@
     Examples: record or versions, and seconds for which a node knows these
       | own        | view    | asked | answers                       | result       |
       | record     | stale   | 0     | nothing                       | recorded     |
+      | record     | current | 3     | v1 v2 for 30, nothing         | recorded     |
+      | record     | current | 3     | record, record of v2          | ambiguous    |
+      | record     | current | 3     | ambiguous                     | ambiguous    |
       | v1 for 30  | current | 3     | record, v1 for 30             | recorded     |
       | v1 for 30  | current | 3     | ambiguous                     | ambiguous    |
       | v1 for 30  | current | 3     | v1 for 30, v1 for 30          | only_version |
--- a/packages/clementineyoke-core/tests/steps/stream_versions_steps.py
+++ b/packages/clementineyoke-core/tests/steps/stream_versions_steps.py
@@ -127,6 +127,8 @@
     if text in ("record", "ambiguous"):
         record = make_record("v1", ambiguous=text == "ambiguous")
         return LookupAnswer(record, ("v1", "v2"), 0.0)
+    if text == "record of v2":
+        return LookupAnswer(make_record("v2"), ("v1", "v2"), 0.0)
     versions, _, known_s = text.partition(" for ")
     if text == "nothing":
         return LookupAnswer(None, (), 0.0)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -63,6 +63,8 @@
 LOOKUP_TIMEOUT_MS = 300.0
 """Time for the answer of a busy peer; others take a few milliseconds. Only streams that
 no peer in reach knows wait for peers that have ended."""
+CONFIRM_TIMEOUT_MS = 50.0
+"""Time for peers to contradict a node's own record of a stream."""
 STORE_TIMEOUT_MS = 800.0
 """Time for the store to tell of versions and streams from before a start."""
 RETURN_MARGIN_MS = 5_000.0
@@ -256,9 +258,14 @@
         return await self._look_up(admitted, key) if is_read else lookup
 
     async def _look_up(self, admitted: AdmittedCall, key: int) -> StreamLookup:
-        own = self._answer(key, hash_text(admitted.pool))
-        is_known = own.record is not None
-        holders = [] if is_known else self._holders(key, MAX_HOLDERS)
+        pool = hash_text(admitted.pool)
+        own = self._answer(key, pool)
+        count, timeout_ms = MAX_HOLDERS, LOOKUP_TIMEOUT_MS
+        if own.record is not None:
+            # Nothing is told to peers, and nothing differs, where one version serves.
+            count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0
+            timeout_ms = CONFIRM_TIMEOUT_MS
+        holders = self._holders(key, count)
         lookup = StreamLookup(
             own=own,
             asked=len(holders),
@@ -266,7 +273,7 @@
             max_age_ms=admitted.route.timeout_ms + RETURN_MARGIN_MS,
         )
         asks = [
-            asyncio.ensure_future(self._ask(node, key, hash_text(admitted.pool)))
+            asyncio.ensure_future(self._ask(node, key, pool, timeout_ms))
             for node in holders
         ]
         try:
@@ -281,11 +288,13 @@
                 ask.cancel()
         return lookup
 
-    async def _ask(self, node: Node, key: int, pool: int) -> LookupAnswer | None:
+    async def _ask(
+        self, node: Node, key: int, pool: int, timeout_ms: float
+    ) -> LookupAnswer | None:
         ask = StreamAsk(self._socket.next_ask_id(), key, pool)
         with suppress(TimeoutError):
             reply = await self._socket.request(
-                node, ask, reply_type=StreamReply, timeout_ms=LOOKUP_TIMEOUT_MS
+                node, ask, reply_type=StreamReply, timeout_ms=timeout_ms
             )
             record = self._to_record(reply.notes[0]) if reply.notes else None
             return LookupAnswer(record, tuple(reply.versions), reply.observed_ms)
--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -92,6 +92,14 @@
     When a caller resumes a stream after event 2 with "reused-id"
     Then it gets 503, and runners received 0 calls
 
+  Scenario: Two nodes record one call at two versions, and one does not hear of it
+    # A node that has a record of its own may have one of another stream.
+    Given 4 nodes and 4 runners of the versions "v1, v2"
+    And node 1 cannot tell node 0 of streams
+    And streams of both versions began under one id, at nodes 0 and 1
+    When a caller resumes a stream after event 2 with "reused-id"
+    Then it gets 503, and runners received 0 calls
+
   Scenario Outline: A version comes and goes while a node does not read the store
     # The node takes the version that it lists for the only one that there was.
     Given 2 nodes and 2 runners of the versions "v1"
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -17,7 +17,7 @@
 )
 from clementineyoke_standins.edge.edge_store import StoreFault
 from clementineyoke_standins.edge.source_filter import LinkCut
-from clementineyoke_wire.messages import SlotAsk
+from clementineyoke_wire.messages import SlotAsk, StreamNews
 
 EVENT = re.compile(r"id: (\d+)\ndata: piece \d+\n: version (\S+)\n\n")
 MAX_TRIES = 5
@@ -455,16 +455,29 @@
     return attempt.call_id
 
 
+@given("node 1 cannot tell node 0 of streams")
+def lose_notes(context):
+    first, second = context.fleet.nodes[:2]
+    send_all = second.io.socket.send_all
+
+    def lose(peers, message):
+        lost = first.state.config.address if isinstance(message, StreamNews) else None
+        send_all([peer for peer in peers if peer.address != lost], message)
+
+    second.io.socket.send_all = lose
+
+
 @given("streams of both versions began under one id")
-def begin_reused(context):
+@given("streams of both versions began under one id, at nodes 0 and {second:d}")
+def begin_reused(context, second=0):
     fleet = context.fleet
 
     async def act():
-        for version in ("v1", "v2"):
+        for number, version in ((0, "v1"), (second, "v2")):
             for runner in fleet.runners:
                 runner.is_shedding = runner.version != version
             reader = Reader(fleet, "reused")
-            attempt = await reader.read(0, **{CALL_ID_HEADER: "reused-id"})
+            attempt = await reader.read(number, **{CALL_ID_HEADER: "reused-id"})
             assert attempt.events[0][1] == version, attempt
         for runner in fleet.runners:
             runner.is_shedding = False
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1113,6 +1113,20 @@
         "        if lookup.record is not None:\n            self._prolong(",
         VERSIONS,
     ),
+    Mutation(
+        "a node that has a record of a stream asks no peer for another",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0",
+        "count = 0",
+        VERSIONS,
+    ),
+    Mutation(
+        "records of several versions name the first one",
+        f"{CORE_SOURCE}/edge/stream_lookup.py",
+        "return len(named) > 1 or any(",
+        "return any(",
+        CORE_STREAM_VERSIONS,
+    ),
     Mutation(
         "a stream whose version is unknown goes on at any",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
