Bodies that are only announced do not use up the bound of those held

What callers saw: two callers that announce long bodies and send none of them have the long requests of all others refused with 503, for as long as they wait: the length in the head counted as held.

Now the announced length is only checked against the bound, and what has arrived counts. A body that no longer fits meanwhile is refused as not run, as one in chunks was before.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/held_bytes.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/held_bytes.py
@@ -66,10 +66,14 @@
         """Release what it holds."""
         self.close()
 
+    def check(self, size_bytes: int) -> None:
+        """Raise ``HoldLimitError`` if this many bytes would be too much to hold."""
+        self._held.check(held_bytes=self.size_bytes, size_bytes=size_bytes)
+
     def resize(self, size_bytes: int) -> None:
         """Hold this many bytes; raises ``HoldLimitError`` if that is too much."""
         if size_bytes > self.size_bytes:
-            self._held.check(held_bytes=self.size_bytes, size_bytes=size_bytes)
+            self.check(size_bytes)
         self._held.change(size_bytes - self.size_bytes)
         self.size_bytes = size_bytes
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/request_bodies.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/request_bodies.py
@@ -42,19 +42,8 @@
         """Return the body of a request; raises ``RequestError`` if it is too much."""
         if not request.body_exists:
             return b""
-        self._resize(holding, request.content_length or 0)
-        parts: list[bytes] = []
-        size_bytes = 0
-        while part := await request.content.readany():
-            size_bytes += len(part)
-            if size_bytes > holding.size_bytes:
-                self._resize(holding, size_bytes)
-            parts.append(part)
-        return b"".join(parts)
-
-    def _resize(self, holding: Holding, size_bytes: int) -> None:
         try:
-            holding.resize(size_bytes)
+            return await _read_parts(request, holding)
         except HoldLimitError as error:
             if not error.is_total:
                 raise _refuse(413, str(error)) from error
@@ -64,6 +53,18 @@
             ) from error
 
 
+async def _read_parts(request: web.Request, holding: Holding) -> bytes:
+    # Callers that announce long bodies and send none must not use up the bound.
+    holding.check(request.content_length or 0)
+    parts: list[bytes] = []
+    size_bytes = 0
+    while part := await request.content.readany():
+        size_bytes += len(part)
+        holding.resize(size_bytes)
+        parts.append(part)
+    return b"".join(parts)
+
+
 def _refuse(
     status: int, reason: str, retry_after_ms: int | None = None
 ) -> RequestError:
--- a/packages/clementineyoke-node/tests/edge/request_bodies.feature
+++ b/packages/clementineyoke-node/tests/edge/request_bodies.feature
@@ -19,6 +19,12 @@
     And their callers leave
     Then 2 further requests with bodies of 400000 bytes reach the runner
 
+  Scenario: Callers announce long bodies and send nothing
+    # A few such callers have the long requests of all others refused while they wait.
+    Given a node that holds 1000000 bytes of bodies, and a runner that does not answer
+    When 2 requests announce bodies of 500000 bytes and send none of them
+    Then a request with a body of 100000 bytes reaches the runner
+
   Scenario: A body is larger than any that a node reads
     # Its length is known, so that nothing of it need be read.
     Given a node that holds 1000000 bytes of bodies, and a runner that does not answer
--- a/packages/clementineyoke-node/tests/steps/request_bodies_steps.py
+++ b/packages/clementineyoke-node/tests/steps/request_bodies_steps.py
@@ -101,14 +101,31 @@
         assert not request.done(), request.result()
 
 
+async def send_head(context, size):
+    reader, writer = await connect(context.fleet)
+    context.add_cleanup(writer.close)
+    writer.write(
+        b"POST / HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: announced\r\n"
+        b"Content-Length: %d\r\n\r\n" % size
+    )
+    return reader, writer
+
+
+@when("{count:d} requests announce bodies of {size:d} bytes and send none of them")
+def announce_all(context, count, size):
+    async def act():
+        for _ in range(count):
+            await send_head(context, size)
+        in_flight = context.fleet.nodes[0]._caller_api._active_connections
+        await wait_until(lambda: len(in_flight) == count, LIMIT_S)
+
+    context.run(act())
+
+
 @when("a request announces a body of {size:d} bytes and sends none of it")
 def announce(context, size):
     async def act():
-        reader, writer = await connect(context.fleet)
-        writer.write(
-            b"POST / HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: announced\r\n"
-            b"Content-Length: %d\r\n\r\n" % size
-        )
+        reader, writer = await send_head(context, size)
         context.line = await asyncio.wait_for(reader.readline(), LIMIT_S)
         writer.close()
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1607,6 +1607,13 @@
         "holding.resize(0)",
         f"{NODE}/tests/edge/request_bodies.feature",
     ),
+    Mutation(
+        "an announced body counts as held before it is sent",
+        f"{NODE_EDGE_SOURCE}/request_bodies.py",
+        "holding.check(request.content_length or 0)",
+        "holding.resize(request.content_length or 0)",
+        f"{NODE}/tests/edge/request_bodies.feature",
+    ),
     Mutation(
         "the body of an answered request stays held",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
