A peer that is behind does not vouch for versions that it has missed

What callers saw: ORDER. A version comes and goes while two nodes do not hear of it, and the node that began its streams ends. A node that reads a list after that knows of its gap, but asked the other one, whose older list knows of none, and its word for the whole time was enough: six of six streams of v2 went on at v1.

A reply about a stream now tells the revision up to which its sender knows the runners. If that is older than the asking node's own list, its observed time does not count, nor does that of a state which is fetched from such a peer; what it knows of versions still does. The node then reads the store's object. Replies of earlier builds have revision 0, and do not count either.

The mutation is caught, and the one that named the changed line as well.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_state_exchange.py
@@ -188,7 +188,11 @@
             evacuations_version=received.evacuations_version,
         )
         self._crash_tracker.merge_notes(received.crashes)
-        self._pool_versions.adopt(received.versions, now_ms=self._timers.now_ms())
+        versions = received.versions
+        if received.runners_revision < self._view.runners_revision:
+            # The peer has not seen what this node may have missed.
+            versions = versions._replace(observed_ms=0)
+        self._pool_versions.adopt(versions, now_ms=self._timers.now_ms())
 
     async def _request_state(self, address: str) -> PeerState:
         if self._session is None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -91,6 +91,7 @@
             metrics=state.metrics,
             is_view_current=lambda: not view.is_stale(ViewPart.RUNNERS),
             runners_age_ms=lambda: view.ages().runners_ms,
+            runners_revision=lambda: view.runners_revision,
             lifetimes=self._lifetimes,
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -106,12 +106,14 @@
         metrics: Metrics,
         is_view_current: Callable[[], bool],
         runners_age_ms: Callable[[], int],
+        runners_revision: Callable[[], int],
         lifetimes: LifetimeExchange,
     ) -> None:
         """Create a registry; ``homes`` assigns streams to the nodes of the region.
 
         ``is_view_current`` is described at ``StreamLookup``. ``runners_age_ms`` returns
-        how long ago the store or a peer last confirmed the list of runners.
+        how long ago the store or a peer last confirmed the list of runners, and
+        ``runners_revision`` the revision up to which this node knows them.
         """
         self.lifetimes = lifetimes
         self._records = records
@@ -127,6 +129,7 @@
         self._metrics = metrics
         self._is_view_current = is_view_current
         self.runners_age_ms = runners_age_ms
+        self._runners_revision = runners_revision
         self._note_rate = CallRate()
         self._pool_names: dict[int, str] = {}
         socket.handle(StreamNews, self._receive_news)
@@ -292,7 +295,10 @@
                 node, ask, reply_type=StreamReply, timeout_ms=LOOKUP_TIMEOUT_MS
             )
             record = self._to_record(reply.notes[0]) if reply.notes else None
-            return LookupAnswer(record, tuple(reply.versions), reply.observed_ms)
+            # A peer whose list is older has not seen what this node may have missed.
+            is_behind = reply.runners_version < self._runners_revision()
+            observed_ms = 0 if is_behind else reply.observed_ms
+            return LookupAnswer(record, tuple(reply.versions), observed_ms)
         return None
 
     def _choose(
@@ -409,7 +415,11 @@
         if answer.record is not None:
             notes.append(self._to_note(ask.key, answer.record))
         reply = StreamReply(
-            ask.ask_id, notes, list(answer.versions), round(answer.observed_ms)
+            ask.ask_id,
+            notes,
+            list(answer.versions),
+            round(answer.observed_ms),
+            self._runners_revision(),
         )
         self._socket.send(received.peer, reply)
 
--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -106,6 +106,15 @@
       | all its history |
       | no history      |
 
+  Scenario: A node asks a peer that has missed the same version
+    # That peer still says that it has known all versions for as long as streams last.
+    Given 3 nodes and 2 runners of the versions "v1"
+    And nodes 1 and 2 get no changes of runners, from the store or node 0
+    When runners of "v2" begin 6 streams at node 0, which break, and leave
+    And node 0 is killed
+    And node 1 reads the store again, which has no history
+    Then node 1 goes on with none of the streams
+
   Scenario: A node loses its links in the middle of streams of two versions
     # The peer that goes on with a forwarded call has not seen the first events.
     Given 3 nodes and 8 runners of the versions "v1, v2"
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -23,6 +23,7 @@
 MAX_TRIES = 5
 MAX_REFUSAL_S = 0.5
 CUT_AFTER_S = 0.25
+READ_ENDS_S = 0.3
 STREAMS_AT_ONCE = 30
 
 
@@ -324,22 +325,34 @@
 
 
 @given("node 1 gets no changes of runners, from the store or node 0")
+@given("nodes 1 and 2 get no changes of runners, from the store or node 0")
 def hold_changes(context):
-    first, second = context.fleet.nodes
-    context.run(
-        wait_until(lambda: second.io.stream_components._version_archive._written, 2)
-    )
-    context.reads_again = asyncio.Event()
-    watch = second.io.store.watch
+    first, *others = context.fleet.nodes
+    for node in others:
+        archive = node.io.stream_components._version_archive
+        context.run(wait_until(lambda a=archive: a._written, 2))
+    context.reads_again = hold_watches(others[0])
+    context.reader_view = others[0].io.view
+    for node in others[1:]:
+        hold_watches(node)
+    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+    # Reads that have begun would still return the next change.
+    context.run(asyncio.sleep(READ_ENDS_S))
+
+
+def hold_watches(node):
+    """Hold a node's watches of runners until the event that is returned."""
+    reads_again = asyncio.Event()
+    watch = node.io.store.watch
 
     async def watch_later(kind, **options):
         if kind == "servers":
-            await context.reads_again.wait()
+            await reads_again.wait()
         return await watch(kind, **options)
 
-    second.io.store.watch = watch_later
-    second.io.store_watcher._interrupts["servers"].set()
-    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+    node.io.store.watch = watch_later
+    node.io.store_watcher._interrupts["servers"].set()
+    return reads_again
 
 
 @when(
@@ -370,7 +383,7 @@
     if history == "no history":
         fleet.store.drop_history()
     context.reads_again.set()
-    view = fleet.nodes[-1].io.view
+    view = context.reader_view
     context.run(wait_until(lambda: view.runners_revision == fleet.store.revision, 3))
 
 
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -179,6 +179,8 @@
     """Software versions of the pool's runners in the time that streams last."""
     observed_ms: int
     """For how much of that time the sender knows the versions."""
+    runners_version: int
+    """The revision of the store up to which it knows them; 0 from earlier builds."""
 
 
 class SlotRenewal(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -117,7 +117,7 @@
 struct StreamNews { notes @0 :List(StreamNote); }
 struct StreamAsk { askId @0 :UInt32; key @1 :UInt64; pool @2 :UInt64; }
 struct StreamReply { askId @0 :UInt32; notes @1 :List(StreamNote); versions @2 :List(Text);
-  observedMs @3 :UInt32; }
+  observedMs @3 :UInt32; runnersVersion @4 :UInt64; }
 struct NodeHello {
   isReply @0 :Bool;
   nodeId @1 :Text;
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1155,6 +1155,13 @@
         "            pass\n",
         VERSIONS,
     ),
+    Mutation(
+        "a peer that is behind excludes versions that it has missed",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "is_behind = reply.runners_version < self._runners_revision()",
+        "is_behind = False",
+        VERSIONS,
+    ),
     Mutation(
         "a stream that was resumed at the only version is not recorded",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
@@ -1172,7 +1179,7 @@
     Mutation(
         "a node that starts does not hear of former versions",
         f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
-        "self._pool_versions.adopt(received.versions,",
+        "self._pool_versions.adopt(versions,",
         "self._pool_versions.adopt(VersionHistory(),",
         VERSIONS,
     ),
