A peer sees that it has missed a version that came and went

A version that comes and goes within one answer of the store was told to peers in a message whose revision is the one before it, so that the next message seemed to follow what a peer knows that had lost the first one: it lists no v2 and counts the whole time as observed.

The changes up to the version are now a step of their own with its own revision, and the next step follows that. A peer without the first one fetches the list, with the history of versions.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -37,7 +37,11 @@
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.edge.update_broadcaster import UpdateBroadcaster
     from clementineyoke_node.platform.store_client import StoreClient
-    from clementineyoke_node.platform.store_page import EntryChanges, StoredEntry
+    from clementineyoke_node.platform.store_page import (
+        EntryChange,
+        EntryChanges,
+        StoredEntry,
+    )
 
 MS_PER_S = 1000.0
 WATCHES_PER_BOUND = 8
@@ -342,48 +346,39 @@
     def _decode_changes(
         self, update: EntryChanges, base_revision: int
     ) -> list[DirectoryChanges]:
-        """Return the runners of versions that came and went, and then all last changes.
+        """Return all changes, in more than one step if a version came and went.
 
-        Other nodes may have begun streams of these versions.
+        Other nodes may have begun streams of that version. A peer that misses a step
+        sees that the next one does not follow what it knows.
         """
-        passed: list[RunnerRecord] = []
-        records: dict[str, RunnerRecord] = {}
-        removals: dict[str, RunnerRemoval] = {}
-        for change in update.changes:
-            name, revision = change.entry.name, change.entry.revision
-            decoded: RunnerRecord | RunnerRemoval
-            if change.is_deleted:
-                born_ms = decode_born_ms(change.entry)
-                decoded = RunnerRemoval(name, revision, born_ms=born_ms)
-            else:
-                decoded = self._decode_runner(change.entry)
-            replaced = records.pop(name, None)
-            removals.pop(name, None)
-            if replaced is not None and not self._view.lists_version(replaced.runner):
-                passed.append(replaced)
-            if isinstance(decoded, RunnerRecord):
-                records[name] = decoded
-            else:
-                removals[name] = decoded
-        last = {(r.runner.pool, r.runner.version) for r in records.values()}
-        passing = [
-            DirectoryChanges(
-                base_revision,
-                base_revision,
+        decoded = [self._decode_change(change) for change in update.changes]
+        last = {_id_of(change): change for change in decoded}
+        lasting = {_version_of(c) for c in last.values() if isinstance(c, RunnerRecord)}
+        steps: list[DirectoryChanges] = []
+        pending: dict[str, RunnerRecord | RunnerRemoval] = {}
+        step_base = revision = base_revision
+        for change in decoded:
+            replaced = pending.pop(_id_of(change), None)
+            if (
+                isinstance(replaced, RunnerRecord)
+                and _version_of(replaced) not in lasting
+                and not self._view.lists_version(replaced.runner)
+            ):
+                lasting.add(_version_of(replaced))
                 # No call goes to a runner whose end is known.
-                (record._replace(is_leaving=record.runner.runner_id in removals),),
-                (),
-            )
-            for record in passed
-            if (record.runner.pool, record.runner.version) not in last
-        ]
-        changes = DirectoryChanges(
-            base_revision,
-            update.revision,
-            tuple(records.values()),
-            tuple(removals.values()),
-        )
-        return [*passing, changes]
+                is_leaving = isinstance(last[_id_of(change)], RunnerRemoval)
+                pending[_id_of(change)] = replaced._replace(is_leaving=is_leaving)
+                steps.append(_make_step(step_base, revision, pending))
+                pending, step_base = {}, revision
+            pending[_id_of(change)] = change
+            revision = max(revision, change.revision)
+        return [*steps, _make_step(step_base, update.revision, pending)]
+
+    def _decode_change(self, change: EntryChange) -> RunnerRecord | RunnerRemoval:
+        if not change.is_deleted:
+            return self._decode_runner(change.entry)
+        name, revision = change.entry.name, change.entry.revision
+        return RunnerRemoval(name, revision, born_ms=decode_born_ms(change.entry))
 
     def _apply_state(self, entry: StoredEntry) -> None:
         if entry.name != names.STATE_NAME:
@@ -431,6 +426,27 @@
         self._view.record_store_recovery()
 
 
+def _id_of(change: RunnerRecord | RunnerRemoval) -> str:
+    if isinstance(change, RunnerRemoval):
+        return change.runner_id
+    return change.runner.runner_id
+
+
+def _version_of(record: RunnerRecord) -> tuple[str, str]:
+    return record.runner.pool, record.runner.version
+
+
+def _make_step(
+    base_revision: int,
+    revision: int,
+    pending: dict[str, RunnerRecord | RunnerRemoval],
+) -> DirectoryChanges:
+    changes = pending.values()
+    records = tuple(c for c in changes if isinstance(c, RunnerRecord))
+    removals = tuple(c for c in changes if isinstance(c, RunnerRemoval))
+    return DirectoryChanges(base_revision, revision, records, removals)
+
+
 def _decode_evacuation(entry: StoredEntry) -> EvacuatedZone:
     return EvacuatedZone(entry.name, entry.revision)
 
--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -115,6 +115,13 @@
     And node 1 reads the store again, which has no history
     Then node 1 goes on with none of the streams
 
+  Scenario: A node misses the message about a version that came and went
+    # The next message would seem to follow what the node knows.
+    Given 2 nodes and 2 runners of the versions "v1"
+    And no node reads changes of runners, and the next message about them is lost
+    When a runner of "v2" comes and goes, and node 0 reads the store again
+    Then node 1 takes the pool for mixed
+
   Scenario: A node loses its links in the middle of streams of two versions
     # The peer that goes on with a forwarded call has not seen the first events.
     Given 3 nodes and 8 runners of the versions "v1, v2"
--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -17,7 +17,7 @@
 )
 from clementineyoke_standins.edge.edge_store import StoreFault
 from clementineyoke_standins.edge.source_filter import LinkCut
-from clementineyoke_wire.messages import SlotAsk
+from clementineyoke_wire.messages import SlotAsk, StoreNews
 
 EVENT = re.compile(r"id: (\d+)\ndata: piece \d+\n: version (\S+)\n\n")
 MAX_TRIES = 5
@@ -355,6 +355,41 @@
     return reads_again
 
 
+@given("no node reads changes of runners, and the next message about them is lost")
+def lose_message(context):
+    first = context.fleet.nodes[0]
+    context.reads_again, _ = map(hold_watches, context.fleet.nodes)
+    context.run(asyncio.sleep(READ_ENDS_S))
+    send_all, lost = first.io.socket.send_all, []
+
+    def lose_first(peers, message):
+        is_about_runners = isinstance(message, StoreNews) and message.runners
+        if is_about_runners and not lost:
+            lost.append(message)
+            return
+        send_all(peers, message)
+
+    first.io.socket.send_all = lose_first
+
+
+@when('a runner of "{version}" comes and goes, and node 0 reads the store again')
+def come_and_go(context, version):
+    fleet = context.fleet
+    runner = fleet.runners[0]
+    known = runner.version, runner.runner_id
+
+    async def act():
+        runner.version, runner.runner_id = version, "passing"
+        await fleet.register_runner(runner, state="ready")
+        runner.version, runner.runner_id = known
+        await fleet.store.remove("servers", "passing")
+        context.reads_again.set()
+        view = fleet.nodes[1].io.view
+        await wait_until(lambda: view.runners_revision == fleet.store.revision, 3)
+
+    context.run(act())
+
+
 @when(
     'runners of "{version}" begin {count:d} streams at node 0, which break, and leave'
 )
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1144,10 +1144,17 @@
     Mutation(
         "a version that comes and goes within one answer of the store is not seen",
         f"{NODE_EDGE_SOURCE}/store_watcher.py",
-        "                passed.append(replaced)\n",
+        "                steps.append(_make_step(step_base, revision, pending))\n",
         "                pass\n",
         VERSIONS,
     ),
+    Mutation(
+        "a peer does not see that it has missed a version that came and went",
+        f"{NODE_EDGE_SOURCE}/store_watcher.py",
+        "pending, step_base = {}, revision",
+        "pending = {}",
+        VERSIONS,
+    ),
     Mutation(
         "a node takes versions for known that came and went while it read nothing",
         f"{NODE_EDGE_SOURCE}/fleet_view.py",
