--- a/packages/clementineyoke-node/tests/steps/versions_steps.py
+++ b/packages/clementineyoke-node/tests/steps/versions_steps.py
@@ -25,7 +25,7 @@
 )
 from clementineyoke_standins.edge.edge_store import StoreFault
 from clementineyoke_standins.edge.source_filter import LinkCut
-from clementineyoke_wire.messages import SlotAsk, StreamNews
+from clementineyoke_wire.messages import SlotAsk, StoreNews, StreamNews
 
 EVENT = re.compile(r"id: (\d+)\ndata: piece \d+\n: version (\S+)\n\n")
 MAX_TRIES = 5
@@ -33,6 +33,7 @@
 MAX_LATE_REFUSAL_S = 1.0
 """Bound of a refusal for which a peer that does not answer is asked twice."""
 CUT_AFTER_S = 0.25
+READ_ENDS_S = 0.3
 STREAMS_AT_ONCE = 30
 
 
@@ -370,22 +371,69 @@
 
 
 @given("node 1 gets no changes of runners, from the store or node 0")
+@given("nodes 1 and 2 get no changes of runners, from the store or node 0")
 def hold_changes(context):
-    first, second = context.fleet.nodes
-    context.run(
-        wait_until(lambda: second.io.stream_components._version_archive._written, 2)
-    )
-    context.reads_again = asyncio.Event()
-    watch = second.io.store.watch
+    first, *others = context.fleet.nodes
+    for node in others:
+        archive = node.io.stream_components._version_archive
+        context.run(wait_until(lambda a=archive: a._written, 2))
+    context.reads_again = hold_watches(others[0])
+    context.reader_view = others[0].io.view
+    for node in others[1:]:
+        hold_watches(node)
+    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+    # Reads that have begun would still return the next change.
+    context.run(asyncio.sleep(READ_ENDS_S))
+
+
+def hold_watches(node):
+    """Hold a node's watches of runners until the event that is returned."""
+    reads_again = asyncio.Event()
+    watch = node.io.store.watch
 
     async def watch_later(kind, **options):
         if kind == "servers":
-            await context.reads_again.wait()
+            await reads_again.wait()
         return await watch(kind, **options)
 
-    second.io.store.watch = watch_later
-    second.io.store_watcher._interrupts["servers"].set()
-    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+    node.io.store.watch = watch_later
+    node.io.store_watcher._interrupts["servers"].set()
+    return reads_again
+
+
+@given("no node reads changes of runners, and the next message about them is lost")
+def lose_message(context):
+    first = context.fleet.nodes[0]
+    context.reads_again, _ = map(hold_watches, context.fleet.nodes)
+    context.run(asyncio.sleep(READ_ENDS_S))
+    send_all, lost = first.io.socket.send_all, []
+
+    def lose_first(peers, message):
+        is_about_runners = isinstance(message, StoreNews) and message.runners
+        if is_about_runners and not lost:
+            lost.append(message)
+            return
+        send_all(peers, message)
+
+    first.io.socket.send_all = lose_first
+
+
+@when('a runner of "{version}" comes and goes, and node 0 reads the store again')
+def come_and_go(context, version):
+    fleet = context.fleet
+    runner = fleet.runners[0]
+    known = runner.version, runner.runner_id
+
+    async def act():
+        runner.version, runner.runner_id = version, "passing"
+        await fleet.register_runner(runner, state="ready")
+        runner.version, runner.runner_id = known
+        await fleet.store.remove("servers", "passing")
+        context.reads_again.set()
+        view = fleet.nodes[1].io.view
+        await wait_until(lambda: view.runners_revision == fleet.store.revision, 3)
+
+    context.run(act())
 
 
 @when(
@@ -416,7 +464,7 @@
     if history == "no history":
         fleet.store.drop_history()
     context.reads_again.set()
-    view = fleet.nodes[-1].io.view
+    view = context.reader_view
     context.run(wait_until(lambda: view.runners_revision == fleet.store.revision, 3))
 
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1173,10 +1173,17 @@
     Mutation(
         "a version that comes and goes within one answer of the store is not seen",
         f"{NODE_EDGE_SOURCE}/store_watcher.py",
-        "                passed.append(replaced)\n",
+        "                steps.append(_make_step(step_base, revision, pending))\n",
         "                pass\n",
         VERSIONS,
     ),
+    Mutation(
+        "a peer does not see that it has missed a version that came and went",
+        f"{NODE_EDGE_SOURCE}/store_watcher.py",
+        "pending, step_base = {}, revision",
+        "pending = {}",
+        VERSIONS,
+    ),
     Mutation(
         "a node takes versions for known that came and went while it read nothing",
         f"{NODE_EDGE_SOURCE}/fleet_view.py",
@@ -1184,6 +1191,13 @@
         "            pass\n",
         VERSIONS,
     ),
+    Mutation(
+        "a peer that is behind excludes versions that it has missed",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "is_behind = reply.runners_version < self._runners_revision()",
+        "is_behind = False",
+        VERSIONS,
+    ),
     Mutation(
         "a stream that was resumed at the only version is not recorded",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
@@ -1215,7 +1229,7 @@
     Mutation(
         "a node that starts does not hear of former versions",
         f"{NODE_EDGE_SOURCE}/peer_state_exchange.py",
-        "self._pool_versions.adopt(received.versions,",
+        "self._pool_versions.adopt(versions,",
         "self._pool_versions.adopt(VersionHistory(),",
         VERSIONS,
     ),
@@ -1714,6 +1728,13 @@
         "holding.resize(0)",
         f"{NODE}/tests/edge/request_bodies.feature",
     ),
+    Mutation(
+        "an announced body counts as held before it is sent",
+        f"{NODE_EDGE_SOURCE}/request_bodies.py",
+        "holding.check(request.content_length or 0)",
+        "holding.resize(request.content_length or 0)",
+        f"{NODE}/tests/edge/request_bodies.feature",
+    ),
     Mutation(
         "the body of an answered request stays held",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
