Failed calls of one node are no outage while its peers get answers

Cause, by a trace: a node that is no watcher was refused and came back 1.2 s later, twice. Its peer was answered meanwhile, but that counted only after 2.2 s; until then the failed calls were an outage, whose end gave the lapsed entries their time once more (failing since 4873, a peer's answer 6663, own answer 7371, lapse extended from 6832 to 9571).

If the answers to peers go on without a gap, the store is well 500 ms after the calls began to fail. After an outage the grace period counts as before.

The core scenario fails with the former bound, which is its mutation.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -581,6 +581,13 @@
         "for _ in range(0):",
         LOOP_STALLS,
     ),
+    Mutation(
+        "failed calls count as an outage although a peer's are answered",
+        f"{CORE_SOURCE}/edge/runner_directory.py",
+        "return self._last_store_answer_ms - since_ms < MIN_OUTAGE_MS",
+        "return self._last_store_answer_ms - since_ms < RETURN_GRACE_MS",
+        CORE_EDGE_TESTS,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
