Tests: crash scenarios wait until the node has read what they have stored

Cause, by the decisions of the calls: both steps send a call some turns of the event loop after a write to the store. The first one went out under the former state, with three runners in place of one ('routed', 'runner_failed' twice). The second one crashed a runner's next start before its entry was read (runner_born_ms 0 in both calls), so that both crashes counted for one lifetime, and one does not suspect a request. Nodes may take 2 s to read either; the steps took them to be read at once, which held as long as a read took no task of its own.

The steps wait for the state's version and for the runner's entry. What is checked is unchanged.

--- a/packages/clementineyoke-node/tests/steps/crashing_part_steps.py
+++ b/packages/clementineyoke-node/tests/steps/crashing_part_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from crashing_request_steps import MAX_REFUSAL_S, crashes, decisions_of
 from edge_fleet import make_route
-from edge_steps import WHOLE_STREAM
+from edge_steps import WHOLE_STREAM, wait_until
 
 from clementineyoke_standins.edge.edge_runner import CrashManner, ScriptedResponse
 
@@ -139,6 +139,8 @@
         await context.fleet.put_state(
             make_route("streaming", runners=runners, resumable=True)
         )
+        view, version = context.fleet.nodes[0].io.view, context.fleet.version
+        await wait_until(lambda: view.routes.state.version == version, 2)
         context.answer = await send(context, "ba00", *context.bad_parts)
 
     context.run(act())
--- a/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
+++ b/packages/clementineyoke-node/tests/steps/crashing_request_steps.py
@@ -177,6 +177,11 @@
         )
 
 
+def knows_last_restart(context):
+    entries = context.fleet.nodes[0].state.table.entries()
+    return context.born_ms in {entry.runner.born_ms for entry in entries}
+
+
 @when("runners end {times:d} times while they run a request whose prompt others share")
 def crash_while_running_prompt(context, times):
     first = order_of(context, PROMPT_KEY)[0]
@@ -191,6 +196,8 @@
             await send_prompted(context, f"end-{number}", context.body)
             await asyncio.sleep(RETRY_INTERVAL_S)
             await asyncio.gather(*context.restarts)
+            # The next crash counts as another one only if its lifetime is known.
+            await wait_until(lambda: knows_last_restart(context), 5)
             await wait_until(
                 lambda: all(table.is_ready(r.runner_id) for r in context.fleet.runners),
                 5,
