A peer's first answer after an outage does not show that there was none

An outage may show a shorter gap, as waiting watches are answered in its first moments. A trace: calls fail since 3372826, a peer's answers 3372854 and 3374953, a gap of 2099 ms; with the latter in_outage was false, and the lapsed entry that came next counted as ended.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -160,9 +160,8 @@
     def in_outage(self, *, now_ms: float) -> bool:
         """Return whether this node's calls to the store fail because of a store outage.
 
-        This is false if the store has answered peers since they began to fail. After an
-        outage it is false once the store has answered peers for the grace period: this
-        node's calls would have succeeded by then.
+        This is false once the store has answered peers for the grace period: after an
+        outage this node's own calls would have succeeded by then.
         """
         since_ms = self._failing_since_ms
         if since_ms is None or now_ms - since_ms < MIN_OUTAGE_MS:
@@ -171,10 +170,8 @@
             return False
         if now_ms - self._last_store_answer_ms > RETURN_GRACE_MS:
             return True
-        if self._answering_since_ms <= since_ms:
-            # Peers have gone on to get answers: only this node's calls fail.
-            return self._last_store_answer_ms - since_ms < MIN_OUTAGE_MS
-        return self._last_store_answer_ms - self._answering_since_ms < RETURN_GRACE_MS
+        answering_since_ms = max(since_ms, self._answering_since_ms)
+        return self._last_store_answer_ms - answering_since_ms < RETURN_GRACE_MS
 
     def record_store_failure(self, *, since_ms: float) -> None:
         """Record that a call of this node has had no answer since a time."""
--- a/packages/clementineyoke-core/tests/edge/runner_directory.feature
+++ b/packages/clementineyoke-core/tests/edge/runner_directory.feature
@@ -314,16 +314,16 @@
     And lapsed entries are dropped at 15408 ms, with the latest read at 15000 ms
     Then the runners in use are b
 
-  Scenario: A node's calls fail for seconds after an outage, while those of a peer do not
-    # Guards against a second outage seen by mistake, which keeps a runner that is gone.
-    Given a directory with the runners a, b
-    When the store is away from 10000 ms to 14000 ms, and the entry of a has lapsed
-    And the store answers a peer at 14550 ms
-    And a call has had no answer since 14873 ms
-    And the store answers a peer at 16663 ms
-    And the store recovers at 17371 ms
-    And lapsed entries are dropped at 17372 ms
-    Then the runners in use are b
+  Scenario: An outage begins amid answers to peers, and a peer is the first to be answered
+    # Guards against dropping a runner whose entry has lapsed, as if only this node's calls
+    # had failed.
+    Given a directory with the runners a, b
+    And the store answered a peer at 50826 ms
+    And a call has had no answer since 50826 ms
+    And the store answered a peer at 50854 ms
+    And the store answered a peer at 52953 ms
+    When the entry of a ends at 52954 ms
+    Then the runners in use are a, b
 
   Scenario: The store recovers from short failures again and again
     # Guards against a lapsed entry whose time begins anew with each of them.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -582,10 +582,10 @@
         LOOP_STALLS,
     ),
     Mutation(
-        "failed calls count as an outage although a peer's are answered",
+        "a peer's answer after an outage shows that there was none",
         f"{CORE_SOURCE}/edge/runner_directory.py",
-        "return self._last_store_answer_ms - since_ms < MIN_OUTAGE_MS",
-        "return self._last_store_answer_ms - since_ms < RETURN_GRACE_MS",
+        "return self._last_store_answer_ms - answering_since_ms < RETURN_GRACE_MS",
+        "return self._last_store_answer_ms - answering_since_ms < MIN_OUTAGE_MS",
         CORE_EDGE_TESTS,
     ),
     Mutation(
