A node that is no watcher retries soon after a first failed call

A single refused call of such a node left it without an answer of its own for 1.2 s, which passes for an outage of the store and gives the entries of runners that are gone their time once more (the trace in: refused, and again 1.2 s later, own answer after 2.5 s).

The first retry comes after 60 ms at most, as at a watcher; later ones after 1.2 s as before. It costs one more store call a node and kind in an outage.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/store_watcher.py
@@ -65,8 +65,9 @@
 that has just started serves within half a second of the store's return, at the cost of
 at most two calls per second and watcher."""
 NON_WATCHER_RETRY_DELAY_MS = 1_200.0
-"""Delay between attempts of a node that is not a watcher: watchers retry more often and
-broadcast the result."""
+"""Delay between attempts of a node that is not a watcher, from the second one on:
+watchers retry more often and broadcast the result. A single refused call must not look
+like an outage for that long."""
 IDLE_POLL_INTERVAL_MS = 100.0
 """Interval at which a node that is not a watcher checks whether it must read the store
 itself."""
@@ -232,7 +233,8 @@
         return asyncio.get_running_loop().time() >= self._read_from_s
 
     async def _wait_before_retry(self, delay_ms: float) -> None:
-        if self._view.ready.is_set() and not self._is_watcher():
+        is_first = delay_ms <= MIN_RETRY_DELAY_MS
+        if self._view.ready.is_set() and not self._is_watcher() and not is_first:
             delay_ms = NON_WATCHER_RETRY_DELAY_MS
         await asyncio.sleep(self._rng.uniform(0.7, 1.0) * delay_ms / MS_PER_S)
 
--- a/packages/clementineyoke-node/tests/edge/news.feature
+++ b/packages/clementineyoke-node/tests/edge/news.feature
@@ -52,6 +52,13 @@
     When the runner's entry expires in an outage that all nodes notice, and it ends
     Then calls at node 3 are still served
 
+  Scenario: A single call of a node that is no watcher is refused
+    # Guards against taking it for an outage, which keeps runners that are gone.
+    Given a fleet of 4 nodes and 1 runner whose nodes know each other
+    When nodes 0 and 1 stop receiving store updates
+    And the store refuses the next call of node 3 for the runners
+    Then node 3 has read the runners within 300 ms
+
   Scenario: A watcher knows a newer revision than its own watch returns
     # Guards against a call to a runner 2.02 s after its entry says that it leaves. A peer
     # has sent a watcher revision 13, and the watcher's own watch returns the changes from
--- a/packages/clementineyoke-node/tests/steps/news_steps.py
+++ b/packages/clementineyoke-node/tests/steps/news_steps.py
@@ -197,6 +197,26 @@
     assert answer[0] == 200, answer
 
 
+@when("the store refuses the next call of node {number:d} for the runners")
+def refuse_next_call(context, number):
+    async def act():
+        watcher = context.fleet.nodes[number].io.store_watcher
+        context.fleet.store.fault = StoreFault.UNAVAILABLE
+        await wait_until(lambda: "servers" in watcher._unreachable_kinds, 5)
+        context.fleet.store.fault = None
+
+    context.run(act())
+
+
+@then("node {number:d} has read the runners within {limit_ms:d} ms")
+def check_has_read(context, number, limit_ms):
+    watcher = context.fleet.nodes[number].io.store_watcher
+    has_read = wait_until(
+        lambda: "servers" not in watcher._unreachable_kinds, limit_ms / 1000
+    )
+    context.run(has_read)
+
+
 class SocketRecorder:
     def __init__(self):
         self.sent = []
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -588,6 +588,13 @@
         "return self._last_store_answer_ms - answering_since_ms < MIN_OUTAGE_MS",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "a node that is no watcher retries late after a first refused call",
+        f"{NODE_EDGE_SOURCE}/store_watcher.py",
+        "is_first = delay_ms <= MIN_RETRY_DELAY_MS",
+        "is_first = False",
+        NEWS,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
