--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -582,12 +582,19 @@
         LOOP_STALLS,
     ),
     Mutation(
-        "failed calls count as an outage although a peer's are answered",
+        "a peer's answer after an outage shows that there was none",
         f"{CORE_SOURCE}/edge/runner_directory.py",
-        "return self._last_store_answer_ms - since_ms < MIN_OUTAGE_MS",
-        "return self._last_store_answer_ms - since_ms < RETURN_GRACE_MS",
+        "return self._last_store_answer_ms - answering_since_ms < RETURN_GRACE_MS",
+        "return self._last_store_answer_ms - answering_since_ms < MIN_OUTAGE_MS",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "a node that is no watcher retries late after a first refused call",
+        f"{NODE_EDGE_SOURCE}/store_watcher.py",
+        "is_first = delay_ms <= MIN_RETRY_DELAY_MS",
+        "is_first = False",
+        NEWS,
+    ),
     Mutation(
         "failed calls count as an outage although others are answered",
         f"{CORE_SOURCE}/edge/runner_directory.py",
