A connection that was given up as it opened does not count as open

A caller saw a part of an answer without a length end as complete: its runner had ended, another process listened at the address, and the node took a connection that no longer existed for a sign that the runner lives.

uvloop's create_connection closes its transport without a call of connection_lost if its task is cancelled, as the protocol is not connected then. If the cancellation comes in the turn of the loop in which connection_made was called, it is, and RunnerProtocol had registered itself. The entry stayed for as long as the node ran, for any process at the address.

A connection is registered when a call is sent on it: by then uvloop has handed it over, and closing it always ends in connection_lost.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connections.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connections.py
@@ -59,11 +59,11 @@
         self._cuts: dict[Address, deque[_Cut]] = {}
 
     def add(self, address: Address, connection: Connection) -> None:
-        """Record that a connection was opened."""
+        """Record that a connection is open."""
         self._open[address].add(connection)
 
     def remove(self, address: Address, connection: Connection) -> None:
-        """Record the end of a connection."""
+        """Record the end of a connection, which need not have been added."""
         connections = self._open[address]
         connections.discard(connection)
         if not connections:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -80,11 +80,16 @@
         address, port = transport.get_extra_info("peername") or self._peer
         self._peer = Address(address, port)
         self.connected_s = self._last_received_s = self._loop.time()
-        self._connections.add(self._peer, self)
 
     def set_response_params(self, **params: Any) -> None:
-        """Expect the response to a request that is about to be sent."""
+        """Expect the response to a request that is about to be sent.
+
+        Only now does the connection count as open: if its call is cancelled while it
+        opens, uvloop closes it without a call of ``connection_lost``.
+        """
         super().set_response_params(**params)
+        if self.ended_s is None:
+            self._connections.add(self._peer, self)
         if self._send_monitor is not None:
             self._send_monitor.start()
 
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -19,6 +19,16 @@
       | no connection      | its caller has read slowly   |
       | no connection      | the node has stopped to read |
 
+  Scenario: A call was cancelled just as its connection to the runner opened
+    # uvloop closes the connection without telling its protocol, which counts as open for
+    # as long as the node runs: each process at the address passes for the runner.
+    Given the event loop is that of a node process
+    And a fleet of 1 node and 2 runners that frame no streams
+    And a connection to each runner was given up just as it opened
+    And the address of a runner that ends is taken over at once
+    When the runner of a stream ends after 2 events, and the node stands still
+    Then the caller gets all events of the stream, each once
+
   Scenario: The stream cannot be resumed
     # Half of it would be all that its caller ever sees of it.
     Given a fleet of 1 node and 2 runners that frame no streams
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -5,10 +5,13 @@
 import time
 
 import aiohttp
+import uvloop
 from behave import given, then, when
 from edge_fleet import EdgeFleet
 from edge_steps import WHOLE_STREAM
 
+from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
+from clementineyoke_node.edge.runner_protocol import RunnerProtocol
 from clementineyoke_standins.edge.edge_runner import (
     EVENTS,
     CrashManner,
@@ -19,6 +22,7 @@
 STALL_S = 0.4
 SLOW_WRITE_S = 0.4
 SETTLE_S = 0.2
+GIVE_UP_TIMEOUT_S = 10.0
 EVENTS_SENT = 2
 STREAM_ID = "the-stream"
 DOCUMENT = b"a whole document"
@@ -28,6 +32,13 @@
 """Longer than what the node reads ahead, and short enough for the system's buffers."""
 
 
+@given("the event loop is that of a node process")
+def given_uvloop(context):
+    context.runner = asyncio.Runner(loop_factory=uvloop.new_event_loop)
+    context.run = context.runner.run
+    context.add_cleanup(context.runner.close)
+
+
 @given("a fleet of 1 node and 2 runners that frame no streams")
 def given_unframed(context):
     fleet = EdgeFleet(nodes=1, runners=2)
@@ -74,6 +85,37 @@
     context.add_cleanup(lambda: [call.cancel() for call in context.waiting])
 
 
+@given("a connection to each runner was given up just as it opened")
+def give_up_connections(context):
+    """Cancel calls in the turn of the loop in which their connections open."""
+    context.waiting = []
+    request, make = RunnerConnectionPool._request, RunnerProtocol.connection_made
+    tasks = []
+    ports = set()
+
+    async def record_task(pool, *args, **options):
+        tasks.append(asyncio.current_task())
+        return await request(pool, *args, **options)
+
+    def cancel_call(protocol, transport):
+        make(protocol, transport)
+        ports.add(transport.get_extra_info("peername")[1])
+        tasks[-1].cancel()
+
+    async def act():
+        while len(ports) < len(context.fleet.runners):
+            with contextlib.suppress(aiohttp.ClientError):
+                await context.fleet.call("non_idempotent")
+
+    RunnerConnectionPool._request = record_task
+    RunnerProtocol.connection_made = cancel_call
+    try:
+        context.run(asyncio.wait_for(act(), GIVE_UP_TIMEOUT_S))
+    finally:
+        RunnerConnectionPool._request = request
+        RunnerProtocol.connection_made = make
+
+
 @given("the address of a runner that ends is taken over at once")
 @given("the address of a runner that ends is taken over after {delay_ms:d} ms")
 def given_reuse(context, delay_ms=0):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -854,6 +854,14 @@
         "if False:",
         REUSED_ADDRESSES,
     ),
+    Mutation(
+        "a connection whose call was cancelled as it opened counts as open",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "self.connected_s = self._last_received_s = self._loop.time()\n",
+        "self.connected_s = self._last_received_s = self._loop.time()\n"
+        "        self._connections.add(self._peer, self)\n",
+        REUSED_ADDRESSES,
+    ),
     Mutation(
         "an end of an answer may be noticed late because its caller reads slowly",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
