An entry with an earlier start time puts its runner's lifetime in doubt

Streams were joined from two versions: a runner that restarted under its id and address at v2, after its host's clock had been set back, was taken for v1 for good. Nodes ignore an entry whose start time is earlier than that of the entry in force, as it may be a late write of the lifetime before. Nothing else told them of the new one, and no doubt followed where no connection had been refused.

The entry is still not applied, but the lifetime in force is in doubt for as long as the newest entry contradicts it: no stream goes on there, none is concluded from the only version, and those that begin there are ambiguous. An entry that agrees with the one in force, or the end of the entry, ends it: after a late write the lifetime in force writes its own again, and the doubt settles as usual (read in the code, not run).

What remains: the runner is used, but its streams are refused to callers who resume them, until its next start or the end of its entry. A connection that was opened between the restart and the read of the entry counts as one to the lifetime before, as in other doubts.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/runner_directory.py
@@ -121,6 +121,8 @@
         self._lapsed: dict[str, Lapse] = {}
         self._draining: dict[str, None] = {}
         """Lifetimes that signalled in a response that they drain, oldest first."""
+        self._contradicted: set[str] = set()
+        """Runners with a newer entry that has an earlier start time."""
         self._failing_since_ms: float | None = None
         """Time from which this node's calls to the store fail; None if they succeed."""
         self._last_own_answer_ms = -math.inf
@@ -139,6 +141,14 @@
         """Return the entries in force."""
         return list(self._records.values())
 
+    def contradicted(self) -> list[Runner]:
+        """Return the runners whose entry in force may be that of a former lifetime."""
+        return [
+            self._records[runner_id].runner
+            for runner_id in sorted(self._contradicted)
+            if runner_id in self._records
+        ]
+
     def view(self, *, now_ms: float) -> DirectoryView:
         """Return a snapshot for another node.
 
@@ -340,11 +350,13 @@
                 # node may have learnt from a response that the runner is draining.
                 return record.is_leaving and self._mark_draining(known, record.runner)
             if record.runner.born_ms < known.runner.born_ms:
-                # A late write of the previous lifetime.
+                # A late write of the previous lifetime, or a clock was set back.
+                self._contradicted.add(runner_id)
                 return False
         if record.runner.lifetime in self._draining:
             record = record._replace(is_leaving=True)
         self._lapsed.pop(runner_id, None)
+        self._contradicted.discard(runner_id)
         self._records[runner_id] = record
         return known is None or known[:2] != record[:2]
 
@@ -414,6 +426,7 @@
         return False
 
     def _drop(self, runner_id: str) -> None:
+        self._contradicted.discard(runner_id)
         self._lapsed.pop(runner_id, None)
         self._records.pop(runner_id, None)
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -240,6 +240,10 @@
                 ViewPart.EVACUATIONS, now_ms=now_ms, age_ms=ages.evacuations_ms
             )
 
+    def contradicted_runners(self) -> list[Runner]:
+        """Return the runners whose entry in force may be that of a former lifetime."""
+        return self._directory.contradicted()
+
     def doubts(self) -> list[LifetimeDoubt]:
         """Return the doubts about runners' lifetimes in the form sent to a peer."""
         return self._table.doubts.view(now_ms=self._timers.now_ms())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
@@ -91,6 +91,9 @@
         self._table.doubts.record_view(
             confirmed_ms=confirmed_ms, is_stale=self._view.is_stale(ViewPart.RUNNERS)
         )
+        for runner in self._view.contradicted_runners():
+            # Nothing settles this but an entry that agrees with the one in force.
+            self._record(runner, "entry")
         pools = {runner.pool for runner in self._table.doubtful_runners()}
         begun, self._doubtful_pools = pools - self._doubtful_pools, pools
         for pool in begun:
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -40,6 +40,23 @@
     When runner 0 restarts at version "v2" at once, and 12 calls reach it before its entry is read
     Then no stream has events of two versions
 
+  Scenario Outline: A runner restarts with its clock set back or ahead
+    # Nodes kept the version before for good, as an entry with an earlier start time is ignored.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 12 streams at node 0, all of which broke
+    When runner 0 restarts at version "v2", and its start time is <step> s <direction>
+    And every 2nd stream of a runner breaks
+    And callers begin 120 streams at any node and resume broken ones at other nodes
+    Then runner 0 began streams again
+    And no stream has events of two versions
+    And each stream that was begun before goes on at its version, or is refused
+
+    Examples:
+      | step | direction |
+      | 60   | later     |
+      | 60   | earlier   |
+
   Scenario: The message about a runner's end is lost
     # Nodes that never hear of it go on with streams at its next lifetime.
     Given 3 nodes and 4 runners of the versions "v1"
--- a/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_restarts_steps.py
@@ -26,6 +26,7 @@
 IN_USE_S = 15.0
 """Bound of the time until its home grants slots on such a runner as before."""
 FIRST_EVENT_S = 0.2
+SETTLED_S = 3.0
 MIN_CALLS = 4
 """Calls that show that a runner is used again."""
 
@@ -248,6 +249,34 @@
     assert any(reader.events for reader in context.readers)
 
 
+@when(
+    'runner 0 restarts at version "{version}", and its start time is {step_s:d} s'
+    " {direction}"
+)
+def restart_with_clock_step(context, version, step_s, direction):
+    fleet = context.fleet
+    runner = fleet.runners[0]
+    step_ms = step_s * 1_000 * (1 if direction == "later" else -1)
+
+    async def act():
+        runner.crash()
+        runner.version = version
+        await runner.start()
+        await fleet.register_runner(runner, born_ms=BORN_MS + step_ms)
+        # The nodes' own writes raise the store's revision further.
+        revision = fleet.store.revision
+        views = [node.io.view for node in fleet.nodes]
+        await wait_until(
+            lambda: all(view.runners_revision >= revision for view in views), 5
+        )
+        # Longer than any doubt about its lifetime lasts while the store is well.
+        await asyncio.sleep(SETTLED_S)
+        await poll_until_used(fleet, number_of(context, "its home"), runner)
+        runner.calls.clear()
+
+    context.run(act())
+
+
 @when("runner 0 crashes, and the first message about it to its home is lost")
 def crash_with_lost_message(context):
     context.finder = number_of(context, "another node")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -651,6 +651,13 @@
         "if False:",
         CORE_EDGE_TESTS,
     ),
+    Mutation(
+        "an entry with an earlier start time raises no doubt",
+        f"{CORE_SOURCE}/edge/runner_directory.py",
+        "                self._contradicted.add(runner_id)\n",
+        "                pass\n",
+        RUNNER_RESTARTS,
+    ),
     Mutation(
         "the removal of an earlier lifetime's entry removes the new one",
         f"{CORE_SOURCE}/edge/runner_directory.py",
