--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1640,7 +1640,7 @@
     Mutation(
         "streams that began before a route was split are told to no other node",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "            self._share_all(pool)\n\n    async def drop",
+        "            self.share_all(pool)\n\n    async def drop",
         "            pass\n\n    async def drop",
         VERSIONS,
     ),
