--- a/packages/clementineyoke-node/tests/edge/versions.feature
+++ b/packages/clementineyoke-node/tests/edge/versions.feature
@@ -160,6 +160,14 @@
     And node 1 reads the store again, which has no history
     Then node 1 goes on with none of the streams
 
+  Scenario: Two nodes that have missed the same version ask each other
+    # Each says that it has known all versions for as long as streams last.
+    Given 3 nodes and 2 runners of the versions "v1"
+    And nodes 1 and 2 get no changes of runners, from the store or node 0
+    When runners of "v2" begin 6 streams at node 0, which break, and leave
+    And node 0 is killed
+    Then node 1 goes on with none of the streams
+
   Scenario: A node misses the message about a version that came and went
     # The next message would seem to follow what the node knows.
     Given 2 nodes and 2 runners of the versions "v1"
