Model of the ends of answers that have no length

The check of an end is modelled with ends that arrive and are read later, in any order, and an address that another process takes over.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -7,6 +7,7 @@
 from minicheck import check_safety
 
 from clementineyoke_standins.model import (
+    answer_ends_spec,
     brittle_grants_spec,
     claims_roll_spec,
     claims_spec,
@@ -48,6 +49,7 @@
     brittle_grants_spec,
     stream_versions_spec,
     stream_archive_spec,
+    answer_ends_spec,
 )
 
 
