No call is sent on a kept connection whose end has arrived unread

A call that is sent after the end of its connection has arrived is lost, and may not be sent again if it may run once. One question to the system for each reuse; its cost was not measured.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -185,7 +185,11 @@
 
         An end that the event loop has not read yet counts.
         """
-        if self._reading_paused or self.transport is None:
+        return not self._reading_paused and self._is_established()
+
+    def _is_established(self) -> bool:
+        """Return whether no end has arrived, as far as the system tells."""
+        if self.transport is None:
             return False
         state = read_tcp_state(self.transport)
         return state is None or state.is_established
@@ -195,6 +199,7 @@
 
         A runner may send a second, late response. If its connection were reused, the
         next call would read it, and one caller would get another caller's response.
+        A call that is sent after the connection's end has arrived is lost.
         """
         has_unread_data = self._buffer or self._tail or self._exception is not None
         address, port = self._peer
@@ -203,7 +208,11 @@
         )
         is_fresh = self._loop.time() < self._last_received_s + self._max_idle_s
         return (
-            super().is_connected() and is_current and is_fresh and not has_unread_data
+            super().is_connected()
+            and is_current
+            and is_fresh
+            and not has_unread_data
+            and self._is_established()
         )
 
 
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -36,6 +36,14 @@
     When the runner's side of it ends, and the node has not read that
     Then no connection to the runner counts as open
 
+  Scenario: The end of a kept connection has arrived and was not read
+    # A call that is sent on it is lost, and may not be sent again.
+    Given the event loop is that of a node process
+    And a fleet of 1 node and 2 runners that frame no streams
+    And each runner has an idle connection of the node beside the stream
+    When the runner's side of it ends, and the node has not read that
+    Then no connection to the runner is used for another call
+
   Scenario: A call was cancelled just as its connection to the runner opened
     # uvloop closes the connection without telling its protocol, which counts as open for
     # as long as the node runs: each process at the address passes for the runner.
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -250,16 +250,24 @@
     async def act():
         now_s = asyncio.get_running_loop().time()
         assert connections.has_open(address, before_s=now_s)
+        kept = list(connections._open[address])
+        assert all(connection.is_connected() for connection in kept)
         for writer in runner._writers:
             with socket.socket(
                 fileno=os.dup(writer.get_extra_info("socket").fileno())
             ) as duplicate:
                 duplicate.shutdown(socket.SHUT_WR)
         context.has_open = connections.has_open(address, before_s=now_s)
+        context.usable = [c for c in kept if c.is_connected()]
 
     context.run(act())
 
 
+@then("no connection to the runner is used for another call")
+def check_none_usable(context):
+    assert not context.usable
+
+
 @then("no connection to the runner counts as open")
 def check_none_open(context):
     assert not context.has_open
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -903,6 +903,13 @@
         "return True",
         REUSED_ADDRESSES,
     ),
+    Mutation(
+        "a call is sent on a connection whose end has arrived",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "            and self._is_established()\n",
+        "",
+        REUSED_ADDRESSES,
+    ),
     Mutation(
         "a connection whose call was cancelled as it opened counts as open",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
