Test of a runner that restarts between its choice and the sending of a call

The last postmortem names this case as never played. Calls are held after their slots are granted and before their connections; the runner restarts at another version, under its id or a new one, and all nodes read its entry; then the calls go on. Half of them resume streams.

--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -146,3 +146,16 @@
     When its home tells no node which runners accept connections
     And runner 0 refuses connections until its home learns of it
     Then each node takes its version for known within 9 s
+
+  Scenario Outline: A runner restarts between its choice and the sending of a call
+    # The call reaches the next version at the address of the runner that was chosen.
+    Given 3 nodes and 4 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 12 streams at node 0, all of which broke
+    When runner 0 restarts under <which> id at version "v2" between its choice and the sending of 24 calls, half of which resume streams
+    Then no stream has events of two versions
+
+    Examples:
+      | which |
+      | its   |
+      | a new |
