Soak: releases amid faults of machines and connections

The skew of a node's wall clock is read from a file at each reading of the clock, so that it can be stepped while the node runs; a runner's skew is in the start times of its entries.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -57,6 +57,7 @@
     kept: bool = False,
     replacements_only: bool = False,
     runner_processes: bool = False,
+    machine_faults: bool = False,
     node_python: str = sys.executable,
 ) -> None:
     """Run seeds such as ``7``, ``1-50`` or ``3,8``; exit 1 if a guarantee is broken.
@@ -64,7 +65,9 @@
     ``--timed=False`` skips guarantees whose result depends on the load of the machine;
     ``--kept`` adds the regression seeds. ``--replacements_only`` plays nothing but
     releases that replace runners while nodes are killed. ``--runner_processes`` plays
-    nothing but releases in which runners are processes, too, and faults are signals.
+    nothing but releases in which runners are processes, too, and faults are signals;
+    ``--machine_faults`` plays these amid clock steps, resets, spoilt answers, changed
+    settings, added nodes and losses of power.
     ``--node_python`` runs the nodes in the interpreter of another work tree, to compare
     two versions of the code.
     """
@@ -84,7 +87,8 @@
             entry,
             is_timed=timed,
             has_other_faults=not replacements_only,
-            has_runner_processes=runner_processes,
+            has_runner_processes=runner_processes or machine_faults,
+            has_machine_faults=machine_faults,
             node_python=node_python,
         )
         for entry in seed_runs
@@ -101,12 +105,16 @@
     is_timed: bool,
     has_other_faults: bool,
     has_runner_processes: bool,
+    has_machine_faults: bool,
     node_python: str,
 ) -> SoakReport:
     folder = FOLDER / f"seed-{seed_run.seed}"
     if has_runner_processes:
         running = run_process_soak(
-            seed_run.seed, folder=folder, node_python=node_python
+            seed_run.seed,
+            folder=folder,
+            node_python=node_python,
+            has_machine_faults=has_machine_faults,
         )
     else:
         running = SoakRun(
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak_runner.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import sys
+from random import Random
 from typing import TypedDict
 
 from clementineyoke_standins.edge.edge_runner import (
@@ -13,9 +14,17 @@
     ReceivedCall,
     ScriptedResponse,
 )
+from clementineyoke_standins.edge.source_filter import LinkCut
+from clementineyoke_standins.soak.loopback import node_address
+from clementineyoke_standins.soak.machine_releases import (
+    RESET_CONNECTIONS,
+    SPOIL_ANSWERS,
+)
+from clementineyoke_standins.soak.spoilt_answers import SpoiltAnswers
 
 DRAINING_S = 0.6
 """Time from SIGTERM until the process ends, whatever it still sends."""
+MAX_NODES = 5
 
 
 class RunnerOptions(TypedDict):
@@ -50,6 +59,10 @@
     runner.frames_streams = options["frames_streams"]
     runner.tells_version = True
     runner.responses_by_prefix = {"/streaming/": ScriptedResponse.STREAM}
+    rng = Random(options["runner_id"])
+    spoilt = SpoiltAnswers(runner=runner, rng=rng)
+    loop.add_signal_handler(SPOIL_ANSWERS, spoilt.begin)
+    loop.add_signal_handler(RESET_CONNECTIONS, reset_connections, runner, rng)
     async with runner:
         print(json.dumps(None), flush=True)
         await is_ending.wait()
@@ -57,6 +70,13 @@
         await asyncio.sleep(DRAINING_S)
 
 
+def reset_connections(runner: EdgeRunner, rng: Random) -> None:
+    """Reset the connections from a random number of the nodes."""
+    sources = [node_address(number) for number in range(MAX_NODES)]
+    runner.cut_links(rng.sample(sources, rng.randint(1, MAX_NODES)), LinkCut.RESET)
+    runner.heal_links()
+
+
 def main() -> None:
     """Serve as the options in the first argument say."""
     asyncio.run(serve(json.loads(sys.argv[1])))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -11,7 +11,7 @@
 from typing import IO, Any, Self
 
 from clementineyoke_node.platform.names import SETTINGS_FILE_VARIABLE
-from clementineyoke_standins.console.skewed_edge import SKEW_VARIABLE
+from clementineyoke_standins.console.skewed_edge import SKEW_FILE_VARIABLE
 from clementineyoke_standins.failed_calls import find_failed_calls
 
 NODE_MODULE = "clementineyoke_standins.console.skewed_edge"
@@ -34,7 +34,7 @@
         self.name = name
         self._python = python
         self.settings = settings
-        self.skew_s = 0
+        self.skew_s = 0.0
         """Skew of the node's wall clock from its next start, in seconds."""
         self.failures: list[str] = []
         """Descriptions of unexpected exits and of failed shutdowns."""
@@ -91,6 +91,10 @@
     def _log_path(self) -> Path:
         return self._folder / f"{self.name}.log"
 
+    @property
+    def _skew_path(self) -> Path:
+        return (self._folder / f"{self.name}.skew").absolute()
+
     @property
     def _settings_path(self) -> Path:
         return self._folder / f"{self.name}.json"
@@ -100,13 +104,22 @@
         text = json.dumps(self.settings)
         self._settings_path.write_text(text[: int(len(text) * fraction)])
 
+    def step_clock(self, skew_s: float) -> None:
+        """Set the skew of the node's wall clock, also of a running one."""
+        self.skew_s = skew_s
+        # Replaced as a whole: the node may read it at any moment.
+        written = self._skew_path.with_suffix(".next")
+        written.write_text(str(skew_s))
+        written.replace(self._skew_path)
+
     async def start(self) -> None:
         """Start the process."""
         environment = {
             **os.environ,
             SETTINGS_FILE_VARIABLE: str(self._settings_path),
-            SKEW_VARIABLE: str(self.skew_s),
+            SKEW_FILE_VARIABLE: str(self._skew_path),
         }
+        self.step_clock(self.skew_s)
         self._log_offset = self._log_path.stat().st_size
         self._process = await asyncio.create_subprocess_exec(
             self._python,
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/process_soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/process_soak.py
@@ -12,6 +12,7 @@
 from clementineyoke_standins.soak.audit import Evidence, audit
 from clementineyoke_standins.soak.caller import Caller
 from clementineyoke_standins.soak.loopback import Endpoint, free_ports
+from clementineyoke_standins.soak.machine_releases import MachineReleases
 from clementineyoke_standins.soak.runner_process import RunnerProcess
 from clementineyoke_standins.soak.signal_releases import (
     MS_PER_S,
@@ -37,11 +38,20 @@
 
 STOP_DEADLINE_S = 1
 SETTLING_S = 4.0
+SPARE_NODES = 1
 
 
-async def run_process_soak(seed: int, *, folder: Path, node_python: str) -> SoakReport:
+async def run_process_soak(
+    seed: int, *, folder: Path, node_python: str, has_machine_faults: bool
+) -> SoakReport:
     """Play the releases of a seed; answers end with their connections in odd seeds."""
-    fleet = SoakFleet(nodes=NODES, runners=0, folder=folder, node_python=node_python)
+    fleet = SoakFleet(
+        nodes=NODES,
+        runners=0,
+        folder=folder,
+        node_python=node_python,
+        spare_nodes=SPARE_NODES,
+    )
     for node in fleet.nodes:
         node.settings["stop_deadline_s"] = STOP_DEADLINE_S
     runners = [
@@ -54,8 +64,9 @@
         )
         for number, port in enumerate(free_ports(RUNNERS_ALONE))
     ]
+    endpoints = fleet.caller_endpoints
     shared: dict[str, Any] = {
-        "endpoints": fleet.caller_endpoints,
+        "endpoints": endpoints,
         "state": fleet.state,
     }
     callers = [
@@ -72,12 +83,15 @@
         )
         for number in range(PATIENT_READERS_ALONE)
     ]
-    releases = SignalReleases(
-        nodes=fleet.nodes,
-        runners=runners,
-        state=fleet.state,
-        rng=Random(f"signals of {seed}"),
-        now_ms=lambda: round(time.time() * MS_PER_S),
+    played: dict[str, Any] = {
+        "runners": runners,
+        "rng": Random(f"signals of {seed}"),
+        "now_ms": lambda: round(time.time() * MS_PER_S),
+    }
+    releases = (
+        MachineReleases(fleet=fleet, endpoints=endpoints, **played)
+        if has_machine_faults
+        else SignalReleases(nodes=fleet.nodes, state=fleet.state, **played)
     )
     violations: list[str] = []
     async with AsyncExitStack() as stack:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/runner_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/runner_process.py
@@ -36,6 +36,8 @@
         self.runner_id = f"runner-{number}"
         self.observations: list[RunnerObservation] = []
         self._framed = framed
+        self.is_listening = False
+        """Whether the process has started; before, most signals would end it."""
         self._lifetimes = 0
         self._process: asyncio.subprocess.Process | None = None
         self._tasks = BackgroundTasks()
@@ -71,6 +73,7 @@
         assert output is not None
         if not await output.readline():
             raise OSError(f"{self.runner_id} does not listen on {self.endpoint}")
+        self.is_listening = True
         self._tasks.spawn(self._collect(output), name="collect_calls")
 
     def send(self, number: signal.Signals) -> None:
@@ -80,6 +83,7 @@
 
     async def end(self, number: signal.Signals) -> None:
         """Send a signal that ends the process, and wait for its end."""
+        self.is_listening = False
         self.send(number)
         if self._process is not None:
             await self._process.wait()
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/signal_releases.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/signal_releases.py
@@ -53,7 +53,7 @@
         rng: Random,
         now_ms: Callable[[], int],
     ) -> None:
-        self._nodes = nodes
+        self._nodes = list(nodes)
         self._runners = runners
         self._state = state
         self._rng = rng
@@ -62,7 +62,7 @@
         self._node_locks = [asyncio.Lock() for _ in nodes]
         self._runner_locks = [asyncio.Lock() for _ in runners]
         self.played: list[str] = []
-        self._acts: dict[Act, Callable[[], Awaitable[object]]] = {
+        self._acts: dict[Enum, Callable[[], Awaitable[object]]] = {
             Act.NODES_KILLED: self._kill_nodes,
             Act.NODES_KILLED_TWICE: self._kill_nodes_twice,
             Act.NODES_STOPPED: self._stop_nodes,
@@ -91,7 +91,7 @@
                 self.played.append(" and ".join(act.value for act in together))
                 await self._release(versions[-1], together)
 
-    async def _release(self, version: str, acts: Sequence[Act]) -> None:
+    async def _release(self, version: str, acts: Sequence[Enum]) -> None:
         await asyncio.sleep(STREAMS_BEGIN_S)
         runners = self._rng.sample(list(self._runners), len(self._runners))
         half = len(runners) // 2
@@ -107,7 +107,7 @@
                 tasks.create_task(self._replace(runner, version))
         await asyncio.sleep(RESUMPTIONS_S)
 
-    async def _start_act(self, act: Act) -> None:
+    async def _start_act(self, act: Enum) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, 0.6))
         await self._acts[act]()
 
@@ -139,11 +139,15 @@
                     await self._state.remove_entry_of(former_id)
 
     async def _write_entry(self, runner: RunnerProcess, state: str = "ready") -> None:
-        born_ms = self._now_ms() if state == "ready" else None
+        born_ms = self._born_ms(runner) if state == "ready" else None
         await self._state.write_entry(
             runner, runner.endpoint, state=state, born_ms=born_ms
         )
 
+    def _born_ms(self, _runner: RunnerProcess) -> int:
+        """Return the time of day at a runner's start."""
+        return self._now_ms()
+
     async def _kill_nodes(self) -> None:
         await asyncio.gather(*(node.kill() for node in self._nodes))
         await asyncio.sleep(self._rng.uniform(0.0, 2.0))
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_fleet.py
@@ -62,8 +62,12 @@
         folder: Path,
         has_new_ids: bool = True,
         node_python: str = sys.executable,
+        spare_nodes: int = 0,
     ) -> None:
-        """Create a fleet in which most runners return under new IDs after crashes."""
+        """Create a fleet in which most runners return under new IDs after crashes.
+
+        Spare nodes are not part of it until ``add_node`` starts them.
+        """
         self._folder = folder
         self._has_new_ids = has_new_ids
         self._restarts = 0
@@ -71,7 +75,8 @@
         """Whether runners that have been ended on purpose return under new IDs."""
         self._stack = AsyncExitStack()
         self._tasks = BackgroundTasks()
-        ports = free_ports(len(NODE_PORTS) + 1 + nodes + 2 * runners)
+        all_nodes = nodes + spare_nodes
+        ports = free_ports(len(NODE_PORTS) + 1 + all_nodes + 2 * runners)
         self._node_ports = dict(zip(NODE_PORTS, ports, strict=False))
         self._store_endpoint = Endpoint(LOCAL, ports[len(NODE_PORTS)])
         link_ports = ports[len(NODE_PORTS) + 1 :]
@@ -82,12 +87,12 @@
             for n in range(runners)
         ]
         self.runner_links: list[FaultProxy] = []
-        self._runner_ports = link_ports[nodes : nodes + runners]
+        self._runner_ports = link_ports[all_nodes : all_nodes + runners]
         self.store_links = [
             FaultProxy(
                 listen=Endpoint(LOCAL, link_ports[n]), target=self._store_endpoint
             )
-            for n in range(nodes)
+            for n in range(all_nodes)
         ]
         self.nodes = [
             NodeProcess(
@@ -96,8 +101,9 @@
                 settings=self._settings(n),
                 python=node_python,
             )
-            for n in range(nodes)
+            for n in range(all_nodes)
         ]
+        self._spare_nodes = [self.nodes.pop() for _ in range(spare_nodes)]
 
     async def __aenter__(self) -> Self:
         """Start the store and the runners, then the nodes."""
@@ -128,6 +134,15 @@
         """Stop everything."""
         await self._stack.aclose()
 
+    async def add_node(self) -> NodeProcess | None:
+        """Start a spare node as a part of the fleet; return None if there is none."""
+        if not self._spare_nodes:
+            return None
+        node = self._spare_nodes.pop()
+        await self._stack.enter_async_context(node)
+        self.nodes.append(node)
+        return node
+
     @property
     def caller_endpoints(self) -> list[Endpoint]:
         """Endpoints for callers, in the order of the nodes."""
