Answers without a length end as cut after the machine was suspended

What callers see: 200 and a stream that ends as complete after a part of its events. A node's machine is suspended at the end of a runner; another process listens at the address when the machine goes on.

Cause: the steady clock does not count a suspension (CLOCK_BOOTTIME does). The end of the connection, its check 20 ms later and the ticks of LoopMonitor all look as if nothing had passed, so that the check trusts whoever listens by then. Nothing in the nodes read any other clock than the steady one and the time of day.

Mend: LoopMonitor takes a growth of CLOCK_BOOTTIME over the steady clock for a stall, at each tick and each time the address of a runner has been tried, just before that is judged: the next tick may come 100 ms later.

The suspension is simulated: the steady clock is set back by the time that passed.

Not mended: ages of lists, records and doubts are of the steady clock too, and do not count a suspension either.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -86,11 +86,13 @@
         await self._serve_control()
         self._callers = await self._serve(self._caller_application(), [config.front])
         await self._stack.enter_async_context(self.io)
-        LoopMonitor(
+        loop_monitor = LoopMonitor(
             timers=self.io.timers,
             metrics=self.state.metrics,
             on_stall=self.io.connection_pool.liveness.record_stall,
-        ).subscribe()
+        )
+        loop_monitor.subscribe()
+        self.io.connection_pool.on_probe = loop_monitor.check_suspension
         log_event(
             Event.NODE_STARTED, node=config.node_id, zone=config.availability_zone
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -110,6 +110,8 @@
         self._idle_policy = IdleConnectionPolicy()
         self._address_lifetimes = AddressLifetimes()
         self._connections = RunnerConnections()
+        self.on_probe: Callable[[], None] = lambda: None
+        """Called when a runner's address has been tried, before that is judged."""
         self.liveness = RunnerLiveness(
             connections=self._connections, is_listening=self.is_listening
         )
@@ -206,6 +208,7 @@
         error leaves the runner's state open, and it is taken to be alive.
         """
         error = await self.try_connection(runner)
+        self.on_probe()
         if error is None or isinstance(error, (ConnectionRefusedError, TimeoutError)):
             return error is None
         log_event(Event.RUNNER_UNSURE, runner=runner.runner_id, reason=repr(error))
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/loop_monitor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/loop_monitor.py
@@ -22,7 +22,8 @@
     """Log and count stalls of the event loop.
 
     During a stall the node reads nothing: its peers and runners seem silent, and many
-    timeouts expire at once when it goes on.
+    timeouts expire at once when it goes on. While its machine is suspended it reads
+    nothing either, but no tick is late.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self._timers = timers
         self._metrics = metrics
         self._due_ms: float | None = None
+        self._suspended_ms = timers.suspended_ms()
 
     def subscribe(self) -> None:
         """Start to watch the loop."""
@@ -44,9 +46,24 @@
 
     async def tick(self) -> None:
         """Compare the time with that of the planned tick."""
+        self.check_suspension()
         now_ms = self._timers.now_ms()
         late_ms = 0.0 if self._due_ms is None else now_ms - self._due_ms
         self._due_ms = now_ms + TICK_INTERVAL_MS
+        self._record(late_ms)
+
+    def check_suspension(self) -> None:
+        """Record a suspension of the machine since the last check, if there was one.
+
+        What depends on it has to ask for it: the next tick comes up to its interval
+        after the suspension.
+        """
+        suspended_ms = self._timers.suspended_ms()
+        late_ms = suspended_ms - self._suspended_ms
+        self._suspended_ms = suspended_ms
+        self._record(late_ms)
+
+    def _record(self, late_ms: float) -> None:
         if late_ms >= TICK_INTERVAL_MS:
             self._on_stall()
         if late_ms >= MIN_STALL_MS:
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/timer_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/timer_service.py
@@ -26,6 +26,15 @@
         """Return the monotonic time in milliseconds."""
         return time.monotonic() * MS_PER_S
 
+    @staticmethod
+    def suspended_ms() -> float:
+        """Return how long the machine has been suspended since it was booted.
+
+        The monotonic time does not count that, so that no timer fires late.
+        """
+        boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        return (boot_s - time.monotonic()) * MS_PER_S
+
     @staticmethod
     def wall_ms() -> int:
         """Return the wall clock in milliseconds since the epoch."""
--- a/packages/clementineyoke-node/tests/edge/loop_stalls.feature
+++ b/packages/clementineyoke-node/tests/edge/loop_stalls.feature
@@ -6,6 +6,12 @@
     When the event loop stands still for 0.5 s
     Then the node has counted a stall of 250 to 700 ms
 
+  Scenario: The machine of a node is suspended
+    # The steady clock does not count the time, and the node would take itself for current.
+    Given a fleet of 1 node and 2 runners
+    When the machine is suspended for 0.5 s
+    Then the node has counted a stall of 250 to 700 ms
+
   Scenario: A node stands still while it opens connections
     # Its runner has accepted them meanwhile, counts as unreachable, and its calls are refused.
     Given a fleet of 1 node and 1 runner
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -15,6 +15,8 @@
       | a waiting call     | the node looks at once       |
       | an idle connection | the node stands still        |
       | a waiting call     | the node stands still        |
+      | no connection      | the machine is suspended     |
+      | a waiting call     | the machine is suspended     |
       | no connection      | the node stands still        |
       | no connection      | its caller has read slowly   |
       | no connection      | the node has stopped to read |
--- a/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/loop_stalls_steps.py
@@ -22,6 +22,21 @@
     context.run(act())
 
 
+@when("the machine is suspended for {suspension_s:g} s")
+def suspend(context, suspension_s):
+    """Let time pass that the steady clock does not count."""
+    steady = time.monotonic
+    context.add_cleanup(setattr, time, "monotonic", steady)
+
+    async def act():
+        await asyncio.sleep(TICK_S)
+        time.sleep(suspension_s)
+        time.monotonic = lambda: steady() - suspension_s
+        await asyncio.sleep(TICK_S)
+
+    context.run(act())
+
+
 @then("the node has counted a stall of {least_ms:d} to {most_ms:d} ms")
 def check_stall(context, least_ms, most_ms):
     counter = context.fleet.nodes[0].state.metrics.loop_stalled_ms
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -136,9 +136,20 @@
     time.sleep(STALL_S)
 
 
-def stall_after_end():
+def suspend(context):
+    """Stand still for a time that the steady clock does not count."""
+    time.sleep(STALL_S)
+    steady = time.monotonic
+    context.add_cleanup(setattr, time, "monotonic", steady)
+    time.monotonic = lambda: steady() - STALL_S
+
+
+def stall_after_end(context, look):
     """Stand still in the turn of the loop in which the connections are closed."""
-    asyncio.get_running_loop().call_soon(stand_still)
+    if look == "the machine is suspended":
+        asyncio.get_running_loop().call_soon(suspend, context)
+    elif look == "the node stands still":
+        asyncio.get_running_loop().call_soon(stand_still)
 
 
 async def close_idle(runner, look):
@@ -177,8 +188,7 @@
     """End the runner, or the connection of one call, and let the node stand still."""
     if ends_runner:
         runner.crash()
-    if look == "the node stands still":
-        stall_after_end()
+    stall_after_end(context, look)
     if not ends_runner:
         raise ConnectionResetError  # The stand-in closes the connection in order.
 
