--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -24,6 +24,7 @@
 from clementineyoke_standins.edge.raw_answers import encode_event, encode_raw_head
 
 STALLS_S = {"the node stands still": 0.4, "the node stands still 110 ms": 0.11}
+SUSPENSION_S = 0.4
 DRAINS = "it has said that it drains"
 BETWEEN_EVENTS_S = 0.1
 SLOW_WRITE_S = 0.4
@@ -139,9 +140,21 @@
         runner.on_crash = take_over
 
 
-def stall_after_end(stall_s):
+def suspend(context):
+    """Stand still for a time that the steady clock does not count."""
+    time.sleep(SUSPENSION_S)
+    steady = time.monotonic
+    context.add_cleanup(setattr, time, "monotonic", steady)
+    time.monotonic = lambda: steady() - SUSPENSION_S
+
+
+def stall_after_end(context, look):
     """Stand still in the turn of the loop in which the connections are closed."""
-    asyncio.get_running_loop().call_soon(time.sleep, stall_s)
+    loop = asyncio.get_running_loop()
+    if look == "the machine is suspended":
+        loop.call_soon(suspend, context)
+    elif look in STALLS_S:
+        loop.call_soon(time.sleep, STALLS_S[look])
 
 
 async def close_idle(runner, look):
@@ -181,8 +194,7 @@
     """End the runner, or the connection of one call, and let the node stand still."""
     if ends_runner:
         runner.crash()
-    if look in STALLS_S:
-        stall_after_end(STALLS_S[look])
+    stall_after_end(context, look)
     if not ends_runner:
         raise ConnectionResetError  # The stand-in closes the connection in order.
 
