--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/machine_releases.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/machine_releases.py
@@ -26,6 +26,8 @@
     "peer_keys": (["soak"], ["soak", "next"]),
 }
 SERIES = 8
+BRIEF_PAUSE_S = (0.12, 0.19)
+"""A runner starts again within it; the nodes' monitors of stalls may not tell it."""
 MS_PER_S = 1000
 
 
@@ -39,6 +41,8 @@
     NODE_ADDED = "node added"
     POWER_LOST = "power lost"
     """Nodes and runners are killed in the same moment."""
+    BRIEF_PAUSES = "brief pauses"
+    """Nodes stand still while runners are killed and start again."""
 
 
 class MachineReleases(SignalReleases):
@@ -60,6 +64,7 @@
             MachineAct.SETTINGS_CHANGE: self._change_settings,
             MachineAct.NODE_ADDED: self._add_node,
             MachineAct.POWER_LOST: self._lose_power,
+            MachineAct.BRIEF_PAUSES: self._pause_briefly,
         }
 
     async def run(self) -> None:
@@ -145,3 +150,21 @@
         finally:
             for lock in locks:
                 lock.release()
+
+    async def _pause_briefly(self) -> None:
+        for runner in self._rng.sample(list(self._runners), len(self._runners) // 2):
+            async with self._runner_locks[runner.number]:
+                for node in self._nodes:
+                    node.send(signal.SIGSTOP)
+                former_id = runner.runner_id
+                restart = asyncio.ensure_future(self._crash(runner))
+                await asyncio.sleep(self._rng.uniform(*BRIEF_PAUSE_S))
+                for node in self._nodes:
+                    node.send(signal.SIGCONT)
+                await restart
+                await self._write_entry(runner)
+                await self._state.remove_entry_of(former_id)
+
+    async def _crash(self, runner: RunnerProcess) -> None:
+        await runner.end(signal.SIGKILL)
+        await runner.restart(version=runner.version, has_new_id=True)
