--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/machine_releases.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/machine_releases.py
@@ -26,8 +26,6 @@
     "peer_keys": (["soak"], ["soak", "next"]),
 }
 SERIES = 8
-BRIEF_PAUSE_S = (0.12, 0.19)
-"""A runner starts again within it; the nodes' monitors of stalls may not tell it."""
 MS_PER_S = 1000
 
 
@@ -152,19 +150,20 @@
                 lock.release()
 
     async def _pause_briefly(self) -> None:
+        """Crash runners, and let the nodes stand still until each listens again.
+
+        That takes too short a time for the nodes to count it as a stall for certain.
+        """
         for runner in self._rng.sample(list(self._runners), len(self._runners) // 2):
             async with self._runner_locks[runner.number]:
-                for node in self._nodes:
-                    node.send(signal.SIGSTOP)
                 former_id = runner.runner_id
-                restart = asyncio.ensure_future(self._crash(runner))
-                await asyncio.sleep(self._rng.uniform(*BRIEF_PAUSE_S))
-                for node in self._nodes:
-                    node.send(signal.SIGCONT)
-                await restart
+                self._send_to_nodes(signal.SIGSTOP)
+                await runner.end(signal.SIGKILL)
+                await runner.restart(version=runner.version, has_new_id=True)
+                self._send_to_nodes(signal.SIGCONT)
                 await self._write_entry(runner)
                 await self._state.remove_entry_of(former_id)
 
-    async def _crash(self, runner: RunnerProcess) -> None:
-        await runner.end(signal.SIGKILL)
-        await runner.restart(version=runner.version, has_new_id=True)
+    def _send_to_nodes(self, number: signal.Signals) -> None:
+        for node in self._nodes:
+            node.send(number)
