Times of a node go on while its machine is suspended

What callers see: a stream of a version that a node has missed goes on at the only one that the node knows, if the node wakes from a suspension and reaches neither the store nor its peers.

Mend: TimerService.now_ms reads CLOCK_BOOTTIME. A node that wakes is then in the state of one that stood still for as long, which the design covers. LoopMonitor needs no second clock: its tick is late by the new time. Times of the event loop, which stay steady, are converted where they are compared (OpenResponse.connected_ms); one from before a suspension comes out later, so that a lifetime is rather in doubt.

Evidence, behave packages/clementineyoke-node/tests/edge/ suspended_machines.feature, four runs each beside other work: a scratch copy with now_ms on the steady clock fails 'is suspended' 4 of 4 (trial), this code 0 of 4; the control, a node that stands still, passes 4 of 4 on both. Machines where nothing was suspended see no difference but a constant.

Open: idle connections to runners are still timed by the event loop, so that one may be used after a suspension that its runner has closed. The time for which versions were observed counts a suspension now, as it counts any other pause.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -92,7 +92,7 @@
             on_stall=self.io.connection_pool.liveness.record_stall,
         )
         loop_monitor.subscribe()
-        self.io.connection_pool.on_probe = loop_monitor.check_suspension
+        self.io.connection_pool.on_probe = loop_monitor.check
         log_event(
             Event.NODE_STARTED, node=config.node_id, zone=config.availability_zone
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -110,7 +110,7 @@
         self._idle_policy = IdleConnectionPolicy()
         self._address_lifetimes = AddressLifetimes()
         self._connections = RunnerConnections()
-        self.on_probe: Callable[[], None] = lambda: None
+        self.on_probe: Callable[[], object] = lambda: None
         """Called when a runner's address has been tried, before that is judged."""
         self.liveness = RunnerLiveness(
             connections=self._connections, is_listening=self.is_listening
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_response.py
@@ -5,6 +5,8 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from clementineyoke_node.timers.timer_service import TimerService
+
 if TYPE_CHECKING:
     import aiohttp
 
@@ -13,8 +15,6 @@
     from clementineyoke_node.edge.runner_protocol import RunnerProtocol
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
-MS_PER_S = 1000.0
-
 
 class OpenResponse(NamedTuple):
     """A response whose head has arrived and whose body has not been read."""
@@ -31,7 +31,7 @@
         """Monotonic time at which its connection was opened; infinite if unknown."""
         if self.protocol is None:
             return math.inf
-        return self.protocol.connected_s * MS_PER_S
+        return TimerService.from_loop_time_ms(self.protocol.connected_s)
 
 
 class HeldBody:
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/loop_monitor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/loop_monitor.py
@@ -23,7 +23,7 @@
 
     During a stall the node reads nothing: its peers and runners seem silent, and many
     timeouts expire at once when it goes on. While its machine is suspended it reads
-    nothing either, but no tick is late.
+    nothing either.
     """
 
     def __init__(
@@ -38,7 +38,6 @@
         self._timers = timers
         self._metrics = metrics
         self._due_ms: float | None = None
-        self._suspended_ms = timers.suspended_ms()
 
     def subscribe(self) -> None:
         """Start to watch the loop."""
@@ -46,26 +45,19 @@
 
     async def tick(self) -> None:
         """Compare the time with that of the planned tick."""
-        self.check_suspension()
-        now_ms = self._timers.now_ms()
-        late_ms = 0.0 if self._due_ms is None else now_ms - self._due_ms
-        self._due_ms = now_ms + TICK_INTERVAL_MS
-        self._record(late_ms)
+        late_ms = self.check()
+        self._due_ms = self._timers.now_ms() + TICK_INTERVAL_MS
+        if late_ms >= MIN_STALL_MS:
+            self._metrics.loop_stalled_ms.add({}, round(late_ms))
+            log_event(Event.LOOP_STALLED, late_ms=round(late_ms))
 
-    def check_suspension(self) -> None:
-        """Record a suspension of the machine since the last check, if there was one.
+    def check(self) -> float:
+        """Report a stall before its tick; return by how much that is late.
 
-        What depends on it has to ask for it: the next tick comes up to its interval
-        after the suspension.
+        The loop does not count a suspension, so that the tick after it comes up to its
+        interval later.
         """
-        suspended_ms = self._timers.suspended_ms()
-        late_ms = suspended_ms - self._suspended_ms
-        self._suspended_ms = suspended_ms
-        self._record(late_ms)
-
-    def _record(self, late_ms: float) -> None:
+        late_ms = 0.0 if self._due_ms is None else self._timers.now_ms() - self._due_ms
         if late_ms >= TICK_INTERVAL_MS:
             self._on_stall()
-        if late_ms >= MIN_STALL_MS:
-            self._metrics.loop_stalled_ms.add({}, round(late_ms))
-            log_event(Event.LOOP_STALLED, late_ms=round(late_ms))
+        return late_ms
--- a/packages/clementineyoke-node/src/clementineyoke_node/timers/timer_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/timers/timer_service.py
@@ -23,17 +23,20 @@
 
     @staticmethod
     def now_ms() -> float:
-        """Return the monotonic time in milliseconds."""
-        return time.monotonic() * MS_PER_S
+        """Return the monotonic time in milliseconds.
 
-    @staticmethod
-    def suspended_ms() -> float:
-        """Return how long the machine has been suspended since it was booted.
+        It goes on while the machine is suspended: what this node knows is older then.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
+    @classmethod
+    def from_loop_time_ms(cls, loop_s: float) -> float:
+        """Return a time of the event loop as one of ``now_ms``.
 
-        The monotonic time does not count that, so that no timer fires late.
+        The loop does not count the time for which the machine is suspended, so that a
+        time from before that is returned as a later one.
         """
-        boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
-        return (boot_s - time.monotonic()) * MS_PER_S
+        return cls.now_ms() - (time.monotonic() - loop_s) * MS_PER_S
 
     @staticmethod
     def wall_ms() -> int:
