Failing test: a lone node goes on at the only version of a stale list

What callers see: a stream of a version that a node has missed goes on at another one. The node has not read the store for 3 s and takes its only peer for ended, as it has heard nothing of it either.

Cause, by reading: StreamLookup._has_majority asks whether over half of the asked nodes and this one know of versions. With nobody asked, one of one does, so that the answer does not depend on whether the list is current.

Not mended here: core stream_lookup is in other hands; a majority should need an answer of another node, or a current list.

--- a/packages/clementineyoke-node/tests/edge/behind_nodes.feature
+++ b/packages/clementineyoke-node/tests/edge/behind_nodes.feature
@@ -16,3 +16,9 @@
     And the runners' entries have start times
     When runner 0 restarts at version "v2" at once, and 12 calls reach it before its old entry ends
     Then no stream has events of two versions
+
+  Scenario: A node that takes its peers for ended has a stale list
+    # It asks nobody, and counts as the majority of those that it asked.
+    Given 2 nodes and 4 runners of the versions "v1"
+    When node 1 hears of no peer for 3 s and is cut off, while 4 runners of "v2" start and begin 12 streams that break
+    Then streams that "v2" began are refused at node 1 while a peer is away
--- a/packages/clementineyoke-node/tests/steps/suspension_steps.py
+++ b/packages/clementineyoke-node/tests/steps/suspension_steps.py
@@ -47,6 +47,8 @@
     archive = second.io.stream_components._version_archive
     context.run(wait_until(lambda: archive._written, 2))
     lose_news(second)
+    if waits == "hears of no peer":
+        mute(first)
     started_s = time.monotonic()
     context.run(asyncio.sleep(READ_ENDS_S))
     context.run(start_unseen(context.fleet, version, count))
@@ -55,4 +57,8 @@
     context.run(asyncio.sleep(max(0.0, left_s)))
     if waits == "is suspended":
         skip_steady(context, time.monotonic() - started_s)
-    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+    mute(first)
+
+
+def mute(node):
+    node.io.socket.send_all = node.io.socket.send = lambda *_: None
