A call whose runner has no entry any more is in doubt

Callers got streams of two versions: a runner restarted at once at another version, calls reached its new lifetime, and its old entry ended before their first events. The list then named no lifetime for the id, and may_be_replaced took that for no doubt: the events counted as the old version's.

Now a runner whose entries have start times and that has no entry is in doubt as well, as it is with the entry of another lifetime. The cost: a stream whose first event comes after its runner's entry has ended, and which breaks, is refused.

Evidence, behave -n "A runner's old entry ends" behind_nodes.feature: 5, 7 and 6 of 12 streams had events of two versions in three runs before, 0 in six runs after. runner_restarts.feature 18 of 18 scenarios and runner_lifetimes.feature 5 of 5, one run each.

--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -108,10 +108,13 @@
         """Return whether another lifetime of a runner may answer a call sent to it.
 
         ``connected_ms`` is described at ``LifetimeDoubts``. The doubt about a lifetime
-        ends with the entry of the next one, which may have got the call.
+        ends with its entry, and the next lifetime may have got the call before that,
+        whether its own entry is known or not.
         """
         entry = self._entries.get(runner.runner_id)
-        if entry is not None and entry.runner.lifetime != runner.lifetime:
+        if entry is None:
+            return bool(runner.born_ms)
+        if entry.runner.lifetime != runner.lifetime:
             return True
         return self.doubts.is_doubtful(runner, connected_ms=connected_ms)
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -52,6 +52,7 @@
 NODE_COLD_RUNNERS = f"{NODE}/tests/edge/cold_runners.feature"
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
+BEHIND_NODES = f"{NODE}/tests/edge/behind_nodes.feature"
 REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
@@ -1595,6 +1596,13 @@
         "if entry is None:",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "a call to a runner whose entry has ended is not in doubt",
+        f"{CORE_SOURCE}/runner_table.py",
+        "return bool(runner.born_ms)",
+        "return False",
+        BEHIND_NODES,
+    ),
     Mutation(
         "a stream that begins at a runner in doubt is recorded at its entry's version",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
