A stream goes on at the only version once the store has confirmed it

Callers got streams of two versions: a version came, began streams and left while two nodes heard nothing of it. Each counted the time since as known, so both agreed that there was one version, and streams of the other one went on at it. A majority and the age of a list say nothing of the time since.

A lookup without a record now needs an answer that the store has confirmed by a read that began after the lookup (the changes since the node's newest list, without a wait, shared by all lookups, at most ten a second and node), and answers without a gap between them back to the earliest time at which the stream can have begun. Replies carry the revisions from which and to which their node knows all versions; ends by age would be wrong where a message has waited in a socket. A node that does not reach the store asks its peers to confirm. In an outage for all nothing excludes a version, so nodes share their records while their lists are stale, and a stream goes on by its record. Earlier builds ignore the new field of the question and confirm nothing.

Streams whose node ends with the store away and its list not yet stale are refused until the store is back; the share is not measured.

Changed checks, both stricter: two rows of the core's 'What nodes know of a stream' concluded the only version from an unconfirmed list by a majority, or alone; they are unknown now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/pool_versions.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/pool_versions.py
@@ -44,16 +44,24 @@
         self._last_seen_ms: dict[str, dict[str, float]] = {}
         """Time until which each former version of a pool was listed."""
         self._observed_since_ms = math.inf
+        self.from_revision = 0
+        """The revision of the store from which this node has missed no version."""
         self.has_history = False
         """Whether a peer has told what it knows of former versions."""
 
     def update(
-        self, listed: Mapping[str, Iterable[str]], *, now_ms: float
+        self,
+        listed: Mapping[str, Iterable[str]],
+        *,
+        now_ms: float,
+        revision: int = 0,
     ) -> dict[str, list[str]]:
         """Set the versions of the listed runners of each pool, draining ones included.
 
         Returns the recent versions of each pool for which they have changed.
         """
+        if self._observed_since_ms == math.inf:
+            self.from_revision = revision
         self._observed_since_ms = min(self._observed_since_ms, now_ms)
         before = {pool: self.recent(pool, now_ms=now_ms) for pool in listed}
         new = {pool: frozenset(versions) for pool, versions in listed.items()}
@@ -64,6 +72,20 @@
         after = {pool: self.recent(pool, now_ms=now_ms) for pool in listed}
         return {pool: after[pool] for pool in listed if after[pool] != before[pool]}
 
+    def add(
+        self, versions: Mapping[str, Iterable[str]], *, now_ms: float
+    ) -> dict[str, list[str]]:
+        """Add versions that are or were listed in the store, in no list of this node.
+
+        Returns the recent versions of each pool for which they have changed.
+        """
+        before = {pool: self.recent(pool, now_ms=now_ms) for pool in versions}
+        for pool, added in versions.items():
+            former = self._last_seen_ms.setdefault(pool, {})
+            former.update(dict.fromkeys(added, now_ms))
+        after = {pool: self.recent(pool, now_ms=now_ms) for pool in versions}
+        return {pool: after[pool] for pool in after if after[pool] != before[pool]}
+
     def recent(self, pool: str, *, now_ms: float) -> list[str]:
         """Return the versions that may have begun streams that can be resumed."""
         former = {
@@ -88,9 +110,10 @@
         recent = self.all_recent(now_ms=now_ms)
         return [pool for pool, versions in recent.items() if len(versions) > 1]
 
-    def record_gap(self, *, now_ms: float) -> None:
-        """Record that versions may have come and gone unseen until now."""
+    def record_gap(self, *, now_ms: float, revision: int) -> None:
+        """Record that versions may have come and gone unseen up to a revision."""
         self._observed_since_ms = now_ms
+        self.from_revision = revision
 
     def observed_ms(self, *, now_ms: float) -> float:
         """Return for how long the versions are known, up to the retention time."""
--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
@@ -9,6 +9,10 @@
     from clementineyoke_core.edge.stream_records import StreamRecord
 
 
+OWN = ""
+"""Stands for the node that asks, in place of a peer's id."""
+
+
 class LookupResult(Enum):
     """Whether the version of a stream is known, and how."""
 
@@ -22,42 +26,40 @@
 
 
 class LookupAnswer(NamedTuple):
-    """What one node knows of a stream and of the versions of its pool."""
+    """What one node knows of a stream and of the versions of its pool.
+
+    The versions are known without a gap from one revision of the store to another, or
+    up to the time of the lookup if the store has confirmed them since it began.
+    """
 
     record: StreamRecord | None
     versions: tuple[str, ...]
     """Versions that the pool's runners had while streams last."""
     observed_ms: float
     """For how much of that time the node knows them."""
+    from_revision: int = 0
+    revision: int = 0
+    is_confirmed: bool = False
 
 
 class StreamLookup:
     """Combine the answers of nodes until the version of a stream is known.
 
     A stream without a record may only go on where no other version can have begun it:
-    a node must know the versions for as long as the stream can have lasted.
-    A node that is cut off from its peers and from the store may have missed a version,
-    so that its own word does not suffice for that.
+    what the nodes know together must cover the time from the earliest at which the
+    stream can have begun until the lookup. How many nodes agree does not matter: they
+    may all have missed the same version.
     """
 
-    def __init__(
-        self,
-        *,
-        own: LookupAnswer,
-        asked: int,
-        is_view_current: bool,
-        max_age_ms: float,
-    ) -> None:
+    def __init__(self, *, own: LookupAnswer, asked: int, max_age_ms: float) -> None:
         """Create a lookup.
 
-        ``asked`` is the number of peers that are asked, ``is_view_current`` whether the
-        store has confirmed this node's list of runners lately. ``max_age_ms`` is the
-        time within which the stream must have begun.
+        ``asked`` is the number of peers that are asked, ``max_age_ms`` the time within
+        which the stream must have begun.
         """
-        self._answers = [own]
+        self._answers = {OWN: own}
         self.asked = asked
         """The number of peers that are asked."""
-        self._is_view_current = is_view_current
         self._max_age_ms = max_age_ms
 
     @property
@@ -67,7 +69,7 @@
 
     @property
     def _records(self) -> list[StreamRecord]:
-        return [a.record for a in self._answers if a.record is not None]
+        return [a.record for a in self._answers.values() if a.record is not None]
 
     @property
     def _is_ambiguous(self) -> bool:
@@ -79,32 +81,46 @@
         """The number of peers that have answered."""
         return len(self._answers) - 1
 
-    def add(self, answer: LookupAnswer) -> None:
-        """Add the answer of a peer."""
-        self._answers.append(answer)
+    def add(self, node_id: str, answer: LookupAnswer) -> None:
+        """Add the answer of a node, in place of its former one."""
+        former = self._answers.get(node_id)
+        if former is not None and former.is_confirmed:
+            return
+        self._answers[node_id] = answer
+
+    @property
+    def _versions(self) -> set[str]:
+        return {version for a in self._answers.values() for version in a.versions}
+
+    @property
+    def _is_confirmed(self) -> bool:
+        return any(answer.is_confirmed for answer in self._answers.values())
 
     @property
     def only_version(self) -> str | None:
         """The only version that can have begun the stream; None if there are others."""
-        versions = {version for a in self._answers for version in a.versions}
-        if len(versions) != 1 or not self._may_exclude_others():
+        versions = self._versions
+        if len(versions) != 1 or not self._is_covered():
             return None
         return versions.pop()
 
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether the answers name one version that the store has to confirm."""
+        is_open = self.record is None and not self._is_confirmed
+        return is_open and len(self._versions) == 1
+
     @property
     def is_settled(self) -> bool:
         """Whether the remaining peers need not be waited for."""
         if self.record is not None:
             # A node that has a record may have missed that of another stream.
-            is_own = self._answers[0].record is not None
+            is_own = self._answers[OWN].record is not None
             return self._is_ambiguous or not is_own
-        # Peers that have ended do not answer, and callers resume their streams.
-        return (
-            self._is_view_current
-            and self._has_majority()
-            and self.knows_whole_time
-            and self.only_version is not None
-        )
+        # Peers that have ended do not answer, and callers resume their streams. If the
+        # others know the versions for too short a time, the store tells former ones.
+        is_only = self._is_confirmed and len(self._versions) == 1
+        return is_only and self._has_majority()
 
     def conclude(self) -> LookupResult:
         """Return what follows from the answers so far."""
@@ -116,24 +132,30 @@
             return LookupResult.ONLY_VERSION
         return LookupResult.UNKNOWN
 
-    def _may_exclude_others(self) -> bool:
+    def _is_covered(self) -> bool:
         """Return whether an unknown version would have shown in the answers."""
-        if not (self._has_majority() or self._is_view_current):
-            return False
-        return self.knows_whole_time
-
-    def _has_majority(self) -> bool:
-        """Return whether over half of the nodes know versions, this one included."""
-        return 2 * self._informed_count() > self.asked + 1
-
-    def _informed_count(self) -> int:
-        """Return how many nodes know of any runner of the pool.
+        return any(
+            answer.is_confirmed and self._knows_time_before(answer)
+            for answer in self._answers.values()
+        )
 
-        One that has just started and knows of none does not exclude any version.
-        """
-        return sum(bool(answer.versions) for answer in self._answers)
+    def _knows_time_before(self, later: LookupAnswer) -> bool:
+        """Return whether answers reach back from ``later`` to the earliest time."""
+        return any(
+            answer.observed_ms >= self._max_age_ms
+            and (answer is later or answer.revision >= later.from_revision)
+            for answer in self._answers.values()
+        )
 
     @property
     def knows_whole_time(self) -> bool:
-        """Whether a node knows the versions for as long as the stream has lasted."""
-        return any(a.observed_ms >= self._max_age_ms for a in self._answers)
+        """Whether all versions since the earliest time are known, up to this node's."""
+        return self._knows_time_before(self._answers[OWN])
+
+    def _has_majority(self) -> bool:
+        """Return whether over half of the nodes know versions, this one included.
+
+        One that has just started and knows of none does not count.
+        """
+        informed = sum(bool(answer.versions) for answer in self._answers.values())
+        return 2 * informed > self.asked + 1
--- a/packages/clementineyoke-core/tests/edge/stream_versions.feature
+++ b/packages/clementineyoke-core/tests/edge/stream_versions.feature
@@ -72,7 +72,7 @@
     When it asks <asked> peers, which answer <answers>
     Then the result is <result>
 
-    Examples: record or versions, and seconds for which a node knows these
+    Examples: record or versions, seconds for which a node knows these, and revisions
       | own        | view    | asked | answers                       | result       |
       | record     | stale   | 0     | nothing                       | recorded     |
       | record     | current | 3     | v1 v2 for 30, nothing         | recorded     |
@@ -84,14 +84,25 @@
       | v1 for 30  | current | 3     | nothing                       | only_version |
       | v1 for 30  | stale   | 3     | nothing                       | unknown      |
       | v1 for 30  | stale   | 3     | v1 for 1                      | unknown      |
-      | v1 for 30  | stale   | 3     | v1 for 1, v1 for 1            | only_version |
+      | v1 for 30  | stale   | 3     | v1 for 1, v1 for 1            | unknown      |
       | v1 for 30  | current | 3     | v1 v2 for 30                  | unknown      |
       | v1 v2 for 30 | current | 3   | v1 for 30                     | unknown      |
       | v1 for 1   | current | 3     | v1 for 30                     | only_version |
       | v1 for 1   | current | 3     | v1 for 1                      | unknown      |
       | v1 for 1   | current | 1     | v1 for 1                      | unknown      |
-      | v1 for 30  | stale   | 0     | nothing                       | only_version |
+      | v1 for 30  | stale   | 0     | nothing                       | unknown      |
       | v1 for 30  | stale   | 3     | nothing, nothing, nothing     | unknown      |
       | v1 for 30  | stale   | 3     | v1 for 1, nothing, nothing    | unknown      |
       | v1 for 1   | current | 1     | nothing, nothing              | unknown      |
       | nothing    | current | 0     | nothing                       | unknown      |
+
+    Examples: answers that the store confirms, and what is known up to a revision
+      | own                  | view    | asked | answers                      | result       |
+      | v1 for 30 at 1 to 5  | stale   | 3     | v1 for 30 at 1 to 5          | unknown      |
+      | v1 for 30 at 1 to 5  | stale   | 3     | v1 for 1 at 9 to 9 confirmed | unknown      |
+      | v1 for 30 at 1 to 5  | stale   | 3     | v1 for 1 at 5 to 9 confirmed | only_version |
+      | v1 for 30 at 1 to 5  | stale   | 3     | v1 for 30 at 1 to 9 confirmed | only_version |
+      | v1 for 30 at 1 to 5  | stale   | 3     | v1 v2 for 30 at 1 to 9 confirmed | unknown   |
+      | v1 for 1 at 5 to 9   | current | 3     | v1 for 30 at 1 to 4          | unknown      |
+      | v1 for 1 at 5 to 9   | current | 3     | v1 for 30 at 1 to 5          | only_version |
+      | v1 for 1 at 5 to 9   | current | 3     | v2 for 30 at 1 to 4          | unknown      |
--- a/packages/clementineyoke-core/tests/steps/stream_versions_steps.py
+++ b/packages/clementineyoke-core/tests/steps/stream_versions_steps.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import re
+
 from behave import given, then, when
 
 from clementineyoke_core.edge.pool_versions import PoolVersions
@@ -13,6 +15,10 @@
 
 TTL_MS = 72_000
 MAX_STREAM_AGE_MS = 17_000.0
+ANSWER = re.compile(
+    r"(?P<versions>[v0-9 ]+) for (?P<known_s>\d+)"
+    r"(?: at (?P<first>\d+) to (?P<last>\d+))?(?: confirmed)?"
+)
 IDS = {
     "<empty>": "",
     "<129 characters>": "x" * 129,
@@ -129,16 +135,22 @@
         return LookupAnswer(record, ("v1", "v2"), 0.0)
     if text == "record of v2":
         return LookupAnswer(make_record("v2"), ("v1", "v2"), 0.0)
-    versions, _, known_s = text.partition(" for ")
     if text == "nothing":
         return LookupAnswer(None, (), 0.0)
-    return LookupAnswer(None, tuple(versions.split()), float(known_s) * 1000.0)
+    fields = ANSWER.fullmatch(text).groupdict(default="0")
+    return LookupAnswer(
+        None,
+        tuple(fields["versions"].split()),
+        float(fields["known_s"]) * 1000.0,
+        int(fields["first"]),
+        int(fields["last"]),
+        is_confirmed=text.endswith("confirmed"),
+    )
 
 
 @given("a node that knows {own}, and a list of runners that is {view}")
 def given_own(context, own, view):
-    context.own = make_answer(own)
-    context.is_view_current = view == "current"
+    context.own = make_answer(own)._replace(is_confirmed=view == "current")
 
 
 @when("it asks {asked:d} peers, which answer {answers}")
@@ -146,12 +158,11 @@
     context.lookup = StreamLookup(
         own=context.own,
         asked=asked,
-        is_view_current=context.is_view_current,
         max_age_ms=MAX_STREAM_AGE_MS,
     )
     if answers != "nothing":
-        for text in answers.split(", "):
-            context.lookup.add(make_answer(text))
+        for number, text in enumerate(answers.split(", ")):
+            context.lookup.add(f"node-{number}", make_answer(text))
 
 
 @then("the result is {result}")
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/fleet_view.py
@@ -67,8 +67,8 @@
         self._live_ids: set[str] = set()
         self.evacuations = Evacuations()
         self.routes: RouteTable | None = None
-        self.on_gap: Callable[[], None] = lambda: None
-        """Called before a list is applied that skips changes of runners."""
+        self.on_gap: Callable[[int], None] = lambda _: None
+        """Called with a list's revision before it is applied, if it skips changes."""
         self.is_read_here = False
         """Whether this node reads the runners from the store, not only from peers."""
         self.on_routes: Callable[[Sequence[Route]], None] = lambda _: None
@@ -145,7 +145,7 @@
         newer = self._newer_records(view.records)
         lapsed_before = self._directory.lapsed_ids()
         if 0 < self.runners_revision < view.revision:
-            self.on_gap()
+            self.on_gap(view.revision)
         if self._directory.replace(view, now_ms=self._timers.now_ms()):
             self._update_runner_table(source)
             self._record_cold_times(newer)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_components.py
@@ -11,8 +11,11 @@
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_node.edge.lifetime_exchange import LifetimeExchange
 from clementineyoke_node.edge.stream_archive import StreamArchive
+from clementineyoke_node.edge.stream_finder import StreamFinder
+from clementineyoke_node.edge.stream_holders import StreamHolders
 from clementineyoke_node.edge.stream_registry import StreamRegistry
 from clementineyoke_node.edge.version_archive import VersionArchive
+from clementineyoke_node.edge.version_confirmation import VersionConfirmation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,13 +59,21 @@
         records = StreamRecords()
         self.versions = PoolVersions()
         self._route_pools = RoutePools()
+        self._confirmation = VersionConfirmation(
+            store=store,
+            timers=timers,
+            region=state.config.region,
+            listed_revision=lambda: view.runners_revision,
+            on_gap=self._record_gap,
+            on_versions=lambda versions: self.registry.add_versions(versions),
+        )
         self._version_archive = VersionArchive(
             store=store,
             versions=self.versions,
             timers=timers,
             is_writer=self._is_version_writer,
         )
-        view.on_gap = self._record_gap
+        view.on_gap = self._record_list_gap
         self._stream_archive = StreamArchive(
             store=store,
             node_id=state.config.node_id,
@@ -79,28 +90,47 @@
             try_connection=connection_pool.try_connection,
             on_doubt=lambda pool: self.registry.share_all(pool),
         )
-        self.registry = StreamRegistry(
+        holders = StreamHolders(homes=state.stream_homes, membership=state.membership)
+        finder = StreamFinder(
             records=records,
             versions=self.versions,
             route_pools=self._route_pools,
             version_archive=self._version_archive,
             stream_archive=self._stream_archive,
-            homes=state.stream_homes,
-            membership=state.membership,
+            confirmation=self._confirmation,
+            holders=holders,
             table=state.table,
             socket=socket,
             timers=timers,
             decisions=state.decisions,
             metrics=state.metrics,
             is_view_current=lambda: not view.is_stale(ViewPart.RUNNERS),
+        )
+        self.registry = StreamRegistry(
+            records=records,
+            versions=self.versions,
+            route_pools=self._route_pools,
+            stream_archive=self._stream_archive,
+            finder=finder,
+            holders=holders,
+            table=state.table,
+            socket=socket,
+            timers=timers,
+            metrics=state.metrics,
+            is_view_current=lambda: not view.is_stale(ViewPart.RUNNERS),
             runners_age_ms=lambda: view.ages().runners_ms,
             runners_revision=lambda: view.runners_revision,
             lifetimes=self._lifetimes,
         )
         view.on_routes = self.registry.update_routes
 
-    def _record_gap(self) -> None:
-        self.versions.record_gap(now_ms=self._timers.now_ms())
+    def _record_list_gap(self, revision: int) -> None:
+        # The versions up to a later revision may have been read from the store.
+        if revision > self._confirmation.revision:
+            self._record_gap(revision)
+
+    def _record_gap(self, revision: int) -> None:
+        self.versions.record_gap(now_ms=self._timers.now_ms(), revision=revision)
         self._version_archive.forget()
 
     def start_timers(self) -> None:
@@ -110,6 +140,7 @@
             ("stream_archive", self._stream_archive.run_round),
             ("lifetimes", self._lifetimes.run_round),
             ("doubtful_runners", self._lifetimes.try_runners),
+            ("unconfirmed_streams", self.registry.share_unconfirmed),
         ):
             self._timers.subscribe(
                 name, interval_ms=ROUND_INTERVAL_MS, callback=callback
--- a/packages/clementineyoke-node/tests/edge/behind_nodes.feature
+++ b/packages/clementineyoke-node/tests/edge/behind_nodes.feature
@@ -16,3 +16,38 @@
     And the runners' entries have start times
     When runner 0 restarts at version "v2" at once, and 12 calls reach it before its old entry ends
     Then no stream has events of two versions
+
+  Scenario: A version comes and goes that a node has heard nothing of
+    # Its list is as old as it was, and the streams' records have been lost.
+    Given 3 nodes and 2 runners of the versions "v1"
+    And nodes 1 and 2 hear nothing of runners, and node 0 tells nobody of streams
+    When runners of "v2" begin 6 streams at node 0, which break, and leave
+    And node 0 is killed
+    Then node 1 goes on with none of the streams
+
+  Scenario: A node that does not reach the store resumes streams of the only version
+    # Its own list does not exclude another version; a peer can ask the store.
+    Given 4 nodes and 4 runners of the versions "v1"
+    And the nodes have read the stored versions
+    And callers have begun 12 streams at node 0, all of which broke
+    When node 1 does not reach the store any more
+    And node 0 is killed
+    Then each stream goes on at node 1 at the version that began it
+
+  Scenario: Callers resume streams from before an outage of the store
+    # Without the store no node can exclude another version, but the records tell it.
+    Given 4 nodes and 4 runners of the versions "v1"
+    And callers have begun 12 streams at node 0, all of which broke
+    When the store is away
+    And 3000 ms pass
+    And node 0 is killed
+    Then each stream goes on at node 2 at the version that began it
+
+  Scenario: Callers resume streams that began in an outage of the store
+    # As before.
+    Given 4 nodes and 4 runners of the versions "v1"
+    When the store is away
+    And 3000 ms pass
+    And callers begin 12 streams at node 0, all of which break
+    And node 0 is killed
+    Then each stream goes on at node 2 at the version that began it
--- a/packages/clementineyoke-node/tests/steps/behind_steps.py
+++ b/packages/clementineyoke-node/tests/steps/behind_steps.py
@@ -5,8 +5,9 @@
 from behave import given, when
 from edge_steps import wait_until
 from runner_restarts_steps import FIRST_EVENT_S
-from versions_steps import Reader
+from versions_steps import Reader, read_stored_versions
 
+from clementineyoke_node.platform.store_error import StoreError
 from clementineyoke_wire.messages import StoreNews
 
 
@@ -40,3 +41,26 @@
 
     context.run(act())
     assert any(reader.events for reader in context.readers)
+
+
+@given("nodes 1 and 2 hear nothing of runners, and node 0 tells nobody of streams")
+def stop_following(context):
+    first, *others = context.fleet.nodes
+    context.run(read_stored_versions(context.fleet.nodes))
+    for node in others:
+        context.run(node.io.store_watcher.__aexit__(None, None, None))
+    first.io.socket.send_all = first.io.socket.send = lambda *_: None
+
+
+@given("the nodes have read the stored versions")
+def read_versions(context):
+    context.run(read_stored_versions(context.fleet.nodes))
+
+
+@when("node {number:d} does not reach the store any more")
+def cut_from_store(context, number):
+    async def fail(*_, **__):
+        raise StoreError(step="read", peer="store", reason="is out of reach")
+
+    store = context.fleet.nodes[number].io.store
+    store.watch = store.list_all = store.replace = store.create = fail
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/messages.py
@@ -167,6 +167,8 @@
     key: int
     """0 if only the pool's versions are asked for."""
     pool: int
+    must_confirm: bool = False
+    """Whether the store is to confirm the versions first; ignored by earlier builds."""
 
 
 class StreamReply(NamedTuple):
@@ -181,6 +183,10 @@
     """For how much of that time the sender knows the versions."""
     runners_version: int
     """The revision of the store up to which it knows them; 0 from earlier builds."""
+    observed_from_version: int = 0
+    """The revision from which it knows them without a gap; 0 from earlier builds."""
+    is_confirmed: bool = False
+    """Whether the store has confirmed them since the question."""
 
 
 class SlotRenewal(NamedTuple):
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/peer.capnp
@@ -115,9 +115,10 @@
 struct StreamNote { key @0 :UInt64; pool @1 :UInt64; version @2 :Text;
   isAmbiguous @3 :Bool; ttlMs @4 :UInt32; }
 struct StreamNews { notes @0 :List(StreamNote); }
-struct StreamAsk { askId @0 :UInt32; key @1 :UInt64; pool @2 :UInt64; }
+struct StreamAsk { askId @0 :UInt32; key @1 :UInt64; pool @2 :UInt64; mustConfirm @3 :Bool; }
 struct StreamReply { askId @0 :UInt32; notes @1 :List(StreamNote); versions @2 :List(Text);
-  observedMs @3 :UInt32; runnersVersion @4 :UInt64; }
+  observedMs @3 :UInt32; runnersVersion @4 :UInt64; observedFromVersion @5 :UInt64;
+  isConfirmed @6 :Bool; }
 struct NodeHello {
   isReply @0 :Bool;
   nodeId @1 :Text;
