Model of streams of two versions: nodes that are behind

The model took for granted that nodes in touch learn of runners together, and that a node cut off from its peers learns of no version before them. So it could not show two nodes that have missed the same version.

Now each node learns by itself, at any time or never, also with a list that skips changes, and a version may come and leave. The lookup follows the code: one answer is confirmed by the store, and what is known before it has no gap.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/stream_versions_spec.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/stream_versions_spec.py
@@ -1,11 +1,9 @@
 """Model of a stream that a caller resumes while a second software version appears.
 
-Node 0 begins the stream and may be killed; its caller resumes it at another node. Nodes
-learn late of runners that come and go, lose their links to each other, and are cut off
-from the store. One datagram with the stream's record may be lost. What the model takes
-for granted: nodes in touch with each other tell each other of runners as soon as one
-knows, and a node that has lost its links to its peers does not learn of a version from
-the store before any of them.
+Node 0 begins the stream and may be killed; its caller resumes it at another node. Each
+node learns of runners by itself and at any time, or never; a list may skip changes.
+Nodes lose their links to each other, and one datagram with the stream's record may be
+lost. At the lookup the store confirms the answer of one node, or of none.
 """
 
 from __future__ import annotations
@@ -29,10 +27,12 @@
 class State(NamedTuple):
     """The runners, what each node knows, and the stream."""
 
-    listed: int = V1
-    """Versions of the runners in the store."""
-    lists: tuple[int, ...] = (V1,) * NODES
-    """The same as each node knows it."""
+    history: tuple[int, ...] = (V1,)
+    """Versions of the runners in the store, by revision."""
+    revisions: tuple[int, ...] = (0,) * NODES
+    """The revision of each node's list."""
+    since: tuple[int, ...] = (0,) * NODES
+    """The revision from which each node has missed no change; 0 for the whole time."""
     recent: tuple[int, ...] = (V1,) * NODES
     """Versions that each node has ever listed."""
     records: tuple[int, ...] = (0,) * NODES
@@ -60,19 +60,29 @@
     """Whether the version of the first event counts, not of the first runner."""
     remember_former: bool = True
     """Whether versions count whose last runner has gone."""
-    need_current_view: bool = True
-    """Whether a cut-off node goes on without a record only if its list is current."""
+    need_confirmation: bool = True
+    """Whether the store has to confirm a lookup without a record."""
+    distrust_majority: bool = True
+    """Whether that holds where over half of the nodes agree."""
+    need_contiguity: bool = True
+    """Whether no change may be missing between what two nodes know."""
 
 
 INITIAL = State()
 MUTATIONS = {
     "go on at any version": Guards(look_up=False),
     "tell no other node, and trust any list": Guards(
-        share=False, need_current_view=False
+        share=False, need_confirmation=False
     ),
     "record the version when the call is sent": Guards(record_first_event=False),
     "forget versions whose runners have gone": Guards(remember_former=False),
-    "trust an old list of runners": Guards(need_current_view=False),
+    "trust an old list of runners": Guards(need_confirmation=False),
+    "take the word of two nodes that have missed the same version": Guards(
+        distrust_majority=False
+    ),
+    "take what a node that is behind knows for the whole time": Guards(
+        need_contiguity=False
+    ),
 }
 Step = tuple[str, State]
 
@@ -107,10 +117,13 @@
 
 
 def _platform_steps(state: State) -> Iterator[Step]:
-    if state.listed == V1:
-        yield "v2 appears", state._replace(listed=V1 | V2)
-    if state.listed == V1 | V2:
-        yield "v1 goes", state._replace(listed=V2)
+    listed = state.history[-1]
+    if len(state.history) == 1:
+        yield "v2 appears", state._replace(history=(*state.history, V1 | V2))
+    if listed == V1 | V2:
+        for left in (V1, V2):
+            label = f"v{V1 + V2 - left} goes"
+            yield label, state._replace(history=(*state.history, left))
     if state.cuts < MAX_CUTS:
         for node in range(NODES):
             is_cut = _replace(state.is_cut, node, not state.is_cut[node])
@@ -118,33 +131,36 @@
 
 
 def _learn_steps(state: State, node: int, guards: Guards) -> Iterator[Step]:
-    if state.lists[node] == state.listed:
-        return
-    if node == 0 and state.is_cut[0] and state.listed not in state.lists[1:]:
+    if state.revisions[node] == len(state.history) - 1:
         return
-    learnt = state
-    for other in range(NODES):
-        if other == node or not (state.is_cut[node] or state.is_cut[other]):
-            learnt = _learn(learnt, other)
-    has_learnt = learnt.lists[0] != state.lists[0]
-    if has_learnt and state.records[0] and not state.is_shared:
+    learnt = _learn(state, node)
+    if node == 0 and state.records[0] and not state.is_shared:
         for label, shared in _share(learnt, guards):
-            yield f"learn {node}, {label}", shared
+            yield f"learn 0, {label}", shared
     else:
         yield f"learn {node}", learnt
+    if node:
+        yield f"learn {node}, with a gap", _learn(state, node, has_gap=True)
 
 
-def _learn(state: State, node: int) -> State:
+def _learn(state: State, node: int, *, has_gap: bool = False) -> State:
+    """Return the state in which a node's list is the store's newest."""
+    newest = len(state.history) - 1
+    recent = state.recent[node]
+    first = newest if has_gap else state.revisions[node]
+    for listed in state.history[first:]:
+        recent |= listed
     return state._replace(
-        lists=_replace(state.lists, node, state.listed),
-        recent=_replace(state.recent, node, state.recent[node] | state.listed),
+        revisions=_replace(state.revisions, node, newest),
+        since=_replace(state.since, node, newest) if has_gap else state.since,
+        recent=_replace(state.recent, node, recent),
     )
 
 
 def _origin_steps(state: State, guards: Guards) -> Iterator[Step]:
     if not state.began:
         for version in (V1, V2):
-            if version & state.lists[0]:
+            if version & state.history[state.revisions[0]]:
                 sent = state._replace(sent=version)
                 if guards.record_first_event:
                     yield f"send to v{version}", sent
@@ -192,7 +208,7 @@
     label = f"resume at {node}"
     if not guards.look_up:
         for version in (V1, V2):
-            if version & state.lists[node]:
+            if version & state.history[state.revisions[node]]:
                 yield label, state._replace(resumed=version)
         return
     peers = [
@@ -205,16 +221,40 @@
     if records:
         yield label, state._replace(resumed=records[0])
         return
-    seen = state.recent if guards.remember_former else state.lists
+    for confirming in (None, *known):
+        how = label if confirming is None else f"{label}, confirmed at {confirming}"
+        for has_gap in (False, True) if confirming is not None else (False,):
+            read = state
+            if confirming is not None:
+                read = _learn(state, confirming, has_gap=has_gap)
+            yield how, _conclude(read, known, confirming, guards)
+
+
+def _conclude(
+    state: State, known: list[int], confirming: int | None, guards: Guards
+) -> State:
+    """Return the state after a lookup without a record."""
     versions = 0
     for n in known:
-        versions |= seen[n]
+        listed = state.history[state.revisions[n]]
+        versions |= state.recent[n] if guards.remember_former else listed
     has_majority = 2 * len(known) > NODES
-    is_current = state.lists[node] == state.listed
-    may_conclude = has_majority or is_current or not guards.need_current_view
+    may_conclude = (
+        confirming is not None
+        or not guards.need_confirmation
+        or (has_majority and not guards.distrust_majority)
+    )
+    first = 0 if confirming is None else state.since[confirming]
+    is_covered = any(
+        not state.since[n]
+        and (
+            n == confirming or state.revisions[n] >= first or not guards.need_contiguity
+        )
+        for n in known
+    )
     is_only = versions in (V1, V2)
-    resumed = versions if is_only and may_conclude else -1
-    yield label, state._replace(resumed=resumed)
+    resumed = versions if is_only and may_conclude and is_covered else -1
+    return state._replace(resumed=resumed)
 
 
 def _replace(values: tuple[_T, ...], index: int, value: _T) -> tuple[_T, ...]:
