--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -52,6 +52,7 @@
 NODE_COLD_RUNNERS = f"{NODE}/tests/edge/cold_runners.feature"
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
+BEHIND_NODES = f"{NODE}/tests/edge/behind_nodes.feature"
 REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
@@ -612,13 +613,13 @@
     Mutation(
         "the listed versions are taken for all that there were",
         f"{CORE_SOURCE}/edge/stream_lookup.py",
-        "return self.knows_whole_time",
-        "return True",
+        "answer.observed_ms >= self._max_age_ms",
+        "True",
         CORE_STREAM_VERSIONS,
     ),
     Mutation(
         "a starting node does not read the stored versions",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "if not lookup.knows_whole_time:",
         "if False:",
         RESTART_OF_ALL,
@@ -1258,27 +1259,27 @@
     Mutation(
         "a node takes versions for known that came and went while it read nothing",
         f"{NODE_EDGE_SOURCE}/fleet_view.py",
-        "            self.on_gap()\n",
+        "            self.on_gap(view.revision)\n",
         "            pass\n",
         VERSIONS,
     ),
     Mutation(
         "a peer that is behind excludes versions that it has missed",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "is_behind = reply.runners_version < self._runners_revision()",
-        "is_behind = False",
-        VERSIONS,
+        f"{CORE_SOURCE}/edge/stream_lookup.py",
+        "answer.revision >= later.from_revision",
+        "True",
+        CORE_STREAM_VERSIONS,
     ),
     Mutation(
         "a stream that was resumed at the only version is not recorded",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "        if is_named:\n            self._prolong(",
-        "        if lookup.record is not None:\n            self._prolong(",
+        "        if is_attempt_id(resumes):\n",
+        "        if False:\n",
         VERSIONS,
     ),
     Mutation(
         "a node that has a record of a stream asks no peer for another",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0",
         "count = 0",
         VERSIONS,
@@ -1292,7 +1293,7 @@
     ),
     Mutation(
         "a stream whose version is unknown goes on at any",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "        if stream is None:\n            raise RequestError(",
         "        if False:\n            raise RequestError(",
         VERSIONS,
@@ -1319,10 +1320,45 @@
         CORE_STREAM_VERSIONS,
     ),
     Mutation(
-        "a node that is cut off trusts its old list of runners",
+        "nodes that have missed the same version agree on the other one",
         f"{CORE_SOURCE}/edge/stream_lookup.py",
-        "if not (self._has_majority() or self._is_view_current):",
+        "answer.is_confirmed and self._knows_time_before(answer)",
+        "self._has_majority() and self._knows_time_before(answer)",
+        VERSIONS,
+    ),
+    Mutation(
+        "a version that the store lists and no peer knows is not read",
+        f"{NODE_EDGE_SOURCE}/version_confirmation.py",
+        "self._on_versions(self._versions_of(entries))",
+        "pass",
+        BEHIND_NODES,
+    ),
+    Mutation(
+        "a node that does not reach the store asks no peer to",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
+        "must_confirm=True)\n            for node in holders",
+        "must_confirm=True)\n            for node in holders[:0]",
+        BEHIND_NODES,
+    ),
+    Mutation(
+        "streams are told to no other node while the store is away",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "        if not self._is_view_current():\n            return True\n",
+        "",
+        BEHIND_NODES,
+    ),
+    Mutation(
+        "streams from before an outage are told to no other node",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "if was_current and not is_current:",
         "if False:",
+        BEHIND_NODES,
+    ),
+    Mutation(
+        "a node that is cut off trusts its old list of runners",
+        f"{CORE_SOURCE}/edge/stream_lookup.py",
+        "answer.is_confirmed and self._knows_time_before(answer)",
+        "self._knows_time_before(answer)",
         CORE_STREAM_VERSIONS,
     ),
     Mutation(
@@ -1637,6 +1673,13 @@
         "if entry is None:",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "a call to a runner whose entry has ended is not in doubt",
+        f"{CORE_SOURCE}/runner_table.py",
+        "return bool(runner.born_ms)",
+        "return False",
+        BEHIND_NODES,
+    ),
     Mutation(
         "a stream that begins at a runner in doubt is recorded at its entry's version",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
@@ -1660,7 +1703,7 @@
     ),
     Mutation(
         "streams of a route with several pools are told to no other node",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "if self._route_pools.is_shared(pool, now_ms=now_ms):",
         "if False:",
         VERSIONS,
@@ -1674,7 +1717,7 @@
     ),
     Mutation(
         "the only version of a pool is taken for that of another pool's streams",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "or self._route_pools.is_shared(pool, now_ms=now_ms)",
         "or False",
         VERSIONS,
@@ -1724,7 +1767,7 @@
     Mutation(
         "a call from before a new entry is taken for one of the new lifetime",
         f"{CORE_SOURCE}/runner_table.py",
-        "        if entry is not None and entry.runner.lifetime != runner.lifetime:\n",
+        "        if entry.runner.lifetime != runner.lifetime:\n",
         "        if False:\n",
         RUNNER_RESTARTS,
     ),
