Let a resumed stream wait 1.5 s for a slot where one version serves, too

After all nodes had ended, callers who came back together got 503 ("no runner of 'pool' at version 'v1' has a free slot under its bound") although slots became free within a second, and so lost the events that they had. Where several versions serve such a call waits 1.5 s for a slot, where one serves it gave up after the 400 ms of a new call.

The request for a slot stays as it was where one version serves (versions.feature "One version serves"): only the wait is longer, and it ends with the caller's deadline.

New scenario: 4 of 4 resumptions refused on the code before, in 3 of 3 runs; passes in 4 of 4. Its mutation fails it.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/slot_finder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/slot_finder.py
@@ -27,8 +27,8 @@
     from clementineyoke_node.timers.timer_service import TimerService
 
 RESUMPTION_QUEUE_MS = 1_500
-"""Longest wait for a slot of a call that only runners of one version may serve: callers
-give up a stream after a gap of two seconds."""
+"""Longest wait for a slot of a call that goes on with a stream: callers give up streams
+after a gap of two seconds."""
 
 
 class SlotFinder:
@@ -79,12 +79,13 @@
             key = admitted.prompt_key
         is_first = current_runner is None and not ledger.tried
         started_ms = self._timers.now_ms()
-        is_bound = stream.version is not None and self._streams.is_mixed(admitted.pool)
+        has_events = stream.version is not None
+        is_bound = has_events and self._streams.is_mixed(admitted.pool)
         slot_request = SlotRequest(
             pool=admitted.pool,
             key=self._random_key() if key is None else key,
             profile=self._profile(admitted, is_resumption=is_bound),
-            wait_ms=self._queue_ms(admitted, is_first=is_first, is_bound=is_bound),
+            wait_ms=self._queue_ms(admitted, is_first=is_first, has_events=has_events),
             load_factor=self._cap_factor * load_cap_share(admitted.prompt_tokens),
             tried=ledger.tried_and(current_runner),
             version=stream.version,
@@ -104,15 +105,15 @@
         return lease
 
     def _queue_ms(
-        self, admitted: AdmittedCall, *, is_first: bool, is_bound: bool
+        self, admitted: AdmittedCall, *, is_first: bool, has_events: bool
     ) -> int:
         """Return how long a call may queue for a slot.
 
-        ``is_bound`` is whether only runners of one version may serve it. If such a call
-        is refused, the events that its caller has are lost.
+        ``has_events`` is whether its caller has events of the stream already. If such a
+        call is refused, they are lost.
         """
         queue_ms = self._returns.queue_ms(admitted, was_searched=not is_first)
-        if not is_bound:
+        if not has_events:
             return queue_ms
         left_ms = admitted.deadline_ms - self._timers.now_ms()
         return max(queue_ms, int(min(RESUMPTION_QUEUE_MS, max(0.0, left_ms))))
--- a/packages/clementineyoke-node/tests/edge/restart_of_all_nodes.feature
+++ b/packages/clementineyoke-node/tests/edge/restart_of_all_nodes.feature
@@ -20,6 +20,13 @@
       | the store is away from 1 s before, all are replaced by "v2" | 0     |
       | node 3 starts 1 s later                                     | 0.95  |
 
+  Scenario: Callers resume streams of the only version while new calls hold all slots
+    # A resumption that is refused loses the events that its caller has.
+    Given 1 node and 2 runners of the versions "v1"
+    And callers have begun 4 streams at node 0, all of which broke
+    When callers resume the streams while new ones hold all slots for 1.2 s
+    Then each stream went on at its first try
+
   Scenario: All nodes are restarted one by one within the life of a stream
     # Each node hands over what it knows to one that has just started.
     Given 4 nodes and 8 runners of the versions "v1"
--- a/packages/clementineyoke-node/tests/steps/restart_of_all_nodes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/restart_of_all_nodes_steps.py
@@ -197,6 +197,30 @@
     assert resumed_share >= share * new_share, (resumed_share, new_share, refused)
 
 
+@when("callers resume the streams while new ones hold all slots for {hold_s:g} s")
+def resume_without_slots(context, hold_s):
+    fleet = context.fleet
+    for runner in fleet.runners:
+        runner.event_pause_s = hold_s / EVENTS
+    new = [Reader(fleet, f"new-{n}") for n in range(NEW_STREAMS)]
+
+    async def act():
+        reads = [asyncio.ensure_future(reader.read(0)) for reader in new]
+        await asyncio.sleep(hold_s / 4)
+        context.attempts = await asyncio.gather(*(r.read(0) for r in context.readers))
+        await asyncio.gather(*reads)
+
+    context.run(act())
+    refused = [reader for reader in new if reader.tries[0].status == 503]
+    assert refused, "the new streams left slots free"
+
+
+@then("each stream went on at its first try")
+def check_first_try(context):
+    refused = [attempt for attempt in context.attempts if not attempt.succeeded]
+    assert not refused, f"{len(refused)} of {len(context.attempts)}: {refused[:2]}"
+
+
 @when('all runners are replaced by "{version}"')
 def replace_all(context, version):
     context.run(replace_runners(context, version, len(context.fleet.runners)))
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1115,6 +1115,13 @@
         "key = None",
         CRASHING_REQUESTS,
     ),
+    Mutation(
+        "a resumed stream waits no longer for a slot than a new call",
+        f"{NODE_EDGE_SOURCE}/slot_finder.py",
+        "if not has_events:",
+        "if True:",
+        RESTART_OF_ALL,
+    ),
     Mutation(
         "a drain signalled in a response is ignored",
         f"{NODE_EDGE_SOURCE}/runner_signals.py",
