A stream without a length that ends before its first event is cut

Callers saw 200 with an empty stream, ended as complete, when a runner sent the whole head of a stream that has neither a length nor chunks (or comments after it), and closed its connection in order while its process lived on: the check of such an end only tells whether the runner has ended.

A stream has at least one event, so that an end by the connection before it is no end of the stream. It is now a fault of the stream like an end within an event: another runner gets the call where it may be resumed, else the caller sees that it is broken off. What stays as it was: the empty rest of a stream for a caller or a second run with a last event, and documents without a length, of which an empty one may be whole as well; for these the check of the runner decides (docs/design/ends-of-answers.md).

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -63,8 +63,15 @@
             return "the stream stopped within an event"
         if self._sequence.ends_early:
             return "the stream stopped before the event at which it was to go on"
+        if self._lacks_all_events and self.body_end is BodyEnd.CONNECTION:
+            return "the connection of the stream ended before the first event"
         return None
 
+    @property
+    def _lacks_all_events(self) -> bool:
+        """Whether the caller has no event; the rest of a stream may be empty."""
+        return not self.sent_event_count and self.last_event_id is None
+
     @property
     def pending_bytes(self) -> int:
         """The number of bytes that the runner has sent since its last whole event."""
