Two heads of answers that were parsed as one are refused

Callers could get 200 with the body of a failure (MIXED): a runner sent a part of another answer's head, stopped within its status line's reason or a header's value, and went on with the head of a failure on the same connection. Parsers read the second status line as text of the first one's line, so that the status (and a signature or a refusal) came from one answer and the rest from another. The call's id tells nothing if the part ends before its own.

A runner's own header with such a text is refused too.

--- a/packages/clementineyoke-node/src/clementineyoke_node/runners/runner_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/runners/runner_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 from yarl import URL
 
+from clementineyoke_node.platform.joined_heads import has_joined_heads
 from clementineyoke_node.runners.runner_error import RunnerError
 from clementineyoke_wire import headers
 
@@ -148,6 +149,13 @@
 def _check_echo(
     runner: Runner, call: RunnerCall, response: aiohttp.ClientResponse
 ) -> None:
+    if has_joined_heads(response.reason, response.headers):
+        raise RunnerError(
+            step="check_head",
+            peer=runner.runner_id,
+            reason=f"the head with status {response.status} has another status line",
+            may_have_run=True,
+        )
     echoed = response.headers.get(headers.REQUEST_ID)
     if echoed == call.request_id:
         return
