The search for an object's end takes larger steps, and ends at a cut text

A node stood still for seconds when the strict parser refused a response of the store, and its objects were told apart bracket by bracket: one object of a megabyte with many lists, objects or texts beside a broken text, or a response that was cut or spoilt within a text of many escaped quotes, whose time grew with the square of the text's length.

The search skips texts and up to eight levels of balanced brackets in one match of a possessive pattern, and runs of brackets that do not balance, with what stands between them, in another. A text without an end ends the search; it was tried again from each of its quotes. No object is refused that was not before: what is bounded is the steps, not the nesting or the size.

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_page.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_page.py
@@ -5,6 +5,7 @@
 import json
 import re
 from contextlib import suppress
+from itertools import islice
 from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import msgspec
@@ -24,9 +25,26 @@
 takes a second for a megabyte."""
 _STRING = rb'"(?:[^"\\]++|\\.)*+"'
 """Possessive: backtracking would take a hundred bytes for each of the string."""
-_STRUCTURE = re.compile(_STRING + rb"|[][{},]", re.DOTALL)
-_DEEP_STRUCTURE = re.compile(_STRING + rb"|[\[{]+|[\]}]+", re.DOTALL)
-"""For nesting that is only skipped; a run of brackets is one token."""
+_TEXT = rb'[^][{}"]++|' + _STRING
+"""What is neither a bracket nor a part of an unfinished string."""
+BALANCED_LEVELS = 8
+"""Levels of nesting that are skipped in one step; deeper ones take a step a bracket."""
+_STRUCTURE = re.compile(_STRING + rb'|[][{},"]', re.DOTALL)
+
+
+def _skip_pattern() -> re.Pattern[bytes]:
+    """Return a pattern of text and balanced brackets, and the next run of brackets."""
+    skipped = _TEXT
+    for _ in range(BALANCED_LEVELS):
+        skipped = _TEXT + rb"|[\[{](?:" + skipped + rb")*+[\]}]"
+    plain = rb"(?:" + _TEXT + rb")*+"
+    run = rb"(?:[\[{]++" + plain + rb")++|(?:[\]}]++" + plain + rb')++|"'
+    return re.compile(rb"(?:" + skipped + rb")*+(" + run + rb")", re.DOTALL)
+
+
+_SKIPPED = _skip_pattern()
+_QUOTED = re.compile(_STRING, re.DOTALL)
+_BRACKET = re.compile(_STRING + rb"|([][{}])", re.DOTALL)
 
 
 class StoredEntry(NamedTuple):
@@ -236,25 +254,46 @@
     """Yield strings, brackets and commas, where they start, and the depth after each.
 
     What is nested deeper than ``max_depth`` is skipped but for its outermost brackets.
+    It ends at a string that has no end.
     """
     depth = position = 0
     while True:
         is_skipped = depth > max_depth
-        pattern = _DEEP_STRUCTURE if is_skipped else _STRUCTURE
-        token = pattern.search(content, position)
+        if is_skipped:
+            token = _SKIPPED.match(content, position)
+        else:
+            token = _STRUCTURE.search(content, position)
         if token is None:
             return
-        mark, start, position = token.group(), token.start(), token.end()
+        group = token.re.groups
+        mark, start, position = token.group(group), token.start(group), token.end()
+        if mark == b'"':
+            return
         if mark[:1] in b"{[":
-            depth += len(mark)
+            depth += _count_brackets(mark) if is_skipped else 1
         elif mark[:1] in b"}]":
-            # The rest of a run may end what is not skipped.
-            closed = min(len(mark), depth - max_depth) if is_skipped else 1
-            depth -= closed
-            position = start + closed
-            start = position - 1
-            if is_skipped and depth == max_depth:
-                yield mark[:1], start, depth
+            closed = _count_brackets(mark) if is_skipped else 1
+            if is_skipped and closed >= depth - max_depth:
+                # The rest of a run may end what is not skipped.
+                start += _find_bracket(mark, depth - max_depth)
+                depth, position = max_depth, start + 1
+                yield content[start:position], start, depth
                 continue
+            depth -= closed
         if not is_skipped:
             yield mark, start, depth
+
+
+def _count_brackets(run: bytes) -> int:
+    if not run.strip(b"[{]}"):
+        return len(run)
+    plain = _QUOTED.sub(b"", run) if b'"' in run else run
+    return sum(map(plain.count, (b"[", b"{", b"]", b"}")))
+
+
+def _find_bracket(run: bytes, number: int) -> int:
+    """Return where a closing bracket is in a run; the first one has the number 1."""
+    if not run[:number].strip(b"]}"):
+        return number - 1
+    brackets = (token.start() for token in _BRACKET.finditer(run) if token.group(1))
+    return next(islice(brackets, number - 1, None))
--- a/packages/clementineyoke-node/tests/edge/store_entries.feature
+++ b/packages/clementineyoke-node/tests/edge/store_entries.feature
@@ -71,6 +71,29 @@
     # A RecursionError ends the task that follows the store; where it is raised depends on the stack.
     Then entries with 900 to 1010 levels of nesting are read or refused at each depth of the stack
 
+  Scenario Outline: A large object with a broken text
+    # The node stands still while it looks for the end of the object.
+    When an object of a megabyte with <value> has a broken text as well
+    Then both are decoded in a short time, with its name and the other object
+
+    Examples:
+      | value                        |
+      | flat lists                   |
+      | texts                        |
+      | lists in lists               |
+      | objects                      |
+      | texts in ever deeper lists   |
+      | numbers in ever deeper lists |
+
+  Scenario: A response that ends in a text
+    # The time grows with the square of the text's length.
+    When a response ends in a text of 40000 escaped quotes
+    Then it is refused in a short time
+
+  Scenario: Objects beside one that the strict parser rejects
+    # What is skipped may end at a bracket that is not its own.
+    Then the objects beside a broken one keep their content, at any depth of nesting
+
   Scenario: A page that ends with an object that no parser reads
     # The list is taken for complete, and the node knows no runner of the next pages.
     When a page of one object with a megabyte of nesting has a next page
