The arrival of an end counts from the turn of the loop that reads it

Callers could get a part of an answer without a length as the whole.

Cause: for how long an end had waited was asked when it was read, and deducted from the loop's time when the connection was reported as lost, one turn later. What the turn did in between, up to the 100 ms that the verdict allows, made the end younger. The time of the loop is that of its turn under uvloop, and no exact clock either.

The time of arrival is now taken at once, from the steady clock.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -64,6 +65,7 @@
         """For how long its end has waited in the system; None if that is unknown."""
         self.on_ended: Callable[[], None] = lambda: None
         """Called when the connection has ended."""
+        self._end_arrived_s: float | None = None
         self._last_received_s = 0.0
         self._unread_since_s: float | None = None
         """Since when bytes may wait unread in the system; None if none do."""
@@ -132,6 +134,7 @@
         state = None if self.transport is None else read_tcp_state(self.transport)
         if state is not None:
             self._end_delay_s = state.since_received_ms / MS_PER_S
+            self._end_arrived_s = time.monotonic() - self._end_delay_s
         super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -164,7 +167,7 @@
         """Record when the connection ended, and return that time."""
         ended_s, delay_s = self._loop.time(), self._end_delay_s
         if self._unread_since_s is None or ended_s - self._last_received_s > QUIET_S:
-            ended_s -= delay_s or 0.0
+            ended_s = ended_s if self._end_arrived_s is None else self._end_arrived_s
         else:
             # The caller's pace alone has delayed the end.
             waited_s = ended_s - self._unread_since_s
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -25,6 +25,7 @@
 
 STALLS_S = {"the node stands still": 0.4, "the node stands still 110 ms": 0.11}
 SUSPENSION_S = 0.4
+STOPPED = "the node has stopped to read"
 DRAINS = "it has said that it drains"
 BETWEEN_EVENTS_S = 0.1
 SLOW_WRITE_S = 0.4
@@ -173,7 +174,7 @@
     if "closes its idle connection" in look:
         runner.close_idle(keep=1)
     for number in range(first, last + 1):
-        if number == EVENTS_SENT and look == "the node has stopped to read":
+        if number == EVENTS_SENT and look == STOPPED:
             yield UNREAD_COMMENT
             if not ends_runner:
                 await asyncio.sleep(SLOW_WRITE_S)
@@ -321,12 +322,26 @@
 
 
 def slow_down(context, look):
-    if look == "its caller has read slowly":
+    if look == "the node stands still in the turn of the end":
+        stall_after_read_end(context)
+    elif look == "its caller has read slowly":
         delay_writes(context)
-    elif look == "the node has stopped to read":
+    elif look == STOPPED:
         delay_writes(context, most=1)
 
 
+def stall_after_read_end(context):
+    """Stand still when an end was read, in the same turn of the event loop."""
+    read_end = RunnerProtocol.eof_received
+    context.add_cleanup(setattr, RunnerProtocol, "eof_received", read_end)
+
+    def read_and_stall(protocol):
+        read_end(protocol)
+        time.sleep(STALLS_S["the node stands still 110 ms"])
+
+    RunnerProtocol.eof_received = read_and_stall
+
+
 def delay_writes(context, most=1000):
     """Let the caller take each part of the stream late, or the first ones alone."""
     write = aiohttp.web.StreamResponse.write
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -871,8 +871,15 @@
     Mutation(
         "an end that has waited unread counts as one that has just come",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "ended_s -= delay_s or 0.0",
-        "pass",
+        "ended_s if self._end_arrived_s is None else self._end_arrived_s",
+        "ended_s",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an end counts from the turn of the loop after the one that reads it",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "ended_s if self._end_arrived_s is None else self._end_arrived_s",
+        "ended_s - (self._end_delay_s or 0.0)",
         REUSED_ADDRESSES,
     ),
     Mutation(
