--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -301,8 +301,8 @@
     Mutation(
         "a connection with unread data is reused",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "and is_fresh and not has_unread_data",
-        "and is_fresh",
+        "            and not has_unread_data\n",
+        "",
         CALLS,
     ),
     Mutation(
@@ -1513,7 +1513,7 @@
     ),
     Mutation(
         "another run goes on with events of a call that is not resumable",
-        f"{NODE_EDGE_SOURCE}/attempt_executor.py",
+        f"{NODE_EDGE_SOURCE}/answer_ends.py",
         "return admitted.route.is_resumable or not stream.sent_event_count",
         "return True",
         RESUMED_STREAMS,
