A node whose connections to the store are closed refuses a resumed stream

A caller who resumed a stream at a node that was just ending got 500: the lookup read the streams in the store, and aiohttp raised RuntimeError('Session is closed'), which no part of the node expects.

A closed session is a failed call to the store now, as one that is not open yet was. The new scenario fails without the change (one run) and passes with it (one run).

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/store_client.py
@@ -183,7 +183,7 @@
     ) -> bytes:
         step = f"{method} {path}"
         session = self._watch_session if wait_ms else self._session
-        if session is None:
+        if session is None or session.closed:
             raise StoreError(step=step, peer=self._address, reason="is closed")
         self.calls += 1
         data = None if body is None else msgspec.json.encode(body)
--- a/packages/clementineyoke-node/tests/edge/store_calls.feature
+++ b/packages/clementineyoke-node/tests/edge/store_calls.feature
@@ -47,3 +47,9 @@
     Given a fleet of 1 node and 3 runners
     When a watch is reset after it was repeated, before the repetition is answered
     Then the read returns without an error
+
+  Scenario: A node that ends reads the store
+    # A caller who resumes a stream there gets 500 in place of a refusal.
+    Given a fleet of 1 node and 3 runners
+    When the node has closed its connections to the store, and reads it
+    Then the read fails as a call to the store
--- a/packages/clementineyoke-node/tests/steps/store_calls_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_calls_steps.py
@@ -8,6 +8,7 @@
 from edge_fleet import EdgeFleet
 from edge_steps import wait_until
 
+from clementineyoke_node.platform.store_error import StoreError
 from clementineyoke_standins.edge.edge_store import StoreFault
 
 CALL_PAUSE_S = 0.05
@@ -283,3 +284,22 @@
 def check_answer(context):
     assert context.answer.revision >= context.listed.revision, context.answer
     assert not context.loop_errors, context.loop_errors
+
+
+@when("the node has closed its connections to the store, and reads it")
+def read_when_closed(context):
+    store = context.fleet.nodes[0].io.store
+
+    async def act():
+        await store.__aexit__(None, None, None)
+        try:
+            await store.list_all("servers")
+        except Exception as error:
+            context.error = error
+
+    context.run(act())
+
+
+@then("the read fails as a call to the store")
+def check_store_error(context):
+    assert isinstance(context.error, StoreError), context.error
