An end that a full window has held back may be older than its arrival

Callers got a part of a stream as the whole, if they read slowly, the node had stopped to read, and the runner's process had ended meanwhile and another one listened at its address.

Cause: two signs were taken from what had not been read. Behind a full window the system of the runner's host sends the end only when the node reads on, so that it has just arrived; bounds by that the age that it may have. And 20 ms without bytes counted as a pause of the runner, also if the event loop was busy with the bytes before, which may wait in the system meanwhile: that was so before too.

The age is bounded by the time since the node stopped to read, and the pause is one between what was handled and what the system got next.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -67,6 +67,8 @@
         """Called when the connection has ended."""
         self._end_arrived_s: float | None = None
         self._last_received_s = 0.0
+        self._last_read_s = 0.0
+        """When the last bytes had been handled; the loop's time is that of its turn."""
         self._unread_since_s: float | None = None
         """Since when bytes may wait unread in the system; None if none do."""
         self._max_idle_s = MAX_IDLE_S
@@ -107,12 +109,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Record when the connection was last active."""
-        now_s = self._loop.time()
         # Empty data marks that reading goes on after a pause.
-        if data and now_s - self._last_received_s > QUIET_S:
-            self._unread_since_s = None
-        self._last_received_s = now_s
+        if data and self._unread_since_s is not None:
+            state = None if self.transport is None else read_tcp_state(self.transport)
+            waited_s = 0.0 if state is None else state.since_data_ms / MS_PER_S
+            if self._was_quiet_before(time.monotonic() - waited_s):
+                self._unread_since_s = None
+        self._last_received_s = self._loop.time()
         super().data_received(data)
+        self._last_read_s = time.monotonic()
+
+    def _was_quiet_before(self, arrived_s: float) -> bool:
+        """Return whether nothing had arrived for some time before a time.
+
+        Bytes that arrive while the event loop is busy are read late, but not quiet.
+        """
+        return arrived_s - self._last_read_s > QUIET_S
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
@@ -165,15 +177,13 @@
 
     def _record_end(self) -> float:
         """Record when the connection ended, and return that time."""
-        ended_s, delay_s = self._loop.time(), self._end_delay_s
-        if self._unread_since_s is None or ended_s - self._last_received_s > QUIET_S:
-            ended_s = ended_s if self._end_arrived_s is None else self._end_arrived_s
-        else:
-            # The caller's pace alone has delayed the end.
-            waited_s = ended_s - self._unread_since_s
-            self.max_end_delay_s = min(
-                waited_s, waited_s if delay_s is None else delay_s
-            )
+        now_s = self._loop.time()
+        ended_s = now_s if self._end_arrived_s is None else self._end_arrived_s
+        if self._unread_since_s is not None and not self._was_quiet_before(ended_s):
+            # The caller's pace alone has delayed the end. It may have been held back
+            # at the runner's host until there was room for what came before it.
+            self.max_end_delay_s = now_s - self._unread_since_s
+            ended_s = now_s
         self.ended_s = ended_s
         return ended_s
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/tcp_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/tcp_state.py
@@ -12,7 +12,7 @@
 # struct tcp_info of Linux
 _TCP_INFO: int | None = getattr(socket, "TCP_INFO", None)
 _INFO_BYTES = 60
-_LAST_ACK_RECEIVED_OFFSET = 56
+_LAST_DATA_RECEIVED_OFFSET = 52
 _UNKNOWN = 0
 _ESTABLISHED = 1
 
@@ -22,6 +22,8 @@
 
     is_established: bool
     """Whether neither side has ended the connection."""
+    since_data_ms: int
+    """Time since the peer's last data."""
     since_received_ms: int
     """Time since the peer's last segment; its end is one."""
 
@@ -37,5 +39,5 @@
         return None
     if len(info) < _INFO_BYTES or info[0] == _UNKNOWN:
         return None
-    (since_received_ms,) = struct.unpack_from("=I", info, _LAST_ACK_RECEIVED_OFFSET)
-    return TcpState(info[0] == _ESTABLISHED, since_received_ms)
+    times_ms = struct.unpack_from("=2I", info, _LAST_DATA_RECEIVED_OFFSET)
+    return TcpState(info[0] == _ESTABLISHED, *times_ms)
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -23,6 +23,7 @@
       | no connection      | the node stands still 110 ms |
       | no connection      | it has said that it drains   |
       | no connection      | the node stands still in the turn of the end |
+      | no connection      | the node has stopped to read for so long that its window is full |
 
   Scenario: A runner with several streams ends, and another process listens at once
     # Their ends look like those of whole answers, as no other connection tells.
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -26,6 +26,7 @@
 STALLS_S = {"the node stands still": 0.4, "the node stands still 110 ms": 0.11}
 SUSPENSION_S = 0.4
 STOPPED = "the node has stopped to read"
+FULL_WINDOW = "the node has stopped to read for so long that its window is full"
 DRAINS = "it has said that it drains"
 BETWEEN_EVENTS_S = 0.1
 SLOW_WRITE_S = 0.4
@@ -38,6 +39,7 @@
 IDLE_CLOSE_S = 0.01
 UNREAD_COMMENT = b": %s\n\n" % (b"x" * 1_500_000)
 """Longer than what the node reads ahead, and short enough for the system's buffers."""
+WINDOW_BYTES = 65_536
 
 
 @given("the event loop is that of a node process")
@@ -174,7 +176,7 @@
     if "closes its idle connection" in look:
         runner.close_idle(keep=1)
     for number in range(first, last + 1):
-        if number == EVENTS_SENT and look == STOPPED:
+        if number == EVENTS_SENT and look in {STOPPED, FULL_WINDOW}:
             yield UNREAD_COMMENT
             if not ends_runner:
                 await asyncio.sleep(SLOW_WRITE_S)
@@ -322,7 +324,10 @@
 
 
 def slow_down(context, look):
-    if look == "the node stands still in the turn of the end":
+    if look == FULL_WINDOW:
+        limit_window(context)
+        delay_writes(context, most=1)
+    elif look == "the node stands still in the turn of the end":
         stall_after_read_end(context)
     elif look == "its caller has read slowly":
         delay_writes(context)
@@ -330,6 +335,20 @@
         delay_writes(context, most=1)
 
 
+def limit_window(context):
+    """Let the system of the node take little that the node has not read."""
+    make = RunnerProtocol.connection_made
+    context.add_cleanup(setattr, RunnerProtocol, "connection_made", make)
+
+    def make_small(protocol, transport):
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES
+        )
+        make(protocol, transport)
+
+    RunnerProtocol.connection_made = make_small
+
+
 def stall_after_read_end(context):
     """Stand still when an end was read, in the same turn of the event loop."""
     read_end = RunnerProtocol.eof_received
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -871,15 +871,22 @@
     Mutation(
         "an end that has waited unread counts as one that has just come",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "ended_s if self._end_arrived_s is None else self._end_arrived_s",
-        "ended_s",
+        "now_s if self._end_arrived_s is None else self._end_arrived_s",
+        "now_s",
         REUSED_ADDRESSES,
     ),
     Mutation(
         "an end counts from the turn of the loop after the one that reads it",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "ended_s if self._end_arrived_s is None else self._end_arrived_s",
-        "ended_s - (self._end_delay_s or 0.0)",
+        "now_s if self._end_arrived_s is None else self._end_arrived_s",
+        "now_s - (self._end_delay_s or 0.0)",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an end behind a full window counts from when the system got it",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "self.max_end_delay_s = now_s - self._unread_since_s",
+        "self.max_end_delay_s = self.end_delay_s",
         REUSED_ADDRESSES,
     ),
     Mutation(
