A kept connection that a call finds ended counts as ended by its runner

Cause: a call that meets a kept connection whose end has arrived unread passes it over, and aiohttp closes it at once. An end of the node's own is no sign that the runner has ended, so that the verdict on an answer that ended with it lacks a sign, and may be the only one if another process listens at the address.

The end is noted, with the time of its arrival, when it is found.

The changed mutation and the new one were not run at this commit.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -66,6 +66,8 @@
         self.on_ended: Callable[[], None] = lambda: None
         """Called when the connection has ended."""
         self._end_arrived_s: float | None = None
+        self._was_ended_idle = False
+        """Whether the runner had ended the connection when a call was to use it."""
         self._last_received_s = 0.0
         self._last_read_s = 0.0
         """When the last bytes had been handled; the loop's time is that of its turn."""
@@ -143,11 +145,14 @@
 
     def eof_received(self) -> None:
         """Record for how long the end has waited for the event loop to read it."""
+        self._record_arrival()
+        super().eof_received()
+
+    def _record_arrival(self) -> None:
         state = None if self.transport is None else read_tcp_state(self.transport)
         if state is not None:
             self._end_delay_s = state.since_received_ms / MS_PER_S
             self._end_arrived_s = time.monotonic() - self._end_delay_s
-        super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that was reset.
@@ -159,7 +164,9 @@
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
-        is_own_end = self.transport is None or self._refusal is not None
+        is_own_end = self._refusal is not None or (
+            self.transport is None and not self._was_ended_idle
+        )
         had_ended = payload is None or payload.is_eof()
         was_idle = had_ended and not self._is_head_due
         if self._send_monitor is not None:
@@ -225,9 +232,20 @@
             and is_current
             and is_fresh
             and not has_unread_data
-            and self._is_established()
+            and not self._has_ended_unread()
         )
 
+    def _has_ended_unread(self) -> bool:
+        """Return whether the runner has ended the idle connection, and note it.
+
+        The node then closes the connection, and would take the end for its own.
+        """
+        if self._is_established():
+            return False
+        self._was_ended_idle = True
+        self._record_arrival()
+        return True
+
 
 def make_connector(
     *,
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -48,6 +48,14 @@
     When the runner's side of it ends, and the node has not read that
     Then no connection to the runner is used for another call
 
+  Scenario: A call meets a kept connection whose end was not read
+    # The node closes it, and the sign that the runner has ended is lost.
+    Given the event loop is that of a node process
+    And a fleet of 1 node and 2 runners that frame no streams
+    And each runner has an idle connection of the node beside the stream
+    When the runner's side of it ends, and calls look for connections before that is read
+    Then its connections count as ended by the runner
+
   Scenario: A call was cancelled just as its connection to the runner opened
     # uvloop closes the connection without telling its protocol, which counts as open for
     # as long as the node runs: each process at the address passes for the runner.
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -256,6 +256,43 @@
     given_connection(context, "a waiting call")
 
 
+def end_side(runner):
+    for writer in runner._writers:
+        with socket.socket(
+            fileno=os.dup(writer.get_extra_info("socket").fileno())
+        ) as duplicate:
+            duplicate.shutdown(socket.SHUT_WR)
+
+
+@when(
+    "the runner's side of it ends, and calls look for connections before that is read"
+)
+def end_before_calls(context):
+    runner = context.fleet.runners[0]
+    pool = context.fleet.nodes[0].io.connection_pool
+    context.address = Address("127.0.0.1", runner.port)
+
+    async def act():
+        connector = pool._keepalive_session.connector
+        context.kept = len(pool._connections._open[context.address])
+        context.ended_s = asyncio.get_running_loop().time()
+        end_side(runner)
+        for key in list(connector._conns):
+            if key.port == runner.port:
+                assert await connector._get(key, []) is None
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@then("its connections count as ended by the runner")
+def check_cuts(context):
+    connections = context.fleet.nodes[0].io.connection_pool._connections
+    assert context.kept
+    assert len(connections._cuts.get(context.address, ())) == context.kept
+    assert connections.were_cut(context.address, ended_s=context.ended_s)
+
+
 @when("the runner's side of it ends, and the node has not read that")
 def end_unread(context):
     runner = context.fleet.runners[0]
@@ -267,11 +304,7 @@
         assert connections.has_open(address, before_s=now_s)
         kept = list(connections._open[address])
         assert all(connection.is_connected() for connection in kept)
-        for writer in runner._writers:
-            with socket.socket(
-                fileno=os.dup(writer.get_extra_info("socket").fileno())
-            ) as duplicate:
-                duplicate.shutdown(socket.SHUT_WR)
+        end_side(runner)
         context.has_open = connections.has_open(address, before_s=now_s)
         context.usable = [c for c in kept if c.is_connected()]
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -920,7 +920,14 @@
     Mutation(
         "a call is sent on a connection whose end has arrived",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "            and self._is_established()\n",
+        "            and not self._has_ended_unread()\n",
+        "",
+        REUSED_ADDRESSES,
+    ),
+    Mutation(
+        "an end of the runner's that a call has met counts as the node's own",
+        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
+        "        self._was_ended_idle = True\n",
         "",
         REUSED_ADDRESSES,
     ),
