--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -66,7 +66,11 @@
         self.on_ended: Callable[[], None] = lambda: None
         """Called when the connection has ended."""
         self._end_arrived_s: float | None = None
+        self._was_ended_idle = False
+        """Whether the runner had ended the connection when a call was to use it."""
         self._last_received_s = 0.0
+        self._last_read_s = 0.0
+        """When the last bytes had been handled; the loop's time is that of its turn."""
         self._unread_since_s: float | None = None
         """Since when bytes may wait unread in the system; None if none do."""
         self._max_idle_s = MAX_IDLE_S
@@ -107,12 +111,22 @@
 
     def data_received(self, data: bytes) -> None:
         """Record when the connection was last active."""
-        now_s = self._loop.time()
         # Empty data marks that reading goes on after a pause.
-        if data and now_s - self._last_received_s > QUIET_S:
-            self._unread_since_s = None
-        self._last_received_s = now_s
+        if data and self._unread_since_s is not None:
+            state = None if self.transport is None else read_tcp_state(self.transport)
+            waited_s = 0.0 if state is None else state.since_data_ms / MS_PER_S
+            if self._was_quiet_before(time.monotonic() - waited_s):
+                self._unread_since_s = None
+        self._last_received_s = self._loop.time()
         super().data_received(data)
+        self._last_read_s = time.monotonic()
+
+    def _was_quiet_before(self, arrived_s: float) -> bool:
+        """Return whether nothing had arrived for some time before a time.
+
+        Bytes that arrive while the event loop is busy are read late, but not quiet.
+        """
+        return arrived_s - self._last_read_s > QUIET_S
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
@@ -131,11 +145,14 @@
 
     def eof_received(self) -> None:
         """Record for how long the end has waited for the event loop to read it."""
+        self._record_arrival()
+        super().eof_received()
+
+    def _record_arrival(self) -> None:
         state = None if self.transport is None else read_tcp_state(self.transport)
         if state is not None:
             self._end_delay_s = state.since_received_ms / MS_PER_S
             self._end_arrived_s = time.monotonic() - self._end_delay_s
-        super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that was reset.
@@ -147,7 +164,9 @@
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
-        is_own_end = self.transport is None or self._refusal is not None
+        is_own_end = self._refusal is not None or (
+            self.transport is None and not self._was_ended_idle
+        )
         had_ended = payload is None or payload.is_eof()
         was_idle = had_ended and not self._is_head_due
         if self._send_monitor is not None:
@@ -165,15 +184,13 @@
 
     def _record_end(self) -> float:
         """Record when the connection ended, and return that time."""
-        ended_s, delay_s = self._loop.time(), self._end_delay_s
-        if self._unread_since_s is None or ended_s - self._last_received_s > QUIET_S:
-            ended_s = ended_s if self._end_arrived_s is None else self._end_arrived_s
-        else:
-            # The caller's pace alone has delayed the end.
-            waited_s = ended_s - self._unread_since_s
-            self.max_end_delay_s = min(
-                waited_s, waited_s if delay_s is None else delay_s
-            )
+        now_s = self._loop.time()
+        ended_s = now_s if self._end_arrived_s is None else self._end_arrived_s
+        if self._unread_since_s is not None and not self._was_quiet_before(ended_s):
+            # The caller's pace alone has delayed the end. It may have been held back
+            # at the runner's host until there was room for what came before it.
+            self.max_end_delay_s = now_s - self._unread_since_s
+            ended_s = now_s
         self.ended_s = ended_s
         return ended_s
 
@@ -215,9 +232,20 @@
             and is_current
             and is_fresh
             and not has_unread_data
-            and self._is_established()
+            and not self._has_ended_unread()
         )
 
+    def _has_ended_unread(self) -> bool:
+        """Return whether the runner has ended the idle connection, and note it.
+
+        The node then closes the connection, and would take the end for its own.
+        """
+        if self._is_established():
+            return False
+        self._was_ended_idle = True
+        self._record_arrival()
+        return True
+
 
 def make_connector(
     *,
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -23,6 +23,7 @@
       | no connection      | the node stands still 110 ms |
       | no connection      | it has said that it drains   |
       | no connection      | the node stands still in the turn of the end |
+      | no connection      | the node has stopped to read for so long that its window is full |
 
   Scenario: A runner with several streams ends, and another process listens at once
     # Their ends look like those of whole answers, as no other connection tells.
@@ -47,6 +48,14 @@
     When the runner's side of it ends, and the node has not read that
     Then no connection to the runner is used for another call
 
+  Scenario: A call meets a kept connection whose end was not read
+    # The node closes it, and the sign that the runner has ended is lost.
+    Given the event loop is that of a node process
+    And a fleet of 1 node and 2 runners that frame no streams
+    And each runner has an idle connection of the node beside the stream
+    When the runner's side of it ends, and calls look for connections before that is read
+    Then its connections count as ended by the runner
+
   Scenario: A call was cancelled just as its connection to the runner opened
     # uvloop closes the connection without telling its protocol, which counts as open for
     # as long as the node runs: each process at the address passes for the runner.
@@ -93,6 +102,12 @@
       | no connection      | it has said that it drains | 2 calls |
       | a waiting call     | it has said that it drains | 1 call  |
 
+  Scenario: Whole streams end together at runners that live on
+    # Each resumption ends together with others as well, and all streams are cut.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    When 6 streams of these runners end in the same moment
+    Then each caller gets all events of its stream, each once
+
   Scenario: A stream ends at the last runner, which drains
     # A whole stream is cut, as no other runner can confirm that it was whole.
     Given a fleet of 1 node and 1 runner that frames no streams
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -26,6 +26,7 @@
 STALLS_S = {"the node stands still": 0.4, "the node stands still 110 ms": 0.11}
 SUSPENSION_S = 0.4
 STOPPED = "the node has stopped to read"
+FULL_WINDOW = "the node has stopped to read for so long that its window is full"
 DRAINS = "it has said that it drains"
 BETWEEN_EVENTS_S = 0.1
 SLOW_WRITE_S = 0.4
@@ -38,6 +39,7 @@
 IDLE_CLOSE_S = 0.01
 UNREAD_COMMENT = b": %s\n\n" % (b"x" * 1_500_000)
 """Longer than what the node reads ahead, and short enough for the system's buffers."""
+WINDOW_BYTES = 65_536
 
 
 @given("the event loop is that of a node process")
@@ -174,7 +176,7 @@
     if "closes its idle connection" in look:
         runner.close_idle(keep=1)
     for number in range(first, last + 1):
-        if number == EVENTS_SENT and look == STOPPED:
+        if number == EVENTS_SENT and look in {STOPPED, FULL_WINDOW}:
             yield UNREAD_COMMENT
             if not ends_runner:
                 await asyncio.sleep(SLOW_WRITE_S)
@@ -243,6 +245,37 @@
     context.run(act())
 
 
+@when("{count:d} streams of these runners end in the same moment")
+def end_together(context, count):
+    fleet = context.fleet
+
+    async def send(call, all_sent):
+        first = int(call.headers.get("last-event-id", "0")) + 1
+        yield encode_raw_head(call, Content_Type="text/event-stream")
+        for number in range(first, EVENTS + 1):
+            yield encode_event(number)
+        await all_sent.wait()
+        raise ConnectionResetError  # The stand-in closes the connection in order.
+
+    async def act():
+        all_sent = asyncio.Event()
+        for runner in fleet.runners:
+            runner.raw_answer = lambda call: send(call, all_sent)
+        session = fleet.concurrent_session
+        calls = [
+            asyncio.ensure_future(
+                fleet.call("streaming", call_id=f"{number}", session=session)
+            )
+            for number in range(count)
+        ]
+        await wait_until(lambda: len(fleet.calls()) == count, 2)
+        await asyncio.sleep(BETWEEN_EVENTS_S)
+        all_sent.set()
+        context.answers = await asyncio.gather(*calls, return_exceptions=True)
+
+    context.run(act())
+
+
 @then("each caller gets all events of its stream, each once")
 def check_each_stream(context):
     bodies = [getattr(a, "args", a)[-1] for a in context.answers]
@@ -254,6 +287,43 @@
     given_connection(context, "a waiting call")
 
 
+def end_side(runner):
+    for writer in runner._writers:
+        with socket.socket(
+            fileno=os.dup(writer.get_extra_info("socket").fileno())
+        ) as duplicate:
+            duplicate.shutdown(socket.SHUT_WR)
+
+
+@when(
+    "the runner's side of it ends, and calls look for connections before that is read"
+)
+def end_before_calls(context):
+    runner = context.fleet.runners[0]
+    pool = context.fleet.nodes[0].io.connection_pool
+    context.address = Address("127.0.0.1", runner.port)
+
+    async def act():
+        connector = pool._keepalive_session.connector
+        context.kept = len(pool._connections._open[context.address])
+        context.ended_s = asyncio.get_running_loop().time()
+        end_side(runner)
+        for key in list(connector._conns):
+            if key.port == runner.port:
+                assert await connector._get(key, []) is None
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@then("its connections count as ended by the runner")
+def check_cuts(context):
+    connections = context.fleet.nodes[0].io.connection_pool._connections
+    assert context.kept
+    assert len(connections._cuts.get(context.address, ())) == context.kept
+    assert connections.were_cut(context.address, ended_s=context.ended_s)
+
+
 @when("the runner's side of it ends, and the node has not read that")
 def end_unread(context):
     runner = context.fleet.runners[0]
@@ -265,11 +335,7 @@
         assert connections.has_open(address, before_s=now_s)
         kept = list(connections._open[address])
         assert all(connection.is_connected() for connection in kept)
-        for writer in runner._writers:
-            with socket.socket(
-                fileno=os.dup(writer.get_extra_info("socket").fileno())
-            ) as duplicate:
-                duplicate.shutdown(socket.SHUT_WR)
+        end_side(runner)
         context.has_open = connections.has_open(address, before_s=now_s)
         context.usable = [c for c in kept if c.is_connected()]
 
@@ -322,7 +388,10 @@
 
 
 def slow_down(context, look):
-    if look == "the node stands still in the turn of the end":
+    if look == FULL_WINDOW:
+        limit_window(context)
+        delay_writes(context, most=1)
+    elif look == "the node stands still in the turn of the end":
         stall_after_read_end(context)
     elif look == "its caller has read slowly":
         delay_writes(context)
@@ -330,6 +399,20 @@
         delay_writes(context, most=1)
 
 
+def limit_window(context):
+    """Let the system of the node take little that the node has not read."""
+    make = RunnerProtocol.connection_made
+    context.add_cleanup(setattr, RunnerProtocol, "connection_made", make)
+
+    def make_small(protocol, transport):
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES
+        )
+        make(protocol, transport)
+
+    RunnerProtocol.connection_made = make_small
+
+
 def stall_after_read_end(context):
     """Stand still when an end was read, in the same turn of the event loop."""
     read_end = RunnerProtocol.eof_received
