Soak: a node whose interpreter is still loading gets no SIGHUP

The signal is sent only to a process that handles or ignores it by /proc/PID/status; from there on the product has to survive it as before.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/machine_releases.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/machine_releases.py
@@ -111,7 +111,8 @@
             name = self._rng.choice(sorted(SETTINGS))
             node.settings[name] = self._rng.choice(SETTINGS[name])
             node.write_settings()
-            node.send(signal.SIGHUP)
+            if node.survives(signal.SIGHUP):
+                node.send(signal.SIGHUP)
             await asyncio.sleep(self._rng.uniform(0.0, 0.2))
 
     async def _add_node(self) -> None:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/node_process.py
@@ -138,6 +138,21 @@
         if self._process is not None and self.is_running:
             self._process.send_signal(number)
 
+    def survives(self, number: signal.Signals) -> bool:
+        """Return whether the process handles or ignores a signal by now.
+
+        While its interpreter is loaded, it would end by one.
+        """
+        if self._process is None or not self.is_running:
+            return False
+        try:
+            text = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return False  # it has just ended
+        masks = dict(line.split(":", 1) for line in text.splitlines())
+        handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
+        return bool(handled >> (number - 1) & 1)
+
     def failed_calls(self) -> list[str]:
         """Return the log lines of calls that ended with an unexpected exception."""
         log = self._log_path.read_bytes()[self._first_offset :]
