Ports and stream keys in the store are read as plain digits

A runner's entry with a port that no other parser takes as that number (an underscore, a sign, a space or line end, digits of other scripts) was taken for a runner, and calls went to the port that `int` makes of it. A node's object of streams with keys below 0 or above 64 bits, which no message between nodes can hold, or with underscores, was adopted. Both are now refused by the object's name, with the text in the error cut off at 32 characters; a port has one to five digits 0 to 9, a key one to sixteen hex digits, as nodes write them.

That such a key harms a node was not shown.

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/entry_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from ipaddress import IPv4Address
 from typing import TYPE_CHECKING, Any, Literal, TypeVar
 
@@ -34,6 +35,10 @@
 MAX_VERSION_LENGTH = 64
 """Longer versions are cut off, as each message about a runner carries its version."""
 MAX_PORT = 0xFFFF
+MAX_QUOTED_LENGTH = 32
+"""Of a text of another writer in an error."""
+_PORT = re.compile(r"[0-9]{1,5}")
+"""``int`` also accepts ``1_0``, signs, spaces and digits of other scripts."""
 MAX_UINT32 = 0xFFFF_FFFF
 MAX_UINT64 = 0xFFFF_FFFF_FFFF_FFFF
 MAX_TIMESTAMP_MS = 0xFFFF_FFFF_FFFF
@@ -212,6 +217,9 @@
 def split_address(text: str) -> tuple[str, int]:
     """Return the IP address and port of IP:PORT; raises ``ValueError``."""
     address, _, port_text = text.rpartition(":")
+    if not _PORT.fullmatch(port_text):
+        message = f"{port_text[:MAX_QUOTED_LENGTH]!r} is not a port"
+        raise ValueError(message)
     port = int(port_text)
     _check_range(port, 1, MAX_PORT)
     return str(IPv4Address(address)), port
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/stream_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/stream_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import msgspec
@@ -15,6 +16,8 @@
     from clementineyoke_node.platform.store_page import StoredEntry
 
 HEX = 16
+_KEY = re.compile(r"[0-9a-f]{1,16}")
+"""64 bits in hex, as in messages between nodes."""
 
 
 class ArchivedStream(NamedTuple):
@@ -65,10 +68,19 @@
     try:
         spec = msgspec.json.decode(entry.spec, type=_StreamsSpec)
         return [
-            ArchivedStream(int(key, HEX), int(pool, HEX), version[:MAX_VERSION_LENGTH])
+            ArchivedStream(
+                _decode_key(key), _decode_key(pool), version[:MAX_VERSION_LENGTH]
+            )
             for key, pool, version in spec.streams
         ]
     except (ValueError, RecursionError) as error:
         raise FormatError(
             step="decode_streams", peer=entry.name, reason=str(error)
         ) from error
+
+
+def _decode_key(text: str) -> int:
+    if not _KEY.fullmatch(text):
+        message = f"a key of {len(text)} characters that is not 64 bits in hex"
+        raise ValueError(message)
+    return int(text, HEX)
--- a/packages/clementineyoke-node/tests/edge/store_entries.feature
+++ b/packages/clementineyoke-node/tests/edge/store_entries.feature
@@ -14,6 +14,12 @@
       | a number as its address      |
       | an address without an IP     |
       | a port out of range          |
+      | an underscore in its port    |
+      | a sign before its port       |
+      | a space before its port      |
+      | a line end after its port    |
+      | wide digits as its port      |
+      | a port of 5000 digits        |
       | a string as its slots        |
       | no service                   |
       | a string as its start time   |
@@ -22,6 +28,19 @@
       | a list instead of an object  |
       | bytes that are not text      |
 
+  Scenario Outline: An object of a node's streams that no node has written
+    # The node adopts a stream whose key no message between nodes can hold.
+    When the object of a node's streams has <fault>
+    Then it is refused by its name
+
+    Examples:
+      | fault                           |
+      | a stream's key out of range     |
+      | a stream's key below 0          |
+      | a pool out of range             |
+      | an underscore in a stream's key |
+      | a stream of two fields          |
+
   Scenario Outline: An object without a valid name or revision
     When a page has a valid entry and an object with <fault>
     Then the page has the valid entry and 1 unreadable object
--- a/packages/clementineyoke-node/tests/steps/store_entries_steps.py
+++ b/packages/clementineyoke-node/tests/steps/store_entries_steps.py
@@ -19,6 +19,7 @@
     decode_events,
     decode_page,
 )
+from clementineyoke_node.platform.stream_codec import decode_streams
 from clementineyoke_standins.edge.written_specs import runner_spec
 
 RESTARTED_MS = 1_790_000_000_000
@@ -29,6 +30,12 @@
     "a number as its address": {**GOOD, "address": 7},
     "an address without an IP": {**GOOD, "address": "somewhere:80"},
     "a port out of range": {**GOOD, "address": "127.0.0.1:70000"},
+    "an underscore in its port": {**GOOD, "address": "127.0.0.1:80_0"},
+    "a sign before its port": {**GOOD, "address": "127.0.0.1:+800"},
+    "a space before its port": {**GOOD, "address": "127.0.0.1: 800"},
+    "a line end after its port": {**GOOD, "address": "127.0.0.1:800\n"},
+    "wide digits as its port": {**GOOD, "address": "127.0.0.1:\uff18\uff10"},
+    "a port of 5000 digits": {**GOOD, "address": "127.0.0.1:" + "0" * 4_998 + "80"},
     "a string as its slots": {**GOOD, "slots": "8"},
     "no service": {k: v for k, v in GOOD.items() if k != "service"},
     "a string as its start time": {**GOOD, "born": "1790000000000"},
@@ -334,3 +341,28 @@
         return await context.fleet.call("idempotent", number=1)
 
     assert context.run(act())[0] == 200
+
+
+OWN_SPECS = {
+    "a stream's key out of range": {"streams": [["1" + "0" * 16, "1", "v1"]]},
+    "a stream's key below 0": {"streams": [["-1", "1", "v1"]]},
+    "a pool out of range": {"streams": [["1", "f" * 17, "v1"]]},
+    "an underscore in a stream's key": {"streams": [["1_0", "1", "v1"]]},
+    "a stream of two fields": {"streams": [["1", "1"]]},
+}
+
+
+@when("the object of a node's streams has {fault}")
+def decode_odd_streams(context, fault):
+    entry = StoredEntry("node", 1, to_json(OWN_SPECS[fault]))
+    context.error = None
+    try:
+        decode_streams(entry)
+    except FormatError as error:
+        context.error = error
+
+
+@then("it is refused by its name")
+def check_refused_name(context):
+    assert context.error is not None
+    assert context.error.peer == "node", context.error
