An object with more pools' versions than nodes tell each other is refused

Nodes did not start to serve while the object of the pools' versions had 20,000 pools or 12,000 versions of one pool, put there by another writer: they adopted all of it, told each other, and stood still with it. It is now refused by its name above 4,096 versions or pools together, and the writers replace it by the versions that they know, as they do with one that no parser reads. A fleet that has that many versions within their retention by itself would lose them from the store at each write; none of our sites comes near.

--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/stream_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/stream_codec.py
@@ -11,11 +11,13 @@
 from clementineyoke_node.platform.format_error import FormatError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Sequence
 
     from clementineyoke_node.platform.store_page import StoredEntry
 
 HEX = 16
+MAX_VERSIONS = 4_096
+"""Versions of all pools together, which nodes tell each other."""
 _KEY = re.compile(r"[0-9a-f]{1,16}")
 """64 bits in hex, as in messages between nodes."""
 
@@ -47,6 +49,7 @@
     """Decode the recent versions of all pools; raises ``FormatError``."""
     try:
         spec = msgspec.json.decode(entry.spec, type=_VersionsSpec)
+        _check_count(spec.versions)
     except (ValueError, RecursionError) as error:
         raise FormatError(
             step="decode_versions", peer=entry.name, reason=str(error)
@@ -79,6 +82,13 @@
         ) from error
 
 
+def _check_count(versions: Mapping[str, Sequence[str]]) -> None:
+    count = sum(map(len, versions.values()))
+    if max(count, len(versions)) > MAX_VERSIONS:
+        message = f"{count} versions of {len(versions)} pools, over {MAX_VERSIONS}"
+        raise ValueError(message)
+
+
 def _decode_key(text: str) -> int:
     if not _KEY.fullmatch(text):
         message = f"a key of {len(text)} characters that is not 64 bits in hex"
--- a/packages/clementineyoke-node/tests/edge/store_entries.feature
+++ b/packages/clementineyoke-node/tests/edge/store_entries.feature
@@ -28,6 +28,19 @@
       | a list instead of an object  |
       | bytes that are not text      |
 
+  Scenario Outline: An object of the pools' versions that no node has written
+    # Nodes that adopt any number of versions stand still with them, and do not start to serve.
+    Given the object of the pools' versions has <fault>
+    When 2 nodes start
+    Then they replace that object within 5 s, and serve calls
+
+    Examples:
+      | fault                    |
+      | 4000 levels of nesting   |
+      | a text as a list         |
+      | 20000 pools              |
+      | 12000 versions of a pool |
+
   Scenario Outline: An object of a node's streams that no node has written
     # The node adopts a stream whose key no message between nodes can hold.
     When the object of a node's streams has <fault>
--- a/packages/clementineyoke-node/tests/steps/large_objects_steps.py
+++ b/packages/clementineyoke-node/tests/steps/large_objects_steps.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 
-from behave import then, when
+from behave import given, then, when
+from edge_fleet import POOL, EdgeFleet
 from hypothesis import given as drawn, settings, strategies as st
 from store_entries_steps import GOOD, item, page
 
+from clementineyoke_node.platform import names
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.store_page import decode_events, decode_page
 
@@ -103,3 +106,49 @@
     for _ in range(levels):
         value = [value]
     return value
+
+
+ODD_VERSIONS = {
+    "4000 levels of nesting": '{"versions":' + "[" * 4_000 + "]" * 4_000 + "}",
+    "a text as a list": '{"versions":{"pool":"v1"}}',
+    "20000 pools": json.dumps({"versions": {f"p{n}": ["v1"] for n in range(20_000)}}),
+    "12000 versions of a pool": json.dumps(
+        {"versions": {POOL: [f"v{n:060}" for n in range(12_000)]}}
+    ),
+}
+
+
+@given("the object of the pools' versions has {fault}")
+def put_odd_versions(context, fault):
+    fleet = EdgeFleet(nodes=0, runners=2, versions=("v1", "v2"))
+    context.run(fleet.__aenter__())
+    context.fleet = fleet
+    context.add_cleanup(lambda: context.run(fleet.__aexit__(None, None, None)))
+    spec = ODD_VERSIONS[fault]
+    put = fleet.store.put_raw(names.VERSIONS_KIND, names.VERSIONS_NAME, spec)
+    context.run(put)
+
+
+@when("2 nodes start")
+def start_nodes(context):
+    for number in range(2):
+        context.run(context.fleet.start_node(number))
+
+
+async def await_versions(fleet, limit_s):
+    """Wait until the store has the versions of the runners alone."""
+    expected = {"versions": {POOL: ["v1", "v2"]}}
+    async with asyncio.timeout(limit_s):
+        while True:
+            item = fleet.store._items[names.VERSIONS_KIND][names.VERSIONS_NAME]
+            if item["spec"] == expected:
+                return
+            await asyncio.sleep(0.05)
+
+
+@then("they replace that object within {limit_s:d} s, and serve calls")
+def check_replaced(context, limit_s):
+    context.run(await_versions(context.fleet, limit_s))
+    for number in range(2):
+        status, _, _ = context.run(context.fleet.call("idempotent", number=number))
+        assert status == 200
