--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/stream_lookup.py
@@ -115,8 +115,7 @@
         """Whether the remaining peers need not be waited for."""
         if self.record is not None:
             # A node that has a record may have missed that of another stream.
-            is_own = self._answers[OWN].record is not None
-            return self._is_ambiguous or not is_own
+            return self._is_ambiguous
         # Peers that have ended do not answer, and callers resume their streams. If the
         # others know the versions for too short a time, the store tells former ones.
         is_only = self._is_confirmed and len(self._versions) == 1
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_finder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_finder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import suppress
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -23,6 +24,7 @@
 from clementineyoke_node.edge.stream_holders import MAX_HOLDERS, MIN_HOLDERS
 from clementineyoke_node.edge.stream_notes import to_note, to_record
 from clementineyoke_node.platform.store_error import StoreError
+from clementineyoke_node.timers.bounded_wait import settled_timeout
 from clementineyoke_wire.events import Event, log_event
 from clementineyoke_wire.messages import StreamAsk, StreamReply
 
@@ -58,7 +60,7 @@
 """Time for the answer of a busy peer; others take a few milliseconds. Only streams that
 no peer in reach knows wait for peers that have ended."""
 CONFIRM_TIMEOUT_MS = 50.0
-"""Time for peers to contradict a node's own record of a stream."""
+"""Time for peers to contradict the first record of a stream."""
 STORE_TIMEOUT_MS = 800.0
 """Time for the store to tell of versions and streams from before a start."""
 STORE_CONFIRM_TIMEOUT_MS = 600.0
@@ -210,11 +212,12 @@
             if not self._is_view_current():
                 confirms |= self._ask_to_confirm(holders, key, pool)
         has_asked_to_confirm = len(confirms) > 1
+        contradict_by_ms = math.inf
         try:
             while asks or (confirms and lookup.needs_confirmation):
-                done, _ = await asyncio.wait(
-                    asks | confirms, return_when=asyncio.FIRST_COMPLETED
-                )
+                done = await self._wait(asks | confirms, until_ms=contradict_by_ms)
+                if not done:
+                    break
                 for task in done:
                     answered = task.result()
                     if answered is not None:
@@ -225,11 +228,25 @@
                 asks, confirms = asks - done, confirms - done
                 if lookup.is_settled:
                     break
+                if lookup.record is not None:
+                    # Its sender may have missed that of another stream of the id.
+                    latest_ms = self._timers.now_ms() + CONFIRM_TIMEOUT_MS
+                    contradict_by_ms = min(contradict_by_ms, latest_ms)
         finally:
             for task in asks | confirms:
                 task.cancel()
         return lookup
 
+    async def _wait(self, tasks: _Tasks, *, until_ms: float) -> _Tasks:
+        """Return the first tasks that are done, or none after a time."""
+        if until_ms == math.inf:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return done
+        with suppress(TimeoutError):
+            async with settled_timeout(max(0.0, until_ms - self._timers.now_ms())):
+                return await self._wait(tasks, until_ms=math.inf)
+        return set()
+
     async def _confirm(self, key: int, pool: int) -> _Answered:
         """Return this node's answer once the store has confirmed the versions."""
         request = self._confirmation.request()
