A node with a record asks peers while a runner of the pool is in doubt

That node asked peers only in pools of several versions. A runner whose lifetime is in doubt may be of another version before its entry says so, and the streams that it begins are recorded as ambiguous; its pool counts as one of one version still. Now peers are asked wherever records are needed, which is what decides on sharing them.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -283,8 +283,8 @@
         own = self._answer(key, pool)
         count, timeout_ms = MAX_HOLDERS, LOOKUP_TIMEOUT_MS
         if own.record is not None:
-            # Nothing is told to peers, and nothing differs, where one version serves.
-            count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0
+            # Where records are not needed, nothing is told to peers.
+            count = MIN_HOLDERS if self._needs_records(admitted.pool) else 0
             timeout_ms = CONFIRM_TIMEOUT_MS
         holders = self._holders(key, count)
         lookup = StreamLookup(
--- a/packages/clementineyoke-node/tests/edge/stream_records.feature
+++ b/packages/clementineyoke-node/tests/edge/stream_records.feature
@@ -48,3 +48,15 @@
       | event                     |
       | nothing else happens      |
       | node 2 has started again  |
+
+  Scenario: A node with a record does not hear of a stream that a doubtful runner began
+    # In a pool of one version it asked no peer about another stream under the same id.
+    Given 3 nodes and 2 runners of the versions "v1"
+    And the runners' entries have start times
+    And messages of node 1 about streams are lost
+    And callers begin 6 streams of "v1" at node 0
+    When each node cannot read the store
+    And runner 0 crashes, and its home learns of it by its calls
+    And runner 0 starts again at version "v2"
+    And callers begin 6 streams of "v2" at node 1 under these ids
+    Then callers of the streams of "v2" get no events of two versions at node 0
--- a/packages/clementineyoke-node/tests/steps/stream_records_steps.py
+++ b/packages/clementineyoke-node/tests/steps/stream_records_steps.py
@@ -85,25 +85,31 @@
     " under one id"
 )
 def begin_under_one_id(context, count):
+    begin_as(context, count, "v1", 0)
+    begin_as(context, count, "v2", 1)
+    assert context.held
+
+
+@given('callers begin {count:d} streams of "{version}" at node {number:d}')
+@when(
+    'callers begin {count:d} streams of "{version}" at node {number:d} under these ids'
+)
+def begin_as(context, count, version, number):
     fleet = context.fleet
-    for runner in fleet.runners:
-        runner.break_every = 1
+    context.readers = [Reader(fleet, f"{version}-{n}") for n in range(count)]
 
     async def act():
-        for number, version in enumerate(("v1", "v2")):
-            for runner in fleet.runners:
-                runner.is_shedding = runner.version != version
-            context.readers = [Reader(fleet, f"{version}-{n}") for n in range(count)]
-            for n, reader in enumerate(context.readers):
-                while not reader.events:
-                    await reader.read(number, **{CALL_ID_HEADER: f"reused-{n}"})
-                assert reader.versions == {version}, reader.tries
+        for runner in fleet.runners:
+            runner.break_every, runner.is_shedding = 1, runner.version != version
+        for n, reader in enumerate(context.readers):
+            while not reader.events:
+                await reader.read(number, **{CALL_ID_HEADER: f"reused-{n}"})
+            assert reader.versions == {version}, reader.tries
+        for runner in fleet.runners:
+            runner.break_every, runner.is_shedding = 0, False
         await asyncio.sleep(BACKOFF_S)
 
     context.run(asyncio.wait_for(act(), MAX_BEGIN_S))
-    for runner in fleet.runners:
-        runner.break_every, runner.is_shedding = 0, False
-    assert context.held
 
 
 @when("the messages come after those of node 1")
@@ -139,11 +145,11 @@
     deliver(context)
 
 
-@then('callers of the streams of "v2" get no events of two versions at node 2')
-def check_reused(context):
+@then('callers of the streams of "v2" get no events of two versions at node {number:d}')
+def check_reused(context, number):
     async def act():
         for n, reader in enumerate(context.readers):
-            await reader.read(2, Resumes=f"reused-{n}")
+            await reader.read(number, Resumes=f"reused-{n}")
 
     context.run(act())
     check_versions(context.readers)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1245,10 +1245,17 @@
     Mutation(
         "a node that has a record of a stream asks no peer for another",
         f"{NODE_EDGE_SOURCE}/stream_registry.py",
-        "count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0",
+        "count = MIN_HOLDERS if self._needs_records(admitted.pool) else 0",
         "count = 0",
         VERSIONS,
     ),
+    Mutation(
+        "a node that has a record asks no peer while a runner's lifetime is in doubt",
+        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        "count = MIN_HOLDERS if self._needs_records(admitted.pool) else 0",
+        "count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0",
+        STREAM_RECORDS,
+    ),
     Mutation(
         "the first record that a peer sends of a stream decides",
         f"{NODE_EDGE_SOURCE}/answer_collection.py",
