--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_finder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_finder.py
@@ -134,6 +134,15 @@
             return True
         return self._versions.is_mixed(pool, now_ms=now_ms)
 
+    def needs_records(self, pool: str) -> bool:
+        """Return whether peers go on with a pool's streams only by their records.
+
+        While the store is away, no node can exclude that there is another version.
+        """
+        if not self._is_view_current():
+            return True
+        return self.is_mixed(pool) or self._table.has_doubtful_runner(pool)
+
     async def find(self, admitted: AdmittedCall) -> ResumedStream:
         """Return who may go on with the stream that a caller resumes.
 
@@ -196,8 +205,8 @@
         own = self._answer(key, pool)
         count, timeout_ms = MAX_HOLDERS, LOOKUP_TIMEOUT_MS
         if own.record is not None:
-            # Nothing is told to peers, and nothing differs, where one version serves.
-            count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0
+            # Where records are not needed, nothing is told to peers.
+            count = MIN_HOLDERS if self.needs_records(admitted.pool) else 0
             timeout_ms = CONFIRM_TIMEOUT_MS
         holders = self._holders.holders(key, count)
         lookup = StreamLookup(
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/stream_registry.py
@@ -97,6 +97,7 @@
         self.runners_age_ms = runners_age_ms
         self._runners_revision = runners_revision
         self.is_mixed = finder.is_mixed
+        self._needs_records = finder.needs_records
         self._note_rate = CallRate()
         self._pools: set[str] = set()
         self._was_view_current = True
@@ -199,15 +200,6 @@
             for pool in self._pools:
                 self.share_all(pool)
 
-    def _needs_records(self, pool: str) -> bool:
-        """Return whether peers go on with a pool's streams only by their records.
-
-        While the store is away, no node can exclude that there is another version.
-        """
-        if not self._is_view_current():
-            return True
-        return self.is_mixed(pool) or self._table.has_doubtful_runner(pool)
-
     def _prolong(self, key: int, stream: ResumedStream, admitted: AdmittedCall) -> None:
         """Keep a resumed stream for as long as a new one, on its present holders.
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1316,10 +1316,17 @@
     Mutation(
         "a node that has a record of a stream asks no peer for another",
         f"{NODE_EDGE_SOURCE}/stream_finder.py",
-        "count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0",
+        "count = MIN_HOLDERS if self.needs_records(admitted.pool) else 0",
         "count = 0",
         VERSIONS,
     ),
+    Mutation(
+        "a node that has a record asks no peer while a runner's lifetime is in doubt",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
+        "count = MIN_HOLDERS if self.needs_records(admitted.pool) else 0",
+        "count = MIN_HOLDERS if self.is_mixed(admitted.pool) else 0",
+        STREAM_RECORDS,
+    ),
     Mutation(
         "the first record that a peer sends of a stream decides",
         f"{NODE_EDGE_SOURCE}/stream_finder.py",
@@ -1385,7 +1392,7 @@
     ),
     Mutation(
         "streams are told to no other node while the store is away",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "        if not self._is_view_current():\n            return True\n",
         "",
         BEHIND_NODES,
