Confirmations of versions pause after a read that failed

A lookup without a record reads from the store. While the store does not answer, each lookup would have begun another read that fails, up to ten a second and node, and its peers would have too. Now none begins for 250 ms after a failed one, and at most five are open; lookups ask peers meanwhile. No test counts the reads.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/version_confirmation.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/version_confirmation.py
@@ -22,6 +22,10 @@
 MIN_INTERVAL_MS = 100.0
 """Shortest time between two reads. Many callers come back at once, and the platform
 charges for each call."""
+FAILURE_PAUSE_MS = 250.0
+"""Time after a failed read in which none begins; lookups ask peers meanwhile."""
+MAX_OPEN_READS = 5
+"""Reads that a slow store may leave open at once."""
 STEP = "confirm_versions"
 
 
@@ -61,6 +65,8 @@
         self._on_versions = on_versions
         self._read_revision = 0
         self._last_read_ms = -MIN_INTERVAL_MS
+        self._failed_ms = -FAILURE_PAUSE_MS
+        self._open_reads = 0
         self._next: asyncio.Future[bool] | None = None
         """The read that has not begun yet."""
         self._reads: set[asyncio.Future[bool]] = set()
@@ -87,16 +93,24 @@
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / MS_PER_S)
         self._next = None
-        self._last_read_ms = self._timers.now_ms()
-        if not self.revision:
+        if not self.revision or not self._may_read():
             return False
+        self._last_read_ms = self._timers.now_ms()
+        self._open_reads += 1
         try:
             await self._read()
         except StoreError as error:
+            self._failed_ms = self._timers.now_ms()
             log_event(Event.PLATFORM_AWAY, step=STEP, reason=error.reason)
             return False
+        finally:
+            self._open_reads -= 1
         return True
 
+    def _may_read(self) -> bool:
+        has_failed = self._timers.now_ms() - self._failed_ms < FAILURE_PAUSE_MS
+        return not has_failed and self._open_reads < MAX_OPEN_READS
+
     async def _read(self) -> None:
         kind, known = names.RUNNERS_KIND, self.revision
         try:
