Own interface: the host list is decoded host by host

The task that follows the hosts ended at one entry without an address, of an unknown role or of another type, and at a response too deeply nested for the parser, so that the node missed all later changes until its next start. A response that no parser reads is an error of the call, which is tried again.

Not mended: an object of the same interface that lacks a field (read, list_after, watch) still raises KeyError there.

--- a/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
@@ -4,18 +4,21 @@
 
 import base64
 import json
-from typing import Any, Self
+from typing import TYPE_CHECKING, Any, Self
 
 import aiohttp
 
 from clementineyoke_node.bounds.byte_limits import read_at_most
-from clementineyoke_node.objects.host_list import HostChanges
+from clementineyoke_node.objects.host_codec import decode_host_changes
 from clementineyoke_node.objects.object_api import StoredObject, WatchResult
 from clementineyoke_node.objects.platform_error import (
     PlatformError,
     VersionConflictError,
 )
 
+if TYPE_CHECKING:
+    from clementineyoke_node.objects.host_list import HostChanges
+
 WATCH_WAIT_MS = 30_000
 MS_PER_S = 1000.0
 MAX_RESPONSE_BYTES = 33_554_432
@@ -90,12 +93,12 @@
         _, document = await self._call(
             "GET", "/hosts", params=params, wait_ms=WATCH_WAIT_MS
         )
-        return HostChanges(
-            document["revision"],
-            document["is_whole"],
-            document["hosts"],
-            document["gone"],
-        )
+        try:
+            return decode_host_changes(document)
+        except (ValueError, RecursionError) as error:
+            raise PlatformError(
+                step="decode_hosts", peer=self._url, reason=str(error)
+            ) from error
 
     async def _call(
         self, method: str, path: str, *, wait_ms: int = 0, **options: Any
@@ -113,7 +116,12 @@
                 self._check_status(method, path, response.status)
                 body = await read_at_most(response.content, MAX_RESPONSE_BYTES)
                 return response.status, json.loads(body)
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            ValueError,
+            RecursionError,
+        ) as error:
             raise PlatformError(
                 step=f"{method} {path}", peer=self._url, reason=repr(error)
             ) from error
