A second runner that ends a stream at the same event confirms its end

Cause: such an end is slightly in doubt, and the stream is resumed at another runner. The empty rests of streams that are resumed together end together as well, so that they are in doubt again, until no attempt is left.

Evidence: a script with 1 to 6 whole streams that end in one moment at two runners that live on.

A rest that is cut by a second crash at the same event, in the same moment and with another process at its address, passes for whole.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
@@ -47,6 +47,8 @@
                 is_draining=self._table.is_draining,
             )
         except AttemptError as error:
+            if response.end_check.is_slight_doubt:
+                stream.doubted_end_id = stream.last_event_id
             self._record(admitted, runner, waited_ms, stream, doubt=error.reason)
             raise
         self._record(admitted, runner, waited_ms, stream, doubt="")
@@ -54,8 +56,11 @@
     def _has_other_runner(
         self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
     ) -> bool:
-        """Return whether another runner may produce the rest of a response now."""
-        if not may_go_on(admitted, stream):
+        """Return whether another runner may produce the rest of a response now.
+
+        Where two runners have ended a stream at the same event, a third is not asked.
+        """
+        if stream.has_confirmed_end or not may_go_on(admitted, stream):
             return False
         return self._table.has_other_ready(runner, version=stream.version)
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -38,6 +38,8 @@
         """Time of the last data from a runner, or of the start."""
         self.pace = EventPace()
         """Pace of the runner that sends the stream at present."""
+        self.doubted_end_id: int | None = None
+        """The last event before an end that was slightly in doubt."""
         self.body_end = BodyEnd.CHUNKS
         """What marks the end of the response of the runner that sends it at present."""
 
@@ -56,6 +58,14 @@
         """The id of the last event that the caller has."""
         return self._sequence.last_event_id
 
+    @property
+    def has_confirmed_end(self) -> bool:
+        """Whether the stream has ended before at the event at which it ends now."""
+        return (
+            self.doubted_end_id is not None
+            and self.doubted_end_id == self.last_event_id
+        )
+
     @property
     def end_fault(self) -> str | None:
         """Why the runner's data so far is not the rest of the stream, or None."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -79,6 +79,8 @@
         self._check_end = check_end
         self._loop = asyncio.get_running_loop()
         self._ended_s = 0.0
+        self.is_slight_doubt = False
+        """Whether the end was in doubt only because another runner may go on."""
         self._task: asyncio.Task[EndFindings] | None = None
 
     @property
@@ -120,6 +122,7 @@
                 doubt = findings.slight_doubt
             elif not findings.is_proven and is_draining(self._runner.runner_id):
                 doubt = DRAINS
+            self.is_slight_doubt = doubt is not None
         if doubt is None:
             return
         raise AttemptError(
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -102,6 +102,12 @@
       | no connection      | it has said that it drains | 2 calls |
       | a waiting call     | it has said that it drains | 1 call  |
 
+  Scenario: Whole streams end together at runners that live on
+    # Each resumption ends together with others as well, and all streams are cut.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    When 6 streams of these runners end in the same moment
+    Then each caller gets all events of its stream, each once
+
   Scenario: A stream ends at the last runner, which drains
     # A whole stream is cut, as no other runner can confirm that it was whole.
     Given a fleet of 1 node and 1 runner that frames no streams
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -245,6 +245,37 @@
     context.run(act())
 
 
+@when("{count:d} streams of these runners end in the same moment")
+def end_together(context, count):
+    fleet = context.fleet
+
+    async def send(call, all_sent):
+        first = int(call.headers.get("last-event-id", "0")) + 1
+        yield encode_raw_head(call, Content_Type="text/event-stream")
+        for number in range(first, EVENTS + 1):
+            yield encode_event(number)
+        await all_sent.wait()
+        raise ConnectionResetError  # The stand-in closes the connection in order.
+
+    async def act():
+        all_sent = asyncio.Event()
+        for runner in fleet.runners:
+            runner.raw_answer = lambda call: send(call, all_sent)
+        session = fleet.concurrent_session
+        calls = [
+            asyncio.ensure_future(
+                fleet.call("streaming", call_id=f"{number}", session=session)
+            )
+            for number in range(count)
+        ]
+        await wait_until(lambda: len(fleet.calls()) == count, 2)
+        await asyncio.sleep(BETWEEN_EVENTS_S)
+        all_sent.set()
+        context.answers = await asyncio.gather(*calls, return_exceptions=True)
+
+    context.run(act())
+
+
 @then("each caller gets all events of its stream, each once")
 def check_each_stream(context):
     bodies = [getattr(a, "args", a)[-1] for a in context.answers]
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -924,6 +924,13 @@
         "",
         REUSED_ADDRESSES,
     ),
+    Mutation(
+        "a second runner's end of a stream at the same event is in doubt as well",
+        f"{NODE_EDGE_SOURCE}/answer_ends.py",
+        "if stream.has_confirmed_end or not may_go_on(",
+        "if not may_go_on(",
+        REUSED_ADDRESSES,
+    ),
     Mutation(
         "an end of the runner's that a call has met counts as the node's own",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
