--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -300,8 +300,8 @@
     Mutation(
         "a connection with unread data is reused",
         f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "and is_fresh and not has_unread_data",
-        "and is_fresh",
+        "            and not has_unread_data\n",
+        "",
         CALLS,
     ),
     Mutation(
