A second runner's answer to a call without events confirms the first

Callers got 502 for whole documents without a length, since, if several ended within 5 ms at runners that live on; the calls were run twice.

Half a document of a runner that crashes is still not taken while another runner is ready; that of a second one that crashes in the same way for the same call is.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
@@ -48,7 +48,7 @@
             )
         except AttemptError as error:
             if response.end_check.is_slight_doubt:
-                stream.doubted_end_id = stream.last_event_id
+                stream.record_doubted_end()
             self._record(admitted, runner, waited_ms, stream, doubt=error.reason)
             raise
         self._record(admitted, runner, waited_ms, stream, doubt="")
@@ -58,7 +58,7 @@
     ) -> bool:
         """Return whether another runner may produce the rest of a response now.
 
-        Where two runners have ended a stream at the same event, a third is not asked.
+        Where two runners have ended an answer at the same event, a third is not asked.
         """
         if stream.has_confirmed_end or not may_go_on(admitted, stream):
             return False
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -38,8 +38,7 @@
         """Time of the last data from a runner, or of the start."""
         self.pace = EventPace()
         """Pace of the runner that sends the stream at present."""
-        self.doubted_end_id: int | None = None
-        """The last event before an end that was slightly in doubt."""
+        self._doubted_end_ids: set[int | None] = set()
         self.body_end = BodyEnd.CHUNKS
         """What marks the end of the response of the runner that sends it at present."""
 
@@ -60,11 +59,15 @@
 
     @property
     def has_confirmed_end(self) -> bool:
-        """Whether the stream has ended before at the event at which it ends now."""
-        return (
-            self.doubted_end_id is not None
-            and self.doubted_end_id == self.last_event_id
-        )
+        """Whether another runner has ended the answer at the same event before.
+
+        An answer without events has only one end.
+        """
+        return self.last_event_id in self._doubted_end_ids
+
+    def record_doubted_end(self) -> None:
+        """Record that there is a slight doubt whether the answer ends here."""
+        self._doubted_end_ids.add(self.last_event_id)
 
     @property
     def end_fault(self) -> str | None:
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -246,14 +246,28 @@
 
 
 @when("{count:d} streams of these runners end in the same moment")
-def end_together(context, count):
+def end_streams_together(context, count):
+    def encode(call):
+        first = int(call.headers.get("last-event-id", "0")) + 1
+        head = encode_raw_head(call, Content_Type="text/event-stream")
+        return head + b"".join(encode_event(n) for n in range(first, EVENTS + 1))
+
+    end_together(context, "streaming", count, encode)
+
+
+@when("{count:d} documents of these runners end in the same moment")
+def end_documents_together(context, count):
+    def encode(call):
+        return encode_raw_head(call) + DOCUMENT
+
+    end_together(context, "idempotent", count, encode)
+
+
+def end_together(context, kind, count, encode):
     fleet = context.fleet
 
     async def send(call, all_sent):
-        first = int(call.headers.get("last-event-id", "0")) + 1
-        yield encode_raw_head(call, Content_Type="text/event-stream")
-        for number in range(first, EVENTS + 1):
-            yield encode_event(number)
+        yield encode(call)
         await all_sent.wait()
         raise ConnectionResetError  # The stand-in closes the connection in order.
 
@@ -264,7 +278,7 @@
         session = fleet.concurrent_session
         calls = [
             asyncio.ensure_future(
-                fleet.call("streaming", call_id=f"{number}", session=session)
+                fleet.call(kind, call_id=f"{number}", session=session)
             )
             for number in range(count)
         ]
@@ -276,6 +290,12 @@
     context.run(act())
 
 
+@then("each caller gets the document")
+def check_each_document(context):
+    bodies = [getattr(a, "args", a)[-1] for a in context.answers]
+    assert bodies == [DOCUMENT.decode()] * len(bodies), context.answers
+
+
 @then("each caller gets all events of its stream, each once")
 def check_each_stream(context):
     bodies = [getattr(a, "args", a)[-1] for a in context.answers]
