The state of a closed connection is unknown under uvloop as well

No caller is known to have seen it; found in a review. Asked for the state of a connection whose transport has closed, uvloop's socket raises ValueError (negative file descriptor), where asyncio's raises OSError; only that was handled. By reading, a protocol that is not told of the end of its connection (a call cancelled as it opens) may be asked so.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/tcp_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/tcp_state.py
@@ -35,7 +35,7 @@
         return None
     try:
         info = connection.getsockopt(socket.IPPROTO_TCP, _TCP_INFO, _INFO_BYTES)
-    except OSError:
+    except (OSError, ValueError):  # uvloop has no descriptor for a closed connection
         return None
     if len(info) < _INFO_BYTES or info[0] == _UNKNOWN:
         return None
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -56,6 +56,14 @@
     When the runner's side of it ends, and calls look for connections before that is read
     Then its connections count as ended by the runner
 
+  Scenario: The system is asked for the state of a closed connection
+    # uvloop raises an error of its own, and a call fails with it.
+    Given the event loop is that of a node process
+    And a fleet of 1 node and 2 runners that frame no streams
+    And each runner has an idle connection of the node beside the stream
+    When the transports of the node's connections to a runner have closed
+    Then the state of these connections is unknown
+
   Scenario: A call was cancelled just as its connection to the runner opened
     # uvloop closes the connection without telling its protocol, which counts as open for
     # as long as the node runs: each process at the address passes for the runner.
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -15,6 +15,7 @@
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_connections import Address
 from clementineyoke_node.edge.runner_protocol import RunnerProtocol
+from clementineyoke_node.edge.tcp_state import read_tcp_state
 from clementineyoke_node.platform import names
 from clementineyoke_standins.edge.edge_runner import (
     EVENTS,
@@ -336,6 +337,28 @@
     context.run(act())
 
 
+@when("the transports of the node's connections to a runner have closed")
+def close_transports(context):
+    address = Address("127.0.0.1", context.fleet.runners[0].port)
+    connections = context.fleet.nodes[0].io.connection_pool._connections
+
+    async def act():
+        context.transports = [c.transport for c in connections._open[address]]
+        for transport in context.transports:
+            transport.abort()
+        await asyncio.sleep(SETTLE_S)
+
+    context.run(act())
+
+
+@then("the state of these connections is unknown")
+def check_unknown(context):
+    assert context.transports
+    assert [read_tcp_state(t) for t in context.transports] == [None] * len(
+        context.transports
+    )
+
+
 @then("its connections count as ended by the runner")
 def check_cuts(context):
     connections = context.fleet.nodes[0].io.connection_pool._connections
