--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1837,7 +1837,7 @@
     ),
     Mutation(
         "streams that begin elsewhere in a doubt are known to one node",
-        f"{NODE_EDGE_SOURCE}/stream_registry.py",
+        f"{NODE_EDGE_SOURCE}/stream_finder.py",
         "return self.is_mixed(pool) or self._table.has_doubtful_runner(pool)",
         "return self.is_mixed(pool)",
         RUNNER_RESTARTS,
