--- a/packages/clementineyoke-node/tests/edge/behind_nodes.feature
+++ b/packages/clementineyoke-node/tests/edge/behind_nodes.feature
@@ -50,7 +50,7 @@
     Then each stream goes on at node 2 at the version that began it
 
   Scenario: Callers resume streams that began in an outage of the store
-    # As before.
+    # Only the node that is killed would know which version began them.
     Given 4 nodes and 4 runners of the versions "v1"
     When the store is away
     And 3000 ms pass
