A stall that ended before an answer's end arrived puts no doubt on it

A stall up to 100 ms before an end counted, since an end that is timed by its reading may have come in the stall. Where the system tells when the end arrived, only a stall after that counts.

The mutation "... because the node stands still" is caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -169,7 +169,7 @@
         if head.body_end is not BodyEnd.CONNECTION:
             yield None
             return
-        check = EndCheck(runner, protocol, partial(self._check_end, runner))
+        check = EndCheck(runner, protocol, partial(self._check_end, runner, protocol))
         if protocol is None or protocol.ended_s is not None:
             check.start()
         else:
@@ -181,7 +181,9 @@
                 protocol.on_ended = _ignore_end
             check.cancel()
 
-    async def _check_end(self, runner: Runner, ended_s: float) -> EndFindings:
+    async def _check_end(
+        self, runner: Runner, protocol: RunnerProtocol | None, ended_s: float
+    ) -> EndFindings:
         """Return why a runner may have ended with its answer."""
         loop = asyncio.get_running_loop()
         await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
@@ -195,12 +197,18 @@
             return EndFindings(is_proven=True)
         if self._connections.were_cut(address, ended_s=ended_s):
             return EndFindings(CUT)
-        if late_ms > MIN_RESTART_MS or self._was_stalled(ended_s):
+        is_exact = protocol is not None and protocol.knows_end_arrival
+        if late_ms > MIN_RESTART_MS or self._was_stalled(ended_s, is_exact=is_exact):
             # The process that listens now need not be the one that answered.
             return EndFindings(LATE)
         if self._connections.ended_together(address, ended_s=ended_s):
             return EndFindings(slight_doubt=ENDED_TOGETHER)
         return EndFindings()
 
-    def _was_stalled(self, ended_s: float) -> bool:
-        return self._stalled_s >= ended_s - MIN_RESTART_MS / MS_PER_S
+    def _was_stalled(self, ended_s: float, *, is_exact: bool) -> bool:
+        """Return whether the loop stood still when an end may have arrived.
+
+        An end that is timed by its reading may have come before that, in a stall.
+        """
+        margin_ms = 0.0 if is_exact else MIN_RESTART_MS
+        return self._stalled_s >= ended_s - margin_ms / MS_PER_S
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -194,6 +194,11 @@
         self.ended_s = ended_s
         return ended_s
 
+    @property
+    def knows_end_arrival(self) -> bool:
+        """Whether the system has told when the end arrived."""
+        return self._end_arrived_s is not None
+
     @property
     def end_delay_s(self) -> float:
         """For how long its end has waited for the event loop, as far as known."""
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -107,6 +107,7 @@
       | an idle connection | the node stands still      | 1 call  |
       | a waiting call     | the node stands still      | 1 call  |
       | no connection      | the node stands still      | 2 calls |
+      | no connection      | the node stood still before | 1 call  |
       | no connection      | it has said that it drains | 2 calls |
       | a waiting call     | it has said that it drains | 1 call  |
 
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -185,6 +185,9 @@
         await asyncio.sleep(EVENT_PAUSE_S)
     if "closes its idle connection" in look:
         await close_idle(runner, look)
+    if look == "the node stood still before":
+        time.sleep(STALLS_S["the node stands still"])
+        await asyncio.sleep(EVENT_PAUSE_S)
     end(context, runner, call, look, ends_runner=ends_runner)
 
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -986,7 +986,7 @@
     Mutation(
         "an end of an answer may be noticed late because the node stands still",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "return self._stalled_s >= ended_s - MIN_RESTART_MS / MS_PER_S",
+        "return self._stalled_s >= ended_s - margin_ms / MS_PER_S",
         "return False",
         REUSED_ADDRESSES,
     ),
