Logs tell how far a stream was, and which runner sent refused bytes

Cause: `runner_failed` and `answered` did not say how far the caller's stream had come, nor how much the runner had sent beyond it, so that an event that is read and then left looked like any other failure, and a gap like none.

`runner_failed` has `last_event` and `unwritten_events`, `answered` has `events` and `last_event`, and the address is taken when the connection opens; for a runner its lifetime is named as well. No decision changes.

Evidence: the new scenario of refused_bytes.feature fails on the code before with ['None'] and passes now (one run each).

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/address_lifetimes.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/address_lifetimes.py
@@ -21,6 +21,11 @@
             since_s = 0.0 if known is None else now_s
             self._lifetimes[(address, port)] = (lifetime, since_s)
 
+    def lifetime_at(self, address: str, port: int) -> str:
+        """Return the lifetime that calls to an address are meant for, or ``""``."""
+        known = self._lifetimes.get((address, port))
+        return "" if known is None else known[0]
+
     def is_current(self, address: str, port: int, *, connected_s: float) -> bool:
         """Whether a connection made at ``connected_s`` reaches the current lifetime."""
         known = self._lifetimes.get((address, port))
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_recorder.py
@@ -120,6 +120,7 @@
         self,
         admitted: AdmittedCall,
         attempt: Attempt,
+        stream: CallerStream,
         error: AttemptError,
     ) -> None:
         """Record an attempt that gave no response to return."""
@@ -155,6 +156,7 @@
         self._call_log.record_failure(
             admitted,
             lease,
+            stream,
             error,
             started_ms=started_ms,
             reached_other_ms=self._reached_other_age_ms(runner),
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/call_log.py
@@ -103,6 +103,7 @@
         self,
         admitted: AdmittedCall,
         lease: SlotLease,
+        stream: CallerStream,
         error: AttemptError,
         *,
         started_ms: float,
@@ -124,6 +125,8 @@
             on_runner_ms=round(self._timers.now_ms() - started_ms),
             after_ms=self._age_ms(admitted),
             reached_other_ms=reached_other_ms,
+            last_event=stream.last_event_id,
+            unwritten_events=stream.unwritten_event_count,
         )
 
     def record_kept(
@@ -139,7 +142,12 @@
         )
 
     def record_answered(
-        self, admitted: AdmittedCall, *, status: int, ended_by: str
+        self,
+        admitted: AdmittedCall,
+        stream: CallerStream,
+        *,
+        status: int,
+        ended_by: str,
     ) -> None:
         """Record that a call was answered; ``ended_by`` is what ended the answer."""
         self._decisions.record(
@@ -147,6 +155,8 @@
             request_id=admitted.call.call_id,
             status=status,
             ended_by=ended_by,
+            events=stream.sent_event_count,
+            last_event=stream.last_event_id,
             after_ms=self._age_ms(admitted),
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -30,6 +30,8 @@
         self._splitter = EventSplitter()
         self._sequence = StreamSequence(last_event_id=last_event_id)
         self.sent_event_count = 0
+        self.unwritten_event_count = 0
+        """Events that were read from the present runner and not written."""
         self.write_wait_ms = 0.0
         """Time for which the caller has kept the stream waiting."""
         self.version: str | None = None
@@ -94,6 +96,7 @@
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
         self._sequence.begin_run()
+        self.unwritten_event_count = 0
         self.pace = EventPace()
         self.body_end = head.body_end
         if self._response is not None:
@@ -122,7 +125,9 @@
         events = self._splitter.feed(chunk)
         if not events:
             return None
-        return [event for event in events if self._sequence.accept(event.event_id)]
+        missing = [e for e in events if self._sequence.accept(e.event_id)]
+        self.unwritten_event_count += len(missing)
+        return missing
 
     async def write_events(
         self,
@@ -140,6 +145,7 @@
             await self._response.write(b"".join(event.body for event in events))
             self.write_wait_ms += (time.monotonic() - started_s) * MS_PER_S
         self.sent_event_count += len(events)
+        self.unwritten_event_count -= len(events)
 
     @property
     def response(self) -> web.StreamResponse:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/failover.py
@@ -260,7 +260,7 @@
             if error.outcome is not AttemptOutcome.NOT_SENT:
                 # A runner that accepts no connection now may do so later.
                 self._ledger.record(error.peer, error.outcome)
-            recorder.record_failure(self._admitted, attempt, error)
+            recorder.record_failure(self._admitted, attempt, self._stream, error)
             await self._drop_successor()
             return False
         return True
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/forwarder.py
@@ -223,7 +223,7 @@
                     )
                 except AttemptError as error:
                     ledger.record(error.peer, error.outcome)
-                    self._recorder.record_failure(admitted, attempt, error)
+                    self._recorder.record_failure(admitted, attempt, stream, error)
                     failure = error
                 else:
                     self._recorder.record_answer(admitted, attempt, stream, response)
@@ -510,7 +510,7 @@
         else:
             response = make_response(complete)
         self._call_log.record_answered(
-            admitted, status=response.status, ended_by=body_end.value
+            admitted, stream, status=response.status, ended_by=body_end.value
         )
         return response
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -94,6 +94,12 @@
         self._peer = Address(address, port)
         self.connected_s = self._last_received_s = self._loop.time()
 
+    @property
+    def peer_name(self) -> str:
+        """The runner's lifetime, as far as known, and its address."""
+        lifetime = self._address_lifetimes.lifetime_at(*self._peer)
+        return f"{lifetime} at {super().peer_name}" if lifetime else super().peer_name
+
     def set_response_params(self, **params: Any) -> None:
         """Expect the response to a request that is about to be sent.
 
--- a/packages/clementineyoke-node/tests/edge/refused_bytes.feature
+++ b/packages/clementineyoke-node/tests/edge/refused_bytes.feature
@@ -11,3 +11,7 @@
   Scenario: Runners, peers and the store use up their bounds at once
     # The default bounds add up to more than a node may grow by.
     Then by default all bounds together are below 32 MB
+
+  Scenario: A runner sends bytes after its answer and ends the connection
+    # The log could not tell which runner sent them.
+    Then refused bytes are logged with the lifetime and address of their runner
--- a/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
@@ -15,10 +15,14 @@
     DEFAULT_MAX_HELD_BYTES,
     ByteLimits,
 )
+from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 from clementineyoke_node.edge.caller_stream import CallerStream
+from clementineyoke_node.edge.runner_connections import RunnerConnections
+from clementineyoke_node.edge.runner_protocol import RunnerProtocol
 from clementineyoke_node.metrics import Metrics
 
 MAX_BYTES = 65_536
+PEER = ("127.0.0.1", 8000)
 
 
 def make_limits():
@@ -60,3 +64,45 @@
 def check_default_bounds(context, megabytes):
     total = DEFAULT_MAX_HELD_BYTES + CONTROL_ANSWERS * DEFAULT_MAX_ANSWER_BYTES
     assert total < megabytes * 1_000_000, total
+
+
+class EndedTransport(asyncio.Transport):
+    """A transport that forgets its peer once the connection has ended."""
+
+    def __init__(self):
+        super().__init__(extra={"peername": PEER})
+
+    def end(self):
+        self._extra.clear()
+
+    def abort(self):
+        pass
+
+
+@then("refused bytes are logged with the lifetime and address of their runner")
+def check_refused_peer(context):
+    limits, peers = make_limits(), []
+    refuse = limits.refuse
+
+    def record(kind, *, size_bytes, peer):
+        peers.append(peer)
+        return refuse(kind, size_bytes=size_bytes, peer=peer)
+
+    limits.refuse = record
+
+    async def act():
+        loop, lifetimes = asyncio.get_running_loop(), AddressLifetimes()
+        lifetimes.record(*PEER, lifetime="runner-0@17", now_s=loop.time())
+        protocol = RunnerProtocol(
+            loop=loop,
+            byte_limits=limits,
+            address_lifetimes=lifetimes,
+            connections=RunnerConnections(),
+        )
+        transport = EndedTransport()
+        protocol.connection_made(transport)
+        transport.end()
+        protocol.data_received(b"id: 7\ndata: piece 7\n\n")
+
+    context.run(act())
+    assert peers == ["runner-0@17 at 127.0.0.1:8000"], peers
