An event counts as the caller's once it was written, not when it was read

What callers saw: a resumable stream with a missing event, answered 200 and ended as complete.

Cause: StreamSequence.accept moved last_event_id, the position from which the next runner goes on, when an event was read. Between reading and writing stands the check whether the runner may have started again at another version; when it refuses the runner, the events are dropped, and the next runner is asked to go on after them. Any check, await or failure between the two did the same: a gap in the midst of a chunk as well, whose earlier events had been accepted.

Now there are two positions. What is read is compared with the last accepted event, and last_event_id moves only in record_written, after the bytes were handed to the caller's connection. A new run expects everything after last_event_id, and so does the request that is sent to its runner, so that an event that is left anywhere in between is asked for again, and one that was written is not.

That this is what the users saw fits their record (two runners, one missing event, a whole end, entries with start times) and is not proven by it: the record holds neither the log of that node nor the runners after the first.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 class StreamGapError(ValueError):
     """Raised when a runner goes on with a stream later than where it broke off."""
@@ -21,6 +26,8 @@
     def __init__(self, *, last_event_id: int | None) -> None:
         self.last_event_id = last_event_id
         """The id of the last event that the caller has."""
+        self._accepted_id = last_event_id
+        """The id of the last event that was selected for the caller."""
         self._resumed_at = last_event_id
         self._run_id: int | None = None
         """Id of the last event of the present run."""
@@ -30,19 +37,23 @@
     @property
     def ends_early(self) -> bool:
         """Whether the present run has not come as far as the caller is."""
-        if self._run_id is None or self.last_event_id is None:
+        if self._run_id is None or self._accepted_id is None:
             return False
-        return self._run_id < self.last_event_id
+        return self._run_id < self._accepted_id
 
     def begin_run(self) -> None:
-        """Record that another runner goes on with the stream."""
-        self._resumed_at = self.last_event_id
+        """Record that another runner goes on with the stream.
+
+        What the one before has sent, and the caller has not got, is expected again.
+        """
+        self._resumed_at = self._accepted_id = self.last_event_id
         self._run_id = None
 
     def accept(self, event_id: int | None) -> bool:
-        """Return whether the caller does not have an event of the present run yet.
+        """Return whether the caller lacks an event of the present run.
 
-        Raises ``StreamGapError`` if the run has left out events.
+        The caller has it only after ``record_written``. Raises ``StreamGapError`` if
+        the run has left out events.
         """
         if event_id is None:
             # It belongs to the event before it, which the caller may have.
@@ -53,14 +64,20 @@
             self._has_unit_steps |= is_unit
             self._has_other_steps |= not is_unit
         self._run_id = event_id
-        if self.last_event_id is not None and event_id <= self.last_event_id:
+        if self._accepted_id is not None and event_id <= self._accepted_id:
             return False
-        self.last_event_id = event_id
+        self._accepted_id = event_id
         return True
 
+    def record_written(self, event_ids: Iterable[int | None]) -> None:
+        """Record that accepted events were written to the caller."""
+        for event_id in event_ids:
+            if event_id is not None:
+                self.last_event_id = event_id
+
     def _check_gap(self, event_id: int) -> None:
         last_id = self._resumed_at
-        if last_id is None or self.last_event_id != last_id:
+        if last_id is None or self._accepted_id != last_id:
             return
         if self._run_id is not None and self._run_id >= last_id:
             return
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -144,6 +144,7 @@
             started_s = time.monotonic()
             await self._response.write(b"".join(event.body for event in events))
             self.write_wait_ms += (time.monotonic() - started_s) * MS_PER_S
+        self._sequence.record_written(event.event_id for event in events)
         self.sent_event_count += len(events)
         self.unwritten_event_count -= len(events)
 
