Tests: lost events, the runners are refused and asked from the right place

Each example now asks for the positions that runners were given: event 2, once where the entry is left unchanged, and once more after each refusal.

--- a/packages/clementineyoke-node/tests/edge/lost_events.feature
+++ b/packages/clementineyoke-node/tests/edge/lost_events.feature
@@ -7,6 +7,7 @@
     And a stream may be sent to 3 runners
     When 6 streams break, and the entry of the runner that goes on is <entry> before its first <events> events
     Then each caller gets all events, each once
+    And all runners that go on are asked for what follows event 2, also after a refusal
 
     Examples:
       | entry          | events |
@@ -23,6 +24,7 @@
     And a stream may be sent to 2 runners
     When 6 callers take streams up after event 2, and the entry of the runner that goes on is <entry> before its first <events> events
     Then each caller gets all events, each once
+    And all runners that go on are asked for what follows event 2, also after a refusal
 
     Examples:
       | entry          | events |
--- a/packages/clementineyoke-node/tests/steps/lost_events_steps.py
+++ b/packages/clementineyoke-node/tests/steps/lost_events_steps.py
@@ -115,6 +115,7 @@
     fleet = context.fleet
     entries = ChangingEntries(fleet, entry=entry, events=events, broken=broken)
     context.readers = [Reader(fleet, f"stream-{n}") for n in range(count)]
+    context.runs = 1 if entry == "left unchanged" else 2
 
     async def act():
         for reader in context.readers:
@@ -129,3 +130,16 @@
 def check_events(context):
     lost = [r.events for r in context.readers if not r.is_complete]
     assert not lost, f"{len(lost)} of {len(context.readers)}: {lost}"
+
+
+@then(
+    "all runners that go on are asked for what follows event {number:d}, also after a"
+    " refusal"
+)
+def check_positions(context, number):
+    header = names.LAST_EVENT.lower()
+    calls = [call for call in context.fleet.calls() if header in call.headers]
+    for reader in context.readers:
+        call_id = reader.tries[-1].call_id
+        asked = [c.headers[header] for c in calls if c.call_id == call_id]
+        assert asked == [str(number)] * context.runs, (call_id, asked)
