--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -38,7 +38,8 @@
     ) -> None:
         super().__init__(loop=loop)
         self._byte_limits = byte_limits
-        self._peer_address = "an unknown address"
+        self._peer_name = "an unknown address"
+        """What the other end is called in logs, also once the connection has ended."""
         self._refusal: ByteLimitError | None = None
         self._is_head_due = False
         self._head_tail = b""
@@ -46,17 +47,12 @@
         self._framing_bytes = 0
         self._content_bytes = 0
 
-    @property
-    def peer_name(self) -> str:
-        """What the other end is called in logs, also once the connection has ended."""
-        return self._peer_address
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the address of the other end, which an ended connection lacks."""
         super().connection_made(transport)
         peer = transport.get_extra_info("peername")
         if peer:
-            self._peer_address = f"{peer[0]}:{peer[1]}"
+            self._peer_name = f"{peer[0]}:{peer[1]}"
 
     def set_response_params(self, **params: Any) -> None:
         """Expect the response to a request that is about to be sent."""
@@ -146,7 +142,7 @@
         """Fail the response, unless it is complete, and close the connection."""
         payload, transport = self._payload, self.transport
         error = self._byte_limits.refuse(
-            kind, size_bytes=size_bytes, peer=self.peer_name
+            kind, size_bytes=size_bytes, peer=self._peer_name
         )
         self._refusal = error
         if payload is not None and not payload.is_eof():
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -129,6 +129,7 @@
         Raises ``AttemptError`` when the attempt gave no valid response.
         """
         runner = attempt.lease.runner
+        stream.unwritten_event_count = 0
         with self._make_overdue_timer(admitted, runner) as overdue_timer:
             async with attempt.opening as response:
                 if response.head.begins_stream:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -96,7 +96,6 @@
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
         self._sequence.begin_run()
-        self.unwritten_event_count = 0
         self.pace = EventPace()
         self.body_end = head.body_end
         if self._response is not None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -92,14 +92,11 @@
         # The peer name is missing if the runner has already closed the connection.
         address, port = transport.get_extra_info("peername") or self._peer
         self._peer = Address(address, port)
+        lifetime = self._address_lifetimes.lifetime_at(address, port)
+        if lifetime:
+            self._peer_name = f"{lifetime} at {self._peer_name}"
         self.connected_s = self._last_received_s = self._loop.time()
 
-    @property
-    def peer_name(self) -> str:
-        """The runner's lifetime, as far as known, and its address."""
-        lifetime = self._address_lifetimes.lifetime_at(*self._peer)
-        return f"{lifetime} at {super().peer_name}" if lifetime else super().peer_name
-
     def set_response_params(self, **params: Any) -> None:
         """Expect the response to a request that is about to be sent.
 
--- a/packages/clementineyoke-node/tests/edge/refused_bytes.feature
+++ b/packages/clementineyoke-node/tests/edge/refused_bytes.feature
@@ -13,5 +13,5 @@
     Then by default all bounds together are below 32 MB
 
   Scenario: A runner sends bytes after its answer and ends the connection
-    # The log could not tell which runner sent them.
+    # The log could not tell which runner sent them, or named the next one at the address.
     Then refused bytes are logged with the lifetime and address of their runner
--- a/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/refused_bytes_steps.py
@@ -101,6 +101,7 @@
         )
         transport = EndedTransport()
         protocol.connection_made(transport)
+        lifetimes.record(*PEER, lifetime="runner-0@18", now_s=loop.time())
         transport.end()
         protocol.data_received(b"id: 7\ndata: piece 7\n\n")
 
