--- a/packages/clementineyoke-node/tests/edge/streams.feature
+++ b/packages/clementineyoke-node/tests/edge/streams.feature
@@ -10,6 +10,15 @@
     Then the caller gets the events 1 to 6, each once and whole
     And the runners received 2 calls
     And the second runner received the id of the last event that the caller has
+    And 1 streams are counted as resumed
+
+  Scenario: A stream comes whole from its first runner
+    # It was counted as a resumed stream of an unknown version.
+    Given a fleet of 1 node and 2 runners
+    And the runners stream
+    When a caller makes a "streaming" call
+    Then the caller gets the events 1 to 6, each once and whole
+    And 0 streams are counted as resumed
 
   Scenario: A runner accepts a stream and sends nothing
     Given a fleet of 1 node and 2 runners
--- a/packages/clementineyoke-node/tests/steps/lost_events_steps.py
+++ b/packages/clementineyoke-node/tests/steps/lost_events_steps.py
@@ -143,3 +143,9 @@
         call_id = reader.tries[-1].call_id
         asked = [c.headers[header] for c in calls if c.call_id == call_id]
         assert asked == [str(number)] * context.runs, (call_id, asked)
+
+
+@then("{count:d} streams are counted as resumed")
+def check_resumed_count(context, count):
+    counter = context.fleet.nodes[0].state.metrics.streams_resumed
+    assert sum(value for _, value in counter.get_all()) == count, counter.get_all()
