--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
@@ -13,6 +13,7 @@
     from clementineyoke_core.runner_table import RunnerTable
     from clementineyoke_node.callers.decision_ring import DecisionRing
     from clementineyoke_node.edge.caller_stream import CallerStream
+    from clementineyoke_node.edge.runner_liveness import EndCheck
     from clementineyoke_node.edge.runner_response import OpenResponse
     from clementineyoke_node.metrics import Metrics
 
@@ -39,19 +40,19 @@
         """Raise ``AttemptError`` if an answer may have ended because its runner did."""
         if response.end_check is None:
             return
-        waited_ms = response.end_check.waited_ms
+        end_check = response.end_check
         try:
-            await response.end_check.finish(
+            await end_check.finish(
                 step=step,
                 may_go_on=self._has_other_runner(admitted, runner, stream),
                 is_draining=self._table.is_draining,
             )
         except AttemptError as error:
-            if response.end_check.is_slight_doubt:
+            if end_check.is_slight_doubt:
                 stream.record_doubted_end()
-            self._record(admitted, runner, waited_ms, stream, doubt=error.reason)
+            self._record(admitted, runner, end_check, stream, doubt=error.reason)
             raise
-        self._record(admitted, runner, waited_ms, stream, doubt="")
+        self._record(admitted, runner, end_check, stream, doubt="")
 
     def _has_other_runner(
         self, admitted: AdmittedCall, runner: Runner, stream: CallerStream
@@ -68,7 +69,7 @@
         self,
         admitted: AdmittedCall,
         runner: Runner,
-        waited_ms: float,
+        end_check: EndCheck,
         stream: CallerStream,
         *,
         doubt: str,
@@ -83,7 +84,9 @@
             runner_born_ms=runner.born_ms,
             is_whole=not doubt,
             reason=doubt,
-            waited_ms=round(waited_ms),
+            waited_ms=round(end_check.waited_ms),
+            age_ms=round(end_check.findings.age_ms),
+            has_open_connection=end_check.findings.is_proven,
             last_event=stream.last_event_id,
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -63,6 +63,8 @@
     """Why it is worth a call at another runner."""
     is_proven: bool = False
     """Whether the runner has certainly outlived the end."""
+    age_ms: float = 0.0
+    """For how long the end had been there when the address was tried."""
 
 
 class EndCheck:
@@ -81,6 +83,8 @@
         self._ended_s = 0.0
         self.is_slight_doubt = False
         """Whether the end was in doubt only because another runner may go on."""
+        self.findings = EndFindings()
+        """What the check has found, once it has finished."""
         self._task: asyncio.Task[EndFindings] | None = None
 
     @property
@@ -113,7 +117,9 @@
         late_s = self._loop.time() - self._ended_s
         if self._protocol is not None:
             late_s += self._protocol.max_end_delay_s
-        findings = EndFindings() if self._task is None else await self._task
+        if self._task is not None:
+            self.findings = await self._task
+        findings = self.findings
         doubt = findings.doubt
         if doubt is None and may_go_on:
             if late_s * MS_PER_S > MIN_RESTART_MS:
@@ -189,21 +195,22 @@
         await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
         # An older connection that is still open proves nothing by itself, as its end
         # may have been lost on the way.
-        if not await self._is_listening(runner):
-            return EndFindings(ENDED)
-        late_ms = (loop.time() - ended_s) * MS_PER_S
+        is_listening = await self._is_listening(runner)
+        age_ms = (loop.time() - ended_s) * MS_PER_S
+        if not is_listening:
+            return EndFindings(ENDED, age_ms=age_ms)
         address = Address.of(runner)
         if self._connections.has_open(address, before_s=ended_s):
-            return EndFindings(is_proven=True)
+            return EndFindings(is_proven=True, age_ms=age_ms)
         if self._connections.were_cut(address, ended_s=ended_s):
-            return EndFindings(CUT)
+            return EndFindings(CUT, age_ms=age_ms)
         is_exact = protocol is not None and protocol.knows_end_arrival
-        if late_ms > MIN_RESTART_MS or self._was_stalled(ended_s, is_exact=is_exact):
+        if age_ms > MIN_RESTART_MS or self._was_stalled(ended_s, is_exact=is_exact):
             # The process that listens now need not be the one that answered.
-            return EndFindings(LATE)
+            return EndFindings(LATE, age_ms=age_ms)
         if self._connections.ended_together(address, ended_s=ended_s):
-            return EndFindings(slight_doubt=ENDED_TOGETHER)
-        return EndFindings()
+            return EndFindings(slight_doubt=ENDED_TOGETHER, age_ms=age_ms)
+        return EndFindings(age_ms=age_ms)
 
     def _was_stalled(self, ended_s: float, *, is_exact: bool) -> bool:
         """Return whether the loop stood still when an end may have arrived.
--- a/packages/clementineyoke-node/tests/steps/runner_lifetimes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/runner_lifetimes_steps.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from store_entries_steps import RESTARTED_MS, restart_runner
 
+from clementineyoke_node.edge.runner_liveness import PROBE_DELAY_MS
 from clementineyoke_standins.edge.edge_runner import CrashManner
 from clementineyoke_wire.events import Event
 
@@ -104,6 +105,8 @@
     assert checked["is_whole"] is (result == "whole"), checked
     assert bool(checked["reason"]) is not checked["is_whole"], checked
     assert 0 < checked["last_event"] < 6, checked
+    assert checked["age_ms"] >= PROBE_DELAY_MS, checked
+    assert not checked["has_open_connection"], checked
 
 
 @then("1 end by connection is counted as {result}")
