The end of an answer is not whole if its lifetime is known to be over

The node knew: it had read the runner's next entry, or a peer had told it of a refused connection, 17 and 22 ms before the verdict.

Cause: the check of ends asked the address, the node's connections and the event loop, and never what the node knows of lifetimes. The doubts do not fit, as they hold for 2 s and more: a runner that refuses a connection for a moment and lives on would have its whole answers cut.

The table of runners now remembers when a lifetime of a runner was learnt to be over (next entry, own refused connection, peer's message). An answer is not whole if that came between 20 ms before its end and the check, unless another connection from before the end is still open. Evidence from before that was outlived by the connection; it counts for 2 s where another ready runner may go on, which costs a call, in case the end came late. A connection that is newer than the evidence is not concerned.

Where nobody can go on, a whole answer is cut if evidence about its runner comes within 20 ms before or some 20 ms after its end: a runner that ends breaks every answer under way, so that a part is the likelier, and a part that passes for the whole is never asked for again.

Five mutations, all seen caught. Of reused_addresses, runner_lifetimes, runner_restarts, resumed_streams and crashing_parts 139 of 140 scenarios pass in one run; the failing one is listed ("All nodes end after a runner has restarted").

--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from clementineyoke_core.lifetime_doubts import LifetimeDoubts
+from clementineyoke_core.lifetime_ends import LifetimeEnds
 from clementineyoke_core.runner_state import RunnerState
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self._backoffs: dict[str, float] = {}
         """Monotonic end of this node's backoff, by runner lifetime."""
         self.doubts = LifetimeDoubts()
+        self.ends = LifetimeEnds()
 
     def set_evacuated_zones(self, zones: dict[str, int]) -> None:
         """Set the zones whose runners get no new work, with their orders' revisions."""
@@ -310,6 +312,8 @@
     def _keep_or_add(self, runner: Runner, now_ms: float) -> RunnerEntry:
         known = self._entries.get(runner.runner_id)
         if known is None or known.runner.lifetime != runner.lifetime:
+            if known is not None:
+                self.ends.record(runner.runner_id, now_ms=now_ms)
             # The state of the previous lifetime says nothing about this one.
             return RunnerEntry(runner, RunnerState.READY, 0, 0.0)
         if known.state is RunnerState.DRAINING and known.retry_at_ms <= now_ms:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
@@ -46,6 +46,7 @@
                 step=step,
                 may_go_on=self._has_other_runner(admitted, runner, stream),
                 is_draining=self._table.is_draining,
+                was_learnt=self._table.ends.was_learnt,
             )
         except AttemptError as error:
             if end_check.is_slight_doubt:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/lifetime_exchange.py
@@ -29,6 +29,7 @@
 """How often all other nodes do, if they have not heard of one. The home may be gone, or
 of a build that tries none."""
 MAX_TRIES_AT_ONCE = 16
+ENTRY_SOURCE = "entry"
 
 
 class LifetimeExchange:
@@ -93,7 +94,7 @@
         )
         for runner in self._view.contradicted_runners():
             # Nothing settles this but an entry that agrees with the one in force.
-            self._record(runner, "entry")
+            self._record(runner, ENTRY_SOURCE)
         pools = {runner.pool for runner in self._table.doubtful_runners()}
         begun, self._doubtful_pools = pools - self._doubtful_pools, pools
         for pool in begun:
@@ -138,7 +139,10 @@
 
     def _record(self, runner: Runner, source: str) -> None:
         now_ms = self._timers.now_ms()
-        if self._table.doubts.record_end(runner, now_ms=now_ms):
+        is_new = self._table.doubts.record_end(runner, now_ms=now_ms)
+        if is_new or source != ENTRY_SOURCE:
+            self._table.ends.record(runner.runner_id, now_ms=now_ms)
+        if is_new:
             log_event(
                 Event.RUNNER_DOUBTED,
                 runner=runner.runner_id,
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from contextlib import contextmanager
 from functools import partial
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.edge.attempt_error import AttemptError
-from clementineyoke_node.edge.runner_connections import Address
+from clementineyoke_node.edge.runner_connections import CRASH_SPREAD_MS, Address
 from clementineyoke_node.platform.runner_codec import BodyEnd
+from clementineyoke_node.timers.timer_service import TimerService
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine, Iterator
@@ -28,6 +30,8 @@
 MIN_RESTART_MS = 100.0
 """Shortest time in which another process takes over the address of a runner, unless it
 waited for it."""
+MAX_NETWORK_DELAY_S = 2.0
+"""Longest time by which the end of a connection is taken to arrive late."""
 
 
 def _ignore_end() -> None:
@@ -42,6 +46,11 @@
 
 
 ENDED = EndDoubt("the runner ended with an answer that has no length")
+KNOWN = EndDoubt("the runner was known to have ended with an answer without a length")
+MAY_BE_KNOWN = EndDoubt(
+    "the runner was said to have ended before an answer without a length",
+    is_runner_fault=False,
+)
 CUT = EndDoubt("other connections ended with an answer that has no length")
 LATE = EndDoubt(
     "the end of an answer that has no length was noticed late", is_runner_fault=False
@@ -54,6 +63,13 @@
 )
 
 
+class EndEvidence(Protocol):
+    """Tells when this node learnt that lifetimes of runners had ended."""
+
+    def __call__(self, runner_id: str, *, since_ms: float, until_ms: float) -> bool:
+        """Return whether evidence of a runner's end came within a time."""
+
+
 class EndFindings(NamedTuple):
     """What the check of an answer's end has found."""
 
@@ -105,7 +121,12 @@
             self._task.cancel()
 
     async def finish(
-        self, *, step: str, may_go_on: bool, is_draining: Callable[[str], bool]
+        self,
+        *,
+        step: str,
+        may_go_on: bool,
+        is_draining: Callable[[str], bool],
+        was_learnt: EndEvidence,
     ) -> None:
         """Raise ``AttemptError`` if an answer may have ended because its runner did.
 
@@ -121,11 +142,16 @@
             self.findings = await self._task
         findings = self.findings
         doubt = findings.doubt
+        is_known = self._is_known_end(was_learnt)
+        if doubt is None and is_known and not findings.is_proven:
+            doubt = KNOWN
         if doubt is None and may_go_on:
             if late_s * MS_PER_S > MIN_RESTART_MS:
                 doubt = LATE
             elif findings.slight_doubt is not None:
                 doubt = findings.slight_doubt
+            elif is_known or self._may_be_known_end(was_learnt):
+                doubt = MAY_BE_KNOWN
             elif not findings.is_proven and is_draining(self._runner.runner_id):
                 doubt = DRAINS
             self.is_slight_doubt = doubt is not None
@@ -140,6 +166,35 @@
             is_runner_fault=doubt.is_runner_fault,
         )
 
+    def _is_known_end(self, was_learnt: EndEvidence) -> bool:
+        """Return whether a lifetime was known by the check to have ended.
+
+        A connection that stays open after the evidence leads to one that has not.
+        """
+        since_s = self._ended_s - CRASH_SPREAD_MS / MS_PER_S
+        if self._protocol is not None:
+            since_s -= self._protocol.max_end_delay_s
+        ended_ms = TimerService.from_loop_time_ms(self._ended_s)
+        return was_learnt(
+            self._runner.runner_id,
+            since_ms=TimerService.from_loop_time_ms(since_s),
+            until_ms=ended_ms + self.findings.age_ms,
+        )
+
+    def _may_be_known_end(self, was_learnt: EndEvidence) -> bool:
+        """Return whether a lifetime was said to have ended since its connection began.
+
+        The end may have come late, if it was lost on the way.
+        """
+        if self._protocol is None or self.findings.is_proven:
+            return False
+        since_s = max(self._protocol.connected_s, self._ended_s - MAX_NETWORK_DELAY_S)
+        return was_learnt(
+            self._runner.runner_id,
+            since_ms=TimerService.from_loop_time_ms(since_s),
+            until_ms=math.inf,
+        )
+
 
 class RunnerLiveness:
     """Tell whether a runner has ended with an answer that has no length.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -53,6 +53,7 @@
 RUNNER_SIGNALS = f"{NODE}/tests/edge/runner_signals.feature"
 VERSIONS = f"{NODE}/tests/edge/versions.feature"
 BEHIND_NODES = f"{NODE}/tests/edge/behind_nodes.feature"
+ENDS_AND_LIFETIMES = f"{NODE}/tests/edge/ends_and_lifetimes.feature"
 REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
@@ -871,6 +872,42 @@
         "if True:",
         CRASHING_PARTS,
     ),
+    Mutation(
+        "a lifetime that is known to be over is no sign of the end of its answer",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "if doubt is None and is_known and not findings.is_proven:",
+        "if False:",
+        ENDS_AND_LIFETIMES,
+    ),
+    Mutation(
+        "a refused connection outweighs one that is still open",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "if doubt is None and is_known and not findings.is_proven:",
+        "if doubt is None and is_known:",
+        ENDS_AND_LIFETIMES,
+    ),
+    Mutation(
+        "a lifetime counts as over that has outlived the evidence",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "since_ms=TimerService.from_loop_time_ms(since_s),\n"
+        "            until_ms=ended_ms",
+        "since_ms=-math.inf,\n            until_ms=ended_ms",
+        ENDS_AND_LIFETIMES,
+    ),
+    Mutation(
+        "evidence from before an end that comes late is no reason for doubt",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "elif is_known or self._may_be_known_end(was_learnt):",
+        "elif is_known:",
+        ENDS_AND_LIFETIMES,
+    ),
+    Mutation(
+        "the entry of the next lifetime is no evidence that one has ended",
+        f"{CORE_SOURCE}/runner_table.py",
+        "self.ends.record(runner.runner_id, now_ms=now_ms)",
+        "pass",
+        ENDS_AND_LIFETIMES,
+    ),
     Mutation(
         "the ends of other connections to a runner are no sign of its crash",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
