A leaving node takes and sends only calls that can end before it does

What callers saw: calls that came late in the grace of a planned stop were taken and sent to runners, and cut at the end of the grace: 502 for plain calls, also for those that may not be repeated, and broken streams.

Cause: the end of the process was a local variable of run_until_stopped. Calls were admitted, sent and retried by their own deadline alone.

LeaveCheck (node) asks when a call is taken and again before each send, as calls wait for slots and return from runners that did not run them. Before SIGTERM only times are recorded.

edge_io.py loses a line; the addresses of seeds are compared without a continue, and two values that were used once are written in place.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -22,7 +22,6 @@
     from clementineyoke_core.edge.admission import AdmittedCall
     from clementineyoke_core.edge.attempt_timeouts import AttemptTimeouts
     from clementineyoke_core.edge.prompt_holders import PromptHolders
-    from clementineyoke_core.membership import Membership
     from clementineyoke_core.pool_rings import PoolRings
     from clementineyoke_core.runner import Runner
     from clementineyoke_core.runner_table import RunnerTable
@@ -32,6 +31,7 @@
     from clementineyoke_node.edge.caller_stream import CallerStream
     from clementineyoke_node.edge.failover import Failover
     from clementineyoke_node.edge.fault_reports import FaultReports
+    from clementineyoke_node.edge.leave_check import LeaveCheck
     from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
     from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
     from clementineyoke_node.edge.streams.stream_reader import EventReader
@@ -56,7 +56,7 @@
         prompt_holders: PromptHolders,
         timers: TimerService,
         decisions: DecisionRing,
-        membership: Membership,
+        leave: LeaveCheck,
         token_accounting: TokenAccounting,
         metrics: Metrics,
         streams: StreamRegistry,
@@ -70,7 +70,7 @@
         self._prompt_holders = prompt_holders
         self._timers = timers
         self._decisions = decisions
-        self._membership = membership
+        self._leave = leave
         self._token_accounting = token_accounting
         self._metrics = metrics
         self._streams = streams
@@ -99,6 +99,7 @@
                 peer=runner.runner_id,
                 reason="no time left",
             )
+        self._leave.check_send(admitted, stream, peer=runner.runner_id)
         routing = RoutingHeaders(
             runner_id=runner.runner_id,
             team=admitted.team,
@@ -197,7 +198,7 @@
             response.head, peer=runner.runner_id, stream_status=stream.status
         )
         stream.active_ms = self._timers.now_ms()
-        await stream.start(response.head, is_leaving=self._membership.is_leaving)
+        await stream.start(response.head, is_leaving=self._leave.is_leaving)
         on_begin = partial(
             self._record_begin, admitted, runner, stream, response.connected_ms
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_api.py
@@ -13,6 +13,7 @@
 from clementineyoke_core.request_error import RequestError
 from clementineyoke_node.edge.forwarder import REACH_STEP
 from clementineyoke_node.edge.held_response import send_held
+from clementineyoke_node.edge.leave_check import LEAVE_STEP
 from clementineyoke_node.platform.call_decoder import decode_call
 from clementineyoke_node.platform.format_error import FormatError
 from clementineyoke_node.platform.node_responses import encode_error, error_headers
@@ -32,13 +33,14 @@
     from clementineyoke_node.callers.in_flight import InFlight
     from clementineyoke_node.edge.fleet_view import FleetView
     from clementineyoke_node.edge.forwarder import Forwarder
+    from clementineyoke_node.edge.leave_check import LeaveCheck
     from clementineyoke_node.edge.request_bodies import RequestBodies
     from clementineyoke_node.metrics import Metrics
     from clementineyoke_node.timers.timer_service import TimerService
     from clementineyoke_wire.message_signer import MessageSigner
 
 MS_PER_S = 1000.0
-REACH_STEPS = frozenset((REACH_STEP, "connect"))
+REACH_STEPS = frozenset((REACH_STEP, LEAVE_STEP, "connect"))
 """Steps of errors after which another node may still serve the call."""
 BUSY_RETRY_MS = 500
 
@@ -60,12 +62,14 @@
         startup_wait: StartupWait,
         call_rate: CallRate,
         signer: MessageSigner,
+        leave: LeaveCheck,
         bodies: RequestBodies,
         has_priority_classes: bool = False,
     ) -> None:
         """Create the handler; ``has_priority_classes`` is described at ``admit``."""
         self._signer = signer
         self._bodies = bodies
+        self._leave = leave
         self._has_priority_classes = has_priority_classes
         self._view = view
         self._forwarder = forwarder
@@ -188,7 +192,12 @@
             rng=self._rng,
             has_priority_classes=self._has_priority_classes,
         )
-        return await self._forwarder.forward(request, admitted._replace(hop=hop))
+        with self._leave.track(admitted) as tracker:
+            response = await self._forwarder.forward(
+                request, admitted._replace(hop=hop)
+            )
+            tracker.record(request, response)
+        return response
 
     def _decode_hop(self, request: web.Request, call: EdgeCall) -> Hop | None:
         """Return the hop of a call that a peer has forwarded, or None."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_io.py
@@ -25,6 +25,7 @@
 from clementineyoke_node.edge.fault_reports import FaultReports
 from clementineyoke_node.edge.fleet_view import FleetView
 from clementineyoke_node.edge.forwarder import Forwarder
+from clementineyoke_node.edge.leave_check import LeaveCheck
 from clementineyoke_node.edge.node_registration import NodeRegistration
 from clementineyoke_node.edge.pause_verifier import PauseVerifier
 from clementineyoke_node.edge.peer_relay import PeerRelay
@@ -104,6 +105,7 @@
         self._is_apply_scheduled = False
         self.tasks = BackgroundTasks()
         self.timers = TimerService()
+        self.leave = LeaveCheck(state=state, timers=self.timers)
         self.byte_limits = config.make_byte_limits(state.metrics)
         self.store = StoreClient(address=config.store, byte_limits=self.byte_limits)
         self.socket = PeerSocket(
@@ -264,8 +266,7 @@
         self.slot_home.rebuild()
         self.speed_exchange.rebuild()
         self._set_gossip_keys()
-        entries = self._state.table.entries()
-        lifetimes = {entry.runner.lifetime for entry in entries}
+        lifetimes = {entry.runner.lifetime for entry in self._state.table.entries()}
         self.runner_health.retain(lifetimes)
         self._state.cold_runners.retain(lifetimes)
         if moved:
@@ -298,10 +299,9 @@
         """Send a hello to each configured seed node, and fetch newer state from it."""
         for seed in seeds:
             address = seed.partition(":")[0]
-            if address == self._config.address:
-                continue
-            self.introducer.send_hello(PeerAddress(address, self._config.peer_port))
-            self.peers.fetch(seed)
+            if address != self._config.address:
+                self.introducer.send_hello(PeerAddress(address, self._config.peer_port))
+                self.peers.fetch(seed)
 
     def _make_admission(self) -> AdmissionControl:
         state = self._state
@@ -443,7 +443,7 @@
             prompt_holders=PromptHolders(),
             timers=self.timers,
             decisions=state.decisions,
-            membership=state.membership,
+            leave=self.leave,
             token_accounting=self.token_accounting,
             metrics=state.metrics,
             streams=self.streams,
@@ -593,8 +593,7 @@
         await self.view.drop_lapsed()
 
     async def _run_admission(self) -> None:
-        demands = self.slot_home.demands()
-        self.admission.update(demands, now_ms=self.timers.now_ms())
+        self.admission.update(self.slot_home.demands(), now_ms=self.timers.now_ms())
 
     async def _run_housekeeping(self) -> None:
         if self.admission.update_pools():
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/edge_service.py
@@ -66,6 +66,7 @@
             startup_wait=StartupWait(),
             call_rate=self.state.call_rate,
             signer=self.state.signer,
+            leave=self.io.leave,
             bodies=RequestBodies(
                 max_total_bytes=config.request_bytes, metrics=self.state.metrics
             ),
@@ -115,6 +116,7 @@
         """Serve until a stop is requested, then drain calls until the stop deadline."""
         await self._stop_requested.wait()
         requested_ms = self.io.timers.now_ms()
+        self.io.leave.begin(end_ms=self._end_ms(requested_ms))
         self.io.begin_leaving()
         log_event(Event.NODE_DRAINING, in_flight=self.state.in_flight.count)
         await asyncio.sleep(self._config.linger_ms / MS_PER_S)
@@ -123,12 +125,11 @@
         await self._drain_calls(requested_ms)
 
     async def _drain_calls(self, requested_ms: float) -> None:
-        deadline_ms = requested_ms + self._config.stop_deadline_s * MS_PER_S
-        deadline_ms -= CLEANUP_RESERVE_MS
+        end_ms = self._end_ms(requested_ms)
         drain = CallerDrain(
             connections=self._caller_connections, is_busy=self._caller_api.is_busy
         )
-        while self.io.timers.now_ms() < deadline_ms:
+        while self.io.timers.now_ms() < end_ms:
             if drain.run_round() and not self.state.in_flight.count:
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_MS / MS_PER_S)
@@ -138,6 +139,11 @@
             unsent=drain.unsent_count,
         )
 
+    def _end_ms(self, requested_ms: float) -> float:
+        """Return when calls are cut that are unanswered by then."""
+        grace_ms = self._config.stop_deadline_s * MS_PER_S
+        return requested_ms + grace_ms - CLEANUP_RESERVE_MS
+
     def _caller_connections(self) -> list[web.RequestHandler]:
         server = self._callers.server
         return [] if server is None else list(server.connections)
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -63,6 +63,11 @@
             "Requests refused since this node held as many bytes of bodies as it may.",
             registry=self.registry,
         )
+        self.calls_too_late = Counter(
+            "clementineyoke_calls_too_late_total",
+            "Calls refused as this node ends before their answer, by basis.",
+            registry=self.registry,
+        )
         self.loop_stalled_ms = Counter(
             "clementineyoke_loop_stalled_milliseconds_total",
             "Time for which the event loop stood still.",
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -61,6 +61,7 @@
 BOUNDS_SOURCE = f"{NODE}/src/clementineyoke_node/bounds"
 RUNNER_SILENCE = f"{NODE}/tests/edge/runner_silence.feature"
 LEAVING_NODE = f"{NODE}/tests/edge/leaving_node.feature"
+LATE_CALLS = f"{NODE}/tests/edge/late_calls.feature"
 RUNNER_RESTARTS = f"{NODE}/tests/edge/runner_restarts.feature"
 CONTENT_CODINGS = f"{NODE}/tests/edge/content_codings.feature"
 RESTART_OF_ALL = f"{NODE}/tests/edge/restart_of_all_nodes.feature"
@@ -1928,6 +1929,20 @@
         "newer",
         RUNNER_RESTARTS,
     ),
+    Mutation(
+        "a leaving node takes calls that it has to cut",
+        f"{CORE_SOURCE}/edge/leave_time.py",
+        "if budget_ms <= left_ms:",
+        "if True:",
+        LATE_CALLS,
+    ),
+    Mutation(
+        "a leaving node sends a call on that it has to cut",
+        f"{NODE_EDGE_SOURCE}/leave_check.py",
+        "shortage = None if stream.has_started else self._shortage(admitted)",
+        "shortage = None",
+        LATE_CALLS,
+    ),
     Mutation(
         "a leaving node keeps a connection after a stream",
         f"{NODE_EDGE_SOURCE}/caller_api.py",
