A search for a slot checks the version of a stream at its end as well

Callers got streams with events of two versions: the scenario "A runner restarts between its choice and the sending of a call" had 3 of 24 once, among them 1, 2 of v1, then 3, 4 of v2, then 5, 6 of v1.

A search takes the runners of the stream's version from the ring, and then waits for what their homes say. The last-resort request, the runner whose home was silent, and the runner at which the call queues are remembered by their ids alone, and each id was looked up again after that wait. If the runner had restarted under its id meanwhile and its new entry had been read, the lease was for the new lifetime. The check before the first event asked only whether the runner of the lease had been replaced; it had not, and its version was not compared with that of the stream.

The once seen case is put down to this by reading: it has 24 held calls on few slots, so that searches queue. Held there it shows always: with the homes' replies held until the new entry is read, 1 to 4 of 12 streams were joined where homes did not reply, and 7 or 8 of 12 where they had no slot at first (5 runs of 2 examples, all failed). Now none is joined, in 5 runs, and all 12 are whole in both examples.

The broker finds a runner by its id and the version, wherever it does so, and a call queues at the first runner that it may still use, rather than being refused because the first one has restarted: with that left out, 0 to 4 of 12 resumptions got 503, none with it (5 runs each). The executor compares the versions before the first event is written.

--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -84,6 +84,16 @@
         """Return a runner's entry, or None if it is not on the host list."""
         return self._entries.get(runner_id)
 
+    def find(self, runner_id: str, *, version: str | None) -> Runner | None:
+        """Return a listed runner, or None if it may not have a software version.
+
+        For None it may have any version.
+        """
+        if version is not None and not self.has_version(runner_id, version):
+            return None
+        entry = self._entries.get(runner_id)
+        return None if entry is None else entry.runner
+
     def entries(self) -> list[RunnerEntry]:
         """Return the entries of all runners."""
         return list(self._entries.values())
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -291,7 +291,9 @@
         self, runner: Runner, stream: CallerStream, response: OpenResponse
     ) -> None:
         """Raise ``AttemptError`` if a runner may go on at another version."""
-        if stream.version is None or not self._table.may_be_replaced(
+        if stream.version is None:
+            return
+        if runner.version == stream.version and not self._table.may_be_replaced(
             runner, connected_ms=response.connected_ms
         ):
             return
@@ -299,7 +301,7 @@
             outcome=AttemptOutcome.FAILED,
             step="resume",
             peer=runner.runner_id,
-            reason="the runner may have started again at another version",
+            reason=f"the runner may not have version {stream.version!r}",
             is_runner_fault=False,
         )
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/slots/slot_broker.py
@@ -105,17 +105,17 @@
 
         The preferred runner, if it is ready and belongs to the pool, is tried before
         the others in the key's order. If all are at their bound, the request queues at
-        the home of the first runner.
+        the home of the first runner that may still take it.
         """
         search = self._make_search(request)
         refusals = {} if request.refusals is None else request.refusals
-        first_attempt: SlotAttempt | None = None
+        attempts: list[SlotAttempt] = []
         while (attempt := search.next_attempt()) is not None:
-            first_attempt = first_attempt or attempt
-            runner = self._runner_of(attempt)
+            runner = self._find_runner(attempt.runner_id, request)
             if runner is None:
                 search.record_timeout(attempt)
                 continue
+            attempts.append(attempt)
             ask_id = self._socket.next_ask_id()
             asked_ms = self._now_ms()
             result = await self._request_slot(runner, attempt, ask_id, request)
@@ -145,11 +145,11 @@
         may_bypass = self._may_bypass_home
         if self._is_short(request.pool):
             may_bypass = self._may_bypass_in_shortage
-        fallback = search.fallback(self._last_in_use, is_eligible=may_bypass)
-        if fallback is not None:
-            runner = self._runner_of(fallback)
-            if runner is None:
-                return None
+        fallback = search.fallback(
+            self._last_in_use,
+            is_eligible=lambda i: bool(self._find_runner(i, request)) and may_bypass(i),
+        )
+        if fallback and (runner := self._find_runner(fallback.runner_id, request)):
             ask_id = self._socket.next_ask_id()
             return self._create_lease(
                 runner,
@@ -158,9 +158,10 @@
                 reason="home_silent",
                 tokens=request.profile.prompt.total_tokens,
             )
-        if first_attempt is None or request.wait_ms <= 0:
-            return None
-        return await self._wait_for_slot(first_attempt, request)
+        for attempt in attempts if request.wait_ms > 0 else ():
+            if runner := self._find_runner(attempt.runner_id, request):
+                return await self._wait_for_slot(runner, attempt, request)
+        return None
 
     def has_available_runner(self, pool: str, *, version: str | None = None) -> bool:
         """Return whether a pool has a runner to try; see ``has_untried_runner``."""
@@ -335,11 +336,10 @@
         return SlotSearch(order=order, preferred=preferred, max_requests=max_requests)
 
     async def _wait_for_slot(
-        self, attempt: SlotAttempt, request: SlotRequest
+        self, runner: Runner, attempt: SlotAttempt, request: SlotRequest
     ) -> SlotLease | None:
-        runner = self._runner_of(attempt)
-        home = self._home_of(attempt.runner_id)
-        if home is None or runner is None:
+        home = self._home_of(runner.runner_id)
+        if home is None:
             return None
         ask_id = self._socket.next_ask_id()
         try:
@@ -529,9 +529,8 @@
         limit = self._rejection_limit(pool)
         return 0 if limit is None else limit + 1
 
-    def _runner_of(self, attempt: SlotAttempt) -> Runner | None:
-        entry = self._table.get(attempt.runner_id)
-        return None if entry is None else entry.runner
+    def _find_runner(self, runner_id: str, request: SlotRequest) -> Runner | None:
+        return self._table.find(runner_id, version=request.version)
 
     def _home_of(self, runner_id: str) -> Node | None:
         home_id = self._homes.home_of(runner_id)
--- a/packages/clementineyoke-node/tests/edge/runner_restarts.feature
+++ b/packages/clementineyoke-node/tests/edge/runner_restarts.feature
@@ -177,3 +177,18 @@
       | which |
       | its   |
       | a new |
+
+  Scenario Outline: A runner restarts while calls that resume streams are searching for a slot
+    # The version was checked before the search, and the call went to whatever had the id after it.
+    Given 3 nodes and 2 runners of the versions "v1"
+    And the runners' entries have start times
+    And callers have begun 12 streams at node 0, all of which broke
+    When runner 0 restarts at version "v2" while all are resumed, and <result>
+    Then no stream has events of two versions
+    And runner 0 got none of their calls
+    And each stream that was begun before goes on at its version, or is refused
+
+    Examples:
+      | result                      |
+      | homes do not reply          |
+      | homes have no slot at first |
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1272,6 +1272,13 @@
         "if False:",
         CALLS,
     ),
+    Mutation(
+        "a version that a runner had before a search is not checked again",
+        f"{CORE_SOURCE}/runner_table.py",
+        "if version is not None and not self.has_version(runner_id, version):",
+        "if False:",
+        f"{NODE}/tests/edge/runner_restarts.feature",
+    ),
     Mutation(
         "a stream goes on at any version within one answer",
         f"{NODE_EDGE_SOURCE}/slot_finder.py",
