Model of the position from which runners go on with a caller's stream

No model had reading and writing as two steps, so that none could show what is lost between them. stream_positions has a runner that repeats events, leaves out the first ones, breaks off or ends early, a node that refuses it between reading and writing, and a node that is killed while events are on their way to the caller. It takes the ids for known to be consecutive, which nodes do not know as yet ("streams whose runner goes on too far").

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/model_run.py
@@ -24,6 +24,7 @@
     runner_signals_spec,
     settings_spec,
     stream_archive_spec,
+    stream_positions_spec,
     stream_versions_spec,
 )
 
@@ -49,6 +50,7 @@
     brittle_grants_spec,
     stream_versions_spec,
     stream_archive_spec,
+    stream_positions_spec,
     answer_ends_spec,
 )
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -55,6 +55,7 @@
 BEHIND_NODES = f"{NODE}/tests/edge/behind_nodes.feature"
 REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
+LOST_EVENTS = f"{NODE}/tests/edge/lost_events.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
 REFUSED_BYTES = f"{NODE}/tests/edge/refused_bytes.feature"
 ENDLESS_BYTES = f"{NODE}/tests/edge/endless_bytes.feature"
@@ -1593,10 +1594,24 @@
     Mutation(
         "a stream may end before the event at which it broke off",
         f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
-        "return self._run_id < self.last_event_id",
+        "return self._run_id < self._accepted_id",
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "events count as the caller's when they are read",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "self._accepted_id = event_id\n        return True",
+        "self._accepted_id = self.last_event_id = event_id\n        return True",
+        LOST_EVENTS,
+    ),
+    Mutation(
+        "unwritten events of the last runner count as repeated",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "self._resumed_at = self._accepted_id = self.last_event_id",
+        "self._resumed_at = self.last_event_id",
+        LOST_EVENTS,
+    ),
     Mutation(
         "another run goes on with events of a call that is not resumable",
         f"{NODE_EDGE_SOURCE}/answer_ends.py",
