Streams are not resumed where an event has no id

What callers get: of a stream whose events have no ids, and whose runner breaks off or falls silent after three of them, nine events, the first three twice, ended as complete. Where a runner goes on after event 3 with events that have no ids, these follow the caller's 1 to 3, from wherever they are.

Cause: the position of a stream is the last id that was written. What is written after it without an id does not move it, so that the next runner sends it again, from the start if there was no id at all; and what a new run sends before its first id has no place in the stream.

CallerStream.has_position tells whether the last event written has an id; a stream without a position ends where it breaks off, as on a route that is not resumable (so only a firm doubt counts at an end that the connection marks). A run that goes on with an event without an id is refused like one that leaves out events. Streams whose events all have ids, as the platform asks, are not concerned.

Evidence: four new examples of resumed_streams.feature (a reset and a silence after events without ids; a run, and a caller's resumption, that go on without) failed in 3 of 3 runs on the code before and pass in 3 of 3; streams, lost_events and reused_addresses.feature pass, one run each. Two new mutations are caught, and the one of routes that are not resumable, whose pattern follows the source, is caught as before.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
@@ -9,10 +9,11 @@
 
 
 class StreamGapError(ValueError):
-    """Raised when a runner goes on with a stream later than where it broke off."""
+    """Raised when a runner may go on with a stream later than where it broke off."""
 
-    def __init__(self, *, last_event_id: int, event_id: int) -> None:
-        super().__init__(f"goes on at event {event_id} of a stream at {last_event_id}")
+    def __init__(self, *, last_event_id: int, event_id: int | None) -> None:
+        event = "an event without an id" if event_id is None else f"event {event_id}"
+        super().__init__(f"goes on at {event} of a stream at {last_event_id}")
 
 
 class StreamSequence:
@@ -26,6 +27,9 @@
     def __init__(self, *, last_event_id: int | None) -> None:
         self.last_event_id = last_event_id
         """The id of the last event that the caller has."""
+        self.has_position = True
+        """Whether that event is the last one that was written; one without an id may
+        have followed, which a runner that goes on could repeat."""
         self._accepted_id = last_event_id
         """The id of the last event that was selected for the caller."""
         self._resumed_at = last_event_id
@@ -53,9 +57,11 @@
         """Return whether the caller lacks an event of the present run.
 
         The caller has it only after ``record_written``. Raises ``StreamGapError`` if
-        the run has left out events.
+        the run has left out events, or goes on at an event without an id.
         """
         if event_id is None:
+            if self._run_id is None and self._resumed_at is not None:
+                raise StreamGapError(last_event_id=self._resumed_at, event_id=None)
             # It belongs to the event before it, which the caller may have.
             return not self.ends_early
         self._check_gap(event_id)
@@ -72,6 +78,7 @@
     def record_written(self, event_ids: Iterable[int | None]) -> None:
         """Record that accepted events were written to the caller."""
         for event_id in event_ids:
+            self.has_position = event_id is not None
             if event_id is not None:
                 self.last_event_id = event_id
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
@@ -93,4 +93,6 @@
 
     A call that may run again need not get the same events again.
     """
-    return admitted.route.is_resumable or not stream.sent_event_count
+    if not stream.sent_event_count:
+        return True
+    return admitted.route.is_resumable and stream.has_position
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -59,6 +59,11 @@
         """The id of the last event that the caller has."""
         return self._sequence.last_event_id
 
+    @property
+    def has_position(self) -> bool:
+        """Whether a runner can be told after which event it is to go on."""
+        return self._sequence.has_position
+
     @property
     def has_confirmed_end(self) -> bool:
         """Whether another runner has ended the answer at the same event before.
--- a/packages/clementineyoke-node/tests/edge/resumed_streams.feature
+++ b/packages/clementineyoke-node/tests/edge/resumed_streams.feature
@@ -19,6 +19,7 @@
       | a stream that ends in an event |
       | an event from further on       |
       | events without numbers         |
+      | the whole stream, unnumbered   |
       | a later part, not framed       |
 
   Scenario Outline: A runner goes on with a stream in another form
@@ -83,6 +84,18 @@
       | an end within an event, not framed |
       | a silence after the first events   |
 
+  Scenario Outline: A stream of events without numbers breaks off
+    # Pieces come twice: no runner can be told after which one it is to go on.
+    Given a fleet of 1 node and 2 runners
+    And a stream breaks off as "<break>", and goes on as "the whole stream, unnumbered"
+    When a caller makes a "streaming" call that breaks
+    Then the caller sees that the response is incomplete
+
+    Examples:
+      | break                             |
+      | a reset after unnumbered events   |
+      | a silence after unnumbered events |
+
   Scenario Outline: A call that is no stream gets events
     # It may run again, but another run need not go on where the first one broke off.
     Given a fleet of 1 node and 2 runners
@@ -114,6 +127,7 @@
       | CR LF in chunks of one byte    | the events from 4 on      |
       | a stream that ends before      | no end of the stream      |
       | a stream that ends in an event | no end of the stream      |
+      | the whole stream, unnumbered   | no end of the stream      |
 
   Scenario: A caller keeps its connection after a stream that broke
     # The bytes of the next response follow those of half a stream.
--- a/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -128,6 +128,9 @@
         encode_raw_head(call, **STREAM_TYPE) + b"".join(MISSING)
     ),
     "nothing": lambda call: encode_raw_stream(call, []),
+    "the whole stream, unnumbered": lambda call: encode_raw_stream(
+        call, [UNNUMBERED] * EVENTS
+    ),
     "another run": lambda call: encode_raw_stream(
         call, [encode_event(n).replace(b"piece", b"other") for n in range(1, 7)]
     ),
@@ -201,6 +204,14 @@
         "end",
     ),
     "a silence after the first events": (lambda call: begun(call, FIRST), "silence"),
+    "a reset after unnumbered events": (
+        lambda call: begun(call, [UNNUMBERED] * BROKEN_AFTER),
+        "reset",
+    ),
+    "a silence after unnumbered events": (
+        lambda call: begun(call, [UNNUMBERED] * BROKEN_AFTER),
+        "silence",
+    ),
 }
 
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1615,8 +1615,22 @@
     Mutation(
         "another run goes on with events of a call that is not resumable",
         f"{NODE_EDGE_SOURCE}/answer_ends.py",
-        "return admitted.route.is_resumable or not stream.sent_event_count",
-        "return True",
+        "return admitted.route.is_resumable and stream.has_position",
+        "return stream.has_position",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "a stream goes on after events without ids",
+        f"{NODE_EDGE_SOURCE}/answer_ends.py",
+        "return admitted.route.is_resumable and stream.has_position",
+        "return admitted.route.is_resumable",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "a runner may go on with events without ids",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "if self._run_id is None and self._resumed_at is not None:",
+        "if False:",
         RESUMED_STREAMS,
     ),
     Mutation(
