--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -56,6 +56,7 @@
 ENDS_AND_LIFETIMES = f"{NODE}/tests/edge/ends_and_lifetimes.feature"
 REUSED_ADDRESSES = f"{NODE}/tests/edge/reused_addresses.feature"
 RESUMED_STREAMS = f"{NODE}/tests/edge/resumed_streams.feature"
+LOST_EVENTS = f"{NODE}/tests/edge/lost_events.feature"
 LOOP_STALLS = f"{NODE}/tests/edge/loop_stalls.feature"
 REFUSED_BYTES = f"{NODE}/tests/edge/refused_bytes.feature"
 ENDLESS_BYTES = f"{NODE}/tests/edge/endless_bytes.feature"
@@ -1638,15 +1639,43 @@
     Mutation(
         "a stream may end before the event at which it broke off",
         f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
-        "return self._run_id < self.last_event_id",
+        "return self._run_id < self._accepted_id",
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "events count as the caller's when they are read",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "self._accepted_id = event_id\n        return True",
+        "self._accepted_id = self.last_event_id = event_id\n        return True",
+        LOST_EVENTS,
+    ),
+    Mutation(
+        "unwritten events of the last runner count as repeated",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "self._resumed_at = self._accepted_id = self.last_event_id",
+        "self._resumed_at = self.last_event_id",
+        LOST_EVENTS,
+    ),
     Mutation(
         "another run goes on with events of a call that is not resumable",
         f"{NODE_EDGE_SOURCE}/answer_ends.py",
-        "return admitted.route.is_resumable or not stream.sent_event_count",
-        "return True",
+        "return admitted.route.is_resumable and stream.has_position",
+        "return stream.has_position",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "a stream goes on after events without ids",
+        f"{NODE_EDGE_SOURCE}/answer_ends.py",
+        "return admitted.route.is_resumable and stream.has_position",
+        "return admitted.route.is_resumable",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "a runner may go on with events without ids",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "if self._run_id is None and self._resumed_at is not None:",
+        "if False:",
         RESUMED_STREAMS,
     ),
     Mutation(
