An end that was looked at after 30 ms may be followed by the next lifetime

Cause: MIN_RESTART_MS, 100 ms, is an assumption about restarts that runners break which come back in place. For runners whose entries have a start time, which do so, an end whose address was tried more than 30 ms after it is doubt where another ready runner of the version may go on, unless a connection from before is open. That share is the price as well where another runner goes on: one call each.

Two mutations, caught; the one of a stall in the turn of the end's reading needs a stall of 60 ms there, for which an existing step takes its length now. The mutation about slow callers keeps its meaning with the changed line, and is caught. reused_addresses.feature: 40 of 40.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -30,6 +30,8 @@
 MIN_RESTART_MS = 100.0
 """Shortest time in which another process takes over the address of a runner, unless it
 waited for it."""
+FAST_RESTART_MS = 30.0
+"""The same for a runner that comes back under its id and at its address."""
 MAX_NETWORK_DELAY_S = 2.0
 """Longest time by which the end of a connection is taken to arrive late."""
 
@@ -108,6 +110,15 @@
         """For how long the end has waited for this node to read it, as far as known."""
         return 0.0 if self._protocol is None else self._protocol.end_delay_s * MS_PER_S
 
+    @property
+    def _may_be_back(self) -> bool:
+        """Whether the next lifetime of the runner may have passed for the one before.
+
+        Only a runner whose entry has a start time comes back under its id.
+        """
+        is_late = self.findings.age_ms > FAST_RESTART_MS
+        return bool(self._runner.born_ms) and is_late and not self.findings.is_proven
+
     def start(self) -> None:
         """Start the check of an end unless it has started."""
         if self._task is None:
@@ -146,7 +157,7 @@
         if doubt is None and is_known and not findings.is_proven:
             doubt = KNOWN
         if doubt is None and may_go_on:
-            if late_s * MS_PER_S > MIN_RESTART_MS:
+            if late_s * MS_PER_S > MIN_RESTART_MS or self._may_be_back:
                 doubt = LATE
             elif findings.slight_doubt is not None:
                 doubt = findings.slight_doubt
--- a/packages/clementineyoke-node/tests/edge/ends_and_lifetimes.feature
+++ b/packages/clementineyoke-node/tests/edge/ends_and_lifetimes.feature
@@ -55,3 +55,20 @@
     When the runner of a stream ends it, and the node looks at once
     Then the caller gets all events of the stream, each once
     And the runners received 2 calls of the stream
+
+  Scenario: A runner is back within 100 ms, and the node has not heard of it
+    # The end counts as too young for another process to listen there by then.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And the runners' entries have start times
+    And the address of a runner that ends is taken over at once
+    When the runner of a stream ends after 2 events, and the node stands still 60 ms
+    Then the caller gets all events of the stream, each once
+
+  Scenario: A runner lives on, and its node stands still for a moment
+    # Each whole stream at a busy node costs a call at another runner.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And the runners' entries have start times
+    And each runner has a waiting call of the node beside the stream
+    When the runner of a stream ends it, and the node stands still 60 ms in the turn of the end
+    Then the caller gets all events of the stream, each once
+    And the runners received 1 call of the stream
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -24,7 +24,15 @@
 )
 from clementineyoke_standins.edge.raw_answers import encode_event, encode_raw_head
 
-STALLS_S = {"the node stands still": 0.4, "the node stands still 110 ms": 0.11}
+STALLS_S = {
+    "the node stands still": 0.4,
+    "the node stands still 110 ms": 0.11,
+    "the node stands still 60 ms": 0.06,
+}
+READ_STALLS_S = {
+    "the node stands still in the turn of the end": 0.11,
+    "the node stands still 60 ms in the turn of the end": 0.06,
+}
 SUSPENSION_S = 0.4
 STOPPED = "the node has stopped to read"
 FULL_WINDOW = "the node has stopped to read for so long that its window is full"
@@ -448,8 +456,8 @@
         delay_writes(context, most=1)
         if look == LITTLE_ROOM:
             shrink_window(context)
-    elif look == "the node stands still in the turn of the end":
-        stall_after_read_end(context)
+    elif look in READ_STALLS_S:
+        stall_after_read_end(context, READ_STALLS_S[look])
     elif look == "its caller has read slowly":
         delay_writes(context)
     elif look == STOPPED:
@@ -487,14 +495,14 @@
     RunnerProtocol.pause_reading = pause_and_shrink
 
 
-def stall_after_read_end(context):
+def stall_after_read_end(context, stall_s):
     """Stand still when an end was read, in the same turn of the event loop."""
     read_end = RunnerProtocol.eof_received
     context.add_cleanup(setattr, RunnerProtocol, "eof_received", read_end)
 
     def read_and_stall(protocol):
         read_end(protocol)
-        time.sleep(STALLS_S["the node stands still 110 ms"])
+        time.sleep(stall_s)
 
     RunnerProtocol.eof_received = read_and_stall
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -901,6 +901,20 @@
         "elif is_known:",
         ENDS_AND_LIFETIMES,
     ),
+    Mutation(
+        "a runner that comes back under its id takes 100 ms for that",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "if late_s * MS_PER_S > MIN_RESTART_MS or self._may_be_back:",
+        "if late_s * MS_PER_S > MIN_RESTART_MS:",
+        ENDS_AND_LIFETIMES,
+    ),
+    Mutation(
+        "a runner may be back although a connection from before is open",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "is_late and not self.findings.is_proven",
+        "is_late",
+        ENDS_AND_LIFETIMES,
+    ),
     Mutation(
         "the entry of the next lifetime is no evidence that one has ended",
         f"{CORE_SOURCE}/runner_table.py",
@@ -1010,8 +1024,8 @@
     Mutation(
         "an end of an answer may be noticed late because its caller reads slowly",
         f"{NODE_EDGE_SOURCE}/runner_liveness.py",
-        "if late_s * MS_PER_S > MIN_RESTART_MS:",
-        "if False:",
+        "if late_s * MS_PER_S > MIN_RESTART_MS or self._may_be_back:",
+        "if self._may_be_back:",
         REUSED_ADDRESSES,
     ),
     Mutation(
