The entry of a next lifetime counts as evidence if its runner already drains

Callers could get a part of a stream as the whole one where a restarted runner was told to stop at once, so that its first entry that a node reads says it drains: draining entries replace those before without _keep_or_add, in which the end of the former lifetime was recorded. Both kinds of entries are compared now.

--- a/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/runner_table.py
@@ -72,8 +72,10 @@
         """Apply a new host list; return whether the set of runners changed."""
         entries: dict[str, RunnerEntry] = {}
         for runner in live:
+            self._record_end_before(runner, now_ms)
             entries[runner.runner_id] = self._keep_or_add(runner, now_ms)
         for runner in leaving:
+            self._record_end_before(runner, now_ms)
             entries[runner.runner_id] = RunnerEntry(
                 runner, RunnerState.DRAINING, 0, 0.0
             )
@@ -309,11 +311,15 @@
     def _is_available(self, runner: Runner) -> bool:
         return not self.is_evacuated(runner) and not self.is_backed_off(runner)
 
+    def _record_end_before(self, runner: Runner, now_ms: float) -> None:
+        """Record that a listed lifetime has ended, if a runner has another one now."""
+        known = self._entries.get(runner.runner_id)
+        if known is not None and known.runner.lifetime != runner.lifetime:
+            self.ends.record(runner.runner_id, now_ms=now_ms)
+
     def _keep_or_add(self, runner: Runner, now_ms: float) -> RunnerEntry:
         known = self._entries.get(runner.runner_id)
         if known is None or known.runner.lifetime != runner.lifetime:
-            if known is not None:
-                self.ends.record(runner.runner_id, now_ms=now_ms)
             # The state of the previous lifetime says nothing about this one.
             return RunnerEntry(runner, RunnerState.READY, 0, 0.0)
         if known.state is RunnerState.DRAINING and known.retry_at_ms <= now_ms:
--- a/packages/clementineyoke-node/tests/edge/ends_and_lifetimes.feature
+++ b/packages/clementineyoke-node/tests/edge/ends_and_lifetimes.feature
@@ -28,6 +28,7 @@
       | evidence             |
       | its next entry       |
       | a refused connection |
+      | an entry that drains |
 
   Scenario Outline: A runner refuses a connection, and lives on
     # Each whole stream of a runner that was in doubt once is cut for its caller.
--- a/packages/clementineyoke-node/tests/steps/ends_and_lifetimes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/ends_and_lifetimes_steps.py
@@ -10,6 +10,7 @@
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
 from clementineyoke_wire.messages import RunnerEnd
 
+ENTRY_STATES = {"its next entry": "ready", "an entry that drains": "draining"}
 PEER = PeerAddress("127.0.0.9", 1)
 
 
@@ -24,8 +25,8 @@
         end = RunnerEnd(known.lifetime_hash, is_relayed=True)
         node.io.streams.lifetimes._receive(PeerMessage(PEER, 0, end))
     else:
-        assert evidence == "its next entry", evidence
-        await fleet.register_runner(runner, born_ms=BORN_MS + 1_000)
+        state = ENTRY_STATES[evidence]
+        await fleet.register_runner(runner, state, born_ms=BORN_MS + 1_000)
         await wait_until(lambda: not node.state.table.is_current(known), 2)
 
 
