Tests: streams go on at another runner when one sends bytes without end

The scenarios hold both, the whole bodies and the number of runs. Callers that call on until the bad runner has got a call number their calls on.

--- a/packages/clementineyoke-node/tests/edge/endless_bytes.feature
+++ b/packages/clementineyoke-node/tests/edge/endless_bytes.feature
@@ -41,6 +41,36 @@
       | trailers                  | non_idempotent | some  |
       | junk                      | non_idempotent | some  |
 
+  Scenario Outline: Streams of one of several runners have no end
+    # A stream is cut although another runner could begin it, or go on with it.
+    Given a fleet of 1 node and <runners> runners
+    And the other runners answer "streaming" calls, and runner 0 sends "<bytes>" without end
+    When a caller makes 12 "streaming" calls or more, 4 at a time, until runner 0 has got one
+    Then all callers get the whole stream
+    And no call waits for its deadline
+
+    Examples:
+      | runners | bytes                 |
+      | 3       | a stream of filler    |
+      | 4       | a stream of comments  |
+      | 4       | a stream of one event |
+      | 3       | an event and filler   |
+      | 4       | an event and comments |
+
+  Scenario Outline: Streams that may run once, of one of several runners, have no end
+    # A stream that its runner may have begun is run a second time.
+    Given a fleet of 1 node and 3 runners
+    And the other runners answer "streaming" calls, and runner 0 sends "<bytes>" without end
+    And streams are not resumable, and a call may be sent to 2 runners
+    When a caller makes 12 "streaming" calls or more, 4 at a time, until runner 0 has got one
+    Then those that runner 0 got are cut, and all others get the whole stream
+    And no call waits for its deadline
+
+    Examples:
+      | bytes                 |
+      | a stream of filler    |
+      | a stream of one event |
+
   Scenario Outline: Bytes without end behind a whole answer
     # A whole answer is lost, or a later call gets what follows it.
     Given a fleet of 1 node and 1 runner
--- a/packages/clementineyoke-node/tests/steps/endless_bytes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/endless_bytes_steps.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from behave import given, then, when
 from edge_fleet import CALL_ID_HEADER, HOSTNAME, KEY, STORE_HOST
-from edge_steps import given_streams, wait_until
+from edge_steps import WHOLE_STREAM, given_streams, wait_until
 from overload_settings_steps import make_settings
 
 from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
@@ -87,10 +87,10 @@
     return status, body, time.monotonic() - started_s
 
 
-async def call_in_rounds(context, kind, count, at_once):
+async def call_in_rounds(context, kind, count, at_once, *, first=0):
     answers = []
-    for start in range(0, count, at_once):
-        numbers = range(start, min(count, start + at_once))
+    for start in range(first, first + count, at_once):
+        numbers = range(start, min(first + count, start + at_once))
         answers += await asyncio.gather(
             *(timed_call(context, kind, number) for number in numbers)
         )
@@ -112,7 +112,10 @@
     context.answers = context.run(call_in_rounds(context, kind, count, at_once))
     while not runner.calls:
         assert len(context.answers) < MAX_CALLS, f"runner {number} got no call"
-        context.answers += context.run(call_in_rounds(context, kind, at_once, at_once))
+        first = len(context.answers)
+        context.answers += context.run(
+            call_in_rounds(context, kind, at_once, at_once, first=first)
+        )
 
 
 @when('{count:d} callers make a "{kind}" call at once')
@@ -153,6 +156,22 @@
     assert answers == [(200, "whole")] * len(answers), answers
 
 
+@then("all callers get the whole stream")
+def check_whole_streams(context):
+    bodies = [body for _, body, _ in context.answers]
+    assert bodies == [WHOLE_STREAM] * len(bodies), bodies
+
+
+@then("those that runner {number:d} got are cut, and all others get the whole stream")
+def check_cut_streams(context, number):
+    cut = {call.call_id for call in context.fleet.runners[number].calls}
+    for n, (_, body, _) in enumerate(context.answers):
+        is_whole = body == WHOLE_STREAM
+        assert is_whole is (f"call-{n}" not in cut), (n, body)
+    sent = [call.call_id for call in context.fleet.calls()]
+    assert len(sent) == len(set(sent)), sent
+
+
 @then("no connection took more than {megabytes:d} MB")
 def check_taken(context, megabytes):
     wait_for_ends(context, 0)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/endless_answers.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/endless_answers.py
@@ -56,6 +56,7 @@
 
 CHUNKED = {"Transfer_Encoding": "chunked"}
 EVENTS = {"Content_Type": EVENT_STREAM}
+EVENT = b"%x\r\n%s\r\n" % (len(encode_event(1)), encode_event(1))
 NO_HEAD = b"HTTP/1.1 200 OK\r\nX-Padding: "
 
 ENDLESS_ANSWERS = {
@@ -81,6 +82,12 @@
     "a stream of one event": EndlessAnswer(
         CHUNK, begin=b"c\r\nid: 1\ndata: \r\n", fields=CHUNKED | EVENTS
     ),
+    "an event and filler": EndlessAnswer(CHUNK, begin=EVENT, fields=CHUNKED | EVENTS),
+    "an event and comments": EndlessAnswer(
+        b"%x\r\n%s\r\n" % (len(COMMENTS), COMMENTS),
+        begin=EVENT,
+        fields=CHUNKED | EVENTS,
+    ),
     "a whole answer and junk": EndlessAnswer(
         FILLER, begin=b"whole", fields={"Content_Length": "5"}
     ),
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1138,6 +1138,13 @@
         "if True:",
         CUT_OFF_NODES,
     ),
+    Mutation(
+        "a stream whose runner sends bytes without end goes to no other",
+        f"{NODE_EDGE_SOURCE}/attempt_executor.py",
+        "            if not may_go_on(admitted, stream):\n                error",
+        "            if True:\n                error",
+        ENDLESS_BYTES,
+    ),
     Mutation(
         "a long answer of a peer is taken for a failed resumption",
         f"{NODE_EDGE_SOURCE}/forwarder.py",
