A pool's streams tell whether their ids go by ones, and gaps there are refused

What callers get: 1, 3, 4 as a whole stream after a break at 1, 1, 2, 4 from a runner that leaves out one amid its run, 5, 6 from a resumption after 3; and after a spoilt id (1 2 9 3 4) a cut, as all that is lower counts as repeated, or the spoilt event.

Cause: ids need not be consecutive, so that a gap was told only at a junction, and only where the stream itself had gone by ones before.

StreamSteps keeps, for each pool of a node, what its streams have shown: once ten whole runs of two runners or more went by ones, a gap is refused like a failed runner, at a junction, at a caller's resumption and within a run. One runner that leaves out ids does not change that. A second one does, for good: where the ids of a stream have other steps, the next runner shows the same, its events are taken, and the pool is left alone, as is one that has never gone by ones. So such a stream costs one attempt once for each pool of a node (and is cut if no other runner may have it). What the stream itself has shown counts as before. Events before a gap in one chunk are asked for again. Streams that peers relay are checked by the peer.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
@@ -7,6 +7,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from clementineyoke_core.edge.streams.stream_steps import RunSteps
+
 
 class StreamGapError(ValueError):
     """Raised when a runner may go on with a stream later than where it broke off."""
@@ -21,7 +23,8 @@
 
     A runner that goes on with a stream may repeat events that the caller has, but it
     may neither leave out any nor end before them. Ids need not be consecutive, so that
-    a gap is only told where those of the stream have been.
+    a gap is only told where those of the pool's streams are, or, where another runner
+    goes on, those of the stream have been.
     """
 
     def __init__(self, *, last_event_id: int | None) -> None:
@@ -37,6 +40,9 @@
         """Id of the last event of the present run."""
         self._has_unit_steps = False
         self._has_other_steps = False
+        self._steps: RunSteps | None = None
+        self._run_unit_steps = 0
+        self._run_has_gaps = False
 
     @property
     def ends_early(self) -> bool:
@@ -45,11 +51,15 @@
             return False
         return self._run_id < self._accepted_id
 
-    def begin_run(self) -> None:
+    def begin_run(self, steps: RunSteps | None = None) -> None:
         """Record that another runner goes on with the stream.
 
         What the one before has sent, and the caller has not got, is expected again.
+        ``steps`` are those of the pool's streams, if they are known.
         """
+        self._steps = steps
+        self._run_unit_steps = 0
+        self._run_has_gaps = False
         self._resumed_at = self._accepted_id = self.last_event_id
         self._run_id = None
 
@@ -69,6 +79,7 @@
             is_unit = event_id == self._run_id + 1
             self._has_unit_steps |= is_unit
             self._has_other_steps |= not is_unit
+            self._run_unit_steps += is_unit
         self._run_id = event_id
         if self._accepted_id is not None and event_id <= self._accepted_id:
             return False
@@ -82,12 +93,23 @@
             if event_id is not None:
                 self.last_event_id = event_id
 
+    def record_end(self) -> None:
+        """Record that the present run has ended the stream as complete."""
+        if self._steps is not None and not self._run_has_gaps:
+            self._steps.record_whole(unit_steps=self._run_unit_steps)
+
     def _check_gap(self, event_id: int) -> None:
-        last_id = self._resumed_at
-        if last_id is None or self._accepted_id != last_id:
-            return
-        if self._run_id is not None and self._run_id >= last_id:
+        last_id = self._accepted_id
+        if last_id is None or event_id <= last_id + 1:
             return
-        is_consecutive = self._has_unit_steps and not self._has_other_steps
-        if is_consecutive and event_id > last_id + 1:
+        self._run_has_gaps = True
+        is_fault = self._steps is not None and self._steps.refuses_gap()
+        if is_fault or self._goes_on_too_far(last_id):
             raise StreamGapError(last_event_id=last_id, event_id=event_id)
+
+    def _goes_on_too_far(self, last_id: int) -> bool:
+        """Return whether a new run leaves out events of a stream that went by ones."""
+        is_at_junction = last_id == self._resumed_at
+        if self._run_id is not None and self._run_id >= last_id:
+            is_at_junction = False
+        return is_at_junction and self._has_unit_steps and not self._has_other_steps
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/attempt_executor.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
+from clementineyoke_core.edge.streams.stream_steps import PoolSteps
 from clementineyoke_node.edge.answer_ends import AnswerEnds, may_go_on
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.overdue_timer import OverdueTimer
@@ -75,6 +76,7 @@
         self._metrics = metrics
         self._streams = streams
         self._answers = answers
+        self._pool_steps = PoolSteps()
         self._ends = AnswerEnds(table=table, metrics=metrics, decisions=decisions)
 
     @asynccontextmanager
@@ -197,7 +199,11 @@
             response.head, peer=runner.runner_id, stream_status=stream.status
         )
         stream.active_ms = self._timers.now_ms()
-        await stream.start(response.head, is_leaving=self._membership.is_leaving)
+        await stream.start(
+            response.head,
+            is_leaving=self._membership.is_leaving,
+            steps=self._pool_steps.begin_run(runner.pool, runner.runner_id),
+        )
         on_begin = partial(
             self._record_begin, admitted, runner, stream, response.connected_ms
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/caller_stream.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable, Sequence
 
     from clementineyoke_core.edge.event_splitter import StreamEvent
+    from clementineyoke_core.edge.streams.stream_steps import RunSteps
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
 MS_PER_S = 1000.0
@@ -97,10 +98,12 @@
         """The number of bytes that the runner has sent since its last whole event."""
         return self._splitter.pending_bytes
 
-    async def start(self, head: ResponseHead, *, is_leaving: bool) -> None:
+    async def start(
+        self, head: ResponseHead, *, is_leaving: bool, steps: RunSteps | None = None
+    ) -> None:
         """Start to relay a runner's stream; only the first runner's head is sent."""
         self._splitter = EventSplitter()
-        self._sequence.begin_run()
+        self._sequence.begin_run(steps)
         self.unwritten_event_count = 0
         self.pace = EventPace()
         self.body_end = head.body_end
@@ -164,6 +167,7 @@
     async def finish(self) -> None:
         """End the response as complete."""
         await self.response.write_eof(self._splitter.take_comments())
+        self._sequence.record_end()
 
     def abort(self) -> web.StreamResponse:
         """Abort the connection, so that the caller sees an incomplete response."""
--- a/packages/clementineyoke-node/tests/edge/resumed_streams.feature
+++ b/packages/clementineyoke-node/tests/edge/resumed_streams.feature
@@ -129,6 +129,47 @@
       | a stream that ends in an event | no end of the stream      |
       | the whole stream, unnumbered   | no end of the stream      |
 
+  Scenario Outline: A runner leaves out events where a pool's streams go by ones
+    # A stream that has not shown its steps ends as complete with a missing event.
+    Given a fleet of 1 node and 3 runners
+    And a stream may be sent to 3 runners
+    And 12 streams of several runners had the events "1 2 3 4"
+    And the runners that get the next stream send "<parts>"
+    When a caller makes a "streaming" call
+    Then the caller gets the events "<events>"
+
+    Examples:
+      | parts                     | events  |
+      | 1 break, 3 4, 2 3 4       | 1 2 3 4 |
+      | 1 break, 1 3 4, 1 2 3 4   | 1 2 3 4 |
+      | 1 2 4, 1 2 3 4            | 1 2 3 4 |
+      | 1 2 9 3 4, 1 2 3 4        | 1 2 3 4 |
+      | 1 2 1 2 break, 4, 1 2 3 4 | 1 2 3 4 |
+
+  Scenario: A runner leaves out events of a caller's resumption where streams go by ones
+    # As above, where the caller has the events that show the steps.
+    Given a fleet of 1 node and 3 runners
+    And 12 streams of several runners had the events "1 2 3 4"
+    And the runners that get the next stream send "5 6, 4 5 6"
+    When a caller takes a stream up after event 3
+    Then the caller gets the events "4 5 6"
+
+  Scenario Outline: Streams whose ids do not go by ones
+    # They are taken for streams with missing events, and cut.
+    Given a fleet of 1 node and 3 runners
+    And a stream may be sent to 2 runners
+    And 12 streams of several runners had the events "<before>"
+    And the runners that get the next stream send "<parts>"
+    When a caller makes a "streaming" call
+    Then the caller gets the events "<events>"
+
+    Examples:
+      | before  | parts        | events  |
+      | 1 3 4 5 | 1 break, 4 5 | 1 4 5   |
+      | 1 3 4 5 | 1 2 9        | 1 2 9   |
+      | 1 2 3 4 | 1 2 4 6     | 1 2 4 6 |
+      | 1 2     | 1 break, 3 4 | 1 3 4   |
+
   Scenario: A caller keeps its connection after a stream that broke
     # The bytes of the next response follow those of half a stream.
     Given a fleet of 1 node and 2 runners
--- a/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -277,6 +277,48 @@
     assert pieces == wanted, body
 
 
+def send_parts(context, parts):
+    """Answer the next calls with events of these ids, the last one from then on."""
+    parts = [part.split() for part in parts.split(", ")]
+
+    def answer(call):
+        *_, last = ids = parts[0] if len(parts) == 1 else parts.pop(0)
+        events = [
+            encode_event(int(event_id)) for event_id in ids if event_id != "break"
+        ]
+        whole = encode_raw_stream(call, events)
+        return begin_stream(call, events) if last == "break" else send(whole)
+
+    for runner in context.fleet.runners:
+        runner.raw_answer = answer
+
+
+@given('{count:d} streams of several runners had the events "{ids}"')
+def send_streams(context, count, ids):
+    send_parts(context, ids)
+
+    async def act():
+        for number in range(count):
+            answer = await context.fleet.call("streaming", call_id=f"before-{number}")
+            assert answer[0] == 200, answer
+
+    context.run(act())
+    assert sum(1 for runner in context.fleet.runners if runner.calls) > 1
+
+
+@given('the runners that get the next stream send "{parts}"')
+def given_parts(context, parts):
+    send_parts(context, parts)
+
+
+@then('the caller gets the events "{ids}"')
+def check_event_ids(context, ids):
+    assert context.answer is not None, "broken off"
+    assert context.answer[0] == 200, context.answer
+    pieces = [line for line in context.answer[2].split("\n") if "data" in line]
+    assert pieces == [f"data: piece {n}" for n in ids.split()], pieces
+
+
 @then("the caller gets no end of the stream")
 def check_no_end(context):
     assert context.answer is None or context.answer[0] >= 500, context.answer
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/model/stream_positions_spec.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/model/stream_positions_spec.py
@@ -1,10 +1,10 @@
 """Model of the position from which runners go on with a caller's stream.
 
 A node reads events from a runner, may leave the runner before it writes them, and asks
-the next one for what follows its position. A runner may repeat events, leave out the
-first ones, or end before the position. What is written arrives later, or is lost when
-the node is killed; the caller then goes on at another node after what it has. Ids are
-consecutive, and the nodes know it.
+the next one for what follows its position. A runner may repeat events, leave some out,
+or end before the position. What is written arrives later, or is lost when the node is
+killed; the caller then goes on at another node after what it has. Ids are consecutive,
+and the nodes know it.
 """
 
 from __future__ import annotations
@@ -50,7 +50,8 @@
 
     move_when_written: bool = True
     expect_unwritten_again: bool = True
-    refuse_gaps: bool = True
+    refuse_first_gaps: bool = True
+    refuse_later_gaps: bool = True
     drop_repeated: bool = True
     refuse_early_ends: bool = True
     resume_after_received: bool = True
@@ -62,7 +63,8 @@
     "unwritten events of the last runner count as repeated": Guards(
         expect_unwritten_again=False
     ),
-    "a runner may leave out its first events": Guards(refuse_gaps=False),
+    "a runner may leave out its first events": Guards(refuse_first_gaps=False),
+    "a runner may leave out later events": Guards(refuse_later_gaps=False),
     "repeated events are written": Guards(drop_repeated=False),
     "a runner may end before the position": Guards(refuse_early_ends=False),
     "another node goes on after what was written": Guards(resume_after_received=False),
@@ -134,7 +136,7 @@
 def _runner_steps(state: State, guards: Guards) -> Iterator[Step]:
     for count in range(1, min(MAX_CHUNK, EVENTS - state.sent) + 1):
         yield f"the runner sends {count}", _read(state, count, guards)
-    if state.accepted == state.resumed_at and state.sent < EVENTS:
+    if state.sent < EVENTS:
         yield "the runner leaves out one", state._replace(sent=state.sent + 1)
     if state.sent == EVENTS == state.run_last or state.sent < state.accepted:
         is_early = state.run_last < state.accepted and guards.refuse_early_ends
@@ -146,7 +148,9 @@
     sent = state.sent + count
     accepted, unwritten = state.accepted, list(state.unwritten)
     for event in range(state.sent + 1, sent + 1):
-        if guards.refuse_gaps and event > accepted + 1:
+        is_first = accepted == state.resumed_at
+        refuses = guards.refuse_first_gaps if is_first else guards.refuse_later_gaps
+        if refuses and event > accepted + 1:
             return state._replace(phase=CHOOSING)
         if event > accepted or not guards.drop_repeated:
             accepted = event
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -374,8 +374,8 @@
     Mutation(
         "a truncated event is continued with the next runner's stream",
         f"{NODE_EDGE_SOURCE}/caller_stream.py",
-        "self._splitter = EventSplitter()\n        self._sequence.begin_run()",
-        "self._sequence.begin_run()",
+        "self._splitter = EventSplitter()\n        self._sequence.begin_run(steps)",
+        "self._sequence.begin_run(steps)",
         STREAMS,
     ),
     Mutation(
@@ -1587,7 +1587,7 @@
     Mutation(
         "a runner may leave out events of a stream",
         f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
-        "if is_consecutive and event_id > last_id + 1:",
+        "if is_fault or self._goes_on_too_far(last_id):",
         "if False:",
         RESUMED_STREAMS,
     ),
@@ -1598,6 +1598,34 @@
         "return False",
         RESUMED_STREAMS,
     ),
+    Mutation(
+        "a pool's streams do not tell whether their ids go by ones",
+        f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
+        "is_fault = self._steps is not None and self._steps.refuses_gap()",
+        "is_fault = False",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "one faulty runner ends the check of a pool's ids",
+        f"{CORE_SOURCE}/edge/streams/stream_steps.py",
+        "and len(self._gap_runners) < MIN_RUNNERS",
+        "and not self._gap_runners",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "runners that agree on a step are refused",
+        f"{CORE_SOURCE}/edge/streams/stream_steps.py",
+        "and len(self._gap_runners) < MIN_RUNNERS",
+        "",
+        RESUMED_STREAMS,
+    ),
+    Mutation(
+        "streams of two events tell how a pool's ids go",
+        f"{CORE_SOURCE}/edge/streams/stream_steps.py",
+        "if unit_steps < MIN_RUN_STEPS:",
+        "if not unit_steps:",
+        RESUMED_STREAMS,
+    ),
     Mutation(
         "events count as the caller's when they are read",
         f"{CORE_SOURCE}/edge/streams/stream_sequence.py",
