Tests: events whose reading fails are expected of the next runner

RunnerTimeout.enforce waits for the end of a search for another runner after events were read and before they are returned; an error there takes them along. By reading, the search ends without errors (Failover.stop ends the task, and gathers those of the attempt that it drops), other than that the call itself is cancelled. The scenario holds whatever it raises: the events were not written, and the next runner's count as missing.

--- a/packages/clementineyoke-node/tests/edge/resumed_streams.feature
+++ b/packages/clementineyoke-node/tests/edge/resumed_streams.feature
@@ -182,6 +182,10 @@
     # The bytes of a peer are another runner's, and are checked like them.
     Then a stream that comes from a peer is refused as one that comes from a runner
 
+  Scenario: Reading fails after it got events
+    # The search for another runner ends between the two; what it raises takes the events along.
+    Then events whose reading fails are expected of the next runner
+
   Scenario: Whole events come together with one that is too long
     # They count as sent and are not written, so that the next runner leaves them out.
     Then events that come with the beginning of one that is too long reach the caller
--- a/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
+++ b/packages/clementineyoke-node/tests/steps/resumed_streams_steps.py
@@ -486,6 +486,34 @@
         assert limits.held.total_bytes == 0
 
 
+@contextlib.asynccontextmanager
+async def fail_at_end():
+    yield
+    raise ConnectionResetError
+
+
+@then("events whose reading fails are expected of the next runner")
+def check_failed_reading(context):
+    stream = CallerStream(request=None, last_event_id=None)
+    stream._response = WrittenResponse(status=200, body=b"")
+    limits = ByteLimits(
+        max_answer_bytes=65_536, max_held_bytes=65_536, metrics=Metrics()
+    )
+
+    async def read(events, timeout):
+        await stream.start(make_peer_head(200), is_leaving=False)
+        response = SimpleNamespace(client_response=Body(events))
+        with make_reader(response, stream, limits) as reader:
+            await stream.write_events(await reader.next_events(timeout))
+
+    context.run(read(WHOLE[:1], contextlib.nullcontext()))
+    failure = find_failure(lambda: context.run(read(WHOLE[1:], fail_at_end())))
+    assert failure is AttemptOutcome.LOST, failure
+    assert stream.last_event_id == 1, stream.last_event_id
+    context.run(read([b"".join(WHOLE[1:])], contextlib.nullcontext()))
+    assert stream.response.body == b"".join(WHOLE), stream.response.body
+
+
 @then("a stream that comes from a peer is refused as one that comes from a runner")
 def check_peer(context):
     heads = (
