Events that no caller got do not tell how the ids of a stream go

Cause: a new run takes the position back to what was written, and kept what the events beyond it had shown of the stream's steps, so that one odd id of a refused runner switched the check for gaps off. The steps go back with the position now.

Evidence: the new scenario of stream_sequence.feature fails before and passes now; the second one pins the position itself, and passes before as well. resumed_streams.feature and lost_events.feature pass, one run.

--- a/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
+++ b/packages/clementineyoke-core/src/clementineyoke_core/edge/streams/stream_sequence.py
@@ -40,6 +40,8 @@
         """Id of the last event of the present run."""
         self._has_unit_steps = False
         self._has_other_steps = False
+        self._written_steps = (False, False)
+        """The two above when events were last written."""
         self._steps: RunSteps | None = None
         self._run_unit_steps = 0
         self._run_has_gaps = False
@@ -60,6 +62,9 @@
         self._steps = steps
         self._run_unit_steps = 0
         self._run_has_gaps = False
+        if self._accepted_id != self.last_event_id:
+            # Events that no caller got do not show how the stream goes on.
+            self._has_unit_steps, self._has_other_steps = self._written_steps
         self._resumed_at = self._accepted_id = self.last_event_id
         self._run_id = None
 
@@ -92,6 +97,7 @@
             self.has_position = event_id is not None
             if event_id is not None:
                 self.last_event_id = event_id
+        self._written_steps = (self._has_unit_steps, self._has_other_steps)
 
     def record_end(self) -> None:
         """Record that the present run has ended the stream as complete."""
