Soak: entries change while runners go on with streams

The soak did not show the incident of a missing event: no runner's entry changed between the head of a stream that it goes on with and its first events.

EntryChanges gives such a runner an entry of a later start, at most twice a second, for as long as faults are injected, so that it overlaps with kills of nodes, releases and all else. After bytes without end a runner answers as it did before them. soak_run.py names the plans by their module and is six lines shorter.

Entries that are taken out are played by lost_events.feature alone.

--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -47,6 +47,8 @@
     has_replacements: bool = True
     """Whether most runners return under new IDs, and nodes are killed in a release
     that replaces runners so."""
+    has_entry_changes: bool = True
+    """Whether runners' entries change while they go on with streams."""
     has_power_losses: bool = False
     """Whether nothing is played but releases with losses of all nodes."""
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -355,9 +355,9 @@
     async def _answer_without_end(self, fault: PlannedFault) -> None:
         runner = self._fleet.runners[fault.selector % len(self._fleet.runners)]
         name = ENDLESS_KINDS[fault.selector // 16 % len(ENDLESS_KINDS)]
-        runner.raw_answer = ENDLESS_ANSWERS[name].send
+        former, runner.raw_answer = runner.raw_answer, ENDLESS_ANSWERS[name].send
         await asyncio.sleep(fault.duration_s)
-        runner.raw_answer = None
+        runner.raw_answer = former
 
     async def _store_without_end(self, fault: PlannedFault) -> None:
         self._fleet.store.is_endless = True
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -12,6 +12,7 @@
 
 from clementineyoke_node.timers.background_tasks import BackgroundTasks
 from clementineyoke_standins.edge.edge_runner import CrashManner, ScriptedResponse
+from clementineyoke_standins.soak import schedule
 from clementineyoke_standins.soak.audit import (
     APPLY_DEADLINE_S,
     CRASH_CHECK_STEP,
@@ -22,6 +23,7 @@
     audit,
 )
 from clementineyoke_standins.soak.caller import LONG_TARGET, Caller, SlowCaller
+from clementineyoke_standins.soak.entry_changes import EntryChanges
 from clementineyoke_standins.soak.fault_acts import (
     FaultInjector,
     send_crashing_part,
@@ -43,17 +45,6 @@
     RUNNER_SIGNALS,
     FaultKind,
     PlannedFault,
-    plan_crashes,
-    plan_crashing_parts,
-    plan_endless_bytes,
-    plan_faults,
-    plan_path_faults,
-    plan_pauses,
-    plan_release,
-    plan_replacements,
-    plan_replacements_alone,
-    plan_runner_signals,
-    plan_zone_work,
 )
 from clementineyoke_standins.soak.soak_fleet import (
     SOUND_PROMPTS,
@@ -140,6 +131,7 @@
         has_endless_bytes: bool = True,
         has_release: bool = True,
         has_replacements: bool = True,
+        has_entry_changes: bool = True,
         has_other_faults: bool = True,
         node_python: str = sys.executable,
     ) -> None:
@@ -154,6 +146,7 @@
         self._has_endless_bytes = has_endless_bytes
         self._has_release = has_release
         self._has_replacements = has_replacements
+        self._has_entry_changes = has_entry_changes
         self._has_other_faults = has_other_faults
         self._length_s = length_s
         self._is_timed = is_timed
@@ -242,9 +235,10 @@
                 for reader in self._readers:
                     tasks.spawn(reader.run(), name="soak_reader")
                 planned = self._plan_faults()
-                await asyncio.gather(
-                    *(self._inject(fault, run_start_s) for fault in planned)
-                )
+                with EntryChanges(fleet=self._fleet, is_active=self._has_entry_changes):
+                    await asyncio.gather(
+                        *(self._inject(fault, run_start_s) for fault in planned)
+                    )
                 recovery_s = await self._wait_until_serving(session, RECOVERY_TIMEOUT_S)
                 await self._apply_changes_undisturbed()
                 await self._check_withdrawn_keys(session)
@@ -260,18 +254,18 @@
 
     def _plan_faults(self) -> list[PlannedFault]:
         if not self._has_other_faults:
-            return plan_replacements_alone(self._seed)
+            return schedule.plan_replacements_alone(self._seed)
         plans = (
-            (plan_faults, True),
-            (plan_crashes, self._has_crashes),
-            (plan_crashing_parts, self._has_crashing_parts),
-            (plan_zone_work, self._has_zone_work),
-            (plan_runner_signals, self._has_runner_signals),
-            (plan_path_faults, self._has_path_faults),
-            (plan_pauses, self._has_pauses),
-            (plan_endless_bytes, self._has_endless_bytes),
-            (plan_release, self._has_release),
-            (plan_replacements, self._has_replacements),
+            (schedule.plan_faults, True),
+            (schedule.plan_crashes, self._has_crashes),
+            (schedule.plan_crashing_parts, self._has_crashing_parts),
+            (schedule.plan_zone_work, self._has_zone_work),
+            (schedule.plan_runner_signals, self._has_runner_signals),
+            (schedule.plan_path_faults, self._has_path_faults),
+            (schedule.plan_pauses, self._has_pauses),
+            (schedule.plan_endless_bytes, self._has_endless_bytes),
+            (schedule.plan_release, self._has_release),
+            (schedule.plan_replacements, self._has_replacements),
         )
         return [
             fault
