A short answer is not doubted for evidence from before its connection

A runner that is back sends a short answer; the node had a refused connection less than 20 ms before its end, and made the call again, or would have cut the answer where nobody may go on. Cause: judged evidence by the end of the answer alone, with 20 ms of margin, which reach back to before the connection of a short answer.

ends_and_lifetimes.feature, "sends a short answer at once": fails without the line (one run), 14 of 14 scenarios pass with it in three runs. A mutation, caught.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -185,6 +185,7 @@
         since_s = self._ended_s - CRASH_SPREAD_MS / MS_PER_S
         if self._protocol is not None:
             since_s -= self._protocol.max_end_delay_s
+            since_s = max(since_s, self._protocol.connected_s)
         ended_ms = TimerService.from_loop_time_ms(self._ended_s)
         return was_learnt(
             self._runner.runner_id,
--- a/packages/clementineyoke-node/tests/edge/ends_and_lifetimes.feature
+++ b/packages/clementineyoke-node/tests/edge/ends_and_lifetimes.feature
@@ -73,3 +73,10 @@
     When the runner of a stream ends it, and the node stands still 60 ms in the turn of the end
     Then the caller gets all events of the stream, each once
     And the runners received 1 call of the stream
+
+  Scenario: A runner is back, and sends a short answer at once
+    # Whole answers on connections that are newer than the evidence are made again or cut.
+    Given a fleet of 1 node and 2 runners that frame no streams
+    And the runners' entries have start times
+    When connections are refused, and a short document is sent right after that
+    Then the runners received 1 call
--- a/packages/clementineyoke-node/tests/steps/ends_and_lifetimes_steps.py
+++ b/packages/clementineyoke-node/tests/steps/ends_and_lifetimes_steps.py
@@ -2,12 +2,13 @@
 
 import asyncio
 
-from behave import given
+from behave import given, when
 from edge_steps import wait_until
-from reused_addresses_steps import EVENT_PAUSE_S, stream_calls
+from reused_addresses_steps import DOCUMENT, EVENT_PAUSE_S, stream_calls
 from runner_restarts_steps import BORN_MS
 
 from clementineyoke_node.peers.peer_socket import PeerAddress, PeerMessage
+from clementineyoke_standins.edge.raw_answers import encode_raw_head
 from clementineyoke_wire.messages import RunnerEnd
 
 ENTRY_STATES = {"its next entry": "ready", "an entry that drains": "draining"}
@@ -83,3 +84,18 @@
                 await tell(context, runner, evidence)
 
     context.run(act())
+
+
+@when("connections are refused, and a short document is sent right after that")
+def send_document(context):
+    async def answer(call):
+        yield encode_raw_head(call) + DOCUMENT
+        raise ConnectionResetError  # The stand-in closes the connection in order.
+
+    async def act():
+        for runner in context.fleet.runners:
+            runner.raw_answer = answer
+            await tell(context, runner, "a refused connection")
+        await context.fleet.call("idempotent")
+
+    context.run(act())
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -915,6 +915,13 @@
         "is_late",
         ENDS_AND_LIFETIMES,
     ),
+    Mutation(
+        "a lifetime counts as over by evidence that is older than the connection",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "            since_s = max(since_s, self._protocol.connected_s)\n",
+        "",
+        ENDS_AND_LIFETIMES,
+    ),
     Mutation(
         "the entry of the next lifetime is no evidence that one has ended",
         f"{CORE_SOURCE}/runner_table.py",
