A slight doubt does not count for answers of calls that may run once

What callers saw: 502 for a call that may run once, although its runner had sent the whole answer, which had no length.

Cause: slight doubts about an end (answers that end together, an end that is noticed late) count where another runner may go on, as they cost one call there. That was asked of the stream alone, which has no event yet in such an answer, and not of the call: no other runner may answer it, so that the doubt lost the answer.

Evidence: found while the soak's cut streams were traced. The second example of "Whole documents end together at runners that live on" fails before (502, one run) and passes now; the scenario is an outline now, its first example as it was. reused_addresses, ends_and_lifetimes, runner_lifetimes and resumed_streams.feature pass, one run.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/answer_ends.py
@@ -61,8 +61,11 @@
         """Return whether another runner may produce the rest of a response now.
 
         Where two runners have ended an answer at the same event, a third is not asked.
+        No other one may answer a call that may run only once.
         """
-        if stream.has_confirmed_end or not may_go_on(admitted, stream):
+        if stream.has_confirmed_end or not admitted.route.may_repeat:
+            return False
+        if not may_go_on(admitted, stream):
             return False
         return self._table.has_other_ready(runner, version=stream.version)
 
--- a/packages/clementineyoke-node/tests/edge/reused_addresses.feature
+++ b/packages/clementineyoke-node/tests/edge/reused_addresses.feature
@@ -119,12 +119,18 @@
     When 6 streams of these runners end in the same moment
     Then each caller gets all events of its stream, each once
 
-  Scenario: Whole documents end together at runners that live on
-    # The calls that run again end together as well, and all callers get an error.
+  Scenario Outline: Whole documents end together at runners that live on
+    # The calls that run again end together as well, and all callers get an error; those that
+    # may run once get one at once, although no other runner may answer them.
     Given a fleet of 1 node and 2 runners that frame no streams
-    When 6 documents of these runners end in the same moment
+    When 6 documents of these runners for "<kind>" calls end in the same moment
     Then each caller gets the document
 
+    Examples:
+      | kind           |
+      | idempotent     |
+      | non_idempotent |
+
   Scenario: A stream ends at the last runner, which drains
     # A whole stream is cut, as no other runner can confirm that it was whole.
     Given a fleet of 1 node and 1 runner that frames no streams
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -276,12 +276,12 @@
     end_together(context, "streaming", count, encode)
 
 
-@when("{count:d} documents of these runners end in the same moment")
-def end_documents_together(context, count):
+@when('{count:d} documents of these runners for "{kind}" calls end in the same moment')
+def end_documents_together(context, count, kind):
     def encode(call):
         return encode_raw_head(call) + DOCUMENT
 
-    end_together(context, "idempotent", count, encode)
+    end_together(context, kind, count, encode)
 
 
 def end_together(context, kind, count, encode):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1727,6 +1727,13 @@
         "self._resumed_at = self.last_event_id",
         LOST_EVENTS,
     ),
+    Mutation(
+        "a whole answer of a call that may run once is lost to a slight doubt",
+        f"{NODE_EDGE_SOURCE}/answer_ends.py",
+        "if stream.has_confirmed_end or not admitted.route.may_repeat:",
+        "if stream.has_confirmed_end:",
+        REUSED_ADDRESSES,
+    ),
     Mutation(
         "another run goes on with events of a call that is not resumable",
         f"{NODE_EDGE_SOURCE}/answer_ends.py",
