--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/entry_changes.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/entry_changes.py
@@ -61,6 +61,9 @@
         self, runner: EdgeRunner, call: ReceivedCall, first_event: int
     ) -> AsyncIterator[bytes]:
         yield runner._stream_head(call.call_id)
+        # All but this stream is that of a restarted runner, also for the audit.
+        runner.crash_times_s.append(time.monotonic())
+        runner.cold_until_s = 0.0
         link = self._fleet.runner_links[self._fleet.runners.index(runner)]
         born_ms = round(time.time() * MS_PER_S)
         await self._fleet.state.write_entry(runner, link.listen, born_ms=born_ms)
