--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1025,8 +1025,8 @@
     Mutation(
         "a second runner's end of a stream at the same event is in doubt as well",
         f"{NODE_EDGE_SOURCE}/answer_ends.py",
-        "if stream.has_confirmed_end or not may_go_on(",
-        "if not may_go_on(",
+        "if stream.has_confirmed_end or not admitted.route.may_repeat:",
+        "if not admitted.route.may_repeat:",
         REUSED_ADDRESSES,
     ),
     Mutation(
