Heads of responses are checked as a whole before they are used

Callers got `HTTP/1.1 0 `, `1` and `99` with a runner's signature, and 600 and 999 for calls that may run once. `HTTP/2.0 200` and `HTTP/0.9 200` counted as sound answers, as did control bytes in a reason.

Cause: a head was trusted because aiohttp's parser had returned it. The parser of its client is lenient, and check_outcome asks for nothing below 200: a status of 0 is neither a refusal, a failure nor a success, and passes. What such a head said of its runner's load and of its leaving was applied before anybody had refused it.

BoundedProtocol, where every head of runners, peers and the platform's store comes in, now checks the bytes of the whole head (clementineyoke_wire.response_head) before the parser gets the last of them, so that nothing of a refused one is read, learnt or sent on. It closes the connection, logs event 251 and counts clementineyoke_heads_refused_total. The check for two joined heads moves there, for interim heads too.

Evidence: stand-ins that send such bytes, and a caller on a plain socket that reads by the grammar (RawCaller), as client libraries read leniently themselves.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -1,4 +1,4 @@
-"""An aiohttp client protocol that ends responses which bring bytes but no progress."""
+"""An aiohttp client protocol that ends responses which break the grammar or a bound."""
 
 from __future__ import annotations
 
@@ -8,41 +8,47 @@
 from aiohttp.client_proto import ResponseHandler
 
 from clementineyoke_node.bounds.byte_limit_error import ByteKind
+from clementineyoke_wire.response_head import (
+    HEAD_END,
+    HeadError,
+    parse_head,
+)
 
 if TYPE_CHECKING:
     import asyncio
 
     from aiohttp import StreamReader
-    from aiohttp.http import RawResponseMessage
 
-    from clementineyoke_node.bounds.byte_limit_error import ByteLimitError
     from clementineyoke_node.bounds.byte_limits import ByteLimits
 
 MAX_HEADS_BYTES = 131_072
 """All heads of a response, informational ones included."""
 MAX_FRAMING_BYTES = 65_536
 """Bytes of a body without any of its content: sizes of chunks, extensions, trailers."""
-HEAD_END = b"\r\n\r\n"
-MIN_FINAL_STATUS = 200
 
 
 class BoundedProtocol(ResponseHandler):
-    """Close the connection at once when a response exceeds a bound.
+    """Close the connection at once when a response breaks the grammar or a bound.
 
-    aiohttp skips empty lines, informational heads and chunk extensions for as long as
-    they come, and keeps what comes while there is no request.
+    aiohttp's parser accepts heads that break the grammar. It skips empty lines,
+    informational heads and chunk extensions for as long as they come, and keeps what
+    comes while there is no request.
     """
 
     def __init__(
-        self, *, loop: asyncio.AbstractEventLoop, byte_limits: ByteLimits
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        byte_limits: ByteLimits,
     ) -> None:
         super().__init__(loop=loop)
         self._byte_limits = byte_limits
         self._peer_name = "an unknown address"
         """What the other end is called in logs, also once the connection has ended."""
-        self._refusal: ByteLimitError | None = None
+        self._refusal: ClientPayloadError | None = None
         self._is_head_due = False
-        self._head_tail = b""
+        self._head = bytearray()
+        """What has arrived of the head that is due."""
         self._heads_bytes = 0
         self._framing_bytes = 0
         self._content_bytes = 0
@@ -57,7 +63,7 @@
     def set_response_params(self, **params: Any) -> None:
         """Expect the response to a request that is about to be sent."""
         self._is_head_due = True
-        self._head_tail = b""
+        self._head.clear()
         self._heads_bytes = self._framing_bytes = self._content_bytes = 0
         super().set_response_params(**params)
 
@@ -82,14 +88,6 @@
         else:
             self._check_framing(payload, len(data))
 
-    def feed_data(
-        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
-    ) -> None:
-        """Note that the head is complete, unless it is an informational one."""
-        if data[0].code >= MIN_FINAL_STATUS:
-            self._is_head_due = False
-        super().feed_data(data, size)
-
     def close(self) -> None:
         """Close the connection, and fail a response that has not arrived as a whole.
 
@@ -119,31 +117,48 @@
     def _pass_head(self, data: bytes) -> bytes:
         """Pass on bytes up to the end of a head, and return the rest.
 
-        The parser drops a whole response if what follows it in the same bytes is none.
+        The parser gets the end of a head only if the whole head follows the grammar. It
+        drops a whole response if what follows it in the same bytes is none.
         """
-        tail = self._head_tail
-        if tail in (b"", HEAD_END[1:]):
+        if not self._head:
             # The parser skips empty lines before a head as well, but one by one.
             begun = data.lstrip(HEAD_END)
             self._heads_bytes += len(data) - len(begun)
             data = begun
-        end = (tail + data).find(HEAD_END)
-        size_bytes = len(data) if end < 0 else end + len(HEAD_END) - len(tail)
+        known_bytes = len(self._head)
+        self._head += data
+        end = self._head.find(HEAD_END, max(0, known_bytes - len(HEAD_END)))
+        if end >= 0:
+            del self._head[end + len(HEAD_END) :]
+        size_bytes = len(self._head) - known_bytes
         self._heads_bytes += size_bytes
         if self._heads_bytes > MAX_HEADS_BYTES:
             self._refuse(ByteKind.HEAD, size_bytes=self._heads_bytes)
             return b""
-        head = data[:size_bytes]
-        self._head_tail = (tail + head)[1 - len(HEAD_END) :]
-        super().data_received(head)
+        try:
+            if end >= 0:
+                self._check_head()
+        except HeadError as error:
+            self._fail(self._byte_limits.refuse_head(error, peer=self._peer_name))
+            return b""
+        super().data_received(data[:size_bytes])
         return data[size_bytes:]
 
+    def _check_head(self) -> None:
+        """Raise ``HeadError`` if the head that has arrived breaks the grammar."""
+        head = parse_head(bytes(self._head))
+        self._is_head_due = not head.is_final
+        self._head.clear()
+
     def _refuse(self, kind: ByteKind, *, size_bytes: int) -> None:
+        """Fail the response, as it exceeds a bound, and close the connection."""
+        self._fail(
+            self._byte_limits.refuse(kind, size_bytes=size_bytes, peer=self._peer_name)
+        )
+
+    def _fail(self, error: ClientPayloadError) -> None:
         """Fail the response, unless it is complete, and close the connection."""
         payload, transport = self._payload, self.transport
-        error = self._byte_limits.refuse(
-            kind, size_bytes=size_bytes, peer=self._peer_name
-        )
         self._refusal = error
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/byte_limits.py
@@ -1,4 +1,4 @@
-"""The bounds of a node on what it holds of others, and records of what exceeds them."""
+"""The bounds of a node on what it holds of others, and records of what it refuses."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 
 from clementineyoke_core.edge.held_bytes import HeldBytes, HoldLimitError
 from clementineyoke_node.bounds.byte_limit_error import ByteKind, ByteLimitError
+from clementineyoke_node.bounds.malformed_head_error import MalformedHeadError
 from clementineyoke_wire.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
 
     from clementineyoke_core.edge.held_bytes import Holding
     from clementineyoke_node.metrics import Metrics
+    from clementineyoke_wire.response_head import HeadError
 
 DEFAULT_MAX_ANSWER_BYTES = 4_194_304
 DEFAULT_MAX_HELD_BYTES = 16_777_216
@@ -74,6 +76,12 @@
         )
         return ByteLimitError(kind, size_bytes=size_bytes)
 
+    def refuse_head(self, error: HeadError, *, peer: str) -> MalformedHeadError:
+        """Log and count a head that breaks the grammar, and return its error."""
+        self._metrics.heads_refused.inc({})
+        log_event(Event.HEAD_REFUSED, peer=peer, reason=str(error))
+        return MalformedHeadError(str(error))
+
     async def read(self, content: StreamReader, *, peer: str) -> bytes:
         """Read a body of the store or a peer, which is decoded at once.
 
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/peer_relay.py
@@ -14,11 +14,7 @@
 from clementineyoke_core.hashing import hash_text
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 from clementineyoke_node.edge.attempt_error import AttemptError
-from clementineyoke_node.edge.response_checks import (
-    check_call_id,
-    check_resumption,
-    check_single_head,
-)
+from clementineyoke_node.edge.response_checks import check_call_id, check_resumption
 from clementineyoke_node.edge.runner_connection_pool import make_session
 from clementineyoke_node.edge.runner_connections import RunnerConnections
 from clementineyoke_node.edge.runner_response import CompleteResponse, OpenResponse
@@ -203,7 +199,6 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise _error(AttemptOutcome.LOST, "read_head", peer, error) from error
         try:
-            check_single_head(response, peer=peer.node_id)
             head = decode_relayed_head(response.status, response.headers)
             check_call_id(call, head, peer=peer.node_id)
             if is_hop_refused(response.headers):
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/response_checks.py
@@ -7,12 +7,9 @@
 from clementineyoke_core.edge.attempt_ledger import AttemptOutcome
 from clementineyoke_node.edge.attempt_error import AttemptError
 from clementineyoke_node.edge.runner_response import CompleteResponse
-from clementineyoke_node.platform.joined_heads import has_joined_heads
 from clementineyoke_node.platform.runner_codec import MIN_REDIRECT_STATUS
 
 if TYPE_CHECKING:
-    import aiohttp
-
     from clementineyoke_core.edge.edge_call import EdgeCall
     from clementineyoke_node.platform.runner_codec import ResponseHead
 
@@ -116,20 +113,6 @@
     check_begun(head, peer=peer, stream_status=stream_status)
 
 
-def check_single_head(response: aiohttp.ClientResponse, *, peer: str) -> None:
-    """Raise ``AttemptError`` if a head consists of parts of two.
-
-    Nothing in it can be relied on, also not that the call did not run.
-    """
-    if has_joined_heads(response.reason, response.headers):
-        raise AttemptError(
-            outcome=AttemptOutcome.LOST,
-            step="read_head",
-            peer=peer,
-            reason=f"the head with status {response.status} has another status line",
-        )
-
-
 def check_call_id(call: EdgeCall, head: ResponseHead, *, peer: str) -> None:
     """Raise ``AttemptError`` for a response that carries another call's id."""
     if head.call_id == call.call_id:
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_connection_pool.py
@@ -15,7 +15,7 @@
 from clementineyoke_core.edge.idle_connection_policy import IdleConnectionPolicy
 from clementineyoke_node.edge.address_lifetimes import AddressLifetimes
 from clementineyoke_node.edge.attempt_error import AttemptError
-from clementineyoke_node.edge.response_checks import check_call_id, check_single_head
+from clementineyoke_node.edge.response_checks import check_call_id
 from clementineyoke_node.edge.runner_connections import RunnerConnections
 from clementineyoke_node.edge.runner_liveness import RunnerLiveness
 from clementineyoke_node.edge.runner_protocol import RunnerProtocol, make_connector
@@ -185,7 +185,6 @@
         is_complete = False
         protocol = response.connection and response.connection.protocol
         try:
-            check_single_head(response, peer=runner.runner_id)
             head = decode_response_head(response.status, response.headers)
             if head.status == STATUS_MISDIRECTED:
                 self._metrics.calls_misdirected.inc({"pool": runner.pool})
--- a/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/metrics.py
@@ -58,6 +58,11 @@
             "Responses of runners, peers and the store over a bound, by kind.",
             registry=self.registry,
         )
+        self.heads_refused = Counter(
+            "clementineyoke_heads_refused_total",
+            "Responses of runners, peers and the store with a malformed head.",
+            registry=self.registry,
+        )
         self.bodies_refused = Counter(
             "clementineyoke_bodies_refused_total",
             "Requests refused since this node held as many bytes of bodies as it may.",
--- /dev/null
+++ b/packages/clementineyoke-node/tests/edge/malformed_heads.feature
@@ -0,0 +1,48 @@
+Feature: Answers whose heads break the grammar of HTTP
+
+  Scenario Outline: A status line that is none
+    # The caller gets a status that does not exist, or one that the runner did not give.
+    When the first runner of each call answers "<status>" with "X-Note: 1" and <end>
+    Then the other runner serves the calls that may run again, and the third fails
+    And the node has learnt nothing from these answers
+
+    Examples:
+      | status                             | end      |
+      | HTTP/1.1 000 OK                    | a length |
+      | HTTP/1.1 000 OK                    | neither  |
+      | HTTP/1.1 001 OK                    | chunks   |
+      | HTTP/1.1 099 OK                    | a length |
+      | HTTP/1.1 600 OK                    | a length |
+      | HTTP/1.1 999 OK                    | neither  |
+      | HTTP/2.0 200 OK                    | a length |
+      | HTTP/0.9 200 OK                    | a length |
+      | HTTP/9.9 200 OK                    | a length |
+      | ICY 200 OK                         | a length |
+      | HTTP/1.1 2e2 OK                    | a length |
+      | HTTP/1.1 -20 OK                    | a length |
+      | HTTP/1.1 20 OK                     | a length |
+      | HTTP/1.1 0200 OK                   | a length |
+      | HTTP/1.1 OK                        | a length |
+      | HTTP/1.1  200 OK                   | a length |
+      | HTTP/1.1 200 O\x01K                | a length |
+      | HTTP/1.1 200 O\x7fK                | neither  |
+      | HTTP/1.1 200 HTTP/1.1 500 Failed   | a length |
+
+  Scenario Outline: An unusual answer that is one
+    # A check that is too strict takes sound answers from their callers.
+    When a runner answers "<status>" with "<field>", "<body>" and <end>
+    Then the caller gets this answer with status <got>
+
+    Examples:
+      | status                  | field                                                | body  | end      | got |
+      | HTTP/1.1 200            | X-Note: 1                                            | whole | a length | 200 |
+      | HTTP/1.1 200 Caf\xe9    | X-Note:                                              | whole | a length | 200 |
+      | HTTP/1.0 200 OK         | X-Note: 1                                            | whole | a length | 200 |
+      | HTTP/1.1 299 Odd        | X-Note: 1                                            | whole | chunks   | 299 |
+      | HTTP/1.1 200 OK         | !#$%&'*+.^_`~0-z:a\tb                                | whole | neither  | 200 |
+      | HTTP/1.1 200 OK         | Set-Cookie: a=1\r\nSet-Cookie: b=2                   | whole | a length | 200 |
+      | HTTP/1.1 200 OK         | Connection: keep-alive, X-Note\r\nUpgrade: odd       | whole | a length | 200 |
+      | HTTP/1.1 200 OK         | Transfer-Encoding: Chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\nX-Odd: 1\r\n | whole | neither | 200 |
+      | HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK | X-Note: 1 | whole | a length | 200 |
+      | HTTP/1.1 204 No Content | Content-Length: 0                                    | -     | neither  | 204 |
+      | HTTP/1.1 205 Reset      | X-Note: 1                                            | -     | a length | 205 |
--- /dev/null
+++ b/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
@@ -0,0 +1,157 @@
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from behave import then, when
+from cut_heads_steps import stop_nodes
+from edge_fleet import EdgeFleet
+from edge_steps import WHOLE_STREAM
+from leaving_node_steps import encode_request
+
+from clementineyoke_node.platform import names
+from clementineyoke_standins.edge.edge_runner import ScriptedResponse
+from clementineyoke_standins.edge.raw_answers import (
+    EVENT_STREAM,
+    SIGNATURE,
+    encode_event,
+)
+from clementineyoke_standins.edge.raw_caller import GrammarError, RawAnswer, call_raw
+
+KINDS = ("idempotent", "non_idempotent", "streaming")
+CALL_ID = "the-call"
+CALL_TIMEOUT_S = 5.0
+LATIN_1 = "latin-1"
+
+
+class PlayedCall(NamedTuple):
+    """A call's answer, how many runners got it, and whether one is said to drain."""
+
+    kind: str
+    answer: RawAnswer | GrammarError
+    count: int
+    drains: bool
+
+
+def unescape(text):
+    """Return the bytes of a cell, in which others than ASCII are escaped."""
+    return text.encode().decode("unicode_escape").encode(LATIN_1)
+
+
+def frame(body, end):
+    """Return the framing fields of a body, and the body in its frame."""
+    if end == "chunks":
+        return b"Transfer-Encoding: chunked\r\n", b"%x\r\n%s\r\n0\r\n\r\n" % (
+            len(body),
+            body,
+        )
+    return (b"Content-Length: %d\r\n" % len(body) if end == "a length" else b""), body
+
+
+async def send_answer(call, status, field, end, body):
+    """Send an answer that says that its runner drains, and identifies itself."""
+    content_type = EVENT_STREAM if "streaming" in call.target else "text/plain"
+    identity = (
+        f"{names.CALL_ID}: {call.call_id}\r\n{names.SERVER_SIGNATURE}: {SIGNATURE}\r\n"
+        f"{names.DRAINING}: {names.DRAINING_VALUE}\r\n"
+    ).encode()
+    if b"Content-Type" not in field:
+        identity += f"Content-Type: {content_type}\r\n".encode()
+    framing, framed = frame(body, end)
+    yield status + b"\r\n" + identity + field + b"\r\n" + framing + b"\r\n" + framed
+    if end == "neither":
+        raise ConnectionResetError  # The stand-in closes the connection in order.
+
+
+async def call_node(fleet, kind, call_id):
+    method = "GET" if kind == "idempotent" else "POST"
+    fields = "Connection: close\r\n"
+    request = encode_request(call_id, method=method, kind=kind, fields=fields)
+    try:
+        return await call_raw(
+            "127.0.0.2", fleet.ports[0], request, timeout_s=CALL_TIMEOUT_S
+        )
+    except GrammarError as error:
+        return error
+
+
+async def play(kind, make_answer):
+    """Make a call to a fleet of its own."""
+    fleet = EdgeFleet(nodes=1, runners=2)
+    async with fleet:
+        for runner in fleet.runners:
+            runner.responses_by_prefix["/streaming/"] = ScriptedResponse.STREAM
+            runner.raw_answer = make_answer
+        answer = await call_node(fleet, kind, CALL_ID)
+        table = fleet.nodes[0].state.table
+        drains = [table.is_draining(runner.runner_id) for runner in fleet.runners]
+        await stop_nodes(fleet)
+        return PlayedCall(kind, answer, len(fleet.calls()), any(drains))
+
+
+def answer_once(status, field, end):
+    """Return the first answer to a call; the next one is sound."""
+    calls = []
+
+    def answer(call):
+        calls.append(call)
+        if len(calls) > 1:
+            return None
+        body = encode_event(1) if "streaming" in call.target else b"broken"
+        return send_answer(call, unescape(status), unescape(field), end, body)
+
+    return answer
+
+
+@when('the first runner of each call answers "{status}" with "{field}" and {end}')
+def answer_first(context, status, field, end):
+    async def act():
+        context.played = [
+            await play(kind, answer_once(status, field, end)) for kind in KINDS
+        ]
+
+    context.run(act())
+
+
+def find_fault(played):
+    """Return what is wrong with the answer to a call whose first one is broken."""
+    kind, answer, count, _ = played
+    if isinstance(answer, GrammarError):
+        return str(answer)
+    signatures = answer.values(names.SERVER_SIGNATURE)
+    found = (answer.status, answer.body.decode(LATIN_1), len(signatures), count)
+    expected = {
+        "idempotent": (200, f"answer to {CALL_ID}", 1, 2),
+        "non_idempotent": (502, found[1], 0, 1),
+        "streaming": (200, WHOLE_STREAM, 1, 2),
+    }[kind]
+    return "" if found == expected else repr(found)
+
+
+@then("the other runner serves the calls that may run again, and the third fails")
+def check_served(context):
+    faults = [(p.kind, fault) for p in context.played if (fault := find_fault(p))]
+    assert not faults, faults
+
+
+@then("the node has learnt nothing from these answers")
+def check_unlearnt(context):
+    draining = [played.kind for played in context.played if played.drains]
+    assert not draining, draining
+
+
+@when('a runner answers "{status}" with "{field}", "{body}" and {end}')
+def answer_unusual(context, status, field, body, end):
+    context.body = unescape(body.strip("-"))
+
+    def answer(call):
+        return send_answer(call, unescape(status), unescape(field), end, context.body)
+
+    context.answer = context.run(play("non_idempotent", answer)).answer
+
+
+@then("the caller gets this answer with status {status:d}")
+def check_unusual(context, status):
+    answer = context.answer
+    assert not isinstance(answer, GrammarError), answer
+    assert (answer.status, answer.body) == (status, context.body), answer
+    assert answer.values(names.SERVER_SIGNATURE) == [SIGNATURE], answer
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/events.py
@@ -136,6 +136,9 @@
     RUNNER_DOUBTED = EventKind(
         250, "INFO", "A runner may have started again at another version."
     )
+    HEAD_REFUSED = EventKind(
+        251, "WARNING", "A response was refused, as its head breaks HTTP's grammar."
+    )
     NODE_DOWN = EventKind(300, "WARNING", "A node no longer answers probes.")
     NODE_BACK = EventKind(301, "INFO", "A node that was down answers again.")
     HOSTS_CHANGED = EventKind(302, "INFO", "The host list changed.")
