Lines of a head that are no fields are refused

Callers got `Content-Length : 6`, `Connection : close` and `Upgrade : odd` as they came, folded lines, and lines that end without a carriage return.

Cause: aiohttp's client switches its parser to a mode that takes a blank between a name and its colon where the parser knows the name, folded lines and bare line feeds. The parser framed the body by such a line while the node looked the name up without the blank and took the body to end with its connection: two parts of the node disagreed.

The check of a head takes a line only if it is a token, a colon and a value. A bare line feed is refused as soon as it has come, since the parser ends a head at two of them.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -11,6 +11,7 @@
 from clementineyoke_wire.response_head import (
     HEAD_END,
     HeadError,
+    has_bare_line_feed,
     parse_head,
 )
 
@@ -136,16 +137,23 @@
             self._refuse(ByteKind.HEAD, size_bytes=self._heads_bytes)
             return b""
         try:
-            if end >= 0:
-                self._check_head()
+            self._check_head(known_bytes, is_whole=end >= 0)
         except HeadError as error:
             self._fail(self._byte_limits.refuse_head(error, peer=self._peer_name))
             return b""
         super().data_received(data[:size_bytes])
         return data[size_bytes:]
 
-    def _check_head(self) -> None:
-        """Raise ``HeadError`` if the head that has arrived breaks the grammar."""
+    def _check_head(self, known_bytes: int, *, is_whole: bool) -> None:
+        """Raise ``HeadError`` if what has arrived of a head breaks the grammar.
+
+        The parser itself refuses most of what is no head before that is whole.
+        """
+        if has_bare_line_feed(self._head, known_bytes):
+            message = "a line of the head ends without a carriage return"
+            raise HeadError(message)
+        if not is_whole:
+            return
         head = parse_head(bytes(self._head))
         self._is_head_due = not head.is_final
         self._head.clear()
--- a/packages/clementineyoke-node/tests/edge/malformed_heads.feature
+++ b/packages/clementineyoke-node/tests/edge/malformed_heads.feature
@@ -28,6 +28,31 @@
       | HTTP/1.1 200 O\x7fK                | neither  |
       | HTTP/1.1 200 HTTP/1.1 500 Failed   | a length |
 
+  Scenario Outline: A line that is no field
+    # The line reaches the caller, or the body ends for the node elsewhere than for the parser.
+    When the first runner of each call answers "HTTP/1.1 200 OK" with "<field>" and <end>
+    Then the other runner serves the calls that may run again, and the third fails
+    And the node has learnt nothing from these answers
+
+    Examples:
+      | field                       | end      |
+      | Content-Length : 6          | neither  |
+      | Connection : close          | a length |
+      | Upgrade : odd               | a length |
+      | Transfer-Encoding : chunked | neither  |
+      | X-Odd : 1                   | a length |
+      | X-Odd\t: 1                  | a length |
+      | X Odd: 1                    | a length |
+      | X\x01Odd: 1                 | a length |
+      | X\x7fOdd: 1                 | a length |
+      | X\xe9Odd: 1                 | a length |
+      | X[Odd]: 1                   | a length |
+      | : 1                         | a length |
+      | X-Odd                       | a length |
+      | X-Odd: 1\r\n folded         | a length |
+      | X-Odd: 1\nX-Other: 2        | a length |
+      | X-Odd: 1\rX-Other: 2        | a length |
+
   Scenario Outline: An unusual answer that is one
     # A check that is too strict takes sound answers from their callers.
     When a runner answers "<status>" with "<field>", "<body>" and <end>
