Values that no node can send on are refused where they come in

A runner's answer with a control byte or DEL in a field's value closed the caller's connection without an answer, also of calls that may run again, which the other runner would have served. Streams ended with bytes of a failure within them.

Cause: aiohttp's parser takes such values, and its server refuses to write them. What a node takes in and what it can put out were judged by two rules in two places.

The check of a head takes values of the characters that HTTP allows only, which are those that the server writes.

--- a/packages/clementineyoke-node/tests/edge/malformed_heads.feature
+++ b/packages/clementineyoke-node/tests/edge/malformed_heads.feature
@@ -53,6 +53,19 @@
       | X-Odd: 1\nX-Other: 2        | a length |
       | X-Odd: 1\rX-Other: 2        | a length |
 
+  Scenario Outline: A value that no node can send on
+    # The node cannot write the head, and its caller gets no answer at all.
+    When the first runner of each call answers "HTTP/1.1 200 OK" with "<field>" and <end>
+    Then the other runner serves the calls that may run again, and the third fails
+    And the node has learnt nothing from these answers
+
+    Examples:
+      | field           | end      |
+      | X-Odd: a\x01b   | a length |
+      | X-Odd: a\x1fb   | chunks   |
+      | X-Odd: a\x7fb   | neither  |
+      | X-Odd: a\x00b   | a length |
+
   Scenario Outline: An unusual answer that is one
     # A check that is too strict takes sound answers from their callers.
     When a runner answers "<status>" with "<field>", "<body>" and <end>
@@ -71,3 +84,14 @@
       | HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK | X-Note: 1 | whole | a length | 200 |
       | HTTP/1.1 204 No Content | Content-Length: 0                                    | -     | neither  | 204 |
       | HTTP/1.1 205 Reset      | X-Note: 1                                            | -     | a length | 205 |
+
+  Scenario Outline: A peer relays an answer with a malformed head
+    # The peer may be of another build, or not be a node at all.
+    When a peer answers a call that it relays "<status>" with "<field>" and a length
+    Then the caller learns that the call failed
+
+    Examples:
+      | status          | field              |
+      | HTTP/1.1 000 OK | X-Note: 1          |
+      | HTTP/1.1 200 OK | Connection : close |
+      | HTTP/1.1 200 OK | X-Odd: a\x01b      |
--- a/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
+++ b/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
@@ -1,21 +1,23 @@
 from __future__ import annotations
 
+import asyncio
 from typing import NamedTuple
 
 from behave import then, when
 from cut_heads_steps import stop_nodes
-from edge_fleet import EdgeFleet
+from edge_fleet import STORE_HOST, EdgeFleet
 from edge_steps import WHOLE_STREAM
 from leaving_node_steps import encode_request
 
 from clementineyoke_node.platform import names
-from clementineyoke_standins.edge.edge_runner import ScriptedResponse
+from clementineyoke_standins.edge.edge_runner import EdgeRunner, ScriptedResponse
 from clementineyoke_standins.edge.raw_answers import (
     EVENT_STREAM,
     SIGNATURE,
     encode_event,
 )
 from clementineyoke_standins.edge.raw_caller import GrammarError, RawAnswer, call_raw
+from clementineyoke_standins.edge.source_filter import LinkCut
 
 KINDS = ("idempotent", "non_idempotent", "streaming")
 CALL_ID = "the-call"
@@ -155,3 +157,36 @@
     assert not isinstance(answer, GrammarError), answer
     assert (answer.status, answer.body) == (status, context.body), answer
     assert answer.values(names.SERVER_SIGNATURE) == [SIGNATURE], answer
+
+
+@when('a peer answers a call that it relays "{status}" with "{field}" and {end}')
+def answer_relayed(context, status, field, end):
+    fleet = EdgeFleet(nodes=2, runners=1, has_own_sources=True)
+    peer = EdgeRunner(runner_id="peer")
+    peer.raw_answer = lambda call: send_answer(
+        call, unescape(status), unescape(field), end, b"broken"
+    )
+
+    async def act():
+        async with fleet, peer:
+            fleet.runners[0].cut_links(["127.0.0.2"], LinkCut.RESET)
+            relay = fleet.nodes[0].io.peer_relay
+            choose = relay.choose_peers
+            relay.choose_peers = lambda pool: [
+                node._replace(address=STORE_HOST, caller_port=peer.port)
+                for node in choose(pool)
+            ]
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                while not peer.calls:
+                    answer = await call_node(fleet, "idempotent", CALL_ID)
+            await stop_nodes(fleet)
+        return answer
+
+    context.answer = context.run(act())
+
+
+@then("the caller learns that the call failed")
+def check_failed(context):
+    answer = context.answer
+    assert not isinstance(answer, GrammarError), answer
+    assert (answer.status, answer.values(names.SERVER_SIGNATURE)) == (502, []), answer
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
@@ -18,7 +18,7 @@
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 # Some servers leave out the blank before an empty reason.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
-_FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*")
+_FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):(" + _TEXT + rb")")
 _OTHER_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: |\r)")
 _BARE_LINE_FEED = re.compile(rb"(?<!\r)\n")
 
