Heads that identify themselves twice, or hide that they do, are refused

Callers got answers with two ids or two signatures, of which the node had checked the first one only, and successes without the runner's signature where the runner named that field as an option of the connection.

Cause: the node takes the first of several values, a caller another one or all. Fields that `Connection` names are left out on the way to the caller, after the node has found the signature among them.

The check of a head refuses a second line of a field that occurs once (content type, id, signature), such a field named in `Connection`, and one with other characters than ASCII, which the node's server would leave out.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -41,8 +41,11 @@
         *,
         loop: asyncio.AbstractEventLoop,
         byte_limits: ByteLimits,
+        receiver_fields: frozenset[str] = frozenset(),
     ) -> None:
+        """Create a protocol; ``receiver_fields`` is described at ``parse_head``."""
         super().__init__(loop=loop)
+        self._receiver_fields = receiver_fields
         self._byte_limits = byte_limits
         self._peer_name = "an unknown address"
         """What the other end is called in logs, also once the connection has ended."""
@@ -157,6 +160,7 @@
         head = parse_head(
             bytes(self._head),
             answers_head_request=self._skip_payload,
+            receiver_fields=self._receiver_fields,
         )
         self._is_head_due = not head.is_final
         self._head.clear()
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -13,7 +13,7 @@
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
 from clementineyoke_node.edge.runner_connections import Address
 from clementineyoke_node.edge.tcp_state import read_tcp_state
-from clementineyoke_node.platform.runner_codec import has_call_id
+from clementineyoke_node.platform.runner_codec import RECEIVER_FIELDS, has_call_id
 from clementineyoke_node.runners.send_monitor import SendMonitor
 
 if TYPE_CHECKING:
@@ -52,7 +52,9 @@
         address_lifetimes: AddressLifetimes,
         connections: RunnerConnections,
     ) -> None:
-        super().__init__(loop=loop, byte_limits=byte_limits)
+        super().__init__(
+            loop=loop, byte_limits=byte_limits, receiver_fields=RECEIVER_FIELDS
+        )
         self._address_lifetimes = address_lifetimes
         self._connections = connections
         self._peer = Address("", 0)
--- a/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/platform/runner_codec.py
@@ -21,6 +21,8 @@
 MIN_REDIRECT_STATUS = 300
 STATUS_MISDIRECTED = 421
 STATUSES_WITHOUT_EVENTS = frozenset((204, 205, 304))
+RECEIVER_FIELDS = frozenset((names.CALL_ID.lower(), names.SERVER_SIGNATURE.lower()))
+"""Fields that a response has once, and that identify it to the caller."""
 BACKOFF_STATUSES = frozenset((429, 503))
 """Statuses of responses that may carry a backoff time."""
 MAX_BACKOFF_MS = 3_600_000.0
--- a/packages/clementineyoke-node/tests/edge/malformed_heads.feature
+++ b/packages/clementineyoke-node/tests/edge/malformed_heads.feature
@@ -96,6 +96,21 @@
       | HTTP/1.1 103 Hi\x01nts\r\nX-Note: 1\r\n\r\nHTTP/1.1 200 OK | X-Note: 1 | a length |
       | HTTP/1.1 103 Hints\r\nX-Odd : 1\r\n\r\nHTTP/1.1 200 OK | X-Note: 1 | a length |
 
+  Scenario Outline: An identity that is not certain
+    # The caller reads another one than the node has checked, or none.
+    When the first runner of each call answers "HTTP/1.1 200 OK" with "<field>" and <end>
+    Then the other runner serves the calls that may run again, and the third fails
+    And the node has learnt nothing from these answers
+
+    Examples:
+      | field                                        | end      |
+      | X-Attempt-Id: another                        | a length |
+      | X-Server-Signature: another                  | chunks   |
+      | Content-Type: a/b\r\nContent-Type: c/d       | neither  |
+      | Connection: X-Server-Signature               | a length |
+      | Connection: close, x-attempt-id              | neither  |
+      | Connection: content-type                     | a length |
+
   Scenario Outline: An unusual answer that is one
     # A check that is too strict takes sound answers from their callers.
     When a runner answers "<status>" with "<field>", "<body>" and <end>
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
@@ -20,6 +20,7 @@
 """May have the length of the body that another response would have."""
 STATUSES_WITHOUT_BODY = frozenset((NO_CONTENT, NOT_MODIFIED))
 FRAMING_FIELDS = frozenset(("content-length", "transfer-encoding"))
+RECEIVER_FIELDS = frozenset(("content-type",))
 MAX_QUOTED_BYTES = 80
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
@@ -70,8 +71,14 @@
     head: bytes,
     *,
     answers_head_request: bool = False,
+    receiver_fields: frozenset[str] = frozenset(),
 ) -> RawHead:
-    """Return what a whole head says; raises ``HeadError`` if it breaks the grammar."""
+    """Return what a whole head says; raises ``HeadError`` if it breaks the grammar.
+
+    ``receiver_fields`` are the lowercase names of fields that, like the content type,
+    occur once at the most and are for the receiver of the response.
+    """
+    receiver_fields |= RECEIVER_FIELDS
     status_line, *lines = head[: -len(HEAD_END)].split(LINE_END)
     status, is_http_1_0 = _parse_status(status_line)
     if _OTHER_STATUS_LINE.search(head, 1):
@@ -79,7 +86,8 @@
         # have the status of the one with the body of the other.
         message = f"the head with status {status} has another status line"
         raise HeadError(message)
-    fields = _parse_fields(lines)
+    fields = _parse_fields(lines, FRAMING_FIELDS | receiver_fields)
+    _check_options(fields.get("connection", []), receiver_fields)
     coding = _first(fields, "transfer-encoding")
     if coding is not None and is_http_1_0:
         message = f"an HTTP/1.0 response has the transfer coding {coding!r}"
@@ -141,7 +149,9 @@
     return status, match[1] == b"0"
 
 
-def _parse_fields(lines: list[bytes]) -> dict[str, list[str]]:
+def _parse_fields(
+    lines: list[bytes], single_fields: frozenset[str]
+) -> dict[str, list[str]]:
     """Return the values of each field by its lowercase name."""
     fields: dict[str, list[str]] = {}
     for line in lines:
@@ -152,12 +162,26 @@
         name = match[1].decode().lower()
         values = fields.setdefault(name, [])
         values.append(match[2].decode("latin-1").strip(" \t"))
-        if name in FRAMING_FIELDS and len(values) > 1:
+        if name not in single_fields:
+            continue
+        if len(values) > 1:
             message = f"the field {name!r} occurs twice"
             raise HeadError(message)
+        if not values[0].isascii():
+            message = f"the field {name!r} has other characters than ASCII"
+            raise HeadError(message)
     return fields
 
 
+def _check_options(values: list[str], receiver_fields: frozenset[str]) -> None:
+    """Raise ``HeadError`` if a field for the receiver is to end with the connection."""
+    options = {option.strip().lower() for text in values for option in text.split(",")}
+    removed = sorted(options & receiver_fields)
+    if removed:
+        message = f"the fields {removed} are named as options of the connection"
+        raise HeadError(message)
+
+
 def _first(fields: dict[str, list[str]], name: str) -> str | None:
     values = fields.get(name)
     return None if values is None else values[0]
