The node's own interface reads answers by the same grammar

Callers of the node's own interface got status 0 and other malformed heads, bodies in codings, and a part of an answer without a length that was reset, as whole. The node took the body of a malformed answer for an object of its platform's store, and so a status of 0 for the confirmation of a write.

Cause: RunnerClient (calls and probes) and HttpPlatform open connections of aiohttp's own protocol, with a check for joined heads of their own and no other.

Both use BoundedProtocol now, with its check of heads and its bounds on bytes that bring no progress; their second check of joined heads is gone. That a reset is no end of an answer moves from RunnerProtocol to BoundedProtocol, and so holds for all of them. How they open sockets stays as it was. Settings that peers exchange are signed and are taken with status 200 only; they keep aiohttp's protocol.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_connector.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_connector.py
@@ -35,7 +35,8 @@
         make_protocol: Callable[[], BoundedProtocol],
         **options: Any,
     ) -> None:
-        super().__init__(limit=0, socket_factory=open_socket, **options)
+        options.setdefault("socket_factory", open_socket)
+        super().__init__(limit=0, **options)
         self._connect_timeout_ms = connect_timeout_ms
         # aiohttp has no public way to set the protocol class of a connector.
         self._factory = make_protocol  # type: ignore[assignment]
--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -109,8 +109,15 @@
         _fail_unfinished(payload, ClientPayloadError("this node closed the connection"))
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a response that is not complete, or keep the reason of its refusal."""
+        """Fail a response that is not complete, or keep the reason of its refusal.
+
+        aiohttp accepts any end of the connection as that of a response without a
+        length: one that was truncated by a reset would pass as complete.
+        """
         payload = self._payload
+        if exc is not None:
+            error = ClientPayloadError(f"the answer was cut: {exc!r}")
+            _fail_unfinished(payload, error)
         super().connection_lost(exc)
         if self._refusal is not None:
             _fail_unfinished(payload, self._refusal)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -7,8 +7,6 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from aiohttp import ClientPayloadError
-
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
 from clementineyoke_node.edge.runner_connections import Address
@@ -166,15 +164,8 @@
             self._end_arrived_s = time.monotonic() - self._end_delay_s
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a response that was reset.
-
-        A response without a length ends with its connection. aiohttp accepts any end of
-        the connection as the end of such a response: one that was truncated by a reset
-        would pass as complete.
-        """
+        """Record whether the connection was cut, or ended with a response."""
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError(f"the answer was cut: {exc!r}"))
         is_own_end = self._refusal is not None or (
             self.transport is None and not self._was_ended_idle
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/node_io.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/node_io.py
@@ -5,6 +5,11 @@
 from contextlib import AsyncExitStack
 from typing import TYPE_CHECKING, Self
 
+from clementineyoke_node.bounds.byte_limits import (
+    DEFAULT_MAX_ANSWER_BYTES,
+    DEFAULT_MAX_HELD_BYTES,
+    ByteLimits,
+)
 from clementineyoke_node.claims.claim_client import ClaimClient
 from clementineyoke_node.claims.claim_home import ClaimHome
 from clementineyoke_node.fleet.gossiper import Gossiper
@@ -53,10 +58,17 @@
             incarnation=state.membership.incarnation,
             rng=state.rng,
         )
+        byte_limits = ByteLimits(
+            max_answer_bytes=DEFAULT_MAX_ANSWER_BYTES,
+            max_held_bytes=DEFAULT_MAX_HELD_BYTES,
+            metrics=state.metrics,
+        )
         self.platform = HttpPlatform(
-            url=config.platform_url, timeout_ms=config.platform_timeout_ms
+            url=config.platform_url,
+            timeout_ms=config.platform_timeout_ms,
+            byte_limits=byte_limits,
         )
-        self.client = RunnerClient()
+        self.client = RunnerClient(byte_limits=byte_limits)
         self.prober = RunnerProber(
             table=state.table, client=self.client, timers=self.timers
         )
--- a/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/objects/http_platform.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.byte_limits import read_at_most
 from clementineyoke_node.objects.host_codec import decode_host_changes
 from clementineyoke_node.objects.object_api import StoredObject, WatchResult
@@ -17,6 +18,7 @@
 )
 
 if TYPE_CHECKING:
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
     from clementineyoke_node.objects.host_list import HostChanges
 
 WATCH_WAIT_MS = 30_000
@@ -31,14 +33,18 @@
 class HttpPlatform:
     """Implements ``ObjectApi`` and ``HostList`` over HTTP."""
 
-    def __init__(self, *, url: str, timeout_ms: int) -> None:
+    def __init__(self, *, url: str, timeout_ms: int, byte_limits: ByteLimits) -> None:
+        self._byte_limits = byte_limits
         self._url = url.rstrip("/")
         self._timeout_ms = timeout_ms
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         """Open the connection pool."""
-        self._session = aiohttp.ClientSession()
+        connector = make_bounded_connector(
+            self._byte_limits, connect_timeout_ms=self._timeout_ms, socket_factory=None
+        )
+        self._session = aiohttp.ClientSession(connector=connector)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/packages/clementineyoke-node/src/clementineyoke_node/runners/runner_client.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/runners/runner_client.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Self
 
 import aiohttp
 from yarl import URL
 
-from clementineyoke_node.platform.joined_heads import has_joined_heads
+from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
+from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
 from clementineyoke_node.runners.runner_error import RunnerError
 from clementineyoke_wire import headers
 
@@ -16,12 +18,14 @@
     from collections.abc import AsyncIterator, Mapping
 
     from clementineyoke_core.runner import Runner
+    from clementineyoke_node.bounds.byte_limits import ByteLimits
 
 MS_PER_S = 1000.0
 CONNECT_TIMEOUT_MS = 1_000
 PROBE_TIMEOUT_MS = 1_000
 PROBE_PATH = "/ready"
 STATUS_OK = 200
+RECEIVER_FIELDS = frozenset((headers.REQUEST_ID.lower(),))
 
 
 class RunnerCall(NamedTuple):
@@ -44,14 +48,15 @@
     ``unknown``; such calls therefore always use a new connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, byte_limits: ByteLimits) -> None:
+        self._byte_limits = byte_limits
         self._keepalive_session: aiohttp.ClientSession | None = None
         self._single_use_session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         """Open both connection pools."""
-        self._keepalive_session = _make_session(force_close=False)
-        self._single_use_session = _make_session(force_close=True)
+        self._keepalive_session = _make_session(self._byte_limits, force_close=False)
+        self._single_use_session = _make_session(self._byte_limits, force_close=True)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -92,10 +97,7 @@
             return False
 
     async def _send(self, runner: Runner, call: RunnerCall) -> aiohttp.ClientResponse:
-        timeout = aiohttp.ClientTimeout(
-            total=call.timeout_ms / MS_PER_S,
-            sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
-        )
+        timeout = aiohttp.ClientTimeout(total=call.timeout_ms / MS_PER_S)
         try:
             return await self._session(is_idempotent=call.is_idempotent).request(
                 call.method,
@@ -128,9 +130,17 @@
         return session
 
 
-def _make_session(*, force_close: bool) -> aiohttp.ClientSession:
+def _make_session(
+    byte_limits: ByteLimits, *, force_close: bool
+) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+        connector=make_bounded_connector(
+            byte_limits,
+            protocol=partial(BoundedProtocol, receiver_fields=RECEIVER_FIELDS),
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            socket_factory=None,
+            force_close=force_close,
+        ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
@@ -149,13 +159,6 @@
 def _check_echo(
     runner: Runner, call: RunnerCall, response: aiohttp.ClientResponse
 ) -> None:
-    if has_joined_heads(response.reason, response.headers):
-        raise RunnerError(
-            step="check_head",
-            peer=runner.runner_id,
-            reason=f"the head with status {response.status} has another status line",
-            may_have_run=True,
-        )
     echoed = response.headers.get(headers.REQUEST_ID)
     if echoed == call.request_id:
         return
--- a/packages/clementineyoke-node/tests/steps/host_list_steps.py
+++ b/packages/clementineyoke-node/tests/steps/host_list_steps.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from behave import given, then, when
 from edge_steps import wait_until
+from refused_bytes_steps import make_limits
 
 from clementineyoke_node.fleet.host_watcher import HostWatcher
 from clementineyoke_node.objects.http_platform import HttpPlatform
@@ -67,7 +68,11 @@
         site = web.TCPSite(context.server, "127.0.0.1", 0)
         await site.start()
         port = context.server.addresses[0][1]
-        platform = HttpPlatform(url=f"http://127.0.0.1:{port}", timeout_ms=TIMEOUT_MS)
+        platform = HttpPlatform(
+            url=f"http://127.0.0.1:{port}",
+            timeout_ms=TIMEOUT_MS,
+            byte_limits=make_limits(),
+        )
         await platform.__aenter__()
         watcher = HostWatcher(
             host_list=platform,
