A success that ends before its request was delivered is not whole

A runner with a small receive window answered an upload of 900 kB with a head, six bytes of a body without a length and the end of its sending side, and reset the connection 20 or 300 ms later. Callers got the six bytes as a whole 200, and streams one event.

Cause: aiohttp takes an end for a cut only while it has bytes to write itself. What waits in the system's send buffer, over 2 MB on loopback, it holds for sent. The connection is closed at the end, so that the reset that follows is never seen.

When an end arrives that may be that of a body without a length, BoundedProtocol asks the system what is not acknowledged or not sent (tcp_info), besides what the loop still has to write. The end's segment acknowledges all that the runner's host had received, so that a runner that has read its request leaves nothing. A success with bytes left is cut; a failure may be meant for a request that nobody wants to read, and passes. A connection that was reset by the time its end is read is cut as well: the system reports the end first. Systems that do not tell (no TCP_INFO) are as before.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/bounded_protocol.py
@@ -8,8 +8,10 @@
 from aiohttp.client_proto import ResponseHandler
 
 from clementineyoke_node.bounds.byte_limit_error import ByteKind
+from clementineyoke_node.bounds.tcp_state import read_tcp_state
 from clementineyoke_wire.response_head import (
     HEAD_END,
+    BodyEnd,
     HeadError,
     has_bare_line_feed,
     parse_head,
@@ -21,6 +23,7 @@
     from aiohttp import StreamReader
 
     from clementineyoke_node.bounds.byte_limits import ByteLimits
+    from clementineyoke_wire.response_head import RawHead
 
 MAX_HEADS_BYTES = 131_072
 """All heads of a response, informational ones included."""
@@ -53,6 +56,10 @@
         self._is_head_due = False
         self._head = bytearray()
         """What has arrived of the head that is due."""
+        self._final_head: RawHead | None = None
+        """The head of the response that is being received."""
+        self._end_fault = ""
+        """Why the end of the connection is not that of a response; empty if it is."""
         self._heads_bytes = 0
         self._framing_bytes = 0
         self._content_bytes = 0
@@ -68,6 +75,7 @@
         """Expect the response to a request that is about to be sent."""
         self._is_head_due = True
         self._head.clear()
+        self._final_head = None
         self._heads_bytes = self._framing_bytes = self._content_bytes = 0
         super().set_response_params(**params)
 
@@ -108,6 +116,11 @@
         super().abort()
         _fail_unfinished(payload, ClientPayloadError("this node closed the connection"))
 
+    def eof_received(self) -> None:
+        """Record whether the end of the connection may be that of a response."""
+        self._end_fault = self._find_end_fault()
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that is not complete, or keep the reason of its refusal.
 
@@ -115,9 +128,11 @@
         length: one that was truncated by a reset would pass as complete.
         """
         payload = self._payload
-        if exc is not None:
-            error = ClientPayloadError(f"the answer was cut: {exc!r}")
-            _fail_unfinished(payload, error)
+        fault = self._end_fault if exc is None else repr(exc)
+        if fault:
+            _fail_unfinished(
+                payload, ClientPayloadError(f"the answer was cut: {fault}")
+            )
         super().connection_lost(exc)
         if self._refusal is not None:
             _fail_unfinished(payload, self._refusal)
@@ -125,6 +140,31 @@
             # The parser was paused when the connection ended.
             _fail_unfinished(payload, ClientPayloadError("the answer was cut"))
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether a response is being received that has no other end."""
+        head, payload = self._final_head, self._payload
+        if head is None or payload is None or payload.is_eof():
+            return False
+        return head.body_end is BodyEnd.CONNECTION
+
+    def _find_end_fault(self) -> str:
+        """Return why the peer has not ended a response by ending the connection.
+
+        A failure may be meant for a request that the peer has not read to its end.
+        """
+        head, transport = self._final_head, self.transport
+        if head is None or transport is None or not self._ends_with_connection:
+            return ""
+        state = read_tcp_state(transport)
+        if state is not None and state.is_reset:
+            return "the connection was reset after its end"
+        pending_bytes = transport.get_write_buffer_size()
+        has_undelivered = state is not None and state.has_undelivered
+        if head.is_success and (pending_bytes or has_undelivered):
+            return "a success before the request was delivered"
+        return ""
+
     def _pass_head(self, data: bytes) -> bytes:
         """Pass on bytes up to the end of a head, and return the rest.
 
@@ -169,8 +209,10 @@
             answers_head_request=self._skip_payload,
             receiver_fields=self._receiver_fields,
         )
-        self._is_head_due = not head.is_final
         self._head.clear()
+        if head.is_final:
+            self._is_head_due = False
+            self._final_head = head
 
     def _refuse(self, kind: ByteKind, *, size_bytes: int) -> None:
         """Fail the response, as it exceeds a bound, and close the connection."""
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -9,8 +9,8 @@
 
 from clementineyoke_node.bounds.bounded_connector import make_bounded_connector
 from clementineyoke_node.bounds.bounded_protocol import BoundedProtocol
+from clementineyoke_node.bounds.tcp_state import read_tcp_state
 from clementineyoke_node.edge.runner_connections import Address
-from clementineyoke_node.edge.tcp_state import read_tcp_state
 from clementineyoke_node.platform.runner_codec import RECEIVER_FIELDS, has_call_id
 from clementineyoke_node.runners.send_monitor import SendMonitor
 
--- a/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
+++ b/packages/clementineyoke-node/tests/steps/reused_addresses_steps.py
@@ -12,10 +12,10 @@
 from edge_fleet import EdgeFleet
 from edge_steps import WHOLE_STREAM, wait_until
 
+from clementineyoke_node.bounds.tcp_state import read_tcp_state
 from clementineyoke_node.edge.runner_connection_pool import RunnerConnectionPool
 from clementineyoke_node.edge.runner_connections import Address
 from clementineyoke_node.edge.runner_protocol import RunnerProtocol
-from clementineyoke_node.edge.tcp_state import read_tcp_state
 from clementineyoke_node.platform import names
 from clementineyoke_standins.edge.edge_runner import (
     EVENTS,
--- a/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
@@ -14,6 +14,7 @@
 HEAD_END = b"\r\n\r\n"
 LINE_END = b"\r\n"
 MIN_FINAL_STATUS = 200
+MIN_REDIRECT_STATUS = 300
 SWITCHING_PROTOCOLS = 101
 NO_CONTENT = 204
 NOT_MODIFIED = 304
@@ -58,6 +59,11 @@
         """Whether no other head of the same response follows."""
         return self.status >= MIN_FINAL_STATUS
 
+    @property
+    def is_success(self) -> bool:
+        """Whether the status says that the request was served."""
+        return MIN_FINAL_STATUS <= self.status < MIN_REDIRECT_STATUS
+
 
 def has_bare_line_feed(head: bytes | bytearray, start: int = 0) -> bool:
     """Return whether a line of a head ends without a CR, at an index or later.
