A reset right after the end of an answer without a length cuts it

A runner answered a request of 8 kB, all of which its host had taken, with a part of an answer, ended its sending side and reset the connection within 5 ms, as a process does that closes it with a part of the request unread. Callers got the part as whole.

Cause: nothing of the request is on its way at the end, and the node closed the connection at once: whether a reset follows could not be seen.

RunnerProtocol ends the response as before, but keeps the connection for 50 ms. The check of an end, which waits 20 ms in any case before it tries the runner's address, first asks the system whether the connection has been reset meanwhile. No answer takes longer. A runner that has read its request and closes does not reset.

What remains: a reset more than 20 ms after the end of an answer to a request that the runner's host had taken cannot be told from a sound end in time.

--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_liveness.py
@@ -48,6 +48,7 @@
 
 
 ENDED = EndDoubt("the runner ended with an answer that has no length")
+RESET = EndDoubt("an answer that has no length ended with a reset of its connection")
 KNOWN = EndDoubt("the runner was known to have ended with an answer without a length")
 MAY_BE_KNOWN = EndDoubt(
     "the runner was said to have ended before an answer without a length",
@@ -260,6 +261,8 @@
         """Return why a runner may have ended with its answer."""
         loop = asyncio.get_running_loop()
         await asyncio.sleep(PROBE_DELAY_MS / MS_PER_S)
+        if protocol is not None and protocol.was_reset_at_end:
+            return EndFindings(RESET)
         # An older connection that is still open proves nothing by itself, as its end
         # may have been lost on the way.
         is_listening = await self._is_listening(runner)
--- a/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/edge/runner_protocol.py
@@ -36,6 +36,8 @@
 QUIET_S = 0.02
 """Time without bytes after which none that were sent earlier wait, here or at the
 runner's host, if that could send them."""
+RESET_WAIT_S = 0.05
+"""How long a connection is kept after its runner's end, in which a reset is noticed."""
 _KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*(\d{1,6})\b", re.IGNORECASE)
 
 
@@ -67,6 +69,8 @@
         self.on_ended: Callable[[], None] = lambda: None
         """Called when the connection has ended."""
         self._end_arrived_s: float | None = None
+        self._ended_transport: asyncio.Transport | None = None
+        """The connection after the end of a response that ended with it."""
         self._was_ended_idle = False
         """Whether the runner had ended the connection when a call was to use it."""
         self._last_received_s = 0.0
@@ -152,10 +156,35 @@
             self._max_idle_s = min(MAX_IDLE_S, int(announced[1]) - KEEP_ALIVE_MARGIN_S)
         super().feed_data(data, size)
 
-    def eof_received(self) -> None:
-        """Record for how long the end has waited for the event loop to read it."""
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Record for how long the end has waited for the event loop to read it.
+
+        Returns whether this side stays open. It does so for a short time after a
+        response that ends with the connection: a runner that closes its side with a
+        part of the request unread resets the connection then.
+        """
         self._record_arrival()
         super().eof_received()
+        if self._end_fault or not self._ends_with_connection:
+            return False
+        self._loop.call_soon(self._end_response)
+        return True
+
+    def _end_response(self) -> None:
+        """End the response, and close the connection later."""
+        if self.transport is None:
+            return  # The reader of the response has left, and closed the connection.
+        self._ended_transport = self.transport
+        self._loop.call_later(RESET_WAIT_S, self.transport.close)
+        self.connection_lost(None)
+
+    @property
+    def was_reset_at_end(self) -> bool:
+        """Whether the connection was reset after its end, as far as known by now."""
+        if self._ended_transport is None:
+            return False
+        state = read_tcp_state(self._ended_transport)
+        return state is not None and state.is_reset
 
     def _record_arrival(self) -> None:
         state = None if self.transport is None else read_tcp_state(self.transport)
@@ -165,6 +194,8 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Record whether the connection was cut, or ended with a response."""
+        if self._ended_transport is not None and self.ended_s is not None:
+            return  # It has been recorded at the end of the response.
         payload = self._payload
         is_own_end = self._refusal is not None or (
             self.transport is None and not self._was_ended_idle
@@ -173,6 +204,8 @@
         was_idle = had_ended and not self._is_head_due
         if self._send_monitor is not None:
             self._send_monitor.stop()
+        if self._ended_transport is not None:
+            self.transport = None  # aiohttp would close it now.
         super().connection_lost(exc)
         is_body_end = not had_ended and payload is not None and payload.is_eof()
         ended_s = self._record_end()
--- a/packages/clementineyoke-node/tests/edge/early_answers.feature
+++ b/packages/clementineyoke-node/tests/edge/early_answers.feature
@@ -32,6 +32,19 @@
       | 900  | finish | 300      |
       | 4000 | finish | 300      |
 
+  Scenario Outline: A short request waits unread when its answer ends
+    # The runner's system has taken the request, which the runner never reads.
+    Given a node with two runners
+    When the first runner of an upload of 8 kB answers "200 OK" without a length, and then: <end> after <delay_ms> ms
+    Then the other runner serves the uploads that may run again, and the third fails
+
+    Examples:
+      | end    | delay_ms |
+      | reset  | 0        |
+      | close  | 0        |
+      | finish | 0        |
+      | finish | 5        |
+
   Scenario Outline: A failure that is sent early
     # A runner may refuse a request without reading it, and its caller should know.
     Given a node with two runners that do not read ahead
