Tests: heads of bare line feeds, and heads that come byte by byte

A mutation without the check for bare line feeds was missed: the changed lines stood in heads that ended properly, and were refused as lines. A sound answer after an interim head, both in single bytes, guards the other side.

--- a/packages/clementineyoke-node/tests/edge/malformed_heads.feature
+++ b/packages/clementineyoke-node/tests/edge/malformed_heads.feature
@@ -52,6 +52,7 @@
       | X-Odd: 1\r\n folded         | a length |
       | X-Odd: 1\nX-Other: 2        | a length |
       | X-Odd: 1\rX-Other: 2        | a length |
+      | X-Note: 1                   | line feeds |
 
   Scenario Outline: A value that no node can send on
     # The node cannot write the head, and its caller gets no answer at all.
@@ -128,6 +129,7 @@
       | HTTP/1.1 200 OK         | Transfer-Encoding: Chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\nX-Odd: 1\r\n | whole | neither | 200 |
       | HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK | X-Note: 1 | whole | a length | 200 |
       | HTTP/1.1 204 No Content | Content-Length: 0                                    | -     | neither  | 204 |
+      | HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK | X-Note: 1 | whole | single bytes | 200 |
       | HTTP/1.1 205 Reset      | X-Note: 1                                            | -     | a length | 205 |
 
   Scenario Outline: A peer relays an answer with a malformed head
--- a/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
+++ b/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
@@ -57,11 +57,11 @@
 def frame(body, end):
     """Return the framing fields of a body, and the body in its frame."""
     if end == "chunks":
-        return b"Transfer-Encoding: chunked\r\n", b"%x\r\n%s\r\n0\r\n\r\n" % (
-            len(body),
-            body,
-        )
-    return (b"Content-Length: %d\r\n" % len(body) if end == "a length" else b""), body
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        return b"Transfer-Encoding: chunked\r\n", chunk
+    if end == "neither":
+        return b"", body
+    return b"Content-Length: %d\r\n" % len(body), body
 
 
 async def send_answer(call, status, field, end, body):
@@ -74,11 +74,21 @@
     if b"Content-Type" not in field:
         identity += f"Content-Type: {content_type}\r\n".encode()
     framing, framed = frame(body, end)
-    yield status + b"\r\n" + identity + field + b"\r\n" + framing + b"\r\n" + framed
+    head = status + b"\r\n" + identity + field + b"\r\n" + framing + b"\r\n"
+    if end == "line feeds":
+        head = head.replace(b"\r\n", b"\n")
+    step_bytes = 1 if end == "single bytes" else len(head + framed)
+    for part in batched(head + framed, step_bytes):
+        yield part
+        await asyncio.sleep(0)
     if end == "neither":
         raise ConnectionResetError  # The stand-in closes the connection in order.
 
 
+def batched(data, size):
+    return [data[place : place + size] for place in range(0, len(data), size)]
+
+
 async def call_node(fleet, kind, call_id):
     method = "GET" if kind == "idempotent" else "POST"
     fields = "Connection: close\r\n"
