--- a/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
+++ b/packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py
@@ -93,12 +93,12 @@
         message = f"the head with status {status} has another status line"
         raise HeadError(message)
     fields = _parse_fields(lines, FRAMING_FIELDS | receiver_fields)
-    _check_options(fields.get("connection", []), receiver_fields)
-    coding = _first(fields, "transfer-encoding")
+    _check_options(fields["connection"], receiver_fields)
+    coding = next(iter(fields["transfer-encoding"]), None)
     if coding is not None and is_http_1_0:
         message = f"an HTTP/1.0 response has the transfer coding {coding!r}"
         raise HeadError(message)
-    length = _first(fields, "content-length")
+    length = next(iter(fields["content-length"]), None)
     _check_framing(status, length=length, coding=coding)
     body_end = find_body_end(
         status,
@@ -158,27 +158,31 @@
 def _parse_fields(
     lines: list[bytes], single_fields: frozenset[str]
 ) -> dict[str, list[str]]:
-    """Return the values of each field by its lowercase name."""
-    fields: dict[str, list[str]] = {}
+    """Return the values of the fields that are checked, by their lowercase names."""
+    fields: dict[str, list[str]] = {name: [] for name in single_fields}
+    fields["connection"] = []
     for line in lines:
         match = _FIELD_LINE.fullmatch(line)
         if match is None:
             message = f"{_quote(line)} is no field"
             raise HeadError(message)
-        name = match[1].decode().lower()
-        values = fields.setdefault(name, [])
-        values.append(match[2].decode("latin-1").strip(" \t"))
-        if name not in single_fields:
-            continue
-        if len(values) > 1:
-            message = f"the field {name!r} occurs twice"
-            raise HeadError(message)
-        if not values[0].isascii():
-            message = f"the field {name!r} has other characters than ASCII"
-            raise HeadError(message)
+        values = fields.get(match[1].decode().lower())
+        if values is not None:
+            values.append(match[2].decode("latin-1").strip(" \t"))
+    for name in single_fields:
+        _check_single(name, fields[name])
     return fields
 
 
+def _check_single(name: str, values: list[str]) -> None:
+    if len(values) > 1:
+        message = f"the field {name!r} occurs twice"
+        raise HeadError(message)
+    if values and not values[0].isascii():
+        message = f"the field {name!r} has other characters than ASCII"
+        raise HeadError(message)
+
+
 def _check_options(values: list[str], receiver_fields: frozenset[str]) -> None:
     """Raise ``HeadError`` if a field for the receiver is to end with the connection."""
     options = {option.strip().lower() for text in values for option in text.split(",")}
@@ -188,11 +192,6 @@
         raise HeadError(message)
 
 
-def _first(fields: dict[str, list[str]], name: str) -> str | None:
-    values = fields.get(name)
-    return None if values is None else values[0]
-
-
 def _quote(text: bytes | str) -> str:
     """Return the begin of a text that another process has sent, as a log takes it."""
     return repr(text[:MAX_QUOTED_BYTES])
