--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -34,6 +34,11 @@
 CALLERS_SOURCE = f"{NODE}/src/clementineyoke_node/callers"
 ISOLATION = f"{NODE}/tests/callers/isolation.feature"
 RESUME = f"{NODE}/tests/callers/resume.feature"
+RESPONSE_HEAD = "packages/clementineyoke-wire/src/clementineyoke_wire/response_head.py"
+BOUNDED_PROTOCOL = f"{NODE}/src/clementineyoke_node/bounds/bounded_protocol.py"
+MALFORMED_HEADS = f"{NODE}/tests/edge/malformed_heads.feature"
+EARLY_ANSWERS = f"{NODE}/tests/edge/early_answers.feature"
+ENGINE_HEADS = f"{NODE}/tests/callers/engine_heads.feature"
 CALLS = f"{NODE}/tests/edge/calls.feature"
 STREAMS = f"{NODE}/tests/edge/streams.feature"
 FLEET = f"{NODE}/tests/edge/fleet.feature"
@@ -298,9 +303,9 @@
     ),
     Mutation(
         "a reset ends a response without a length as if it were complete",
-        f"{NODE_EDGE_SOURCE}/runner_protocol.py",
-        "if exc is not None and payload",
-        "if False and payload",
+        BOUNDED_PROTOCOL,
+        "fault = self._end_fault if exc is None else repr(exc)",
+        "fault = self._end_fault",
         CALLS,
     ),
     Mutation(
@@ -1783,6 +1788,118 @@
         "async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000.0):",
         LOOP_STALLS,
     ),
+    Mutation(
+        "a status outside of HTTP's is accepted",
+        RESPONSE_HEAD,
+        "([1-5][0-9]{2})(?: ",
+        "([0-9]{3})(?: ",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "another version of HTTP is accepted",
+        RESPONSE_HEAD,
+        '_STATUS_LINE = re.compile(rb"HTTP/1\\.([01])',
+        '_STATUS_LINE = re.compile(rb"HTTP/[0-9]\\.([0-9])',
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "lines of a head may end without a carriage return",
+        BOUNDED_PROTOCOL,
+        "if has_bare_line_feed(self._head, known_bytes):",
+        "if False:",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "a blank may stand before the colon of a field",
+        RESPONSE_HEAD,
+        "0-9A-Za-z-]+):(",
+        "0-9A-Za-z-]+) ?:(",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "a value may have control characters",
+        RESPONSE_HEAD,
+        '_TEXT = rb"[\\t\\x20-\\x7e\\x80-\\xff]*"',
+        '_TEXT = rb"[^\\r\\n]*"',
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "a body may be in a coding that nobody undoes",
+        RESPONSE_HEAD,
+        'or coding.lower() != "chunked")',
+        ")",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "a status without a body may announce one",
+        RESPONSE_HEAD,
+        "if is_bodiless and (coding",
+        "if False and (coding",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "chunks are accepted in HTTP/1.0",
+        RESPONSE_HEAD,
+        "if coding is not None and is_http_1_0:",
+        "if False:",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "another protocol is accepted",
+        RESPONSE_HEAD,
+        "if status == SWITCHING_PROTOCOLS:",
+        "if False:",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "a response may identify itself twice",
+        RESPONSE_HEAD,
+        "if len(values) > 1:",
+        "if False:",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "the signature may be an option of the connection",
+        RESPONSE_HEAD,
+        "    if removed:",
+        "    if False:",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "two heads may be joined in one",
+        RESPONSE_HEAD,
+        "if _OTHER_STATUS_LINE.search(head, 1):",
+        "if False:",
+        MALFORMED_HEADS,
+    ),
+    Mutation(
+        "what waits in the system counts as delivered",
+        BOUNDED_PROTOCOL,
+        "(pending_bytes or has_undelivered)",
+        "pending_bytes",
+        EARLY_ANSWERS,
+    ),
+    Mutation(
+        "a failure before its request was delivered is cut",
+        BOUNDED_PROTOCOL,
+        "if head.is_success and (",
+        "if (",
+        EARLY_ANSWERS,
+    ),
+    Mutation(
+        "a reset after the end of an answer goes unnoticed",
+        f"{NODE_EDGE_SOURCE}/runner_liveness.py",
+        "if protocol is not None and protocol.was_reset_at_end:",
+        "if False:",
+        EARLY_ANSWERS,
+    ),
+    Mutation(
+        "an engine's head may name two requests",
+        f"{NODE}/src/clementineyoke_node/runners/runner_client.py",
+        "partial(BoundedProtocol, receiver_fields=RECEIVER_FIELDS)",
+        "BoundedProtocol",
+        ENGINE_HEADS,
+    ),
     Mutation(
         "heads of a response have no bound",
         f"{BOUNDS_SOURCE}/bounded_protocol.py",
@@ -1800,7 +1917,7 @@
     Mutation(
         "a head is parsed with what follows it",
         f"{BOUNDS_SOURCE}/bounded_protocol.py",
-        "size_bytes = len(data) if end < 0 else end + len(HEAD_END) - len(tail)",
+        "size_bytes = len(self._head) - known_bytes",
         "size_bytes = len(data)",
         ENDLESS_BYTES,
     ),
