Soak: malformed answers, and callers that read by the grammar of HTTP

The soak's callers use a client library, which reads as leniently as the nodes did, and its runners answered in proper heads only.

Tests and soak send such answers by the same stand-in.

--- a/packages/clementineyoke-node/src/clementineyoke_node/bounds/tcp_state.py
+++ b/packages/clementineyoke-node/src/clementineyoke_node/bounds/tcp_state.py
@@ -19,6 +19,7 @@
 _MAX_SEGMENT_OFFSET = 84
 _UNSENT_OFFSET = 144
 _WINDOW_OFFSET = 232
+_FIELD_BYTES = 4
 _UNKNOWN = 0
 _ESTABLISHED = 1
 _CLOSED = 7
@@ -77,7 +78,7 @@
 def _has_undelivered(info: bytes) -> bool:
     """Return whether bytes are not acknowledged, or not even sent."""
     (segments,) = struct.unpack_from("=I", info, _UNACKNOWLEDGED_OFFSET)
-    if segments or len(info) < _UNSENT_OFFSET + 4:
+    if segments or len(info) < _UNSENT_OFFSET + _FIELD_BYTES:
         return bool(segments)
     (unsent_bytes,) = struct.unpack_from("=I", info, _UNSENT_OFFSET)
     return bool(unsent_bytes)
--- a/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
+++ b/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
@@ -18,11 +18,13 @@
 
 from clementineyoke_node.platform import names
 from clementineyoke_standins.edge.edge_runner import EdgeRunner, ScriptedResponse
-from clementineyoke_standins.edge.raw_answers import (
-    EVENT_STREAM,
-    SIGNATURE,
-    encode_event,
+from clementineyoke_standins.edge.malformed_answers import (
+    BODY,
+    AnswerForm,
+    Framing,
+    send_answer,
 )
+from clementineyoke_standins.edge.raw_answers import SIGNATURE, encode_event
 from clementineyoke_standins.edge.raw_caller import GrammarError, RawAnswer, call_raw
 from clementineyoke_standins.edge.source_filter import LinkCut
 from clementineyoke_wire.response_head import (
@@ -54,39 +56,8 @@
     return text.encode().decode("unicode_escape").encode(LATIN_1)
 
 
-def frame(body, end):
-    """Return the framing fields of a body, and the body in its frame."""
-    if end == "chunks":
-        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
-        return b"Transfer-Encoding: chunked\r\n", chunk
-    if end == "neither":
-        return b"", body
-    return b"Content-Length: %d\r\n" % len(body), body
-
-
-async def send_answer(call, status, field, end, body):
-    """Send an answer that says that its runner drains, and identifies itself."""
-    content_type = EVENT_STREAM if "streaming" in call.target else "text/plain"
-    identity = (
-        f"{names.CALL_ID}: {call.call_id}\r\n{names.SERVER_SIGNATURE}: {SIGNATURE}\r\n"
-        f"{names.DRAINING}: {names.DRAINING_VALUE}\r\n"
-    ).encode()
-    if b"Content-Type" not in field:
-        identity += f"Content-Type: {content_type}\r\n".encode()
-    framing, framed = frame(body, end)
-    head = status + b"\r\n" + identity + field + b"\r\n" + framing + b"\r\n"
-    if end == "line feeds":
-        head = head.replace(b"\r\n", b"\n")
-    step_bytes = 1 if end == "single bytes" else len(head + framed)
-    for part in batched(head + framed, step_bytes):
-        yield part
-        await asyncio.sleep(0)
-    if end == "neither":
-        raise ConnectionResetError  # The stand-in closes the connection in order.
-
-
-def batched(data, size):
-    return [data[place : place + size] for place in range(0, len(data), size)]
+def make_form(status, field, framing):
+    return AnswerForm(unescape(status), unescape(field), Framing(framing))
 
 
 async def call_node(fleet, kind, call_id):
@@ -115,7 +86,7 @@
         return PlayedCall(kind, answer, len(fleet.calls()), any(drains))
 
 
-def answer_once(status, field, end):
+def answer_once(form):
     """Return the first answer to a call; the next one is sound."""
     calls = []
 
@@ -123,8 +94,8 @@
         calls.append(call)
         if len(calls) > 1:
             return None
-        body = encode_event(1) if "streaming" in call.target else b"broken"
-        return send_answer(call, unescape(status), unescape(field), end, body)
+        body = encode_event(1) if "streaming" in call.target else BODY
+        return send_answer(call, form, body)
 
     return answer
 
@@ -133,7 +104,8 @@
 def answer_first(context, status, field, end):
     async def act():
         context.played = [
-            await play(kind, answer_once(status, field, end)) for kind in KINDS
+            await play(kind, answer_once(make_form(status, field, end)))
+            for kind in KINDS
         ]
 
     context.run(act())
@@ -170,10 +142,9 @@
 def answer_unusual(context, status, field, body, end):
     context.body = unescape(body.strip("-"))
 
-    def answer(call):
-        return send_answer(call, unescape(status), unescape(field), end, context.body)
-
-    context.answer = context.run(play("non_idempotent", answer)).answer
+    form = make_form(status, field, end)
+    played = play("non_idempotent", lambda call: send_answer(call, form, context.body))
+    context.answer = context.run(played).answer
 
 
 @then("the caller gets this answer with status {status:d}")
@@ -188,9 +159,8 @@
 def answer_relayed(context, status, field, end):
     fleet = EdgeFleet(nodes=2, runners=1, has_own_sources=True)
     peer = EdgeRunner(runner_id="peer")
-    peer.raw_answer = lambda call: send_answer(
-        call, unescape(status), unescape(field), end, b"broken"
-    )
+    form = make_form(status, field, end)
+    peer.raw_answer = lambda call: send_answer(call, form)
 
     async def act():
         async with fleet, peer:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/console/soak.py
@@ -49,6 +49,9 @@
     that replaces runners so."""
     has_entry_changes: bool = True
     """Whether runners' entries change while they go on with streams."""
+    has_malformed_answers: bool = True
+    """Whether a runner's answers have malformed heads, and a caller reads by HTTP's
+    grammar."""
     has_power_losses: bool = False
     """Whether nothing is played but releases with losses of all nodes."""
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/fault_acts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 import time
 from functools import partial
@@ -14,6 +15,7 @@
 from clementineyoke_standins.edge.edge_runner import ScriptedResponse
 from clementineyoke_standins.edge.edge_store import StoreFault
 from clementineyoke_standins.edge.endless_answers import ENDLESS_ANSWERS
+from clementineyoke_standins.edge.malformed_answers import MALFORMED_FORMS, send_answer
 from clementineyoke_standins.edge.source_filter import LinkCut
 from clementineyoke_standins.soak.audit import (
     APPLY_DEADLINE_S,
@@ -163,6 +165,7 @@
             FaultKind.FOREIGN_ENTRY: self._add_foreign_entry,
             FaultKind.RUNNER_ENDLESS: self._answer_without_end,
             FaultKind.STORE_ENDLESS: self._store_without_end,
+            FaultKind.RUNNER_MALFORMED: self._answer_malformed,
         }
 
     async def inject(self, fault: PlannedFault) -> None:
@@ -359,6 +362,16 @@
         await asyncio.sleep(fault.duration_s)
         runner.raw_answer = former
 
+    async def _answer_malformed(self, fault: PlannedFault) -> None:
+        """Have a runner that takes calls answer each in another malformed form."""
+        active = [runner for runner in self._fleet.runners if not runner.is_draining]
+        runner = active[fault.selector % len(active)]
+        forms = itertools.cycle(MALFORMED_FORMS)
+        former = runner.raw_answer
+        runner.raw_answer = lambda call: send_answer(call, next(forms))
+        await asyncio.sleep(fault.duration_s)
+        runner.raw_answer = former
+
     async def _store_without_end(self, fault: PlannedFault) -> None:
         self._fleet.store.is_endless = True
         await asyncio.sleep(fault.duration_s)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/schedule.py
@@ -77,6 +77,8 @@
     """A runner answers with bytes without end."""
     STORE_ENDLESS = "store_endless"
     """The store answers lists and watches with bytes without end."""
+    RUNNER_MALFORMED = "runner_malformed"
+    """A runner answers with heads that break the grammar of HTTP."""
 
 
 NON_DISRUPTIVE = frozenset(
@@ -125,6 +127,7 @@
         *PATH_FAULTS,
         *PAUSES,
         *ENDLESS_BYTES,
+        FaultKind.RUNNER_MALFORMED,
         FaultKind.RELEASE_KILL,
         FaultKind.REPLACE_KILL,
     )
@@ -193,6 +196,12 @@
     return _draw_once(ENDLESS_BYTES, Random(f"bytes of {seed}"), length_s)
 
 
+def plan_malformed_answers(seed: int, *, length_s: float) -> list[PlannedFault]:
+    """Return the malformed answers of a seed."""
+    kinds = (FaultKind.RUNNER_MALFORMED,)
+    return _draw_once(kinds, Random(f"malformed answers of {seed}"), length_s)
+
+
 def plan_release(seed: int, *, length_s: float) -> list[PlannedFault]:
     """Return the release of a seed amid which all nodes are killed."""
     kinds = (FaultKind.RELEASE_KILL,)
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/soak/soak_run.py
@@ -52,6 +52,7 @@
     SoakFleet,
 )
 from clementineyoke_standins.soak.stream_reader import TARGET, StreamReader
+from clementineyoke_standins.soak.strict_caller import StrictCaller
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -64,6 +65,7 @@
 RUNNERS = 4
 RUNNERS_ALONE = 8
 CALLERS = 6
+STRICT_CALLERS = 4
 READERS = 2
 PATIENT_READERS = 4
 PATIENT_READERS_ALONE = 40
@@ -132,6 +134,7 @@
         has_release: bool = True,
         has_replacements: bool = True,
         has_entry_changes: bool = True,
+        has_malformed_answers: bool = True,
         has_other_faults: bool = True,
         node_python: str = sys.executable,
     ) -> None:
@@ -147,6 +150,7 @@
         self._has_release = has_release
         self._has_replacements = has_replacements
         self._has_entry_changes = has_entry_changes
+        self._has_malformed_answers = has_malformed_answers
         self._has_other_faults = has_other_faults
         self._length_s = length_s
         self._is_timed = is_timed
@@ -183,6 +187,15 @@
             state=self._fleet.state,
             rng=Random(f"slow caller of {seed}"),
         )
+        self._strict_callers = [
+            StrictCaller(
+                name=f"s{seed}strict{number}",
+                endpoints=self._fleet.caller_endpoints,
+                state=self._fleet.state,
+                rng=Random(f"strict caller {number} of {seed}"),
+            )
+            for number in range(STRICT_CALLERS if has_malformed_answers else 0)
+        ]
         self._readers = [
             StreamReader(
                 name=f"s{seed}r{number}",
@@ -230,6 +243,8 @@
             async with BackgroundTasks() as tasks:
                 if self._has_pauses:
                     tasks.spawn(self._slow_caller.run(), name="soak_slow_caller")
+                for strict_caller in self._strict_callers:
+                    tasks.spawn(strict_caller.run(), name="soak_strict_caller")
                 for caller in self._callers:
                     tasks.spawn(caller.run(), name="soak_caller")
                 for reader in self._readers:
@@ -264,6 +279,7 @@
             (schedule.plan_path_faults, self._has_path_faults),
             (schedule.plan_pauses, self._has_pauses),
             (schedule.plan_endless_bytes, self._has_endless_bytes),
+            (schedule.plan_malformed_answers, self._has_malformed_answers),
             (schedule.plan_release, self._has_release),
             (schedule.plan_replacements, self._has_replacements),
         )
@@ -329,6 +345,9 @@
         undrawn = PATH_FAULTS if self._has_path_faults else ()
         for kind in (*undrawn, *(PAUSES if self._has_pauses else ())):
             await self._inject(PlannedFault(0.0, kind, self._seed, PATH_FAULT_S), 0.0)
+        if self._has_malformed_answers:
+            kind = FaultKind.RUNNER_MALFORMED
+            await self._inject(PlannedFault(0.0, kind, self._seed, PATH_FAULT_S), 0.0)
         if self._has_endless_bytes:
             await self._check_endless_bytes()
         await asyncio.sleep(APPLY_DEADLINE_S + OBSERVATION_S)
@@ -445,6 +464,8 @@
             ],
         )
         self._violations += audit(evidence, is_timed=self._is_timed)
+        for strict_caller in self._strict_callers:
+            self._violations += strict_caller.violations
         resumptions = [t for t in evidence.stream_tries if t.is_resumption]
         return SoakReport(
             seed=self._seed,
