Stand-ins and steps: one reset of a connection, one caller by the grammar

The early runner set the linger time by itself, which reset_connection does as well, and two step files called a node by the grammar in the same way.

--- a/packages/clementineyoke-node/tests/steps/early_answers_steps.py
+++ b/packages/clementineyoke-node/tests/steps/early_answers_steps.py
@@ -4,8 +4,7 @@
 from cut_heads_steps import stop_nodes
 from edge_fleet import EdgeFleet
 from edge_steps import WHOLE_STREAM, wait_until
-from leaving_node_steps import encode_request
-from malformed_heads_steps import CALL_ID, CALL_TIMEOUT_S, KINDS
+from malformed_heads_steps import CALL_ID, KINDS, call_node
 
 from clementineyoke_node.platform import names
 from clementineyoke_standins.edge.early_runner import (
@@ -20,7 +19,7 @@
     encode_raw_head,
     encode_raw_stream,
 )
-from clementineyoke_standins.edge.raw_caller import GrammarError, call_raw
+from clementineyoke_standins.edge.raw_caller import GrammarError
 from clementineyoke_standins.edge.written_specs import runner_spec
 
 SOUND_BODY = b"the whole answer"
@@ -56,19 +55,7 @@
             await fleet.store.put("servers", f"early-{number}", spec)
         table = fleet.nodes[0].state.table
         await wait_until(lambda: len(list(table.entries())) == len(runners), 3)
-        request = encode_request(
-            CALL_ID,
-            method="POST",
-            kind=kind,
-            fields="Connection: close\r\n",
-            body=b"x" * upload_bytes,
-        )
-        try:
-            got = await call_raw(
-                "127.0.0.2", fleet.ports[0], request, timeout_s=CALL_TIMEOUT_S
-            )
-        except GrammarError as error:
-            got = error
+        got = await call_node(fleet, kind, CALL_ID, body=b"x" * upload_bytes)
         await stop_nodes(fleet)
     return kind, got, len(calls)
 
--- a/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
+++ b/packages/clementineyoke-node/tests/steps/malformed_heads_steps.py
@@ -62,10 +62,12 @@
     return AnswerForm(unescape(status), unescape(field), Framing(framing))
 
 
-async def call_node(fleet, kind, call_id):
-    method = "GET" if kind == "idempotent" else "POST"
+async def call_node(fleet, kind, call_id, *, method="POST", body=b""):
+    """Return the answer to a call, or why what has come is none."""
     fields = "Connection: close\r\n"
-    request = encode_request(call_id, method=method, kind=kind, fields=fields)
+    request = encode_request(
+        call_id, method=method, kind=kind, fields=fields, body=body
+    )
     try:
         return await call_raw(
             "127.0.0.2", fleet.ports[0], request, timeout_s=CALL_TIMEOUT_S
@@ -81,7 +83,8 @@
         for runner in fleet.runners:
             runner.responses_by_prefix["/streaming/"] = ScriptedResponse.STREAM
             runner.raw_answer = make_answer
-        answer = await call_node(fleet, kind, CALL_ID)
+        method = "GET" if kind == "idempotent" else "POST"
+        answer = await call_node(fleet, kind, CALL_ID, method=method)
         table = fleet.nodes[0].state.table
         drains = [table.is_draining(runner.runner_id) for runner in fleet.runners]
         await stop_nodes(fleet)
@@ -175,7 +178,7 @@
             ]
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 while not peer.calls:
-                    answer = await call_node(fleet, "idempotent", CALL_ID)
+                    answer = await call_node(fleet, "idempotent", CALL_ID, method="GET")
             await stop_nodes(fleet)
         return answer
 
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/early_runner.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/early_runner.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import socket
-import struct
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple, Self
 
 from clementineyoke_standins.edge.edge_runner import ReceivedCall
 from clementineyoke_standins.edge.raw_answers import encode_raw_head
+from clementineyoke_standins.edge.source_filter import reset_when_closed
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -136,9 +136,7 @@
             await _receive_all(connection, length_bytes // 2)
         await asyncio.sleep(answer.delay_s)
         if answer.end not in (EarlyEnd.CLOSE, EarlyEnd.READ_ALL):
-            # With a linger time of 0, the connection is reset rather than closed.
-            linger = struct.pack("ii", 1, 0)
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_when_closed(connection)
 
 
 async def _receive(connection: socket.socket, max_bytes: int) -> bytes:
--- a/packages/clementineyoke-standins/src/clementineyoke_standins/edge/source_filter.py
+++ b/packages/clementineyoke-standins/src/clementineyoke_standins/edge/source_filter.py
@@ -91,12 +91,17 @@
     """Reset a connection rather than closing it in order."""
     sock = writer.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
-        # With a linger time of 0, the connection is reset rather than closed.
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        reset_when_closed(sock)
     writer.transport.abort()
 
 
+def reset_when_closed(sock: socket.socket) -> None:
+    """Have the end of a connection reset it."""
+    # With a linger time of 0, the connection is reset rather than closed.
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def drop_sources(sock: socket.socket, addresses: Collection[str]) -> None:
     """Drop all packets from IPv4 addresses.
 
